--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+VENV = .venv
+PYTHON = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: run test lint
+
+run: $(STAMP)
+	$(PYTHON) -m demo
+
+test: $(STAMP)
+	$(PYTHON) -m tests
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[develop]'
+	touch $(STAMP)
--- /dev/null
+++ b/knapweeddeal/__init__.py
@@ -0,0 +1,5 @@
+"""knapweeddeal: A layer-4 load balancer and the coordination parts it is built from."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/knapweeddeal/errors.py
@@ -0,0 +1,135 @@
+"""knapweeddeal.errors: Exceptions, each with a stable code."""
+
+__all__ = [
+    "BadMessage",
+    "BadSetting",
+    "BadTicket",
+    "Conflict",
+    "CorruptStorage",
+    "KnapweeddealError",
+    "InvalidIntent",
+    "NoQuorum",
+    "NotLeader",
+    "StreamClosed",
+    "Unreachable",
+    "error_from_code",
+]
+
+
+class KnapweeddealError(Exception):
+    """Report a failure by its code, and the field and value behind it."""
+
+    #: Stable code, as logs, answers and the operators' guide give it.
+    code = "internal"
+    #: Exit status of the command-line tool.
+    exit_status = 1
+
+    def __init__(self, text="", *, field="", value=""):
+        self.text = text
+        self.field = field
+        self.value = str(value)[:200]
+        super().__init__(self.describe())
+
+    def describe(self):
+        """Return code, text, field and value on one line."""
+        parts = [self.code]
+        if self.text:
+            parts.append(self.text)
+        if self.field:
+            parts.append(f"{self.field}={self.value!r}")
+        return ": ".join(parts)
+
+
+class BadMessage(KnapweeddealError):
+    """Report a message that breaks its schema."""
+
+    code = "bad_message"
+    exit_status = 3
+
+
+class BadTicket(KnapweeddealError):
+    """Report a ticket that is forged, expired or cut short."""
+
+    code = "bad_ticket"
+    exit_status = 3
+
+
+class BadSetting(KnapweeddealError):
+    """Report a setting by file, section, key and value."""
+
+    code = "bad_setting"
+    exit_status = 4
+
+
+class InvalidIntent(KnapweeddealError):
+    """Report an operator's intent that can't be planned."""
+
+    code = "invalid_intent"
+    exit_status = 5
+
+
+class Conflict(KnapweeddealError):
+    """Report that another configuration was confirmed first."""
+
+    code = "conflict"
+    exit_status = 6
+
+
+class NoQuorum(KnapweeddealError):
+    """Report that a majority of control replicas didn't answer."""
+
+    code = "no_quorum"
+    exit_status = 7
+
+
+class NotLeader(KnapweeddealError):
+    """Report that another control replica leads; value names it."""
+
+    code = "not_leader"
+    exit_status = 7
+
+
+class Unreachable(KnapweeddealError):
+    """Report that a process didn't accept a stream or didn't answer."""
+
+    code = "unreachable"
+    exit_status = 8
+
+
+class StreamClosed(KnapweeddealError):
+    """Report that a stream ended."""
+
+    code = "stream_closed"
+    exit_status = 8
+
+
+class CorruptStorage(KnapweeddealError):
+    """Report damage in a data folder that isn't a torn tail."""
+
+    code = "corrupt_storage"
+    exit_status = 9
+
+
+#: Failure classes by the code that travels in answers.
+BY_CODE = {
+    cls.code: cls
+    for cls in (
+        BadMessage,
+        BadSetting,
+        BadTicket,
+        Conflict,
+        CorruptStorage,
+        KnapweeddealError,
+        InvalidIntent,
+        NoQuorum,
+        NotLeader,
+        StreamClosed,
+        Unreachable,
+    )
+}
+
+
+def error_from_code(code, text, *, field="", value=""):
+    """Return the failure that stands behind a code received from a peer."""
+    cls = BY_CODE.get(code, KnapweeddealError)
+    return cls(text, field=field, value=value)
--- /dev/null
+++ b/knapweeddeal/logs.py
@@ -0,0 +1,38 @@
+"""knapweeddeal.logs: Log lines with a fixed prefix for each part."""
+
+import sys
+
+import eliot
+
+__all__ = ["Log", "open_log"]
+
+
+def open_log(path):
+    """Send the log to a file, or to standard error if the path is empty."""
+    target = open(path, "a", encoding="utf-8") if path else sys.stderr  # noqa: SIM115
+    eliot.to_file(target)
+
+
+class Log:
+    """Write the log lines of one part."""
+
+    __slots__ = ("_prefix",)
+
+    def __init__(self, *, prefix):
+        self._prefix = prefix
+
+    def info(self, text, **fields):
+        """Write a short sentence and its fields."""
+        self._write("info", text, fields)
+
+    def warning(self, text, **fields):
+        """Write a short sentence on trouble that the process survives."""
+        self._write("warning", text, fields)
+
+    def _write(self, level, text, fields):
+        eliot.log_message(
+            message_type=self._prefix,
+            level=level,
+            text=f"{self._prefix}: {text}",
+            **fields,
+        )
--- /dev/null
+++ b/knapweeddeal/messages/__init__.py
@@ -0,0 +1,15 @@
+"""knapweeddeal.messages: The families of typed messages and their one codec."""
+
+from knapweeddeal.messages import caller, control, operator, peer, upstream
+from knapweeddeal.messages.base import REGISTRY, Message, decode, encode
+
+__all__ = ["FAMILIES", "REGISTRY", "Message", "decode", "encode"]
+
+#: Families of messages by name.
+FAMILIES = {
+    "caller": caller,
+    "control": control,
+    "operator": operator,
+    "peer": peer,
+    "upstream": upstream,
+}
--- /dev/null
+++ b/knapweeddeal/messages/base.py
@@ -0,0 +1,241 @@
+"""knapweeddeal.messages.base: Typed messages, their field checks and their codec."""
+
+import operator
+
+import msgpack
+
+from knapweeddeal.errors import BadMessage
+
+__all__ = [
+    "REGISTRY",
+    "Blob",
+    "Flag",
+    "ListOf",
+    "Message",
+    "Nested",
+    "OneOf",
+    "Text",
+    "Whole",
+    "decode",
+    "encode",
+    "from_wire",
+]
+
+#: Message classes by wire tag.
+REGISTRY = {}
+
+#: Largest 64-bit whole number.
+MAX_WHOLE = 2**64 - 1
+
+
+class Text:
+    """Check a text field."""
+
+    __slots__ = ("max_chars",)
+
+    def __init__(self, *, max_chars=128):
+        self.max_chars = max_chars
+
+    def unpack(self, name, value):
+        """Return a value that passes the check, or raise BadMessage."""
+        if type(value) is not str or len(value) > self.max_chars:
+            raise BadMessage("not a short text", field=name, value=value)
+        return value
+
+
+class Whole:
+    """Check a whole number field."""
+
+    __slots__ = ("maximum", "minimum")
+
+    def __init__(self, *, minimum=0, maximum=MAX_WHOLE):
+        self.minimum = minimum
+        self.maximum = maximum
+
+    def unpack(self, name, value):
+        """Return a value that passes the check, or raise BadMessage."""
+        if type(value) is not int or not self.minimum <= value <= self.maximum:
+            raise BadMessage("not a whole number in range", field=name, value=value)
+        return value
+
+
+class Flag:
+    """Check a truth value field."""
+
+    __slots__ = ()
+
+    def unpack(self, name, value):
+        """Return a value that passes the check, or raise BadMessage."""
+        if type(value) is not bool:
+            raise BadMessage("not a truth value", field=name, value=value)
+        return value
+
+
+class Blob:
+    """Check a byte string field."""
+
+    __slots__ = ("max_bytes",)
+
+    def __init__(self, *, max_bytes=1 << 20):
+        self.max_bytes = max_bytes
+
+    def unpack(self, name, value):
+        """Return a value that passes the check, or raise BadMessage."""
+        if type(value) is not bytes or len(value) > self.max_bytes:
+            raise BadMessage("not a byte string in range", field=name, value=value)
+        return value
+
+
+class OneOf:
+    """Check a text field against a closed list."""
+
+    __slots__ = ("choices",)
+
+    def __init__(self, *choices):
+        self.choices = frozenset(choices)
+
+    def unpack(self, name, value):
+        """Return a value that passes the check, or raise BadMessage."""
+        if type(value) is not str or value not in self.choices:
+            raise BadMessage("not one of the known words", field=name, value=value)
+        return value
+
+
+class Nested:
+    """Check a field that holds another message."""
+
+    __slots__ = ("cls",)
+
+    def __init__(self, cls):
+        self.cls = cls
+
+    def pack(self, value):
+        """Return the wire form of a value."""
+        return value.to_wire()
+
+    def unpack(self, name, value):
+        """Return the message in a value, or raise BadMessage."""
+        message = from_wire(value)
+        if not isinstance(message, self.cls):
+            raise BadMessage("holds another message", field=name, value=message)
+        return message
+
+
+class ListOf:
+    """Check a list whose items all pass one check."""
+
+    __slots__ = ("item", "max_items")
+
+    def __init__(self, item, *, max_items=100_000):
+        self.item = item
+        self.max_items = max_items
+
+    def pack(self, value):
+        """Return the wire form of a value."""
+        pack = getattr(self.item, "pack", None)
+        return [pack(item) for item in value] if pack else list(value)
+
+    def unpack(self, name, value):
+        """Return the checked items, or raise BadMessage."""
+        if type(value) is not list or len(value) > self.max_items:
+            raise BadMessage("not a list in range", field=name, value=value)
+        return [self.item.unpack(name, item) for item in value]
+
+
+class Message:
+    """Hold the fields that a subclass declares in its schema.
+
+    A subclass sets `tag`, `schema` and `__slots__ = tuple(schema)`; constructors
+    take every field by keyword and check names only: the codec checks values.
+    """
+
+    __slots__ = ()
+
+    #: Wire tag; 0 for a class that never travels on its own.
+    tag = 0
+    #: Field checks by field name, in wire order.
+    schema = {}
+
+    def __init_subclass__(cls):
+        """Register the class by its tag and prepare its codec."""
+        names = tuple(cls.schema)
+        cls._names = names
+        cls._checks = tuple((name, kind.unpack) for name, kind in cls.schema.items())
+        cls._packs = tuple(getattr(kind, "pack", None) for kind in cls.schema.values())
+        cls._plain = not any(cls._packs)
+        getter = operator.attrgetter(*names) if names else lambda _: ()
+        cls._values = staticmethod(
+            getter if len(names) != 1 else lambda message: (getter(message),)
+        )
+        if cls.tag in REGISTRY:
+            raise TypeError(f"tag {cls.tag} stands twice")
+        if cls.tag:
+            REGISTRY[cls.tag] = cls
+
+    def __init__(self, **values):
+        for name in self._names:
+            try:
+                setattr(self, name, values.pop(name))
+            except KeyError:
+                raise TypeError(f"{type(self).__name__} lacks {name}") from None
+        if values:
+            raise TypeError(f"{type(self).__name__} has no {sorted(values)}")
+
+    def __eq__(self, other):
+        """Compare class and all fields."""
+        return type(self) is type(other) and self._values(self) == other._values(other)
+
+    def __hash__(self):
+        """Hash class and all fields."""
+        return hash((type(self), self._values(self)))
+
+    def __repr__(self):
+        """Return class and fields."""
+        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in self._names)
+        return f"{type(self).__name__}({fields})"
+
+    def to_wire(self):
+        """Return the list that msgpack carries."""
+        values = self._values(self)
+        if self._plain:
+            return [self.tag, *values]
+        packed = (
+            pack(value) if pack else value
+            for pack, value in zip(self._packs, values, strict=True)
+        )
+        return [self.tag, *packed]
+
+    def replace(self, **changes):
+        """Return a copy with some fields changed."""
+        values = dict(zip(self._names, self._values(self), strict=True))
+        values.update(changes)
+        return type(self)(**values)
+
+
+def from_wire(wire):
+    """Return the message in an unpacked list, or raise BadMessage."""
+    if type(wire) is not list or not wire or type(wire[0]) is not int:
+        raise BadMessage("not a tagged list")
+    cls = REGISTRY.get(wire[0])
+    if cls is None:
+        raise BadMessage("unknown tag", field="tag", value=wire[0])
+    if len(wire) != len(cls._checks) + 1:
+        raise BadMessage("wrong number of fields", field="tag", value=wire[0])
+    message = cls.__new__(cls)
+    for (name, unpack), value in zip(cls._checks, wire[1:], strict=True):
+        setattr(message, name, unpack(name, value))
+    return message
+
+
+def encode(message):
+    """Return the bytes of a message."""
+    return msgpack.packb(message.to_wire())
+
+
+def decode(data):
+    """Return the message in some bytes, or raise BadMessage."""
+    try:
+        wire = msgpack.unpackb(data)
+    except (ValueError, RecursionError, msgpack.UnpackException) as error:
+        raise BadMessage("not msgpack") from error
+    return from_wire(wire)
--- /dev/null
+++ b/knapweeddeal/messages/caller.py
@@ -0,0 +1,182 @@
+"""knapweeddeal.messages.caller: Datagrams between callers and entries."""
+
+from knapweeddeal.messages.base import Blob, Flag, Message, OneOf, Text, Whole
+
+__all__ = [
+    "NOT_RUN",
+    "RESEND",
+    "UNKNOWN",
+    "AnswerPart",
+    "Cancel",
+    "Close",
+    "KeepAlive",
+    "KeptAlive",
+    "Moved",
+    "Open",
+    "OpenRefused",
+    "Opened",
+    "Outcome",
+    "Push",
+    "Renew",
+    "Request",
+]
+
+#: The request didn't run and never will.
+NOT_RUN = "not_run"
+#: The request may have run; nobody can say.
+UNKNOWN = "unknown"
+#: Nothing is claimed; the caller may send the same request again.
+RESEND = "resend"
+
+#: Largest body of one datagram.
+MAX_BODY_BYTES = 1200
+MAX_TICKET_BYTES = 512
+
+SERVICE = Text(max_chars=64)
+TICKET = Blob(max_bytes=MAX_TICKET_BYTES)
+BODY = Blob(max_bytes=MAX_BODY_BYTES)
+REASON = Text(max_chars=64)
+#: Numbers of requests start at 1 and grow on one flow, whatever its ticket.
+NUMBER = Whole(minimum=1)
+
+
+class Open(Message):
+    """Ask for a flow; carries no work, so it may be repeated."""
+
+    tag = 1
+    schema = {"service": SERVICE, "nonce": Whole(), "deadline_ms": Whole()}
+    __slots__ = tuple(schema)
+
+
+class Opened(Message):
+    """Give the caller its flow and ticket."""
+
+    tag = 2
+    schema = {
+        "service": SERVICE,
+        "nonce": Whole(),
+        "flow_id": Whole(),
+        "ticket": TICKET,
+    }
+    __slots__ = tuple(schema)
+
+
+class OpenRefused(Message):
+    """Refuse a flow."""
+
+    tag = 3
+    schema = {"service": SERVICE, "nonce": Whole(), "reason": REASON}
+    __slots__ = tuple(schema)
+
+
+class Request(Message):
+    """Carry one numbered request; all numbers below `floor` are settled."""
+
+    tag = 4
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "ticket": TICKET,
+        "number": NUMBER,
+        "floor": Whole(),
+        "attempt": Whole(),
+        "idempotent": Flag(),
+        "deadline_ms": Whole(),
+        "body": BODY,
+    }
+    __slots__ = tuple(schema)
+
+
+class AnswerPart(Message):
+    """Carry one part of an answer; parts count from 0."""
+
+    tag = 5
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "number": NUMBER,
+        "part": Whole(),
+        "parts": Whole(minimum=1),
+        "body": BODY,
+    }
+    __slots__ = tuple(schema)
+
+
+class Outcome(Message):
+    """Settle a request without an answer, or ask for it again."""
+
+    tag = 6
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "number": NUMBER,
+        "kind": OneOf(NOT_RUN, UNKNOWN, RESEND),
+        "reason": REASON,
+    }
+    __slots__ = tuple(schema)
+
+
+class Cancel(Message):
+    """Ask that a request doesn't run, sent with the request's own ticket."""
+
+    tag = 7
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "ticket": TICKET,
+        "number": NUMBER,
+    }
+    __slots__ = tuple(schema)
+
+
+class KeepAlive(Message):
+    """Keep a flow alive and tell where its caller is."""
+
+    tag = 8
+    schema = {"service": SERVICE, "flow_id": Whole(), "ticket": TICKET}
+    __slots__ = tuple(schema)
+
+
+class KeptAlive(Message):
+    """Acknowledge a keep-alive."""
+
+    tag = 9
+    schema = {"service": SERVICE, "flow_id": Whole()}
+    __slots__ = tuple(schema)
+
+
+class Push(Message):
+    """Carry what an upstream sends without being asked."""
+
+    tag = 10
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "sequence": Whole(),
+        "body": BODY,
+    }
+    __slots__ = tuple(schema)
+
+
+class Moved(Message):
+    """Give a flow a new ticket, for the requests that come next."""
+
+    tag = 11
+    schema = {"service": SERVICE, "flow_id": Whole(), "ticket": TICKET}
+    __slots__ = tuple(schema)
+
+
+class Renew(Message):
+    """Ask for a new ticket because the owner doesn't answer."""
+
+    tag = 12
+    schema = {"service": SERVICE, "flow_id": Whole(), "ticket": TICKET}
+    __slots__ = tuple(schema)
+
+
+class Close(Message):
+    """End a flow."""
+
+    tag = 13
+    schema = {"service": SERVICE, "flow_id": Whole(), "ticket": TICKET}
+    __slots__ = tuple(schema)
--- /dev/null
+++ b/knapweeddeal/messages/control.py
@@ -0,0 +1,173 @@
+"""knapweeddeal.messages.control: The replicated log and the configuration."""
+
+from knapweeddeal.messages.base import Blob, Flag, ListOf, Message, Nested, Text, Whole
+from knapweeddeal.messages.upstream import HOST, NAME, PORT
+
+__all__ = [
+    "AppendAnswer",
+    "AppendAsk",
+    "Configuration",
+    "ConfigurationAsk",
+    "ConfigurationPush",
+    "LogRecord",
+    "Replica",
+    "ReplicaHello",
+    "ServiceEntry",
+    "SnapshotAnswer",
+    "SnapshotAsk",
+    "VoteAnswer",
+    "VoteAsk",
+]
+
+
+class ServiceEntry(Message):
+    """Describe a service as it was confirmed.
+
+    `draining` lists the upstreams that an operator takes out of service.
+    """
+
+    tag = 70
+    schema = {
+        "name": Text(max_chars=64),
+        "host": HOST,
+        "port": PORT,
+        "draining": ListOf(NAME),
+    }
+    __slots__ = tuple(schema)
+
+
+class Configuration(Message):
+    """Hold a confirmed configuration; the higher version is in force."""
+
+    tag = 71
+    schema = {"version": Whole(), "services": ListOf(Nested(ServiceEntry))}
+    __slots__ = tuple(schema)
+
+
+class ConfigurationPush(Message):
+    """Hand on a confirmed configuration."""
+
+    tag = 72
+    schema = {"configuration": Nested(Configuration)}
+    __slots__ = tuple(schema)
+
+
+class ConfigurationAsk(Message):
+    """Report the version applied here and ask for a higher one."""
+
+    tag = 73
+    schema = {
+        "name": NAME,
+        "incarnation": Whole(),
+        "zone": NAME,
+        "applied_version": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class Replica(Message):
+    """Name a control replica: where it is, and the identity of its data folder."""
+
+    tag = 74
+    schema = {"name": NAME, "identity": Whole(), "host": HOST, "port": PORT}
+    __slots__ = tuple(schema)
+
+
+class LogRecord(Message):
+    """Hold one record of the replicated log."""
+
+    tag = 75
+    schema = {"index": Whole(), "term": Whole(), "command": Blob(max_bytes=1 << 24)}
+    __slots__ = tuple(schema)
+
+
+class ReplicaHello(Message):
+    """Open a stream between control replicas."""
+
+    tag = 76
+    schema = {"name": NAME, "identity": Whole()}
+    __slots__ = tuple(schema)
+
+
+class VoteAsk(Message):
+    """Ask for a vote, or, with `pre`, whether one would be given."""
+
+    tag = 77
+    schema = {
+        "term": Whole(),
+        "candidate": Whole(),
+        "last_index": Whole(),
+        "last_term": Whole(),
+        "pre": Flag(),
+    }
+    __slots__ = tuple(schema)
+
+
+class VoteAnswer(Message):
+    """Give or withhold a vote."""
+
+    tag = 78
+    schema = {"term": Whole(), "voter": Whole(), "granted": Flag(), "pre": Flag()}
+    __slots__ = tuple(schema)
+
+
+class AppendAsk(Message):
+    """Replicate records; empty as heartbeat. `round` serves the read index."""
+
+    tag = 79
+    schema = {
+        "term": Whole(),
+        "leader": Whole(),
+        "previous_index": Whole(),
+        "previous_term": Whole(),
+        "records": ListOf(Nested(LogRecord)),
+        "commit_index": Whole(),
+        "round": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class AppendAnswer(Message):
+    """Acknowledge synced records, or tell where the logs part."""
+
+    tag = 80
+    schema = {
+        "term": Whole(),
+        "follower": Whole(),
+        "success": Flag(),
+        "match_index": Whole(),
+        "round": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class SnapshotAsk(Message):
+    """Carry a part of a snapshot to a replica that is far behind."""
+
+    tag = 81
+    schema = {
+        "term": Whole(),
+        "leader": Whole(),
+        "last_index": Whole(),
+        "last_term": Whole(),
+        "replicas": ListOf(Nested(Replica)),
+        "offset_bytes": Whole(),
+        "data": Blob(max_bytes=1 << 20),
+        "done": Flag(),
+        "round": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class SnapshotAnswer(Message):
+    """Acknowledge the part of a snapshot that ends before `offset_bytes`."""
+
+    tag = 82
+    schema = {
+        "term": Whole(),
+        "follower": Whole(),
+        "last_index": Whole(),
+        "offset_bytes": Whole(),
+        "round": Whole(),
+    }
+    __slots__ = tuple(schema)
--- /dev/null
+++ b/knapweeddeal/messages/operator.py
@@ -0,0 +1,263 @@
+"""knapweeddeal.messages.operator: Commands and queries of operators."""
+
+from knapweeddeal.messages.base import ListOf, Message, Nested, OneOf, Text, Whole
+from knapweeddeal.messages.control import Replica, ServiceEntry
+from knapweeddeal.messages.peer import RefusalRecord
+from knapweeddeal.messages.upstream import HOST, NAME, PORT
+
+__all__ = [
+    "ConfirmAsk",
+    "ConfirmAnswer",
+    "DumpAnswer",
+    "DumpAsk",
+    "EntryStatus",
+    "FailureAnswer",
+    "IntentStep",
+    "MetricsAsk",
+    "PlanAnswer",
+    "PlanAsk",
+    "RefusalsAnswer",
+    "RefusalsAsk",
+    "ReplicaSwapAsk",
+    "ReplicasAnswer",
+    "ReplicasAsk",
+    "ServicesAnswer",
+    "ServicesAsk",
+    "StatusAnswer",
+    "StatusAsk",
+    "UpstreamsAsk",
+    "UpstreamsAnswer",
+]
+
+#: Names that one operator gives to one command; a resend carries the same one.
+REQUEST_ID = Text(max_chars=64)
+LINE = Text(max_chars=1024)
+
+
+class FailureAnswer(Message):
+    """Answer any command or query by a failure."""
+
+    tag = 100
+    schema = {
+        "code": Text(max_chars=64),
+        "text": LINE,
+        "field": Text(max_chars=64),
+        "value": Text(max_chars=256),
+    }
+    __slots__ = tuple(schema)
+
+
+class IntentStep(Message):
+    """State one step of an intent; unused fields are empty."""
+
+    tag = 101
+    schema = {
+        "action": OneOf(
+            "create-service",
+            "change-service",
+            "remove-service",
+            "drain-upstream",
+            "undrain-upstream",
+        ),
+        "service": Text(max_chars=64),
+        "host": HOST,
+        "port": PORT,
+        "upstream_id": NAME,
+    }
+    __slots__ = tuple(schema)
+
+
+class PlanAsk(Message):
+    """Ask what an intent would change."""
+
+    tag = 102
+    schema = {
+        "request_id": REQUEST_ID,
+        "operator": NAME,
+        "steps": ListOf(Nested(IntentStep), max_items=256),
+    }
+    __slots__ = tuple(schema)
+
+
+class PlanAnswer(Message):
+    """Give a plan: what changes, who is affected, until when it can be confirmed."""
+
+    tag = 103
+    schema = {
+        "plan_id": Text(max_chars=64),
+        "base_version": Whole(),
+        "differences": ListOf(LINE),
+        "services": ListOf(NAME),
+        "upstreams": ListOf(NAME),
+        "zones": ListOf(NAME),
+        "flows": Whole(),
+        "expires_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class ConfirmAsk(Message):
+    """Confirm a plan."""
+
+    tag = 104
+    schema = {
+        "request_id": REQUEST_ID,
+        "operator": NAME,
+        "plan_id": Text(max_chars=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class ConfirmAnswer(Message):
+    """Name the version that a confirmation put in force."""
+
+    tag = 105
+    schema = {"plan_id": Text(max_chars=64), "version": Whole()}
+    __slots__ = tuple(schema)
+
+
+class StatusAsk(Message):
+    """Ask who leads, what is in force and who lags."""
+
+    tag = 106
+    schema = {}
+    __slots__ = ()
+
+
+class EntryStatus(Message):
+    """Tell what an entry applied, and how long ago it said so."""
+
+    tag = 107
+    schema = {
+        "name": NAME,
+        "zone": NAME,
+        "applied_version": Whole(),
+        "age_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class StatusAnswer(Message):
+    """Tell who leads, what is in force and which entries applied it."""
+
+    tag = 108
+    schema = {
+        "leader": NAME,
+        "term": Whole(),
+        "version": Whole(),
+        "commit_index": Whole(),
+        "entries": ListOf(Nested(EntryStatus)),
+    }
+    __slots__ = tuple(schema)
+
+
+class ServicesAsk(Message):
+    """Ask for the confirmed services."""
+
+    tag = 109
+    schema = {}
+    __slots__ = ()
+
+
+class ServicesAnswer(Message):
+    """List the confirmed services."""
+
+    tag = 110
+    schema = {"version": Whole(), "services": ListOf(Nested(ServiceEntry))}
+    __slots__ = tuple(schema)
+
+
+class ReplicasAsk(Message):
+    """Ask for the committed membership of the replicated log."""
+
+    tag = 111
+    schema = {}
+    __slots__ = ()
+
+
+class ReplicasAnswer(Message):
+    """List the committed members and who leads them."""
+
+    tag = 112
+    schema = {
+        "leader": NAME,
+        "members": ListOf(Nested(Replica)),
+        "candidates": ListOf(Nested(Replica)),
+    }
+    __slots__ = tuple(schema)
+
+
+class ReplicaSwapAsk(Message):
+    """Change one member: add `add` if its name is set, drop `remove` if not 0."""
+
+    tag = 113
+    schema = {
+        "request_id": REQUEST_ID,
+        "operator": NAME,
+        "add": Nested(Replica),
+        "remove": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class RefusalsAsk(Message):
+    """Ask for refusals; empty texts and zeros match everything."""
+
+    tag = 114
+    schema = {
+        "service": Text(max_chars=64),
+        "caller": Text(max_chars=80),
+        "reason": Text(max_chars=64),
+        "since_ms": Whole(),
+        "until_ms": Whole(),
+        "limit": Whole(maximum=10_000),
+    }
+    __slots__ = tuple(schema)
+
+
+class RefusalsAnswer(Message):
+    """List refusals, oldest first."""
+
+    tag = 115
+    schema = {"records": ListOf(Nested(RefusalRecord))}
+    __slots__ = tuple(schema)
+
+
+class UpstreamsAsk(Message):
+    """Ask an entry for the upstreams that it knows."""
+
+    tag = 116
+    schema = {"service": Text(max_chars=64)}
+    __slots__ = tuple(schema)
+
+
+class UpstreamsAnswer(Message):
+    """List upstreams, one JSON object each."""
+
+    tag = 117
+    schema = {"lines": ListOf(LINE)}
+    __slots__ = tuple(schema)
+
+
+class DumpAsk(Message):
+    """Ask a process for its state, no longer than `max_bytes`."""
+
+    tag = 118
+    schema = {"max_bytes": Whole(maximum=1 << 22)}
+    __slots__ = tuple(schema)
+
+
+class DumpAnswer(Message):
+    """Carry a state dump or metrics as JSON text."""
+
+    tag = 119
+    schema = {"text": Text(max_chars=1 << 22)}
+    __slots__ = tuple(schema)
+
+
+class MetricsAsk(Message):
+    """Ask a process for its counters and latencies."""
+
+    tag = 120
+    schema = {}
+    __slots__ = ()
--- /dev/null
+++ b/knapweeddeal/messages/peer.py
@@ -0,0 +1,204 @@
+"""knapweeddeal.messages.peer: Messages between entries."""
+
+from knapweeddeal.messages.base import (
+    Blob,
+    Flag,
+    ListOf,
+    Message,
+    Nested,
+    OneOf,
+    Text,
+    Whole,
+)
+from knapweeddeal.messages.caller import MAX_TICKET_BYTES, NUMBER, REASON, SERVICE
+from knapweeddeal.messages.upstream import (
+    HOST,
+    MAX_ANSWER_BYTES,
+    NAME,
+    PORT,
+    Announce,
+)
+
+__all__ = [
+    "Announced",
+    "DirectoryDelta",
+    "FlowRecord",
+    "HandOver",
+    "HandOverAck",
+    "LeaseAnswer",
+    "LeaseAsk",
+    "LedgerRecord",
+    "PeerHello",
+    "RefusalAck",
+    "RefusalBatch",
+    "RefusalRecord",
+    "Relay",
+    "Succession",
+]
+
+#: Largest datagram that a caller may send.
+MAX_DATAGRAM_BYTES = 2048
+
+
+class PeerHello(Message):
+    """Open a stream between two of the system's processes."""
+
+    tag = 40
+    schema = {"name": NAME, "incarnation": Whole(), "zone": NAME}
+    __slots__ = tuple(schema)
+
+
+class Relay(Message):
+    """Hand a caller's datagram to the owner of its flow.
+
+    The sender checked the ticket; the owner checks it again. The owner answers
+    the caller itself.
+    """
+
+    tag = 41
+    schema = {
+        "caller_host": HOST,
+        "caller_port": PORT,
+        "datagram": Blob(max_bytes=MAX_DATAGRAM_BYTES),
+    }
+    __slots__ = tuple(schema)
+
+
+class LedgerRecord(Message):
+    """Hold what a ledger knows of one request."""
+
+    tag = 42
+    schema = {
+        "number": NUMBER,
+        "state": OneOf("forwarded", "answered", "not_run", "unknown"),
+        "reason": REASON,
+        "answer": Blob(max_bytes=MAX_ANSWER_BYTES),
+    }
+    __slots__ = tuple(schema)
+
+
+class FlowRecord(Message):
+    """Hold what an owner knows of one flow under one owner incarnation."""
+
+    tag = 43
+    schema = {
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "owner_incarnation": Whole(),
+        "ticket": Blob(max_bytes=MAX_TICKET_BYTES),
+        "floor": Whole(),
+        "requests": ListOf(Nested(LedgerRecord), max_items=4096),
+    }
+    __slots__ = tuple(schema)
+
+
+class HandOver(Message):
+    """Hand ledgers to a successor on a planned stop; `last` ends the series."""
+
+    tag = 44
+    schema = {
+        "owner_incarnation": Whole(),
+        "batch": Whole(),
+        "flows": ListOf(Nested(FlowRecord), max_items=4096),
+        "last": Flag(),
+    }
+    __slots__ = tuple(schema)
+
+
+class HandOverAck(Message):
+    """Acknowledge a batch of handed-over ledgers."""
+
+    tag = 45
+    schema = {"owner_incarnation": Whole(), "batch": Whole()}
+    __slots__ = tuple(schema)
+
+
+class Succession(Message):
+    """Tell who answers for an owner incarnation that stopped as planned."""
+
+    tag = 46
+    schema = {
+        "owner_incarnation": Whole(),
+        "successor": NAME,
+        "successor_incarnation": Whole(),
+        "successor_host": HOST,
+        "successor_port": PORT,
+    }
+    __slots__ = tuple(schema)
+
+
+class Announced(Message):
+    """Hand an upstream's announcement to a registrar of its zone."""
+
+    tag = 50
+    schema = {"announce": Nested(Announce)}
+    __slots__ = tuple(schema)
+
+
+class LeaseAsk(Message):
+    """Ask a registrar for its bulk lease and for what changed since `version`.
+
+    `asked_ms` is the asker's own clock and comes back as it was.
+    """
+
+    tag = 51
+    schema = {"asked_ms": Whole(), "epoch": Whole(), "version": Whole()}
+    __slots__ = tuple(schema)
+
+
+class LeaseAnswer(Message):
+    """Renew the bulk lease of a registrar's shard as of `asked_ms`."""
+
+    tag = 52
+    schema = {"asked_ms": Whole(), "epoch": Whole(), "version": Whole()}
+    __slots__ = tuple(schema)
+
+
+class DirectoryDelta(Message):
+    """Carry upstreams that changed and ids that are gone, up to `version`.
+
+    A snapshot (`whole`) replaces all that the asker holds of this registrar.
+    """
+
+    tag = 53
+    schema = {
+        "epoch": Whole(),
+        "version": Whole(),
+        "whole": Flag(),
+        "changed": ListOf(Nested(Announce)),
+        "gone": ListOf(Text(max_chars=64)),
+    }
+    __slots__ = tuple(schema)
+
+
+class RefusalRecord(Message):
+    """Account for one refusal."""
+
+    tag = 60
+    schema = {
+        "record_id": Whole(),
+        "caller": Text(max_chars=80),
+        "service": SERVICE,
+        "flow_id": Whole(),
+        "number": Whole(),
+        "refused_ms": Whole(),
+        "entry_id": NAME,
+        "reason": REASON,
+    }
+    __slots__ = tuple(schema)
+
+
+class RefusalBatch(Message):
+    """Ask a second process to hold refusals."""
+
+    tag = 61
+    schema = {"batch": Whole(), "records": ListOf(Nested(RefusalRecord))}
+    __slots__ = tuple(schema)
+
+
+class RefusalAck(Message):
+    """Say that a batch of refusals is held."""
+
+    tag = 62
+    schema = {"batch": Whole()}
+    __slots__ = tuple(schema)
--- /dev/null
+++ b/knapweeddeal/messages/upstream.py
@@ -0,0 +1,219 @@
+"""knapweeddeal.messages.upstream: Announcements and streams of upstreams."""
+
+from knapweeddeal.messages.base import Blob, Flag, Message, OneOf, Text, Whole
+from knapweeddeal.messages.caller import BODY, NUMBER, REASON, SERVICE
+
+__all__ = [
+    "JOINING",
+    "LEAVING",
+    "READY",
+    "Announce",
+    "FlowAccepted",
+    "FlowClose",
+    "FlowOpen",
+    "FlowShed",
+    "FlowTouch",
+    "Heartbeat",
+    "StreamHello",
+    "StreamWelcome",
+    "UpstreamPush",
+    "Work",
+    "WorkAnswer",
+    "WorkCancel",
+    "WorkCancelled",
+    "WorkShed",
+]
+
+JOINING = "joining"
+READY = "ready"
+LEAVING = "leaving"
+
+#: Largest whole answer of an upstream.
+MAX_ANSWER_BYTES = 256 * 1024
+
+NAME = Text(max_chars=64)
+HOST = Text(max_chars=64)
+PORT = Whole(maximum=65535)
+COUNT = Whole(maximum=1_000_000)
+
+
+class Announce(Message):
+    """Announce an upstream; the higher sequence of one incarnation wins."""
+
+    tag = 20
+    schema = {
+        "upstream_id": NAME,
+        "incarnation": Whole(),
+        "sequence": Whole(),
+        "zone": NAME,
+        "service": SERVICE,
+        "host": HOST,
+        "port": PORT,
+        "health_port": PORT,
+        "slots": Whole(minimum=1, maximum=100_000),
+        "max_connections": Whole(minimum=1, maximum=10_000_000),
+        "state": OneOf(JOINING, READY, LEAVING),
+        "drain_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class StreamHello(Message):
+    """Open an entry's stream: name whom it is for and whom it is from."""
+
+    tag = 21
+    schema = {
+        "service": SERVICE,
+        "upstream_id": NAME,
+        "upstream_incarnation": Whole(),
+        "entry_id": NAME,
+        "entry_incarnation": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class StreamWelcome(Message):
+    """Answer a stream hello with the upstream's own names."""
+
+    tag = 22
+    schema = {
+        "service": SERVICE,
+        "upstream_id": NAME,
+        "upstream_incarnation": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class FlowOpen(Message):
+    """Ask an upstream to take a flow; may be repeated."""
+
+    tag = 23
+    schema = {"flow_id": Whole(), "caller_host": HOST, "caller_port": PORT}
+    __slots__ = tuple(schema)
+
+
+class FlowAccepted(Message):
+    """Take a flow and report the load."""
+
+    tag = 24
+    schema = {"flow_id": Whole(), "outstanding": COUNT, "connections": COUNT}
+    __slots__ = tuple(schema)
+
+
+class FlowShed(Message):
+    """Turn a flow away and report the load."""
+
+    tag = 25
+    schema = {
+        "flow_id": Whole(),
+        "reason": REASON,
+        "outstanding": COUNT,
+        "connections": COUNT,
+    }
+    __slots__ = tuple(schema)
+
+
+class Work(Message):
+    """Forward one request."""
+
+    tag = 26
+    schema = {
+        "flow_id": Whole(),
+        "owner_incarnation": Whole(),
+        "number": NUMBER,
+        "idempotent": Flag(),
+        "deadline_ms": Whole(),
+        "caller_host": HOST,
+        "caller_port": PORT,
+        "body": BODY,
+    }
+    __slots__ = tuple(schema)
+
+
+class WorkAnswer(Message):
+    """Carry a whole answer and report the load."""
+
+    tag = 27
+    schema = {
+        "flow_id": Whole(),
+        "owner_incarnation": Whole(),
+        "number": NUMBER,
+        "body": Blob(max_bytes=MAX_ANSWER_BYTES),
+        "outstanding": COUNT,
+        "connections": COUNT,
+    }
+    __slots__ = tuple(schema)
+
+
+class WorkShed(Message):
+    """Say that a request didn't run and never will."""
+
+    tag = 28
+    schema = {
+        "flow_id": Whole(),
+        "owner_incarnation": Whole(),
+        "number": NUMBER,
+        "reason": REASON,
+        "outstanding": COUNT,
+        "connections": COUNT,
+    }
+    __slots__ = tuple(schema)
+
+
+class WorkCancel(Message):
+    """Ask that a request doesn't run, now or later."""
+
+    tag = 29
+    schema = {"flow_id": Whole(), "owner_incarnation": Whole(), "number": NUMBER}
+    __slots__ = tuple(schema)
+
+
+class WorkCancelled(Message):
+    """Answer a cancellation; it stands for good if `stands` is true."""
+
+    tag = 30
+    schema = {
+        "flow_id": Whole(),
+        "owner_incarnation": Whole(),
+        "number": NUMBER,
+        "stands": Flag(),
+    }
+    __slots__ = tuple(schema)
+
+
+class UpstreamPush(Message):
+    """Carry a push to the caller's last known address."""
+
+    tag = 31
+    schema = {
+        "flow_id": Whole(),
+        "sequence": Whole(),
+        "caller_host": HOST,
+        "caller_port": PORT,
+        "body": BODY,
+    }
+    __slots__ = tuple(schema)
+
+
+class Heartbeat(Message):
+    """Show that the sender of a stream is alive."""
+
+    tag = 32
+    schema = {}
+    __slots__ = ()
+
+
+class FlowTouch(Message):
+    """Tell an upstream that a flow lives and where its caller is."""
+
+    tag = 33
+    schema = {"flow_id": Whole(), "caller_host": HOST, "caller_port": PORT}
+    __slots__ = tuple(schema)
+
+
+class FlowClose(Message):
+    """Tell an upstream that a flow ended or moved away."""
+
+    tag = 34
+    schema = {"flow_id": Whole()}
+    __slots__ = tuple(schema)
--- /dev/null
+++ b/knapweeddeal/stream.py
@@ -0,0 +1,96 @@
+"""knapweeddeal.stream: Streams of messages over TCP, and the server that takes them."""
+
+import curio
+import msgpack
+from curio import socket
+
+from knapweeddeal.errors import BadMessage, StreamClosed, Unreachable
+from knapweeddeal.messages.base import encode, from_wire
+
+__all__ = ["Stream", "connect", "serve"]
+
+#: Most bytes that wait in a stream for the rest of a message.
+MAX_BUFFER_BYTES = 32 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+class Stream:
+    """Carry messages over one TCP connection.
+
+    One task receives and one task sends; senders share a stream by a queue.
+    """
+
+    __slots__ = ("_ready", "_socket", "_unpacker")
+
+    def __init__(self, *, socket):
+        self._socket = socket
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_BUFFER_BYTES)
+        self._ready = []
+
+    async def send(self, message):
+        """Send one message; raise StreamClosed."""
+        await self.send_all((message,))
+
+    async def send_all(self, messages):
+        """Send messages in one write; raise StreamClosed."""
+        try:
+            await self._socket.sendall(b"".join(map(encode, messages)))
+        except OSError as error:
+            raise StreamClosed(str(error)) from None
+
+    async def receive(self):
+        """Return the next message; raise StreamClosed or BadMessage."""
+        while True:
+            try:
+                for wire in self._unpacker:
+                    return from_wire(wire)
+            except (ValueError, msgpack.UnpackException) as error:
+                raise BadMessage("not msgpack") from error
+            await self._fill()
+
+    async def _fill(self):
+        try:
+            data = await self._socket.recv(READ_BYTES)
+        except OSError as error:
+            raise StreamClosed(str(error)) from None
+        if not data:
+            raise StreamClosed("end of stream")
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull:
+            raise BadMessage("message too large") from None
+
+    async def close(self):
+        """Close the connection."""
+        await self._socket.close()
+
+
+async def connect(address, *, timeout_ms):
+    """Return a stream to an address; raise Unreachable."""
+    try:
+        connection = await curio.timeout_after(
+            timeout_ms / 1000, curio.open_connection, *address
+        )
+    except (OSError, curio.TaskTimeout) as error:
+        raise Unreachable(str(error), field="address", value=address) from None
+    _no_delay(connection)
+    return Stream(socket=connection)
+
+
+async def serve(address, handler):
+    """Take streams for ever; run `handler(stream)` as a task for each."""
+    listener = curio.tcp_server_socket(*address, reuse_address=True)
+
+    async def take(connection, _address):
+        _no_delay(connection)
+        stream = Stream(socket=connection)
+        try:
+            await handler(stream)
+        finally:
+            await stream.close()
+
+    await curio.network.run_server(listener, take)
+
+
+def _no_delay(connection):
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""tests: Tests that mirror the modules of knapweeddeal."""
