--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -1,17 +1,17 @@
 """knapweeddeal.errors: Exceptions, each with a stable code."""
 
 __all__ = [
-    "BadMessage",
-    "BadSetting",
-    "BadTicket",
-    "Conflict",
-    "CorruptStorage",
+    "BadMessageError",
+    "BadSettingError",
+    "BadTicketError",
+    "ConflictError",
+    "CorruptStorageError",
     "KnapweeddealError",
-    "InvalidIntent",
-    "NoQuorum",
-    "NotLeader",
-    "StreamClosed",
-    "Unreachable",
+    "InvalidIntentError",
+    "NoQuorumError",
+    "NotLeaderError",
+    "StreamClosedError",
+    "UnreachableError",
     "error_from_code",
 ]
 
@@ -40,70 +40,70 @@
         return ": ".join(parts)
 
 
-class BadMessage(KnapweeddealError):
+class BadMessageError(KnapweeddealError):
     """Report a message that breaks its schema."""
 
     code = "bad_message"
     exit_status = 3
 
 
-class BadTicket(KnapweeddealError):
+class BadTicketError(KnapweeddealError):
     """Report a ticket that is forged, expired or cut short."""
 
     code = "bad_ticket"
     exit_status = 3
 
 
-class BadSetting(KnapweeddealError):
+class BadSettingError(KnapweeddealError):
     """Report a setting by file, section, key and value."""
 
     code = "bad_setting"
     exit_status = 4
 
 
-class InvalidIntent(KnapweeddealError):
+class InvalidIntentError(KnapweeddealError):
     """Report an operator's intent that can't be planned."""
 
     code = "invalid_intent"
     exit_status = 5
 
 
-class Conflict(KnapweeddealError):
+class ConflictError(KnapweeddealError):
     """Report that another configuration was confirmed first."""
 
     code = "conflict"
     exit_status = 6
 
 
-class NoQuorum(KnapweeddealError):
+class NoQuorumError(KnapweeddealError):
     """Report that a majority of control replicas didn't answer."""
 
     code = "no_quorum"
     exit_status = 7
 
 
-class NotLeader(KnapweeddealError):
+class NotLeaderError(KnapweeddealError):
     """Report that another control replica leads; value names it."""
 
     code = "not_leader"
     exit_status = 7
 
 
-class Unreachable(KnapweeddealError):
+class UnreachableError(KnapweeddealError):
     """Report that a process didn't accept a stream or didn't answer."""
 
     code = "unreachable"
     exit_status = 8
 
 
-class StreamClosed(KnapweeddealError):
+class StreamClosedError(KnapweeddealError):
     """Report that a stream ended."""
 
     code = "stream_closed"
     exit_status = 8
 
 
-class CorruptStorage(KnapweeddealError):
+class CorruptStorageError(KnapweeddealError):
     """Report damage in a data folder that isn't a torn tail."""
 
     code = "corrupt_storage"
@@ -114,17 +114,17 @@
 BY_CODE = {
     cls.code: cls
     for cls in (
-        BadMessage,
-        BadSetting,
-        BadTicket,
-        Conflict,
-        CorruptStorage,
+        BadMessageError,
+        BadSettingError,
+        BadTicketError,
+        ConflictError,
+        CorruptStorageError,
         KnapweeddealError,
-        InvalidIntent,
-        NoQuorum,
-        NotLeader,
-        StreamClosed,
-        Unreachable,
+        InvalidIntentError,
+        NoQuorumError,
+        NotLeaderError,
+        StreamClosedError,
+        UnreachableError,
     )
 }
 
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -4,7 +4,7 @@
 
 import msgpack
 
-from knapweeddeal.errors import BadMessage
+from knapweeddeal.errors import BadMessageError
 
 __all__ = [
     "REGISTRY",
@@ -37,9 +37,9 @@
         self.max_chars = max_chars
 
     def unpack(self, name, value):
-        """Return a value that passes the check, or raise BadMessage."""
+        """Return a value that passes the check, or raise BadMessageError."""
         if type(value) is not str or len(value) > self.max_chars:
-            raise BadMessage("not a short text", field=name, value=value)
+            raise BadMessageError("not a short text", field=name, value=value)
         return value
 
 
@@ -53,9 +53,11 @@
         self.maximum = maximum
 
     def unpack(self, name, value):
-        """Return a value that passes the check, or raise BadMessage."""
+        """Return a value that passes the check, or raise BadMessageError."""
         if type(value) is not int or not self.minimum <= value <= self.maximum:
-            raise BadMessage("not a whole number in range", field=name, value=value)
+            raise BadMessageError(
+                "not a whole number in range", field=name, value=value
+            )
         return value
 
 
@@ -65,9 +67,9 @@
     __slots__ = ()
 
     def unpack(self, name, value):
-        """Return a value that passes the check, or raise BadMessage."""
+        """Return a value that passes the check, or raise BadMessageError."""
         if type(value) is not bool:
-            raise BadMessage("not a truth value", field=name, value=value)
+            raise BadMessageError("not a truth value", field=name, value=value)
         return value
 
 
@@ -80,9 +82,9 @@
         self.max_bytes = max_bytes
 
     def unpack(self, name, value):
-        """Return a value that passes the check, or raise BadMessage."""
+        """Return a value that passes the check, or raise BadMessageError."""
         if type(value) is not bytes or len(value) > self.max_bytes:
-            raise BadMessage("not a byte string in range", field=name, value=value)
+            raise BadMessageError("not a byte string in range", field=name, value=value)
         return value
 
 
@@ -95,9 +97,9 @@
         self.choices = frozenset(choices)
 
     def unpack(self, name, value):
-        """Return a value that passes the check, or raise BadMessage."""
+        """Return a value that passes the check, or raise BadMessageError."""
         if type(value) is not str or value not in self.choices:
-            raise BadMessage("not one of the known words", field=name, value=value)
+            raise BadMessageError("not one of the known words", field=name, value=value)
         return value
 
 
@@ -114,10 +116,10 @@
         return value.to_wire()
 
     def unpack(self, name, value):
-        """Return the message in a value, or raise BadMessage."""
+        """Return the message in a value, or raise BadMessageError."""
         message = from_wire(value)
         if not isinstance(message, self.cls):
-            raise BadMessage("holds another message", field=name, value=message)
+            raise BadMessageError("holds another message", field=name, value=message)
         return message
 
 
@@ -136,9 +138,9 @@
         return [pack(item) for item in value] if pack else list(value)
 
     def unpack(self, name, value):
-        """Return the checked items, or raise BadMessage."""
+        """Return the checked items, or raise BadMessageError."""
         if type(value) is not list or len(value) > self.max_items:
-            raise BadMessage("not a list in range", field=name, value=value)
+            raise BadMessageError("not a list in range", field=name, value=value)
         return [self.item.unpack(name, item) for item in value]
 
 
@@ -213,14 +215,14 @@
 
 
 def from_wire(wire):
-    """Return the message in an unpacked list, or raise BadMessage."""
+    """Return the message in an unpacked list, or raise BadMessageError."""
     if type(wire) is not list or not wire or type(wire[0]) is not int:
-        raise BadMessage("not a tagged list")
+        raise BadMessageError("not a tagged list")
     cls = REGISTRY.get(wire[0])
     if cls is None:
-        raise BadMessage("unknown tag", field="tag", value=wire[0])
+        raise BadMessageError("unknown tag", field="tag", value=wire[0])
     if len(wire) != len(cls._checks) + 1:
-        raise BadMessage("wrong number of fields", field="tag", value=wire[0])
+        raise BadMessageError("wrong number of fields", field="tag", value=wire[0])
     message = cls.__new__(cls)
     for (name, unpack), value in zip(cls._checks, wire[1:], strict=True):
         setattr(message, name, unpack(name, value))
@@ -233,9 +235,9 @@
 
 
 def decode(data):
-    """Return the message in some bytes, or raise BadMessage."""
+    """Return the message in some bytes, or raise BadMessageError."""
     try:
         wire = msgpack.unpackb(data)
     except (ValueError, RecursionError, msgpack.UnpackException) as error:
-        raise BadMessage("not msgpack") from error
+        raise BadMessageError("not msgpack") from error
     return from_wire(wire)
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 
-from knapweeddeal.errors import BadSetting
+from knapweeddeal.errors import BadSettingError
 
 __all__ = ["address_option", "choice_option", "keys_option", "name_option"]
 __all__ += ["peers_option", "text_option", "whole_option"]
@@ -19,7 +19,7 @@
         not 0 < len(value) <= 64
         or not value.replace("-", "").replace(".", "").isalnum()
     ):
-        raise BadSetting(
+        raise BadSettingError(
             "not a name of letters, digits, - and .", field=field, value=value
         )
     return value
@@ -30,10 +30,12 @@
     try:
         number = int(value)
     except ValueError:
-        raise BadSetting("not a whole number", field=field, value=value) from None
+        raise BadSettingError("not a whole number", field=field, value=value) from None
     if not option.minimum <= number <= option.maximum:
         limits = f"{option.minimum} to {option.maximum}"
-        raise BadSetting(f"not in {limits} {option.unit}", field=field, value=value)
+        raise BadSettingError(
+            f"not in {limits} {option.unit}", field=field, value=value
+        )
     return number
 
 
@@ -41,7 +43,7 @@
     """Return one of the option's words."""
     if value not in option.choices:
         words = ", ".join(option.choices)
-        raise BadSetting(f"not one of {words}", field=field, value=value)
+        raise BadSettingError(f"not one of {words}", field=field, value=value)
     return value
 
 
@@ -54,7 +56,7 @@
     except ValueError:
         number = -1
     if not 0 <= number <= 65535:
-        raise BadSetting("not an address IP:PORT", field=field, value=value)
+        raise BadSettingError("not an address IP:PORT", field=field, value=value)
     return (host, number)
 
 
@@ -65,7 +67,7 @@
         name, _, address = part.partition("=")
         name = name_option(field, name.strip(), option)
         if name in peers:
-            raise BadSetting("names a process twice", field=field, value=name)
+            raise BadSettingError("names a process twice", field=field, value=name)
         peers[name] = address_option(field, address.strip(), option)
     return peers
 
@@ -78,12 +80,12 @@
         try:
             key_id, key = int(number), bytes.fromhex(text)
         except ValueError:
-            raise BadSetting("not ID:HEX", field=field, value="(hidden)") from None
+            raise BadSettingError("not ID:HEX", field=field, value="(hidden)") from None
         if not 0 <= key_id < 256 or not 16 <= len(key) <= 64:
-            raise BadSetting(
+            raise BadSettingError(
                 "not an id to 255 and 16 to 64 bytes", field=field, value=key_id
             )
         keys[key_id] = key
     if not 1 <= len(keys) <= option.maximum:
-        raise BadSetting("not one or two keys", field=field, value=len(keys))
+        raise BadSettingError("not one or two keys", field=field, value=len(keys))
     return keys
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -2,7 +2,7 @@
 
 import configparser
 
-from knapweeddeal.errors import BadSetting
+from knapweeddeal.errors import BadSettingError
 from knapweeddeal.options import (
     address_option,
     choice_option,
@@ -180,14 +180,14 @@
 
 
 def read_settings(path):
-    """Return the settings in a file, or raise BadSetting."""
+    """Return the settings in a file, or raise BadSettingError."""
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         first_line = str(error).splitlines()[0]
-        raise BadSetting(f"can't read {path}: {first_line}") from None
+        raise BadSettingError(f"can't read {path}: {first_line}") from None
     role = parser.get("daemon", "role", fallback="")
     _check_known(path, parser)
     values = {}
@@ -201,7 +201,7 @@
     field = f"{path} [{option.section}] {option.key}"
     text = parser.get(option.section, option.key, fallback=option.default)
     if text is None:
-        raise BadSetting("must be given", field=field)
+        raise BadSettingError("must be given", field=field)
     return option.check(field, text.strip(), option) if text else _empty(field, option)
 
 
@@ -210,7 +210,7 @@
         return {}
     if option.check is text_option and option.default is not None:
         return ""
-    raise BadSetting("must not be empty", field=field)
+    raise BadSettingError("must not be empty", field=field)
 
 
 def _check_known(path, parser):
@@ -219,6 +219,6 @@
         for key in parser[section]:
             if (section, key) not in known:
                 field = f"{path} [{section}] {key}"
-                raise BadSetting(
+                raise BadSettingError(
                     "no such setting", field=field, value=parser[section][key]
                 )
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -4,7 +4,7 @@
 import msgpack
 from curio import socket
 
-from knapweeddeal.errors import BadMessage, StreamClosed, Unreachable
+from knapweeddeal.errors import BadMessageError, StreamClosedError, UnreachableError
 from knapweeddeal.messages.base import encode, from_wire
 
 __all__ = ["Stream", "connect", "serve"]
@@ -28,37 +28,37 @@
         self._ready = []
 
     async def send(self, message):
-        """Send one message; raise StreamClosed."""
+        """Send one message; raise StreamClosedError."""
         await self.send_all((message,))
 
     async def send_all(self, messages):
-        """Send messages in one write; raise StreamClosed."""
+        """Send messages in one write; raise StreamClosedError."""
         try:
             await self._socket.sendall(b"".join(map(encode, messages)))
         except OSError as error:
-            raise StreamClosed(str(error)) from None
+            raise StreamClosedError(str(error)) from None
 
     async def receive(self):
-        """Return the next message; raise StreamClosed or BadMessage."""
+        """Return the next message; raise StreamClosedError or BadMessageError."""
         while True:
             try:
                 for wire in self._unpacker:
                     return from_wire(wire)
             except (ValueError, msgpack.UnpackException) as error:
-                raise BadMessage("not msgpack") from error
+                raise BadMessageError("not msgpack") from error
             await self._fill()
 
     async def _fill(self):
         try:
             data = await self._socket.recv(READ_BYTES)
         except OSError as error:
-            raise StreamClosed(str(error)) from None
+            raise StreamClosedError(str(error)) from None
         if not data:
-            raise StreamClosed("end of stream")
+            raise StreamClosedError("end of stream")
         try:
             self._unpacker.feed(data)
         except msgpack.BufferFull:
-            raise BadMessage("message too large") from None
+            raise BadMessageError("message too large") from None
 
     async def close(self):
         """Close the connection."""
@@ -66,13 +66,13 @@
 
 
 async def connect(address, *, timeout_ms):
-    """Return a stream to an address; raise Unreachable."""
+    """Return a stream to an address; raise UnreachableError."""
     try:
         connection = await curio.timeout_after(
             timeout_ms / 1000, curio.open_connection, *address
         )
     except (OSError, curio.TaskTimeout) as error:
-        raise Unreachable(str(error), field="address", value=address) from None
+        raise UnreachableError(str(error), field="address", value=address) from None
     _no_delay(connection)
     return Stream(socket=connection)
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,7 +5,7 @@
 import testtools
 
 from knapweeddeal import messages
-from knapweeddeal.errors import BadMessage
+from knapweeddeal.errors import BadMessageError
 from knapweeddeal.messages import caller, control
 
 
@@ -20,7 +20,7 @@
 
 
 class BadInput(testscenarios.TestWithScenarios, testtools.TestCase):
-    """Every kind of nonsense raises BadMessage."""
+    """Every kind of nonsense raises BadMessageError."""
 
     scenarios = [
         ("empty", {"data": b""}),
@@ -40,7 +40,7 @@
     ]
 
     def test_raises(self):
-        self.assertRaises(BadMessage, messages.decode, self.data)
+        self.assertRaises(BadMessageError, messages.decode, self.data)
 
 
 class Constructor(testtools.TestCase):
