Carry the data path, thin: tickets, owners, ledgers, streams to upstreams

Cause: nothing carried a packet yet. The control role is on its way; the daemon doesn't offer it yet.

--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,208 @@
+"""demo.cluster: The processes of a small system on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+TICKET_KEYS = f"1:{bytes(range(32)).hex()}"
+#: Time that a planned stop may take before the process is killed.
+STOP_S = 15
+
+
+class Cluster:
+    """Start and end daemons and stand-ins, each with a file for its output.
+
+    Addresses are 127.BASE.x.y, so that clusters with other bases don't meet.
+    """
+
+    def __init__(self, *, folder, base=None, zones=ZONES, entries=4, replicas=3):
+        self.folder = Path(folder)
+        self.base = base or 1 + os.getpid() % 250
+        self.zones = zones
+        self.processes = {}
+        self._entries = [f"entry-{n}" for n in range(1, entries + 1)]
+        self._replicas = [f"control-{n}" for n in range(1, replicas + 1)]
+        self.extra_settings = ""
+
+    # Addresses
+
+    def host(self, group, number):
+        """Return a loopback host of this cluster."""
+        return f"127.{self.base}.{group}.{number}"
+
+    def replica_address(self, name):
+        """Return a control replica's address."""
+        return f"{self.host(1, int(name.split('-')[1]))}:7000"
+
+    def entry_address(self, name):
+        """Return an entry's address for streams."""
+        return f"{self.host(2, int(name.split('-')[1]))}:7000"
+
+    @property
+    def control(self):
+        """Return the control replicas as settings and command line take them."""
+        return ",".join(f"{n}={self.replica_address(n)}" for n in self._replicas)
+
+    @property
+    def entries(self):
+        """Return the names of the entries."""
+        return list(self._entries)
+
+    @property
+    def replicas(self):
+        """Return the names of the control replicas."""
+        return list(self._replicas)
+
+    def service_address(self, port):
+        """Return the address that callers use for a service."""
+        return (self.host(9, 1), port)
+
+    @property
+    def announce_address(self):
+        """Return the address that upstreams announce themselves to."""
+        return f"{self.host(9, 1)}:7010"
+
+    def zone_of(self, number):
+        """Return the zone of the number-th process of a kind."""
+        return self.zones[(number - 1) % len(self.zones)]
+
+    # Starting
+
+    def start(self, name, *arguments):
+        """Start a python process by module name and arguments."""
+        with open(self.folder / f"{name}.out", "ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def start_replica(self, name):
+        """Start a control replica."""
+        number = int(name.split("-")[1])
+        data = self.folder / f"{name}.data"
+        data.mkdir(exist_ok=True)
+        self._start_daemon(
+            name,
+            "control",
+            self.zone_of(number),
+            self.replica_address(name),
+            f"[control]\ndata_folder = {data}\n",
+        )
+
+    def start_entry(self, name):
+        """Start an entry."""
+        number = int(name.split("-")[1])
+        host = self.host(2, number)
+        peers = ",".join(
+            f"{n}={self.entry_address(n)}" for n in self._entries if n != name
+        )
+        self._start_daemon(
+            name,
+            "entry",
+            self.zone_of(number),
+            self.entry_address(name),
+            f"[entry]\nservice_host = {host}\nannounce = {host}:7010\n"
+            f"peers = {peers}\nticket_keys = {TICKET_KEYS}\n",
+        )
+
+    def _start_daemon(self, name, role, zone, address, part):
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[daemon]\nname = {name}\nrole = {role}\nzone = {zone}\n"
+            f"listen = {address}\ncontrol = {self.control}\n{part}"
+            f"{self.extra_settings}",
+            encoding="utf-8",
+        )
+        self.start(name, "knapweeddeal.daemon", str(path))
+
+    def start_fabric(self, ports):
+        """Start the stand-in fabric for services on some ports."""
+        arguments = ["--address", self.announce_address]
+        for port in ports:
+            arguments += ["--address", f"{self.host(9, 1)}:{port}"]
+        hosts = ",".join(self.host(2, int(n.split("-")[1])) for n in self._entries)
+        self.start("fabric", "demo.fabric", *arguments, "--host", hosts)
+
+    def start_upstream(self, name, number, service, *arguments):
+        """Start a stand-in upstream of a service."""
+        self.start(
+            name,
+            "demo.upstream",
+            *("--id", name, "--zone", self.zone_of(number), "--service", service),
+            *("--listen", f"{self.host(3, number)}:7020"),
+            *("--announce", self.announce_address),
+            *("--runs", str(self.folder / f"{service}.runs")),
+            *arguments,
+        )
+
+    def operate(self, *arguments, timeout_s=30):
+        """Run the command-line tool; return its finished process."""
+        return subprocess.run(
+            [
+                *(sys.executable, "-m", "knapweeddeal.cmdline"),
+                *("--control", self.control, *arguments),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=timeout_s,
+            check=False,
+        )
+
+    # Ending
+
+    def signal(self, name, number):
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process and wait for its end."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name):
+        """Stop a process as planned; return its exit status."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            return process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return None
+
+    def close(self):
+        """Kill every process."""
+        for name in list(self.processes):
+            self.kill(name)
+
+
+def wait_until(condition, *, timeout_s=20.0, step_s=0.05):
+    """Return the first true value of a condition; raise TimeoutError."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(step_s)
+    raise TimeoutError(f"not within {timeout_s} s: {condition}")
+
+
+def accepts(address):
+    """Tell whether something takes streams at an address text."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=0.5).close()
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/demo/upstream.py
@@ -0,0 +1,103 @@
+"""demo.upstream: A stand-in upstream that answers, pushes and notes what it ran."""
+
+import argparse
+import secrets
+import signal
+
+import curio
+
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.messages.upstream import LEAVING, READY, Announce
+from knapweeddeal.signals import SignalReader
+from knapweeddeal.upstream import UpstreamServer
+
+PUSH_MS = 500
+
+
+class Application:
+    """Answer by the service's own name; keep a file of what ran."""
+
+    def __init__(self, *, name, service, runs_path, work_ms):
+        self._name = name
+        self._service = service
+        self._runs_path = runs_path
+        self._work_ms = work_ms
+
+    async def __call__(self, work):
+        """Run one request; a body `long N` gets N bytes."""
+        if self._runs_path:
+            with open(self._runs_path, "a", encoding="utf-8") as runs:
+                print(self._service, work.flow_id, work.number, work.body, file=runs)
+        await curio.sleep(self._work_ms / 1000)
+        head = b"%s:%s:" % (self._service.encode(), work.body)
+        if work.body.startswith(b"long "):
+            return head + b"x" * int(work.body.split()[1])
+        return head + self._name.encode()
+
+
+async def push_for_ever(server):
+    """Push to every flow."""
+    while True:
+        await curio.sleep(PUSH_MS / 1000)
+        for flow_id in list(server.core.flows):
+            await server.push(flow_id, server.core.announce.service.encode())
+
+
+async def run(options):
+    """Serve until SIGTERM, then leave, then end."""
+    host, _, port = options.listen.rpartition(":")
+    announce = Announce(
+        upstream_id=options.id,
+        incarnation=secrets.randbits(64),
+        sequence=0,
+        zone=options.zone,
+        service=options.service,
+        host=host,
+        port=int(port),
+        health_port=0,
+        slots=options.slots,
+        max_connections=options.connections,
+        state=READY,
+        drain_ms=options.drain_ms,
+    )
+    application = Application(
+        name=options.id,
+        service=options.service,
+        runs_path=options.runs,
+        work_ms=options.work_ms,
+    )
+    to_host, _, to_port = options.announce.rpartition(":")
+    server = UpstreamServer(
+        announce=announce,
+        announce_to=(to_host, int(to_port)),
+        application=application,
+        clock_ms=monotonic_ms,
+    )
+    signals = SignalReader(numbers=[signal.SIGTERM])
+    serving = await curio.spawn(server.run)
+    pushing = await curio.spawn(push_for_ever, server)
+    await signals.next()
+    server.core.announce = announce.replace(state=LEAVING)
+    await curio.sleep(options.drain_ms / 1000)
+    await pushing.cancel()
+    await serving.cancel()
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--announce", required=True)
+    parser.add_argument("--slots", type=int, default=2)
+    parser.add_argument("--connections", type=int, default=4000)
+    parser.add_argument("--work-ms", type=int, default=5)
+    parser.add_argument("--drain-ms", type=int, default=5_000)
+    parser.add_argument("--runs", default="")
+    curio.run(run, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/knapweeddeal/actions.py
@@ -0,0 +1,62 @@
+"""knapweeddeal.actions: What the decisions of an entry ask its shell to do."""
+
+from knapweeddeal.record import Record
+
+__all__ = [
+    "Address",
+    "CloseStream",
+    "Dial",
+    "ToCaller",
+    "ToControl",
+    "ToPeer",
+    "ToUpstream",
+    "UpstreamKey",
+]
+
+
+class Address(Record):
+    """Name a host and a port."""
+
+    __slots__ = ("host", "port")
+
+
+class UpstreamKey(Record):
+    """Name one incarnation of an upstream of a service."""
+
+    __slots__ = ("service", "upstream_id", "incarnation")
+
+
+class ToCaller(Record):
+    """Send a datagram from a service's address."""
+
+    __slots__ = ("service", "caller", "message")
+
+
+class ToUpstream(Record):
+    """Send a message on an upstream's stream, or report it undeliverable."""
+
+    __slots__ = ("key", "message")
+
+
+class Dial(Record):
+    """Open the stream to an upstream."""
+
+    __slots__ = ("key", "address")
+
+
+class CloseStream(Record):
+    """Close the stream to an upstream."""
+
+    __slots__ = ("key",)
+
+
+class ToPeer(Record):
+    """Send a message to another entry, or report it undeliverable."""
+
+    __slots__ = ("address", "message")
+
+
+class ToControl(Record):
+    """Send a message to a control replica."""
+
+    __slots__ = ("message",)
--- /dev/null
+++ b/knapweeddeal/controllink.py
@@ -0,0 +1,89 @@
+"""knapweeddeal.controllink: The stream of an entry to one of the control replicas."""
+
+import curio
+
+from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.events import ConfigurationCame, PeerMessage
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.control import ConfigurationAsk, ConfigurationPush
+from knapweeddeal.messages.peer import PeerHello
+from knapweeddeal.outbox import Outbox
+from knapweeddeal.stream import connect
+from knapweeddeal.tasks import run_until_first
+
+__all__ = ["ControlLink"]
+
+LOG = Log(prefix="control-link")
+
+#: Time between reports of the applied version, and between tries.
+REPORT_MS = 1_000
+
+
+class ControlLink:
+    """Own the stream to a control replica; another is tried when it breaks."""
+
+    __slots__ = ("_identity", "_inbox", "_outbox", "_settings", "_version")
+
+    def __init__(self, *, identity, settings, inbox, version):
+        self._identity = identity
+        self._settings = settings
+        self._inbox = inbox
+        self._version = version
+        self._outbox = Outbox()
+
+    async def offer(self, message):
+        """Queue a message; return False if there is no room."""
+        return await self._outbox.offer(message)
+
+    async def run(self):
+        """Keep a stream to some replica until cancelled."""
+        addresses = list(self._settings.control.values())
+        start = self._identity.incarnation % max(1, len(addresses))
+        addresses = addresses[start:] + addresses[:start]
+        while True:
+            for address in addresses:
+                try:
+                    await self._carry(address)
+                except KnapweeddealError as error:
+                    LOG.info("Stream ended.", why=str(error))
+                await curio.sleep(self._settings.heartbeat_ms / 1000)
+
+    async def _carry(self, address):
+        timeout_ms = self._settings.stream_timeout_ms
+        stream = await connect(address, timeout_ms=timeout_ms)
+        try:
+            await stream.send(
+                PeerHello(
+                    name=self._identity.entry_id,
+                    incarnation=self._identity.incarnation,
+                    zone=self._identity.zone,
+                )
+            )
+            await run_until_first(
+                self._receive(stream),
+                self._outbox.drain_to(stream),
+                self._report(),
+            )
+        finally:
+            await stream.close()
+
+    async def _report(self):
+        while True:
+            await self._outbox.offer(
+                ConfigurationAsk(
+                    name=self._identity.entry_id,
+                    incarnation=self._identity.incarnation,
+                    zone=self._identity.zone,
+                    applied_version=self._version(),
+                )
+            )
+            await curio.sleep(REPORT_MS / 1000)
+
+    async def _receive(self, stream):
+        while True:
+            message = await stream.receive()
+            if type(message) is ConfigurationPush:
+                event = ConfigurationCame(configuration=message.configuration)
+            else:
+                event = PeerMessage(message=message)
+            await self._inbox.put(event)
--- a/knapweeddeal/logs.py
+++ b/knapweeddeal/logs.py
@@ -1,5 +1,6 @@
 """knapweeddeal.logs: Log lines with a fixed prefix for each part."""
 
+import logging
 import sys
 
 import eliot
@@ -11,6 +12,7 @@
     """Send the log to a file, or to standard error if the path is empty."""
     target = open(path, "a", encoding="utf-8") if path else sys.stderr  # noqa: SIM115
     eliot.to_file(target)
+    logging.getLogger("curio").setLevel(logging.ERROR)
 
 
 class Log:
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -1,10 +1,9 @@
 """knapweeddeal.messages.base: Typed messages, their field checks and their codec."""
 
-import operator
-
 import msgpack
 
 from knapweeddeal.errors import BadMessageError
+from knapweeddeal.record import Record
 
 __all__ = [
     "REGISTRY",
@@ -144,7 +143,7 @@
         return [self.item.unpack(name, item) for item in value]
 
 
-class Message:
+class Message(Record):
     """Hold the fields that a subclass declares in its schema.
 
     A subclass sets `tag`, `schema` and `__slots__ = tuple(schema)`; constructors
@@ -160,42 +159,15 @@
 
     def __init_subclass__(cls):
         """Register the class by its tag and prepare its codec."""
-        names = tuple(cls.schema)
-        cls._names = names
+        super().__init_subclass__()
         cls._checks = tuple((name, kind.unpack) for name, kind in cls.schema.items())
         cls._packs = tuple(getattr(kind, "pack", None) for kind in cls.schema.values())
         cls._plain = not any(cls._packs)
-        getter = operator.attrgetter(*names) if names else lambda _: ()
-        cls._values = staticmethod(
-            getter if len(names) != 1 else lambda message: (getter(message),)
-        )
         if cls.tag in REGISTRY:
             raise TypeError(f"tag {cls.tag} stands twice")
         if cls.tag:
             REGISTRY[cls.tag] = cls
 
-    def __init__(self, **values):
-        for name in self._names:
-            try:
-                setattr(self, name, values.pop(name))
-            except KeyError:
-                raise TypeError(f"{type(self).__name__} lacks {name}") from None
-        if values:
-            raise TypeError(f"{type(self).__name__} has no {sorted(values)}")
-
-    def __eq__(self, other):
-        """Compare class and all fields."""
-        return type(self) is type(other) and self._values(self) == other._values(other)
-
-    def __hash__(self):
-        """Hash class and all fields."""
-        return hash((type(self), self._values(self)))
-
-    def __repr__(self):
-        """Return class and fields."""
-        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in self._names)
-        return f"{type(self).__name__}({fields})"
-
     def to_wire(self):
         """Return the list that msgpack carries."""
         values = self._values(self)
@@ -207,12 +179,6 @@
         )
         return [self.tag, *packed]
 
-    def replace(self, **changes):
-        """Return a copy with some fields changed."""
-        values = dict(zip(self._names, self._values(self), strict=True))
-        values.update(changes)
-        return type(self)(**values)
-
 
 def from_wire(wire):
     """Return the message in an unpacked list, or raise BadMessageError."""
--- /dev/null
+++ b/knapweeddeal/record.py
@@ -0,0 +1,51 @@
+"""knapweeddeal.record: The base of plain classes with slots."""
+
+import operator
+
+__all__ = ["Record"]
+
+
+class Record:
+    """Hold the fields that a subclass names in its slots.
+
+    Constructors take every field by keyword.
+    """
+
+    __slots__ = ()
+
+    def __init_subclass__(cls):
+        """Prepare access to all fields."""
+        names = tuple(cls.__slots__)
+        cls._names = names
+        getter = operator.attrgetter(*names) if names else lambda _: ()
+        cls._values = staticmethod(
+            getter if len(names) != 1 else lambda record: (getter(record),)
+        )
+
+    def __init__(self, **values):
+        for name in self._names:
+            try:
+                setattr(self, name, values.pop(name))
+            except KeyError:
+                raise TypeError(f"{type(self).__name__} lacks {name}") from None
+        if values:
+            raise TypeError(f"{type(self).__name__} has no {sorted(values)}")
+
+    def __eq__(self, other):
+        """Compare class and all fields."""
+        return type(self) is type(other) and self._values(self) == other._values(other)
+
+    def __hash__(self):
+        """Hash class and all fields."""
+        return hash((type(self), self._values(self)))
+
+    def __repr__(self):
+        """Return class and fields."""
+        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in self._names)
+        return f"{type(self).__name__}({fields})"
+
+    def replace(self, **changes):
+        """Return a copy with some fields changed."""
+        values = dict(zip(self._names, self._values(self), strict=True))
+        values.update(changes)
+        return type(self)(**values)
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -20,12 +20,11 @@
     One task receives and one task sends; senders share a stream by a queue.
     """
 
-    __slots__ = ("_ready", "_socket", "_unpacker")
+    __slots__ = ("_socket", "_unpacker")
 
     def __init__(self, *, socket):
         self._socket = socket
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_BUFFER_BYTES)
-        self._ready = []
 
     async def send(self, message):
         """Send one message; raise StreamClosedError."""
@@ -48,6 +47,13 @@
                 raise BadMessageError("not msgpack") from error
             await self._fill()
 
+    async def receive_within(self, timeout_ms):
+        """Return the next message; raise StreamClosedError if none comes in time."""
+        try:
+            return await curio.timeout_after(timeout_ms / 1000, self.receive)
+        except curio.TaskTimeout:
+            raise StreamClosedError("silent", field="ms", value=timeout_ms) from None
+
     async def _fill(self):
         try:
             data = await self._socket.recv(READ_BYTES)
--- /dev/null
+++ b/knapweeddeal/ticket.py
@@ -0,0 +1,70 @@
+"""knapweeddeal.ticket: Sealed tickets that let any entry route any packet of a flow."""
+
+import hashlib
+import hmac
+
+import msgpack
+
+from knapweeddeal.errors import BadTicketError
+from knapweeddeal.record import Record
+
+__all__ = ["Ticket", "TicketSealer"]
+
+MAC_BYTES = 16
+#: How far ahead of this VM's clock the issuing VM's clock may be.
+MAX_SKEW_MS = 60_000
+
+
+class Ticket(Record):
+    """Name a flow, its upstream and its owner."""
+
+    __slots__ = (
+        "service",
+        "flow_id",
+        "upstream_id",
+        "upstream_incarnation",
+        "upstream_host",
+        "upstream_port",
+        "owner_id",
+        "owner_incarnation",
+        "owner_host",
+        "owner_port",
+        "issued_ms",
+    )
+
+
+class TicketSealer:
+    """Seal and open tickets; the first key seals, every key opens."""
+
+    __slots__ = ("_keys", "_life_ms", "_sealing_id")
+
+    def __init__(self, *, keys, life_ms):
+        self._keys = dict(keys)
+        self._sealing_id = next(iter(self._keys))
+        self._life_ms = life_ms
+
+    def seal(self, ticket):
+        """Return the bytes that callers carry."""
+        body = msgpack.packb([self._sealing_id, *ticket._values(ticket)])
+        return self._mac(self._sealing_id, body) + body
+
+    def open(self, data, *, now_ms):
+        """Return the ticket in some bytes, or raise BadTicketError."""
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        try:
+            key_id, *values = msgpack.unpackb(body)
+            known = key_id in self._keys
+        except (ValueError, TypeError, RecursionError, msgpack.UnpackException):
+            raise BadTicketError("not a ticket") from None
+        if not known:
+            raise BadTicketError("unknown key", field="key_id", value=key_id)
+        if not hmac.compare_digest(mac, self._mac(key_id, body)):
+            raise BadTicketError("forged")
+        ticket = Ticket(**dict(zip(Ticket.__slots__, values, strict=True)))
+        if not -MAX_SKEW_MS <= now_ms - ticket.issued_ms < self._life_ms:
+            raise BadTicketError("expired", field="issued_ms", value=ticket.issued_ms)
+        return ticket
+
+    def _mac(self, key_id, body):
+        key = self._keys[key_id]
+        return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/knapweeddeal/upstreamlink.py
@@ -0,0 +1,85 @@
+"""knapweeddeal.upstreamlink: The stream of an entry to one upstream."""
+
+import curio
+
+from knapweeddeal.errors import BadMessageError, KnapweeddealError
+from knapweeddeal.events import UpstreamDown, UpstreamMessage, UpstreamUp
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.upstream import Heartbeat, StreamHello, StreamWelcome
+from knapweeddeal.outbox import Outbox
+from knapweeddeal.stream import connect
+from knapweeddeal.tasks import run_until_first
+
+__all__ = ["UpstreamLink"]
+
+LOG = Log(prefix="upstream")
+
+
+class UpstreamLink:
+    """Own the stream to one incarnation of an upstream."""
+
+    __slots__ = ("_address", "_identity", "_inbox", "_outbox", "_settings", "key")
+
+    def __init__(self, *, key, address, identity, settings, inbox):
+        self.key = key
+        self._address = address
+        self._identity = identity
+        self._settings = settings
+        self._inbox = inbox
+        self._outbox = Outbox()
+
+    async def offer(self, message):
+        """Queue a message; return False if there is no room."""
+        return await self._outbox.offer(message)
+
+    async def run(self):
+        """Open the stream, carry messages until it breaks, and tell so."""
+        try:
+            await self._carry()
+        except KnapweeddealError as error:
+            LOG.info("Stream ended.", upstream=self.key.upstream_id, why=str(error))
+        finally:
+            async with curio.disable_cancellation():
+                await self._inbox.put(UpstreamDown(key=self.key))
+
+    async def _carry(self):
+        address = (self._address.host, self._address.port)
+        timeout_ms = self._settings.stream_timeout_ms
+        stream = await connect(address, timeout_ms=timeout_ms)
+        try:
+            await self._greet(stream)
+            await self._inbox.put(UpstreamUp(key=self.key))
+            await run_until_first(
+                self._receive(stream),
+                self._outbox.drain_to(stream),
+                self._outbox.beat(self._settings.heartbeat_ms),
+            )
+        finally:
+            await stream.close()
+
+    async def _greet(self, stream):
+        hello = StreamHello(
+            service=self.key.service,
+            upstream_id=self.key.upstream_id,
+            upstream_incarnation=self.key.incarnation,
+            entry_id=self._identity.entry_id,
+            entry_incarnation=self._identity.incarnation,
+        )
+        await stream.send(hello)
+        welcome = await self._receive_in_time(stream)
+        expected = StreamWelcome(
+            service=self.key.service,
+            upstream_id=self.key.upstream_id,
+            upstream_incarnation=self.key.incarnation,
+        )
+        if welcome != expected:
+            raise BadMessageError("another upstream", field="welcome", value=welcome)
+
+    async def _receive(self, stream):
+        while True:
+            message = await self._receive_in_time(stream)
+            if type(message) is not Heartbeat:
+                await self._inbox.put(UpstreamMessage(key=self.key, message=message))
+
+    async def _receive_in_time(self, stream):
+        return await stream.receive_within(self._settings.stream_timeout_ms)
