--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -9,7 +9,7 @@
 from knapweeddeal import entryprocess
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import open_log
-from knapweeddeal.settings import CONTROL, ENTRY, read_settings
+from knapweeddeal.settings import ENTRY, read_settings
 
 __all__ = ["main"]
 
