--- a/knapweeddeal/actions.py
+++ b/knapweeddeal/actions.py
@@ -9,6 +9,7 @@
     "ToCaller",
     "ToControl",
     "ToPeer",
+    "ToStream",
     "ToUpstream",
     "UpstreamKey",
 ]
@@ -56,6 +57,12 @@
     __slots__ = ("address", "message")
 
 
+class ToStream(Record):
+    """Answer on the stream that a peer opened."""
+
+    __slots__ = ("stream", "message")
+
+
 class ToControl(Record):
     """Send a message to a control replica."""
 
--- /dev/null
+++ b/knapweeddeal/entrycontext.py
@@ -0,0 +1,128 @@
+"""knapweeddeal.entrycontext: What the parts of an entry's decisions share."""
+
+from knapweeddeal.actions import Address, ToCaller, UpstreamKey
+from knapweeddeal.balance import choose
+from knapweeddeal.directory import Directory
+from knapweeddeal.messages.caller import Outcome
+from knapweeddeal.messages.peer import RefusalRecord
+from knapweeddeal.messages.upstream import LEAVING
+from knapweeddeal.record import Record
+from knapweeddeal.refusals import RefusalQueue
+
+__all__ = ["EntryContext", "Identity", "outcome", "ticket_address", "ticket_upstream"]
+
+
+class Identity(Record):
+    """Name an entry process: id, incarnation, zone and stream address."""
+
+    __slots__ = ("entry_id", "incarnation", "zone", "address")
+
+
+class EntryContext:
+    """Hold the identity, the directory, the services and the refusals."""
+
+    __slots__ = (
+        "count",
+        "directory",
+        "draining",
+        "identity",
+        "limits",
+        "refusals",
+        "rng",
+        "sealer",
+        "services",
+        "wall_clock_ms",
+    )
+
+    def __init__(self, *, identity, sealer, limits, rng, wall_clock_ms, counters):
+        self.identity = identity
+        self.sealer = sealer
+        self.limits = limits
+        self.rng = rng
+        self.wall_clock_ms = wall_clock_ms
+        #: Counts an event by its name.
+        self.count = counters
+        self.directory = Directory(lease_ms=limits.lease_ms)
+        self.refusals = RefusalQueue()
+        #: Confirmed services by name.
+        self.services = {}
+        #: Ids of upstreams that an operator takes out, by service.
+        self.draining = {}
+
+    def apply_configuration(self, configuration):
+        """Put a confirmed configuration in force."""
+        self.services = {entry.name: entry for entry in configuration.services}
+        self.draining = {
+            entry.name: frozenset(entry.draining) for entry in configuration.services
+        }
+
+    def drop(self, reason):
+        """Count a message that is dropped; return no actions."""
+        self.count(f"dropped_{reason}")
+        return []
+
+    def leaving(self, key):
+        """Tell whether an upstream leaves or is being taken out."""
+        if key.upstream_id in self.draining.get(key.service, ()):
+            return True
+        upstream = self.directory.get(key)
+        return upstream is not None and upstream.announce.state == LEAVING
+
+    def ready(self, key):
+        """Tell whether the stream to an upstream stands."""
+        upstream = self.directory.get(key)
+        return upstream is not None and upstream.ready
+
+    def pick(self, service, tried, *, now_ms):
+        """Return an upstream for a flow, or None; never one of those tried."""
+        usable = [
+            upstream
+            for upstream in self.directory.fresh(service, now_ms=now_ms)
+            if upstream.ready
+            and upstream.key not in tried
+            and not self.leaving(upstream.key)
+        ]
+        return choose(usable, zone=self.identity.zone, rng=self.rng)
+
+    def note_load(self, key, message):
+        """Take the load that an upstream reports."""
+        upstream = self.directory.get(key)
+        if upstream is not None:
+            upstream.connections = message.connections
+
+    def refuse(self, refusal, flow_id, number, reason):
+        """Hold a refusal back until its record is held; return whether it fits."""
+        action = refusal.action
+        record = RefusalRecord(
+            record_id=self.rng.getrandbits(64),
+            caller=f"{action.caller.host}:{action.caller.port}",
+            service=action.service,
+            flow_id=flow_id,
+            number=number,
+            refused_ms=self.wall_clock_ms(),
+            entry_id=self.identity.entry_id,
+            reason=reason,
+        )
+        return self.refusals.add(record, refusal)
+
+
+def outcome(service, caller, flow_id, number, kind, reason):
+    """Return the action that tells a caller an outcome."""
+    message = Outcome(
+        service=service, flow_id=flow_id, number=number, kind=kind, reason=reason
+    )
+    return ToCaller(service=service, caller=caller, message=message)
+
+
+def ticket_upstream(ticket):
+    """Return the key of the upstream that a ticket names."""
+    return UpstreamKey(
+        service=ticket.service,
+        upstream_id=ticket.upstream_id,
+        incarnation=ticket.upstream_incarnation,
+    )
+
+
+def ticket_address(ticket):
+    """Return the address of the upstream that a ticket names."""
+    return Address(host=ticket.upstream_host, port=ticket.upstream_port)
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -6,6 +6,7 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "Peer",
     "PeerMessage",
     "Tick",
     "Undeliverable",
@@ -39,16 +40,25 @@
     __slots__ = ("key", "message")
 
 
+class Peer(Record):
+    """Name the process that sent a message, and the stream for an answer."""
+
+    __slots__ = ("name", "incarnation", "stream")
+
+
 class PeerMessage(Record):
-    """Tell of a message of another entry or a control replica."""
+    """Tell of a message of another entry or a control replica.
+
+    `peer` is None where the sender is known by the stream that was dialled.
+    """
 
-    __slots__ = ("message",)
+    __slots__ = ("message", "peer")
 
 
 class Undeliverable(Record):
     """Tell that a message didn't reach another entry."""
 
-    __slots__ = ("message",)
+    __slots__ = ("address", "message")
 
 
 class AnnounceCame(Record):
--- /dev/null
+++ b/knapweeddeal/flowtable.py
@@ -0,0 +1,88 @@
+"""knapweeddeal.flowtable: The flows that an entry owns, the idle ones first."""
+
+from knapweeddeal.record import Record
+
+__all__ = ["Flow", "FlowTable"]
+
+#: Idle flows that are forgotten at one time.
+MAX_EXPIRED = 2_000
+
+
+class Flow(Record):
+    """Hold a flow that this entry owns.
+
+    Tickets of the flow that were issued before `since_ms` belong to a record
+    that this entry has forgotten.
+    """
+
+    __slots__ = (
+        "flow_id",
+        "owner_incarnation",
+        "upstream",
+        "address",
+        "caller",
+        "since_ms",
+        "issued_ms",
+        "seen_ms",
+        "ledger",
+    )
+
+    __eq__ = object.__eq__
+    __hash__ = object.__hash__
+
+
+class FlowTable:
+    """Hold flows by owner incarnation and flow id, in the order of their use."""
+
+    __slots__ = ("_idle_ms", "_tables")
+
+    def __init__(self, *, idle_ms):
+        self._idle_ms = idle_ms
+        self._tables = {}
+
+    def __len__(self):
+        """Return how many flows are held."""
+        return sum(map(len, self._tables.values()))
+
+    def __iter__(self):
+        """Yield every flow."""
+        for table in self._tables.values():
+            yield from table.values()
+
+    def get(self, owner_incarnation, flow_id):
+        """Return a flow, or None."""
+        table = self._tables.get(owner_incarnation)
+        return None if table is None else table.get(flow_id)
+
+    def put(self, flow):
+        """Hold a flow."""
+        table = self._tables.setdefault(flow.owner_incarnation, {})
+        table[flow.flow_id] = flow
+
+    def touch(self, flow, *, now_ms):
+        """Note that a flow is used."""
+        flow.seen_ms = now_ms
+        table = self._tables[flow.owner_incarnation]
+        table[flow.flow_id] = table.pop(flow.flow_id)
+
+    def remove(self, flow):
+        """Drop a flow."""
+        table = self._tables.get(flow.owner_incarnation, {})
+        if table.get(flow.flow_id) is not flow:
+            return
+        del table[flow.flow_id]
+        if not table:
+            del self._tables[flow.owner_incarnation]
+
+    def expire(self, *, now_ms):
+        """Drop and return flows that were idle for too long, but a few at a time."""
+        expired = []
+        for table in list(self._tables.values()):
+            for flow in table.values():
+                idle = now_ms - flow.seen_ms >= self._idle_ms
+                if not idle or len(expired) >= MAX_EXPIRED:
+                    break
+                expired.append(flow)
+        for flow in expired:
+            self.remove(flow)
+        return expired
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -25,6 +25,8 @@
     "FlowRecord",
     "HandOver",
     "HandOverAck",
+    "HandOverAsk",
+    "HandOverOffer",
     "LeaseAnswer",
     "LeaseAsk",
     "LedgerRecord",
@@ -34,6 +36,7 @@
     "RefusalRecord",
     "Relay",
     "Succession",
+    "Successions",
 ]
 
 #: Largest datagram that a caller may send.
@@ -127,6 +130,34 @@
     __slots__ = tuple(schema)
 
 
+class HandOverAsk(Message):
+    """Ask another entry to take the ledgers of one that stops as planned."""
+
+    tag = 47
+    schema = {"name": NAME, "owner_incarnation": Whole(), "flows": Whole()}
+    __slots__ = tuple(schema)
+
+
+class HandOverOffer(Message):
+    """Offer to take the ledgers of an entry, or decline."""
+
+    tag = 48
+    schema = {
+        "owner_incarnation": Whole(),
+        "accepted": Flag(),
+        "succession": Nested(Succession),
+    }
+    __slots__ = tuple(schema)
+
+
+class Successions(Message):
+    """Tell the successions that an entry holds, and ask for the other's."""
+
+    tag = 49
+    schema = {"ask": Flag(), "successions": ListOf(Nested(Succession), max_items=4096)}
+    __slots__ = tuple(schema)
+
+
 class Announced(Message):
     """Hand an upstream's announcement to a registrar of its zone."""
 
--- /dev/null
+++ b/knapweeddeal/opening.py
@@ -0,0 +1,173 @@
+"""knapweeddeal.opening: Opens of flows that wait for an upstream's word."""
+
+from knapweeddeal.actions import ToCaller, ToUpstream
+from knapweeddeal.messages.caller import Opened, OpenRefused
+from knapweeddeal.messages.upstream import FlowClose, FlowOpen
+from knapweeddeal.owner import Refusal
+from knapweeddeal.record import Record
+
+__all__ = ["Opening"]
+
+#: Upstreams that are asked for one open.
+MAX_OPEN_TRIES = 2
+#: Longest time that an open is held.
+OPEN_MS = 5_000
+
+
+class PendingOpen(Record):
+    """Hold an open; `tried` names the upstreams asked, the last one still to answer."""
+
+    __slots__ = (
+        "flow_id",
+        "service",
+        "nonce",
+        "caller",
+        "tried",
+        "deadline_ms",
+        "until_ms",
+    )
+
+    __eq__ = object.__eq__
+    __hash__ = object.__hash__
+
+
+class Opening:
+    """Ask upstreams to take new flows, and answer the callers."""
+
+    def __init__(self, *, context, owner):
+        self._context = context
+        self._owner = owner
+        self._by_flow = {}
+        self._by_nonce = {}
+        self._by_upstream = {}
+
+    def __len__(self):
+        """Return how many opens wait."""
+        return len(self._by_flow)
+
+    def open(self, message, caller, *, now_ms):
+        """Decide on a caller's wish for a flow."""
+        name = (message.nonce, caller.host, caller.port)
+        if name in self._by_nonce:
+            return []
+        if len(self._by_flow) >= self._context.limits.max_opens:
+            return self._context.drop("too_many_opens")
+        pending = PendingOpen(
+            flow_id=self._context.rng.getrandbits(64),
+            service=message.service,
+            nonce=message.nonce,
+            caller=caller,
+            tried=[],
+            deadline_ms=now_ms + message.deadline_ms,
+            until_ms=now_ms + OPEN_MS,
+        )
+        if self._owner.full():
+            return self._refuse(pending, "too_many_flows")
+        self._by_nonce[name] = pending
+        self._by_flow[pending.flow_id] = pending
+        return self._try(pending, now_ms)
+
+    def accepted(self, message, key, *, now_ms):
+        """Give the caller its flow."""
+        pending = self._by_flow.get(message.flow_id)
+        upstream = self._context.directory.get(key)
+        if pending is None or upstream is None or pending.tried[-1] != key:
+            return self._close_late(message, key)
+        self._end(pending)
+        if pending.deadline_ms <= now_ms:
+            return self._close_late(message, key)
+        flow = self._owner.own(
+            pending.flow_id, key, upstream.address, pending.caller, now_ms=now_ms
+        )
+        self._context.count("flows_opened")
+        opened = Opened(
+            service=key.service,
+            nonce=pending.nonce,
+            flow_id=flow.flow_id,
+            ticket=self._owner.seal(flow),
+        )
+        return [ToCaller(service=key.service, caller=pending.caller, message=opened)]
+
+    def _close_late(self, message, key):
+        own = self._context.identity.incarnation
+        flow = self._owner.flows.get(own, message.flow_id)
+        if flow is not None and flow.upstream == key:
+            return []
+        self._context.count("opens_late")
+        return [ToUpstream(key=key, message=FlowClose(flow_id=message.flow_id))]
+
+    def shed(self, message, key, *, now_ms):
+        """Ask another upstream, or refuse the open."""
+        pending = self._by_flow.get(message.flow_id)
+        if pending is None or pending.tried[-1] != key:
+            return []
+        return self._next(pending, now_ms)
+
+    def stream_down(self, key, *, now_ms):
+        """Ask other upstreams for the opens that waited for one."""
+        actions = []
+        for pending in list(self._by_upstream.get(key, ())):
+            actions += self._next(pending, now_ms)
+        return actions
+
+    def expire(self, *, now_ms):
+        """Give up the opens whose time passed."""
+        while self._by_flow:
+            pending = next(iter(self._by_flow.values()))
+            if pending.until_ms > now_ms:
+                return
+            self._context.count("opens_expired")
+            self._end(pending)
+
+    def clear(self):
+        """Give up every open."""
+        for pending in list(self._by_flow.values()):
+            self._end(pending)
+
+    def _next(self, pending, now_ms):
+        self._leave(pending)
+        if pending.deadline_ms <= now_ms:
+            self._end(pending)
+            return self._context.drop("open_deadline")
+        return self._try(pending, now_ms)
+
+    def _try(self, pending, now_ms):
+        chosen = None
+        if len(pending.tried) < MAX_OPEN_TRIES:
+            chosen = self._context.pick(pending.service, pending.tried, now_ms=now_ms)
+        if chosen is None:
+            self._end(pending)
+            return self._refuse(pending, "shed" if pending.tried else "no_upstream")
+        pending.tried.append(chosen.key)
+        self._by_upstream.setdefault(chosen.key, {})[pending] = None
+        ask = FlowOpen(
+            flow_id=pending.flow_id,
+            caller_host=pending.caller.host,
+            caller_port=pending.caller.port,
+        )
+        return [ToUpstream(key=chosen.key, message=ask)]
+
+    def _leave(self, pending):
+        if not pending.tried:
+            return
+        waiting = self._by_upstream.get(pending.tried[-1], {})
+        waiting.pop(pending, None)
+        if not waiting:
+            self._by_upstream.pop(pending.tried[-1], None)
+
+    def _end(self, pending):
+        self._leave(pending)
+        self._by_flow.pop(pending.flow_id, None)
+        name = (pending.nonce, pending.caller.host, pending.caller.port)
+        self._by_nonce.pop(name, None)
+
+    def _refuse(self, pending, reason):
+        refused = OpenRefused(
+            service=pending.service, nonce=pending.nonce, reason=reason
+        )
+        action = ToCaller(
+            service=pending.service, caller=pending.caller, message=refused
+        )
+        refusal = Refusal(ledger=None, number=0, action=action)
+        self._context.refuse(refusal, pending.flow_id, 0, reason)
+        return []
--- /dev/null
+++ b/knapweeddeal/owner.py
@@ -0,0 +1,393 @@
+"""knapweeddeal.owner: The flows that an entry owns and what it does for them."""
+
+from functools import singledispatchmethod
+
+from knapweeddeal.actions import Dial, ToCaller, ToUpstream
+from knapweeddeal.entrycontext import outcome, ticket_address, ticket_upstream
+from knapweeddeal.flowtable import Flow, FlowTable
+from knapweeddeal.ledger import (
+    ANSWERED,
+    FORWARDED,
+    LEDGER_NOT_RUN,
+    LEDGER_UNKNOWN,
+    RECORDED,
+    UNRECORDED,
+    WAITING,
+    KeptAnswers,
+    Ledger,
+)
+from knapweeddeal.messages.caller import (
+    MAX_BODY_BYTES,
+    NOT_RUN,
+    RESEND,
+    UNKNOWN,
+    AnswerPart,
+    Cancel,
+    Moved,
+    Request,
+)
+from knapweeddeal.messages.upstream import Work, WorkCancel
+from knapweeddeal.record import Record
+from knapweeddeal.ticket import Ticket
+
+__all__ = ["Owner", "Refusal"]
+
+
+class Refusal(Record):
+    """Hold what follows once a refusal is recorded; `ledger` may be None."""
+
+    __slots__ = ("ledger", "number", "action")
+
+
+class Owner:
+    """Own flows: forward each request at most once and settle it.
+
+    `settle(message, ticket, caller, now_ms=...)` is called for a request that
+    may have been held here once and is held no longer; `lost(key, now_ms=...)`
+    tells whether an upstream is lost.
+    """
+
+    def __init__(self, *, context, settle, lost):
+        self._context = context
+        self._settle = settle
+        self._lost = lost
+        self._identity = context.identity
+        self.flows = FlowTable(idle_ms=context.limits.flow_idle_ms)
+        self.kept = KeptAnswers(
+            max_answers=context.limits.max_answers,
+            max_bytes=context.limits.max_answer_bytes,
+        )
+        self._under_way = {}
+        self._forgotten_ms = 0
+
+    # Flows
+
+    def full(self):
+        """Tell whether there is no room for another flow."""
+        return len(self.flows) >= self._context.limits.max_flows
+
+    def own(self, flow_id, key, address, caller, *, now_ms):
+        """Hold and return a new flow."""
+        return self._hold(
+            flow_id, key, address, caller, self._context.wall_clock_ms(), now_ms
+        )
+
+    def adopt(self, ticket, caller, *, now_ms):
+        """Return the flow of a ticket, held from now on if it wasn't."""
+        held = self.flows.get(self._identity.incarnation, ticket.flow_id)
+        if held is not None:
+            return held
+        issued_ms = max(self._context.wall_clock_ms(), self._forgotten_ms + 1)
+        return self._hold(
+            ticket.flow_id,
+            ticket_upstream(ticket),
+            ticket_address(ticket),
+            caller,
+            issued_ms,
+            now_ms,
+        )
+
+    def _hold(self, flow_id, key, address, caller, issued_ms, now_ms):
+        flow = Flow(
+            flow_id=flow_id,
+            owner_incarnation=self._identity.incarnation,
+            upstream=key,
+            address=address,
+            caller=caller,
+            since_ms=issued_ms,
+            issued_ms=issued_ms,
+            seen_ms=now_ms,
+            ledger=None,
+        )
+        self.flows.put(flow)
+        return flow
+
+    def install(self, flow):
+        """Hold a flow that another owner handed over."""
+        self.flows.put(flow)
+
+    def find(self, ticket):
+        """Return the flow that a ticket belongs to, or None."""
+        flow = self.flows.get(ticket.owner_incarnation, ticket.flow_id)
+        if flow is None or ticket.issued_ms < flow.since_ms:
+            return None
+        return flow
+
+    def holds(self, flow):
+        """Tell whether a flow is still held."""
+        return self.flows.get(flow.owner_incarnation, flow.flow_id) is flow
+
+    def release(self, flow):
+        """Let go of a flow that another owner holds now."""
+        self.flows.remove(flow)
+
+    def refresh(self, flow):
+        """Date a flow's ticket anew."""
+        flow.issued_ms = max(self._context.wall_clock_ms(), flow.issued_ms)
+
+    def forget(self, flow):
+        """Drop a flow and all that is held for it."""
+        self.flows.remove(flow)
+        self._forget(flow)
+
+    def _forget(self, flow):
+        self._forgotten_ms = max(self._forgotten_ms, flow.issued_ms)
+        if flow.ledger is None:
+            return
+        for number, entry in list(flow.ledger.items()):
+            if entry.state == FORWARDED:
+                self._finish(entry.upstream, flow, number)
+        flow.ledger.clear()
+
+    def expire(self, *, now_ms):
+        """Forget idle flows."""
+        for flow in self.flows.expire(now_ms=now_ms):
+            self._context.count("flows_expired")
+            self._forget(flow)
+
+    def ledger(self, flow):
+        """Return the ledger of a flow."""
+        if flow.ledger is None:
+            flow.ledger = Ledger(kept=self.kept)
+        return flow.ledger
+
+    def seal(self, flow, issued_ms=None):
+        """Return the ticket of a flow, sealed."""
+        key, identity = flow.upstream, self._identity
+        ticket = Ticket(
+            service=key.service,
+            flow_id=flow.flow_id,
+            upstream_id=key.upstream_id,
+            upstream_incarnation=key.incarnation,
+            upstream_host=flow.address.host,
+            upstream_port=flow.address.port,
+            owner_id=identity.entry_id,
+            owner_incarnation=flow.owner_incarnation,
+            owner_host=identity.address.host,
+            owner_port=identity.address.port,
+            issued_ms=flow.issued_ms if issued_ms is None else issued_ms,
+        )
+        return self._context.sealer.seal(ticket)
+
+    def moved(self, flow):
+        """Return the action that gives a flow's caller its ticket."""
+        service = flow.upstream.service
+        message = Moved(service=service, flow_id=flow.flow_id, ticket=self.seal(flow))
+        return ToCaller(service=service, caller=flow.caller, message=message)
+
+    # Messages of callers
+
+    @singledispatchmethod
+    def take(self, message, ticket, caller, *, now_ms):
+        """Decide on a message of a caller whose flow is owned here."""
+        return self._context.drop("unexpected")
+
+    @take.register
+    def _(self, message: Request, ticket, caller, *, now_ms):
+        flow = self.find(ticket)
+        if flow is None:
+            return self._settle(message, ticket, caller, now_ms=now_ms)
+        flow.caller = caller
+        self.flows.touch(flow, now_ms=now_ms)
+        ledger = self.ledger(flow)
+        ledger.raise_floor(message.floor)
+        number = message.number
+        if ledger.settled(number):
+            return self._context.drop("settled")
+        entry = ledger.get(number)
+        if entry is not None:
+            return self._replay(flow, number, entry)
+        if ledger.forgotten(number):
+            return self._settle(message, ticket, caller, now_ms=now_ms)
+        return self._forward(message, ticket, flow, now_ms)
+
+    @take.register
+    def _(self, message: Cancel, ticket, caller, *, now_ms):
+        flow = self.find(ticket)
+        if flow is None:
+            return self._settle(message, ticket, caller, now_ms=now_ms)
+        flow.caller = caller
+        ledger = self.ledger(flow)
+        if ledger.settled(message.number) or ledger.forgotten(message.number):
+            return self._context.drop("settled")
+        entry = ledger.get(message.number)
+        if entry is None:
+            if not ledger.make_room():
+                return self._context.drop("ledger_full")
+            return self._refuse(flow, message.number, "cancelled")
+        if entry.state != FORWARDED:
+            return self._replay(flow, message.number, entry)
+        cancel = WorkCancel(
+            flow_id=flow.flow_id,
+            owner_incarnation=flow.owner_incarnation,
+            number=message.number,
+        )
+        return [ToUpstream(key=entry.upstream, message=cancel)]
+
+    def _forward(self, message, ticket, flow, now_ms):
+        if not flow.ledger.make_room():
+            return [self._outcome(flow, message.number, RESEND, "ledger_full")]
+        if not message.deadline_ms:
+            return self._refuse(flow, message.number, "deadline")
+        key = ticket_upstream(ticket)
+        if message.idempotent and not self._context.ready(key):
+            key = flow.upstream
+        if not self._context.ready(key):
+            return self._cannot_forward(message, ticket, flow, key, now_ms)
+        return self._send(message, flow, key)
+
+    def _cannot_forward(self, message, ticket, flow, key, now_ms):
+        # Only the upstream that the ticket names may get this request: another
+        # entry that cancels it there must be able to trust the answer.
+        moved_on = key != flow.upstream or self._lost(key, now_ms=now_ms)
+        if moved_on and not message.idempotent:
+            return self._refuse(flow, message.number, "upstream_lost")
+        return [
+            Dial(key=key, address=ticket_address(ticket)),
+            self._outcome(flow, message.number, RESEND, "upstream_unreachable"),
+        ]
+
+    def _send(self, message, flow, key):
+        flow.ledger.forward(message.number, idempotent=message.idempotent, upstream=key)
+        self._context.directory.get(key).outstanding += 1
+        numbers = self._under_way.setdefault(key, {}).setdefault(flow, set())
+        numbers.add(message.number)
+        work = Work(
+            flow_id=flow.flow_id,
+            owner_incarnation=flow.owner_incarnation,
+            number=message.number,
+            idempotent=message.idempotent,
+            deadline_ms=message.deadline_ms,
+            caller_host=flow.caller.host,
+            caller_port=flow.caller.port,
+            body=message.body,
+        )
+        return [ToUpstream(key=key, message=work)]
+
+    def _replay(self, flow, number, entry):
+        if entry.state == ANSWERED:
+            return self._parts(flow, number, entry.answer)
+        if entry.state == LEDGER_UNKNOWN:
+            return [self._outcome(flow, number, UNKNOWN, entry.reason)]
+        if entry.state == LEDGER_NOT_RUN and entry.record == RECORDED:
+            return [self._outcome(flow, number, NOT_RUN, entry.reason)]
+        if entry.state == LEDGER_NOT_RUN and entry.record == UNRECORDED:
+            return self._record(flow, number, entry.reason)
+        return []
+
+    def _refuse(self, flow, number, reason):
+        self.ledger(flow).refuse(number, reason)
+        return self._record(flow, number, reason)
+
+    def _record(self, flow, number, reason):
+        action = self._outcome(flow, number, NOT_RUN, reason)
+        refusal = Refusal(ledger=flow.ledger, number=number, action=action)
+        if self._context.refuse(refusal, flow.flow_id, number, reason):
+            flow.ledger.mark(number, WAITING)
+        return []
+
+    def recorded(self, refusal):
+        """Return what follows a refusal whose record is held."""
+        if refusal.ledger is not None:
+            refusal.ledger.mark(refusal.number, RECORDED)
+        return refusal.action
+
+    def _outcome(self, flow, number, kind, reason):
+        return outcome(
+            flow.upstream.service, flow.caller, flow.flow_id, number, kind, reason
+        )
+
+    def _parts(self, flow, number, body):
+        pieces = [
+            body[start : start + MAX_BODY_BYTES]
+            for start in range(0, len(body), MAX_BODY_BYTES)
+        ] or [b""]
+        service = flow.upstream.service
+        return [
+            ToCaller(
+                service=service,
+                caller=flow.caller,
+                message=AnswerPart(
+                    service=service,
+                    flow_id=flow.flow_id,
+                    number=number,
+                    part=part,
+                    parts=len(pieces),
+                    body=piece,
+                ),
+            )
+            for part, piece in enumerate(pieces)
+        ]
+
+    # Messages of upstreams
+
+    def answered(self, message, key):
+        """Keep an answer and send it to the caller."""
+        flow = self._take_off(message, key)
+        if flow is None:
+            return []
+        flow.ledger.answer(message.number, message.body)
+        return self._parts(flow, message.number, message.body)
+
+    def shed(self, message, key):
+        """Refuse a request that its upstream turned away."""
+        flow = self._take_off(message, key)
+        if flow is None:
+            return []
+        return self._refuse(flow, message.number, message.reason)
+
+    def cancelled(self, message, key):
+        """Refuse a request whose cancellation stands."""
+        flow = self._take_off(message, key) if message.stands else None
+        if flow is None:
+            return []
+        return self._refuse(flow, message.number, "cancelled")
+
+    def stream_down(self, key):
+        """Settle what was under way on a stream that broke."""
+        actions = []
+        for flow, numbers in self._under_way.pop(key, {}).items():
+            for number in sorted(numbers):
+                actions += self._lose(flow, number)
+        return actions
+
+    def unsent(self, work, key):
+        """Take back a request that never left this process."""
+        flow = self._take_off(work, key)
+        if flow is None:
+            return []
+        flow.ledger.forget(work.number)
+        return [self._outcome(flow, work.number, RESEND, "upstream_busy")]
+
+    def under_way_at(self, flow, key):
+        """Tell whether a request of a flow is under way at an upstream."""
+        return flow in self._under_way.get(key, ())
+
+    def _lose(self, flow, number):
+        entry = flow.ledger.get(number)
+        if entry.idempotent:
+            flow.ledger.forget(number)
+            return [self._outcome(flow, number, RESEND, "stream_broke")]
+        self._context.count("requests_unknown")
+        flow.ledger.lose(number, "stream_broke")
+        return [self._outcome(flow, number, UNKNOWN, "stream_broke")]
+
+    def _take_off(self, message, key):
+        flow = self.flows.get(message.owner_incarnation, message.flow_id)
+        numbers = self._under_way.get(key, {}).get(flow, ())
+        if message.number not in numbers:
+            return None
+        self._finish(key, flow, message.number)
+        return flow
+
+    def _finish(self, key, flow, number):
+        flows = self._under_way.get(key, {})
+        numbers = flows.get(flow, set())
+        numbers.discard(number)
+        if not numbers:
+            flows.pop(flow, None)
+        if not flows:
+            self._under_way.pop(key, None)
+        upstream = self._context.directory.get(key)
+        if upstream is not None and upstream.outstanding:
+            upstream.outstanding -= 1
--- /dev/null
+++ b/knapweeddeal/resolution.py
@@ -0,0 +1,175 @@
+"""knapweeddeal.resolution: Requests whose owner is lost, settled by cancellation."""
+
+from functools import singledispatchmethod
+
+from knapweeddeal.actions import Address, Dial, ToUpstream
+from knapweeddeal.entrycontext import outcome, ticket_address, ticket_upstream
+from knapweeddeal.errors import BadMessageError, BadTicketError
+from knapweeddeal.messages import decode
+from knapweeddeal.messages.caller import (
+    NOT_RUN,
+    RESEND,
+    UNKNOWN,
+    Cancel,
+    KeepAlive,
+    Request,
+)
+from knapweeddeal.messages.upstream import WorkCancel
+from knapweeddeal.owner import Refusal
+from knapweeddeal.record import Record
+
+__all__ = ["Resolution"]
+
+#: Attempts of a caller before another entry than the owner settles its request.
+SETTLING_ATTEMPT = 3
+#: Attempts after which a request is `unknown` if its upstream doesn't answer.
+LAST_ATTEMPT = 12
+#: Time in which an upstream must answer a cancellation.
+SETTLE_MS = 3_000
+#: Requests that may wait to be settled.
+MAX_SETTLING = 20_000
+
+
+class Settling(Record):
+    """Hold a request that waits for its upstream's word on the cancellation."""
+
+    __slots__ = ("key", "service", "caller", "until_ms", "reason")
+
+
+class Resolution:
+    """Settle what can't reach its owner, without a claim that isn't proved.
+
+    A non-idempotent request is `not_run` only if the upstream that its ticket
+    names will refuse it for good under the lost owner's incarnation.
+    """
+
+    def __init__(self, *, context, adopt):
+        self._context = context
+        self._adopt = adopt
+        self._settling = {}
+
+    def __len__(self):
+        """Return how many requests wait to be settled."""
+        return len(self._settling)
+
+    def undeliverable(self, relay, *, now_ms):
+        """Decide on a relayed datagram that didn't reach its flow's owner."""
+        caller = Address(host=relay.caller_host, port=relay.caller_port)
+        try:
+            message = decode(relay.datagram)
+            ticket = self._context.sealer.open(
+                message.ticket, now_ms=self._context.wall_clock_ms()
+            )
+        except (BadMessageError, BadTicketError, AttributeError):
+            return self._context.drop("bad_relay")
+        return self.unreachable(message, ticket, caller, now_ms=now_ms)
+
+    @singledispatchmethod
+    def unreachable(self, message, ticket, caller, *, now_ms):
+        """Decide on a message whose owner can't be reached."""
+        return []
+
+    @unreachable.register
+    def _(self, message: KeepAlive, ticket, caller, *, now_ms):
+        return self._adopt(ticket, caller, now_ms=now_ms)
+
+    @unreachable.register
+    def _(self, message: Request, ticket, caller, *, now_ms):
+        if message.attempt < SETTLING_ATTEMPT:
+            return [self._resend(message, caller, "owner_unreachable")]
+        return [
+            *self._adopt(ticket, caller, now_ms=now_ms),
+            *self._settle(message, ticket, caller, "owner_lost", now_ms),
+        ]
+
+    @unreachable.register
+    def _(self, message: Cancel, ticket, caller, *, now_ms):
+        return self._settle(message, ticket, caller, "owner_lost", now_ms)
+
+    def forgotten(self, message, ticket, caller, *, now_ms):
+        """Decide on a message whose record this entry, the owner, has forgotten."""
+        return [
+            *self._adopt(ticket, caller, now_ms=now_ms),
+            *self._settle(message, ticket, caller, "flow_forgotten", now_ms),
+        ]
+
+    @singledispatchmethod
+    def _settle(self, message, ticket, caller, reason, now_ms):
+        return []
+
+    @_settle.register
+    def _(self, message: Request, ticket, caller, reason, now_ms):
+        if message.idempotent:
+            return [self._resend(message, caller, reason)]
+        if message.attempt >= LAST_ATTEMPT:
+            self._context.count("requests_unknown")
+            return [self._outcome(message, caller, UNKNOWN, reason)]
+        return self._cancel(message, ticket, caller, reason, now_ms)
+
+    @_settle.register
+    def _(self, message: Cancel, ticket, caller, reason, now_ms):
+        return self._cancel(message, ticket, caller, reason, now_ms)
+
+    def _cancel(self, message, ticket, caller, reason, now_ms):
+        name = (ticket.flow_id, ticket.owner_incarnation, message.number)
+        if name not in self._settling:
+            if len(self._settling) >= MAX_SETTLING:
+                return self._context.drop("too_many_settling")
+            self._settling[name] = Settling(
+                key=ticket_upstream(ticket),
+                service=ticket.service,
+                caller=caller,
+                until_ms=now_ms + SETTLE_MS,
+                reason=reason,
+            )
+        cancel = WorkCancel(
+            flow_id=ticket.flow_id,
+            owner_incarnation=ticket.owner_incarnation,
+            number=message.number,
+        )
+        key = ticket_upstream(ticket)
+        return [
+            Dial(key=key, address=ticket_address(ticket)),
+            ToUpstream(key=key, message=cancel),
+        ]
+
+    def cancelled(self, message, key):
+        """Take an upstream's word on a cancellation."""
+        name = (message.flow_id, message.owner_incarnation, message.number)
+        settling = self._settling.get(name)
+        if settling is None or settling.key != key:
+            return []
+        del self._settling[name]
+        if not message.stands:
+            self._context.count("requests_unknown")
+            return [self._told(settling, message, UNKNOWN)]
+        action = self._told(settling, message, NOT_RUN)
+        refusal = Refusal(ledger=None, number=message.number, action=action)
+        self._context.refuse(refusal, message.flow_id, message.number, settling.reason)
+        return []
+
+    def expire(self, *, now_ms):
+        """Give up what no upstream answered; the caller sends again."""
+        while self._settling:
+            name = next(iter(self._settling))
+            if self._settling[name].until_ms > now_ms:
+                return
+            del self._settling[name]
+
+    def _told(self, settling, message, kind):
+        return outcome(
+            settling.service,
+            settling.caller,
+            message.flow_id,
+            message.number,
+            kind,
+            settling.reason,
+        )
+
+    def _resend(self, message, caller, reason):
+        return self._outcome(message, caller, RESEND, reason)
+
+    def _outcome(self, message, caller, kind, reason):
+        return outcome(
+            message.service, caller, message.flow_id, message.number, kind, reason
+        )
