--- /dev/null
+++ b/knapweeddeal/commands.py
@@ -0,0 +1,132 @@
+"""knapweeddeal.commands: Operations that change something."""
+
+from knapweeddeal.errors import InvalidIntentError
+from knapweeddeal.intents import ACTIONS, intent_step, read_intent
+from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.operator import ConfirmAsk, PlanAsk, ReplicaSwapAsk
+from knapweeddeal.operation import Argument, Operation, argument_address
+
+__all__ = ["COMMANDS"]
+
+
+class Plan(Operation):
+    """Turn an intent into a plan."""
+
+    name = "plan"
+    help = "state an intent and get a plan; nothing changes until it is confirmed"
+    arguments = (
+        Argument("action", nargs="?", choices=tuple(ACTIONS), help="one step"),
+        Argument("values", nargs="*", metavar="VALUE", help="its fields in order"),
+        Argument("--file", help="INI file with one section for each step"),
+    )
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return _plan(options, _steps(options))
+
+
+class Drain(Operation):
+    """Plan to take an upstream out of service."""
+
+    name = "drain"
+    help = "get a plan that takes an upstream out of service"
+    arguments = (
+        Argument("service", help="service of the upstream"),
+        Argument("upstream", help="id of the upstream"),
+        Argument("--undo", action="store_true", help="take it into service again"),
+    )
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        action = "undrain-upstream" if options.undo else "drain-upstream"
+        values = {"service": options.service, "upstream": options.upstream}
+        return _plan(options, [intent_step(action, values)])
+
+
+class Confirm(Operation):
+    """Put a plan in force."""
+
+    name = "confirm"
+    help = "put a plan in force, unless another one was confirmed since"
+    arguments = (Argument("plan", metavar="PLAN", help="id that plan printed"),)
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return ConfirmAsk(
+            request_id=options.request_id,
+            operator=options.operator,
+            plan_id=options.plan,
+        )
+
+
+class AddReplica(Operation):
+    """Take a new control replica into the membership."""
+
+    name = "replica-add"
+    help = "take a replica into the replicated log once it caught up"
+    arguments = (
+        Argument("replica", metavar="NAME", help="name in its settings"),
+        Argument("identity", type=int, help="identity that `replicas` lists"),
+        Argument("address", metavar="IP:PORT", help="its address for streams"),
+    )
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        host, port = argument_address("address", options.address)
+        added = Replica(
+            name=options.replica, identity=options.identity, host=host, port=port
+        )
+        return _swap(options, added, 0)
+
+
+class RemoveReplica(Operation):
+    """Drop a control replica from the membership."""
+
+    name = "replica-remove"
+    help = "drop a replica from the replicated log"
+    arguments = (Argument("identity", type=int, help="identity that `replicas` lists"),)
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        nobody = Replica(name="", identity=0, host="", port=0)
+        return _swap(options, nobody, options.identity)
+
+
+def _plan(options, steps):
+    return PlanAsk(
+        request_id=options.request_id, operator=options.operator, steps=steps
+    )
+
+
+def _swap(options, added, removed):
+    return ReplicaSwapAsk(
+        request_id=options.request_id,
+        operator=options.operator,
+        add=added,
+        remove=removed,
+    )
+
+
+def _steps(options):
+    if options.file:
+        return read_intent(options.file)
+    if options.action is None:
+        raise InvalidIntentError("an action or --file must be given", field="action")
+    fields = ACTIONS[options.action]
+    if len(options.values) != len(fields):
+        names = " ".join(field.upper() for field in fields)
+        raise InvalidIntentError(
+            f"{options.action} takes {names}",
+            field="values",
+            value=" ".join(options.values),
+        )
+    return [intent_step(options.action, dict(zip(fields, options.values, strict=True)))]
+
+
+#: Commands by name.
+COMMANDS = {cls.name: cls for cls in (Plan, Confirm, Drain, AddReplica, RemoveReplica)}
--- /dev/null
+++ b/knapweeddeal/intents.py
@@ -0,0 +1,67 @@
+"""knapweeddeal.intents: An operator's intent, from arguments or from an INI file."""
+
+import configparser
+
+from knapweeddeal.errors import BadSettingError, InvalidIntentError
+from knapweeddeal.messages.operator import IntentStep
+from knapweeddeal.options import address_option
+
+__all__ = ["ACTIONS", "intent_step", "read_intent"]
+
+#: Fields that a step takes, by its action, in the order of the command line.
+ACTIONS = {
+    "create-service": ("service", "address"),
+    "change-service": ("service", "address"),
+    "remove-service": ("service",),
+    "drain-upstream": ("service", "upstream"),
+    "undrain-upstream": ("service", "upstream"),
+}
+
+
+def intent_step(action, values):
+    """Return a step of an intent; raise InvalidIntentError."""
+    if action not in ACTIONS:
+        known = ", ".join(ACTIONS)
+        raise InvalidIntentError(f"not one of {known}", field="action", value=action)
+    for field in ACTIONS[action]:
+        if not values.get(field):
+            raise InvalidIntentError(f"{action} needs it", field=field)
+    for field in values:
+        if field not in ACTIONS[action]:
+            raise InvalidIntentError(f"{action} takes no such field", field=field)
+    host, port = _address(values.get("address", ""))
+    return IntentStep(
+        action=action,
+        service=values["service"],
+        host=host,
+        port=port,
+        upstream_id=values.get("upstream", ""),
+    )
+
+
+def read_intent(path):
+    """Return the steps in an INI file, a section each; raise InvalidIntentError."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        reason = str(error).splitlines()[0]
+        raise InvalidIntentError(reason, field="file", value=path) from None
+    if not parser.sections():
+        raise InvalidIntentError("holds no step", field="file", value=path)
+    return [_section_step(parser[name]) for name in parser.sections()]
+
+
+def _section_step(section):
+    values = dict(section)
+    return intent_step(values.pop("action", ""), values)
+
+
+def _address(text):
+    if not text:
+        return "", 0
+    try:
+        return address_option("address", text, None)
+    except BadSettingError as error:
+        raise InvalidIntentError(error.text, field="address", value=text) from None
--- /dev/null
+++ b/knapweeddeal/metrics.py
@@ -0,0 +1,56 @@
+"""knapweeddeal.metrics: Counters and latencies of a process."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics"]
+
+#: Longest time that a histogram tells apart from longer ones.
+MAX_US = 60_000_000
+#: Decimal digits that a histogram keeps.
+DIGITS = 2
+#: Percentiles that a summary gives.
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Count events and record times by name."""
+
+    __slots__ = ("_counters", "_histograms")
+
+    def __init__(self):
+        self._counters = Counter()
+        self._histograms = {}
+
+    def count(self, name, number=1):
+        """Add to a counter."""
+        self._counters[name] += number
+
+    def record_us(self, name, value_us):
+        """Record a time in microseconds; longer than a minute counts as a minute."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_US, DIGITS)
+            self._histograms[name] = histogram
+        histogram.record_value(min(max(1, int(value_us)), MAX_US))
+
+    def get(self, name):
+        """Return a counter."""
+        return self._counters[name]
+
+    def summary(self):
+        """Return counters and latencies as a JSON-ready map."""
+        latencies = {
+            name: _describe(histogram)
+            for name, histogram in sorted(self._histograms.items())
+        }
+        return {"counters": dict(sorted(self._counters.items())), "us": latencies}
+
+
+def _describe(histogram):
+    described = {"count": histogram.get_total_count()}
+    for percentile in PERCENTILES:
+        described[f"p{percentile:g}"] = histogram.get_value_at_percentile(percentile)
+    described["max"] = histogram.get_max_value()
+    return described
--- /dev/null
+++ b/knapweeddeal/operation.py
@@ -0,0 +1,41 @@
+"""knapweeddeal.operation: The base of what the command-line tool can do."""
+
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.options import address_option
+
+__all__ = ["Argument", "Operation", "argument_address"]
+
+
+class Argument:
+    """Describe one argument of an operation, as argparse takes it."""
+
+    __slots__ = ("keywords", "names")
+
+    def __init__(self, *names, **keywords):
+        self.names = names
+        self.keywords = keywords
+
+
+class Operation:
+    """Describe one operation; a subclass sets its table and builds its message."""
+
+    #: Name on the command line.
+    name = ""
+    #: One line of help.
+    help = ""
+    #: Arguments besides the common ones.
+    arguments = ()
+    #: Whether one process is asked, named by --at, instead of the control replicas.
+    asks_process = False
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        raise NotImplementedError
+
+
+def argument_address(name, text):
+    """Return host and port of an argument; raise BadSettingError."""
+    if not text:
+        raise BadSettingError("must be given", field=name)
+    return address_option(name, text, None)
--- /dev/null
+++ b/knapweeddeal/queries.py
@@ -0,0 +1,153 @@
+"""knapweeddeal.queries: Operations that change nothing."""
+
+from datetime import datetime
+
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.messages.operator import (
+    DumpAsk,
+    MetricsAsk,
+    RefusalsAsk,
+    ReplicasAsk,
+    ServicesAsk,
+    StatusAsk,
+    UpstreamsAsk,
+)
+from knapweeddeal.operation import Argument, Operation
+
+__all__ = ["QUERIES"]
+
+DEFAULT_DUMP_BYTES = 65_536
+MAX_DUMP_BYTES = 1 << 22
+MAX_REFUSALS = 10_000
+
+
+class Status(Operation):
+    """Tell who leads, what is in force and which entries lag."""
+
+    name = "status"
+    help = "tell who leads, what is in force and which entries lag"
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return StatusAsk()
+
+
+class Services(Operation):
+    """List the confirmed services."""
+
+    name = "services"
+    help = "list the confirmed services"
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return ServicesAsk()
+
+
+class Replicas(Operation):
+    """List the members of the replicated log."""
+
+    name = "replicas"
+    help = "list the members of the replicated log and those that could join"
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return ReplicasAsk()
+
+
+class Refusals(Operation):
+    """Tell who was refused, when and why."""
+
+    name = "refusals"
+    help = "tell who was refused, when and why"
+    arguments = (
+        Argument("--service", default="", help="only this service"),
+        Argument("--caller", default="", help="only this caller, IP or IP:PORT"),
+        Argument("--reason", default="", help="only this reason code"),
+        Argument("--since", default="", metavar="TIME", help="ISO 8601 time"),
+        Argument("--until", default="", metavar="TIME", help="ISO 8601 time"),
+        Argument("--limit", type=int, default=100, help="most records to list"),
+    )
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        if not 0 < options.limit <= MAX_REFUSALS:
+            raise BadSettingError(
+                f"not in 1 to {MAX_REFUSALS}", field="--limit", value=options.limit
+            )
+        return RefusalsAsk(
+            service=options.service,
+            caller=options.caller,
+            reason=options.reason,
+            since_ms=_time_ms("--since", options.since),
+            until_ms=_time_ms("--until", options.until),
+            limit=options.limit,
+        )
+
+
+class Upstreams(Operation):
+    """List the upstreams that an entry knows."""
+
+    name = "upstreams"
+    help = "list the upstreams that an entry knows"
+    arguments = (Argument("--service", default="", help="only this service"),)
+    asks_process = True
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return UpstreamsAsk(service=options.service)
+
+
+class Dump(Operation):
+    """Show a process's state."""
+
+    name = "dump"
+    help = "show the state of a process"
+    arguments = (
+        Argument("--max-bytes", type=int, default=DEFAULT_DUMP_BYTES, help="its size"),
+    )
+    asks_process = True
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        if not 256 <= options.max_bytes <= MAX_DUMP_BYTES:
+            raise BadSettingError(
+                f"not in 256 to {MAX_DUMP_BYTES} bytes",
+                field="--max-bytes",
+                value=options.max_bytes,
+            )
+        return DumpAsk(max_bytes=options.max_bytes)
+
+
+class ShowMetrics(Operation):
+    """Show a process's counters and latencies."""
+
+    name = "metrics"
+    help = "show the counters and latencies of a process"
+    asks_process = True
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return MetricsAsk()
+
+
+def _time_ms(field, text):
+    if not text:
+        return 0
+    try:
+        return int(datetime.fromisoformat(text).timestamp() * 1000)
+    except (ValueError, OverflowError, OSError):
+        raise BadSettingError("not an ISO 8601 time", field=field, value=text) from None
+
+
+#: Queries by name.
+QUERIES = {
+    cls.name: cls
+    for cls in (Status, Services, Replicas, Refusals, Upstreams, Dump, ShowMetrics)
+}
--- /dev/null
+++ b/knapweeddeal/render.py
@@ -0,0 +1,126 @@
+"""knapweeddeal.render: Answers as lines for a reader, or as JSON."""
+
+import json
+from datetime import UTC, datetime
+from functools import singledispatch
+
+from knapweeddeal.inspection import plain
+from knapweeddeal.messages.operator import (
+    ConfirmAnswer,
+    DumpAnswer,
+    PlanAnswer,
+    RefusalsAnswer,
+    ReplicasAnswer,
+    ServicesAnswer,
+    StatusAnswer,
+    UpstreamsAnswer,
+)
+
+__all__ = ["as_json", "as_lines"]
+
+#: Entries that haven't reported for longer are marked.
+SILENT_MS = 5_000
+#: Items of a list that an answer shows at the most.
+MAX_ITEMS = 100_000
+
+
+def as_json(answer):
+    """Return an answer as one JSON text."""
+    if type(answer) is DumpAnswer:
+        return answer.text
+    if type(answer) is UpstreamsAnswer:
+        return json.dumps([json.loads(line) for line in answer.lines])
+    return json.dumps(plain(answer, max_items=MAX_ITEMS))
+
+
+@singledispatch
+def as_lines(answer):
+    """Return an answer as lines for a reader."""
+    return [as_json(answer)]
+
+
+@as_lines.register
+def _(answer: PlanAnswer):
+    return [
+        f"plan {answer.plan_id} on version {answer.base_version}",
+        *(f"  {difference}" for difference in answer.differences),
+        f"services affected: {_listed(answer.services)}",
+        f"upstreams affected: {_listed(answer.upstreams)}",
+        f"availability zones affected: {_listed(answer.zones)}",
+        f"flows affected: {answer.flows}",
+        f"can be confirmed until {_time(answer.expires_ms)}",
+    ]
+
+
+@as_lines.register
+def _(answer: ConfirmAnswer):
+    return [f"plan {answer.plan_id} is in force as version {answer.version}"]
+
+
+@as_lines.register
+def _(answer: StatusAnswer):
+    lines = [
+        f"version {answer.version}, led by {answer.leader or 'nobody'}"
+        f" in term {answer.term}"
+    ]
+    for entry in sorted(answer.entries, key=lambda entry: entry.name):
+        marks = []
+        if entry.applied_version < answer.version:
+            marks.append("lags")
+        if entry.age_ms > SILENT_MS:
+            marks.append(f"silent for {entry.age_ms} ms")
+        mark = f" ({', '.join(marks)})" if marks else ""
+        lines.append(
+            f"  {entry.name} in {entry.zone}: version {entry.applied_version}{mark}"
+        )
+    return lines
+
+
+@as_lines.register
+def _(answer: ServicesAnswer):
+    lines = [f"version {answer.version}"]
+    for service in answer.services:
+        drained = f", draining {_listed(service.draining)}" if service.draining else ""
+        lines.append(f"  {service.name} at {service.host}:{service.port}{drained}")
+    return lines
+
+
+@as_lines.register
+def _(answer: ReplicasAnswer):
+    lines = [f"led by {answer.leader or 'nobody'}"]
+    lines += [f"  member {_replica(member)}" for member in answer.members]
+    lines += [f"  could join: {_replica(replica)}" for replica in answer.candidates]
+    return lines
+
+
+@as_lines.register
+def _(answer: RefusalsAnswer):
+    return [
+        f"{_time(record.refused_ms)} {record.service} caller {record.caller}"
+        f" flow {record.flow_id} request {record.number}"
+        f" by {record.entry_id}: {record.reason}"
+        for record in answer.records
+    ] or ["no refusals"]
+
+
+@as_lines.register
+def _(answer: UpstreamsAnswer):
+    return list(answer.lines) or ["no upstreams"]
+
+
+@as_lines.register
+def _(answer: DumpAnswer):
+    return json.dumps(json.loads(answer.text), indent=2).splitlines()
+
+
+def _listed(names):
+    return ", ".join(names) or "none"
+
+
+def _replica(replica):
+    return f"{replica.name} {replica.identity} at {replica.host}:{replica.port}"
+
+
+def _time(time_ms):
+    moment = datetime.fromtimestamp(time_ms / 1000, tz=UTC)
+    return moment.isoformat(timespec="milliseconds")
--- /dev/null
+++ b/tests/test_inspection.py
@@ -0,0 +1,39 @@
+"""tests.test_inspection: Tests of state dumps."""
+
+import json
+
+import testscenarios
+import testtools
+
+from knapweeddeal.inspection import dump_text, plain
+from knapweeddeal.messages.caller import KeptAlive
+
+
+class Bounded(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A dump is JSON and never longer than asked for."""
+
+    scenarios = [
+        ("long list", {"state": {"flows": list(range(100_000))}}),
+        ("long map", {"state": {n: "x" * 500 for n in range(10_000)}}),
+        ("many lists", {"state": {n: [n] * 100 for n in range(900)}}),
+        ("no fit", {"state": {f"section {n}": 1 for n in range(3)}, "max_bytes": 64}),
+    ]
+    max_bytes = 4_096
+
+    def test_size(self):
+        text = dump_text(self.state, max_bytes=self.max_bytes)
+        json.loads(text)
+        self.assertTrue(len(text.encode()) <= self.max_bytes, len(text))
+
+
+class Plain(testtools.TestCase):
+    """Records become maps, and nesting is bounded."""
+
+    def test_record(self):
+        message = KeptAlive(service="a", flow_id=1)
+        self.assertEqual({"service": "a", "flow_id": 1}, plain(message))
+
+    def test_depth(self):
+        nested = []
+        nested.append(nested)
+        self.assertIn("...", json.dumps(plain(nested)))
