--- /dev/null
+++ b/knapweeddeal/configurationstate.py
@@ -0,0 +1,250 @@
+"""knapweeddeal.configurationstate: The replicated state of the control replicas."""
+
+import functools
+import hashlib
+
+from knapweeddeal.errors import ConflictError, InvalidIntentError, KnapweeddealError
+from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.messages.control import Configuration
+from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, PlanAnswer
+from knapweeddeal.messages.replication import (
+    ConfirmRecord,
+    MembershipRecord,
+    PlanRecord,
+    StateImage,
+    StoredPlan,
+    StoredResult,
+)
+from knapweeddeal.plans import apply_steps
+
+__all__ = ["ConfigurationState", "failure_answer"]
+
+#: Most results that are kept for resends; the oldest go first.
+MAX_RESULTS = 10_000
+#: Most bytes of answers that are kept for resends.
+MAX_RESULT_BYTES = 16 * 1024 * 1024
+#: Most plans that wait or were confirmed; the oldest go first.
+MAX_PLANS = 1_000
+#: Differences that a plan's answer spells out.
+MAX_DIFFERENCES = 1_000
+
+
+def failure_answer(error):
+    """Return the answer that carries an error."""
+    return FailureAnswer(
+        code=error.code,
+        text=error.text[:1024],
+        field=error.field[:64],
+        value=error.value[:200],
+    )
+
+
+class ConfigurationState:
+    """Apply records in log order; equal records give equal states and answers.
+
+    Time is the highest that a record brought. A resend of a request id gets the kept
+    answer. Memory is bounded: the oldest results go first; a command whose result is
+    gone still can't take effect twice, as its plan is confirmed, expired or gone.
+    """
+
+    __slots__ = ("_clock_ms", "_plans", "_result_bytes", "_results", "configuration")
+
+    def __init__(self):
+        self.configuration = Configuration(version=0, services=[])
+        self._clock_ms = 0
+        self._plans = {}
+        self._results = {}
+        self._result_bytes = 0
+
+    # Queries.
+
+    def image(self):
+        """Return the bytes of the whole state."""
+        return encode(
+            StateImage(
+                configuration=self.configuration,
+                clock_ms=self._clock_ms,
+                plans=list(self._plans.values()),
+                results=list(self._results.values()),
+            )
+        )
+
+    def kept(self, operator, request_id):
+        """Return the kept answer of a request id, or None."""
+        result = self._results.get((operator, request_id))
+        return decode(result.answer) if result else None
+
+    def counts(self):
+        """Return sizes by name, for the dump."""
+        return {
+            "version": self.configuration.version,
+            "services": len(self.configuration.services),
+            "plans": len(self._plans),
+            "results": len(self._results),
+            "result_bytes": self._result_bytes,
+        }
+
+    # Commands.
+
+    def restore(self, data):
+        """Replace the whole state by an image."""
+        image = decode(data)
+        self.configuration = image.configuration
+        self._clock_ms = image.clock_ms
+        self._plans = {plan.plan_id: plan for plan in image.plans}
+        self._results = {
+            (result.operator, result.request_id): result for result in image.results
+        }
+        self._result_bytes = sum(len(result.answer) for result in image.results)
+
+    def apply(self, index, record):
+        """Apply the record at an index and return its answer."""
+        key = (record.operator, record.request_id)
+        digest = _digest(record)
+        kept = self._results.get(key)
+        if kept is not None:
+            return _kept_answer(kept, digest)
+        try:
+            answer = _apply(record, self, index)
+        except KnapweeddealError as error:
+            answer = failure_answer(error)
+        if record.request_id:
+            self._keep(key, digest, answer)
+        return answer
+
+    def plan(self, index, record):
+        """Make a plan against the configuration in force."""
+        self._advance(record.planned_ms)
+        change = apply_steps(self.configuration, record.steps)
+        plan = StoredPlan(
+            plan_id=f"plan-{index}",
+            base_version=self.configuration.version,
+            steps=record.steps,
+            expires_ms=record.expires_ms,
+            confirmed_version=0,
+            confirmed_by="",
+        )
+        self._plans[plan.plan_id] = plan
+        while len(self._plans) > MAX_PLANS:
+            del self._plans[next(iter(self._plans))]
+        return PlanAnswer(
+            plan_id=plan.plan_id,
+            base_version=plan.base_version,
+            differences=change.differences[:MAX_DIFFERENCES],
+            services=change.services,
+            upstreams=sorted({*change.upstreams, *record.upstreams}),
+            zones=record.zones,
+            flows=record.flows,
+            expires_ms=plan.expires_ms,
+        )
+
+    def confirm(self, record):
+        """Put a plan in force if its base version is."""
+        plan = self._plans.get(record.plan_id)
+        if plan is not None and plan.confirmed_version:
+            return _confirmed_again(plan, record)
+        self._advance(record.confirmed_ms)
+        plan = self._plans.get(record.plan_id)
+        if plan is None:
+            raise InvalidIntentError(
+                "no such plan, or it expired", field="plan_id", value=record.plan_id
+            )
+        if plan.base_version != self.configuration.version:
+            raise _conflict(self.configuration.version)
+        change = apply_steps(self.configuration, plan.steps)
+        self.configuration = change.configuration
+        version = self.configuration.version
+        self._plans[plan.plan_id] = plan.replace(
+            confirmed_version=version, confirmed_by=record.operator, steps=[]
+        )
+        return ConfirmAnswer(plan_id=plan.plan_id, version=version)
+
+    def _advance(self, now_ms):
+        """Let time pass and drop the plans that expired."""
+        self._clock_ms = max(self._clock_ms, now_ms)
+        expired = [
+            plan.plan_id
+            for plan in self._plans.values()
+            if plan.expires_ms <= self._clock_ms
+        ]
+        for plan_id in expired:
+            del self._plans[plan_id]
+
+    def _keep(self, key, digest, answer):
+        operator, request_id = key
+        data = encode(answer)
+        self._results[key] = StoredResult(
+            operator=operator, request_id=request_id, digest=digest, answer=data
+        )
+        self._result_bytes += len(data)
+        while self._has_too_many_results():
+            oldest = self._results.pop(next(iter(self._results)))
+            self._result_bytes -= len(oldest.answer)
+
+    def _has_too_many_results(self):
+        if len(self._results) <= 1:
+            return False
+        too_large = self._result_bytes > MAX_RESULT_BYTES
+        return len(self._results) > MAX_RESULTS or too_large
+
+
+@functools.singledispatch
+def _apply(record, _state, _index):
+    raise InvalidIntentError("unknown record", field="record", value=type(record))
+
+
+@_apply.register
+def _(record: PlanRecord, state, index):
+    return state.plan(index, record)
+
+
+@_apply.register
+def _(record: ConfirmRecord, state, _index):
+    return state.confirm(record)
+
+
+@_apply.register
+def _(record: MembershipRecord, _state, _index):
+    return record
+
+
+def _conflict(version):
+    return ConflictError(
+        f"version {version} was confirmed first", field="version", value=version
+    )
+
+
+def _confirmed_again(plan, record):
+    if plan.confirmed_by != record.operator:
+        raise _conflict(plan.confirmed_version)
+    return ConfirmAnswer(plan_id=plan.plan_id, version=plan.confirmed_version)
+
+
+def _kept_answer(kept, digest):
+    if kept.digest == digest:
+        return decode(kept.answer)
+    return failure_answer(
+        InvalidIntentError(
+            "was given to another command", field="request_id", value=kept.request_id
+        )
+    )
+
+
+@functools.singledispatch
+def _intent(record):
+    """Return what an operator asked for, without what the leader added."""
+    return encode(record)
+
+
+@_intent.register
+def _(record: PlanRecord):
+    return b"plan" + b"".join(encode(step) for step in record.steps)
+
+
+@_intent.register
+def _(record: ConfirmRecord):
+    return b"confirm" + record.plan_id.encode()
+
+
+def _digest(record):
+    return hashlib.blake2b(_intent(record), digest_size=16).digest()
--- /dev/null
+++ b/knapweeddeal/formation.py
@@ -0,0 +1,56 @@
+"""knapweeddeal.formation: How empty replicas agree on a first membership."""
+
+import hashlib
+
+from knapweeddeal.messages.replication import Founding
+
+__all__ = ["Formation", "cluster_of"]
+
+
+def cluster_of(replicas):
+    """Return the id of the group that a first membership founds."""
+    identities = sorted(replica.identity for replica in replicas)
+    text = ",".join(map(str, identities))
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") | 1
+
+
+class Formation:
+    """Decide when the first membership may be written.
+
+    Only the first listed name founds, and only while it hears from every listed
+    replica that its folder is empty too. One that lost its folder later hears from
+    the others that they belong to a group, or doesn't hear from all.
+    """
+
+    __slots__ = ("_heard", "_listed", "_own")
+
+    def __init__(self, *, own, listed):
+        self._own = own
+        self._listed = sorted(listed)
+        self._heard = {}
+
+    def heard(self, state):
+        """Note what a replica said over a stream that is open."""
+        self._heard[state.replica.identity] = state
+
+    def gone(self, identity):
+        """Forget a replica whose stream ended."""
+        self._heard.pop(identity, None)
+
+    def founding(self):
+        """Return the Founding if this replica may write it now, else None."""
+        if not self._listed or self._own.name != self._listed[0]:
+            return None
+        replicas = [self._own]
+        for name in self._listed[1:]:
+            states = [s for s in self._heard.values() if s.replica.name == name]
+            if len(states) != 1 or not self._is_empty(states[0]):
+                return None
+            replicas.append(states[0].replica)
+        if any(state.cluster for state in self._heard.values()):
+            return None
+        return Founding(cluster=cluster_of(replicas), replicas=replicas)
+
+    def _is_empty(self, state):
+        return not state.cluster and sorted(state.listed) == self._listed
--- a/knapweeddeal/messages/__init__.py
+++ b/knapweeddeal/messages/__init__.py
@@ -1,6 +1,13 @@
 """knapweeddeal.messages: The families of typed messages and their one codec."""
 
-from knapweeddeal.messages import caller, control, operator, peer, upstream
+from knapweeddeal.messages import (
+    caller,
+    control,
+    operator,
+    peer,
+    replication,
+    upstream,
+)
 from knapweeddeal.messages.base import REGISTRY, Message, decode, encode
 
 __all__ = ["FAMILIES", "REGISTRY", "Message", "decode", "encode"]
@@ -11,5 +18,6 @@
     "control": control,
     "operator": operator,
     "peer": peer,
+    "replication": replication,
     "upstream": upstream,
 }
--- /dev/null
+++ b/knapweeddeal/messages/replication.py
@@ -0,0 +1,172 @@
+"""knapweeddeal.messages.replication: Records of the log, and what a replica stores."""
+
+from knapweeddeal.messages.base import Blob, ListOf, Message, Nested, Text, Whole
+from knapweeddeal.messages.control import Configuration, Replica
+from knapweeddeal.messages.operator import REQUEST_ID, EntryStatus, IntentStep
+from knapweeddeal.messages.upstream import NAME
+
+__all__ = [
+    "ConfirmRecord",
+    "EntryReports",
+    "Founding",
+    "HardState",
+    "IdentityFile",
+    "LeadershipTransfer",
+    "MembershipRecord",
+    "PlanRecord",
+    "ReplicaState",
+    "SnapshotFile",
+    "StateImage",
+    "StoredPlan",
+    "StoredResult",
+]
+
+MAX_SNAPSHOT_BYTES = 1 << 28
+
+
+class ReplicaState(Message):
+    """Tell a replica which group this one belongs to; 0 for none yet."""
+
+    tag = 130
+    schema = {
+        "replica": Nested(Replica),
+        "cluster": Whole(),
+        "listed": ListOf(NAME, max_items=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class Founding(Message):
+    """Give the first membership to a replica that has none."""
+
+    tag = 131
+    schema = {"cluster": Whole(), "replicas": ListOf(Nested(Replica), max_items=64)}
+    __slots__ = tuple(schema)
+
+
+class MembershipRecord(Message):
+    """Put a membership in force from its place in the log on."""
+
+    tag = 132
+    schema = {
+        "replicas": ListOf(Nested(Replica), max_items=64),
+        "operator": Text(max_chars=64),
+        "request_id": REQUEST_ID,
+    }
+    __slots__ = tuple(schema)
+
+
+class LeadershipTransfer(Message):
+    """Ask a replica that caught up to start an election at once."""
+
+    tag = 133
+    schema = {"term": Whole(), "leader": Whole()}
+    __slots__ = tuple(schema)
+
+
+class EntryReports(Message):
+    """Tell the leader what the entries of this replica applied."""
+
+    tag = 134
+    schema = {"entries": ListOf(Nested(EntryStatus))}
+    __slots__ = tuple(schema)
+
+
+class PlanRecord(Message):
+    """Make a plan; the leader's wall clock stands in `planned_ms`."""
+
+    tag = 135
+    schema = {
+        "operator": NAME,
+        "request_id": REQUEST_ID,
+        "steps": ListOf(Nested(IntentStep), max_items=256),
+        "upstreams": ListOf(NAME),
+        "zones": ListOf(NAME),
+        "flows": Whole(),
+        "planned_ms": Whole(),
+        "expires_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class ConfirmRecord(Message):
+    """Confirm a plan; the leader's wall clock stands in `confirmed_ms`."""
+
+    tag = 136
+    schema = {
+        "operator": NAME,
+        "request_id": REQUEST_ID,
+        "plan_id": Text(max_chars=64),
+        "confirmed_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class StoredPlan(Message):
+    """Hold a plan that may still be confirmed, or the version that it became."""
+
+    tag = 137
+    schema = {
+        "plan_id": Text(max_chars=64),
+        "base_version": Whole(),
+        "steps": ListOf(Nested(IntentStep), max_items=256),
+        "expires_ms": Whole(),
+        "confirmed_version": Whole(),
+        "confirmed_by": Text(max_chars=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class StoredResult(Message):
+    """Hold the result of one operator's request id, and a digest of the command."""
+
+    tag = 138
+    schema = {
+        "operator": Text(max_chars=64),
+        "request_id": REQUEST_ID,
+        "digest": Blob(max_bytes=32),
+        "answer": Blob(max_bytes=1 << 24),
+    }
+    __slots__ = tuple(schema)
+
+
+class StateImage(Message):
+    """Hold the whole replicated state."""
+
+    tag = 139
+    schema = {
+        "configuration": Nested(Configuration),
+        "clock_ms": Whole(),
+        "plans": ListOf(Nested(StoredPlan)),
+        "results": ListOf(Nested(StoredResult)),
+    }
+    __slots__ = tuple(schema)
+
+
+class IdentityFile(Message):
+    """Hold the identity of a data folder and the group that it belongs to."""
+
+    tag = 140
+    schema = {"identity": Whole(minimum=1), "cluster": Whole()}
+    __slots__ = tuple(schema)
+
+
+class HardState(Message):
+    """Hold the current term and the vote that was given in it; 0 for none."""
+
+    tag = 141
+    schema = {"term": Whole(), "voted_for": Whole()}
+    __slots__ = tuple(schema)
+
+
+class SnapshotFile(Message):
+    """Hold a snapshot: the state up to an index, and the membership there."""
+
+    tag = 142
+    schema = {
+        "last_index": Whole(),
+        "last_term": Whole(),
+        "replicas": ListOf(Nested(Replica), max_items=64),
+        "data": Blob(max_bytes=MAX_SNAPSHOT_BYTES),
+    }
+    __slots__ = tuple(schema)
--- /dev/null
+++ b/knapweeddeal/plans.py
@@ -0,0 +1,200 @@
+"""knapweeddeal.plans: Checked differences between a configuration and an intent."""
+
+import ipaddress
+
+from knapweeddeal.errors import InvalidIntentError
+from knapweeddeal.messages.control import Configuration, ServiceEntry
+
+__all__ = ["ACTIONS", "Change", "apply_steps"]
+
+#: Characters that a service name may hold besides letters and digits.
+NAME_MARKS = "-._"
+
+
+class Change:
+    """Hold a configuration that an intent leads to, and how it differs."""
+
+    __slots__ = ("configuration", "differences", "services", "upstreams")
+
+    def __init__(self, *, configuration, differences, services, upstreams):
+        self.configuration = configuration
+        self.differences = differences
+        self.services = services
+        self.upstreams = upstreams
+
+
+def apply_steps(configuration, steps):
+    """Return the Change that steps make; raise InvalidIntentError."""
+    if not steps:
+        raise InvalidIntentError("holds no step", field="steps", value="[]")
+    draft = _Draft(configuration)
+    for step in steps:
+        ACTIONS[step.action](draft, step)
+    return draft.finish(configuration)
+
+
+class _Draft:
+    """Collect the services while steps are applied in turn."""
+
+    __slots__ = ("differences", "services", "touched", "upstreams")
+
+    def __init__(self, configuration):
+        self.services = {entry.name: entry for entry in configuration.services}
+        self.differences = []
+        self.touched = {}
+        self.upstreams = {}
+
+    def put(self, entry, difference):
+        """Add or replace a service."""
+        self.services[entry.name] = entry
+        self.note(entry.name, difference)
+
+    def note(self, name, difference):
+        """Note a difference and the service that it touches."""
+        self.touched[name] = True
+        self.differences.append(difference)
+
+    def finish(self, configuration):
+        """Return the change, with the next version."""
+        services = [self.services[name] for name in sorted(self.services)]
+        return Change(
+            configuration=Configuration(
+                version=configuration.version + 1, services=services
+            ),
+            differences=self.differences,
+            services=list(self.touched),
+            upstreams=list(self.upstreams),
+        )
+
+
+def _create_service(draft, step):
+    _check_name(step.service)
+    if step.service in draft.services:
+        raise InvalidIntentError(
+            "the service exists already", field="service", value=step.service
+        )
+    _check_address(draft, step)
+    _check_unused(step, "upstream_id")
+    entry = ServiceEntry(
+        name=step.service, host=_host(step), port=step.port, draining=[]
+    )
+    draft.put(entry, f"create service {entry.name} at {entry.host}:{entry.port}")
+
+
+def _change_service(draft, step):
+    entry = _known(draft, step)
+    _check_address(draft, step)
+    _check_unused(step, "upstream_id")
+    changed = entry.replace(host=_host(step), port=step.port)
+    if changed == entry:
+        address = f"{step.host}:{step.port}"
+        raise InvalidIntentError(
+            "the service has this address already", field="host", value=address
+        )
+    draft.put(
+        changed,
+        f"change service {entry.name} from {entry.host}:{entry.port}"
+        f" to {changed.host}:{changed.port}",
+    )
+
+
+def _remove_service(draft, step):
+    entry = _known(draft, step)
+    _check_unused(step, "host", "port", "upstream_id")
+    del draft.services[entry.name]
+    draft.note(entry.name, f"remove service {entry.name} at {entry.host}:{entry.port}")
+
+
+def _drain_upstream(draft, step):
+    entry = _known(draft, step)
+    _check_upstream(step)
+    if step.upstream_id in entry.draining:
+        raise InvalidIntentError(
+            "the upstream drains already", field="upstream_id", value=step.upstream_id
+        )
+    draining = sorted([*entry.draining, step.upstream_id])
+    draft.upstreams[step.upstream_id] = True
+    draft.put(
+        entry.replace(draining=draining),
+        f"drain upstream {step.upstream_id} of service {entry.name}",
+    )
+
+
+def _undrain_upstream(draft, step):
+    entry = _known(draft, step)
+    _check_upstream(step)
+    if step.upstream_id not in entry.draining:
+        raise InvalidIntentError(
+            "the upstream doesn't drain", field="upstream_id", value=step.upstream_id
+        )
+    draining = [name for name in entry.draining if name != step.upstream_id]
+    draft.upstreams[step.upstream_id] = True
+    draft.put(
+        entry.replace(draining=draining),
+        f"undrain upstream {step.upstream_id} of service {entry.name}",
+    )
+
+
+#: What each action of a step does to a draft.
+ACTIONS = {
+    "create-service": _create_service,
+    "change-service": _change_service,
+    "remove-service": _remove_service,
+    "drain-upstream": _drain_upstream,
+    "undrain-upstream": _undrain_upstream,
+}
+
+
+def _known(draft, step):
+    entry = draft.services.get(step.service)
+    if entry is None:
+        raise InvalidIntentError("no such service", field="service", value=step.service)
+    return entry
+
+
+def _check_name(name):
+    plain = name
+    for mark in NAME_MARKS:
+        plain = plain.replace(mark, "")
+    if not plain.isascii() or not plain.isalnum():
+        raise InvalidIntentError(
+            "not a name of letters, digits and - . _", field="service", value=name
+        )
+
+
+def _check_address(draft, step):
+    host = _host(step)
+    if not step.port:
+        raise InvalidIntentError("not a port", field="port", value=step.port)
+    for entry in draft.services.values():
+        taken = (entry.host, entry.port) == (host, step.port)
+        if taken and entry.name != step.service:
+            raise InvalidIntentError(
+                f"service {entry.name} has this address",
+                field="host",
+                value=f"{host}:{step.port}",
+            )
+
+
+def _host(step):
+    try:
+        return str(ipaddress.ip_address(step.host))
+    except ValueError:
+        raise InvalidIntentError(
+            "not an IP address", field="host", value=step.host
+        ) from None
+
+
+def _check_upstream(step):
+    _check_unused(step, "host", "port")
+    if not step.upstream_id:
+        raise InvalidIntentError("must be given", field="upstream_id", value="")
+
+
+def _check_unused(step, *fields):
+    for field in fields:
+        value = getattr(step, field)
+        if value:
+            raise InvalidIntentError(
+                f"not used by {step.action}", field=field, value=value
+            )
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,163 @@
+"""tests.processes: Daemons as real processes, for tests."""
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+
+from knapweeddeal import controlclient
+
+ROOT = Path(__file__).resolve().parent.parent
+#: Longest wait for a condition.
+WAIT_S = 20.0
+POLL_S = 0.02
+#: What starts a daemon; it stands in for the entry point of each role.
+START = (
+    "import sys, curio; from knapweeddeal import logs, settings, {module};"
+    " chosen = settings.read_settings(sys.argv[1]); logs.open_log(chosen.log_file);"
+    " curio.run({module}.run, chosen)"
+)
+
+
+def free_port(host="127.0.0.1"):
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, text="", *, timeout_s=WAIT_S):
+    """Return the first true value of a condition, or fail after a time."""
+    until_s = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= until_s:
+            raise AssertionError(f"waited {timeout_s} s in vain: {text or condition}")
+        time.sleep(POLL_S)
+
+
+class Daemon:
+    """Start, stop and end one daemon; `sections` are its settings."""
+
+    def __init__(self, *, folder, name, module, sections):
+        self.name = name
+        self.settings_path = Path(folder) / f"{name}.ini"
+        self.log_path = Path(folder) / f"{name}.log"
+        self.error_path = Path(folder) / f"{name}.err"
+        self.sections = sections
+        self.sections["daemon"]["log_file"] = self.log_path
+        self._module = module
+        self.process = None
+
+    def start(self):
+        """Write the settings and start the process."""
+        lines = []
+        for section, values in self.sections.items():
+            lines.append(f"[{section}]")
+            lines.extend(f"{key} = {value}" for key, value in values.items())
+        self.settings_path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        code = START.format(module=self._module)
+        with open(self.error_path, "ab") as error:
+            self.process = subprocess.Popen(
+                [sys.executable, "-c", code, str(self.settings_path)],
+                cwd=ROOT,
+                stderr=error,
+            )
+
+    def signal(self, number):
+        """Send a signal to this process only."""
+        os.kill(self.process.pid, number)
+
+    def kill(self):
+        """End the process as a crash would."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+
+    def stop(self):
+        """Stop as planned and return the exit status."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(WAIT_S)
+
+    def errors(self):
+        """Return what the process wrote to standard error."""
+        return self.error_path.read_text(encoding="utf-8", errors="replace")
+
+
+class ControlGroup:
+    """Run control replicas in a folder of their own."""
+
+    def __init__(self, *, count=3, timing=None, start=True):
+        self.folder = Path(tempfile.mkdtemp(prefix="control-"))
+        self.addresses = {}
+        self.daemons = {}
+        self.timing = {"election_ms": 300, "heartbeat_ms": 100, **(timing or {})}
+        for number in range(count):
+            host = f"127.0.0.{number + 11}"
+            self.addresses["abcdefg"[number]] = (host, free_port(host))
+        for name in list(self.addresses):
+            self.daemons[name] = self._daemon(name)
+        if start:
+            for daemon in self.daemons.values():
+                daemon.start()
+
+    def _daemon(self, name):
+        listed = [f"{n}={h}:{p}" for n, (h, p) in self.addresses.items()]
+        host, port = self.addresses[name]
+        sections = {
+            "daemon": {
+                "name": name,
+                "role": "control",
+                "zone": f"zone-{name}",
+                "listen": f"{host}:{port}",
+                "control": ", ".join(listed),
+            },
+            "control": {"data_folder": self.data_folder(name)},
+            "timing": self.timing,
+        }
+        return Daemon(
+            folder=self.folder, name=name, module="controlprocess", sections=sections
+        )
+
+    def data_folder(self, name):
+        """Return the data folder of a replica."""
+        return self.folder / f"data-{name}"
+
+    def empty(self, name):
+        """Lose the disk of a replica that was ended."""
+        shutil.rmtree(self.data_folder(name))
+
+    def ask(self, message, *, timeout_ms=10_000, names=None):
+        """Return the leader's answer, or raise its error."""
+        addresses = [self.addresses[name] for name in names or self.addresses]
+        return curio.run(ask, addresses, message, timeout_ms)
+
+    def ask_one(self, name, message, *, timeout_ms=10_000):
+        """Return the answer of one replica, or raise its error."""
+        return curio.run(ask_one, self.addresses[name], message, timeout_ms)
+
+    def close(self):
+        """End all processes and remove the folder."""
+        for daemon in self.daemons.values():
+            daemon.kill()
+        shutil.rmtree(self.folder)
+
+
+async def ask(addresses, message, timeout_ms):
+    """Ask whichever control replica leads."""
+    return await controlclient.ask(addresses, message, timeout_ms=timeout_ms)
+
+
+async def ask_one(address, message, timeout_ms):
+    """Ask one process."""
+    return await controlclient.ask_one(address, message, timeout_ms=timeout_ms)
