Serve the whole path end to end: daemons, command line, make run

Cause: the parts stood alone. The daemon now runs both roles; the command-line tool is a table of commands and queries, each with its own message; make run starts 3 control replicas, 4 entries, 4 stand-in upstreams and a stand-in fabric, creates two services by plan and confirm, and uses them. Found by the first run: an announcement that couldn't be delivered to a peer ended the entry, since only relayed datagrams were expected back.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -68,6 +68,15 @@
         print(f"confirmed: version {json.loads(done.stdout)['version']}")
 
 
+def applied_everywhere(cluster):
+    """Return the status lines once every entry applied the configuration."""
+    lines = cluster.operate("status").stdout.strip()
+    entries = lines.count(f": version {len(SERVICES)}\n") + lines.endswith(
+        f": version {len(SERVICES)}"
+    )
+    return lines if entries == len(cluster.entries) else None
+
+
 async def use_flow(service, address, rng, report):
     """Open a flow, send requests on it, wait for a push."""
     flow = await open_flow(service, address, rng=rng, deadline_ms=15_000)
@@ -93,7 +102,7 @@
 
 def main():
     """Run, report, and return 0 if every request had its whole answer."""
-    logging.getLogger("curio").setLevel(logging.ERROR)
+    logging.getLogger("curio").setLevel(logging.CRITICAL)
     began_s = time.monotonic()
     report = Report()
     with tempfile.TemporaryDirectory() as folder:
@@ -102,7 +111,7 @@
             start(cluster)
             configure(cluster)
             curio.run(use, cluster, report)
-            print(cluster.operate("status").stdout.strip())
+            print(wait_until(lambda: applied_everywhere(cluster)))
         finally:
             cluster.close()
     flows = FLOWS_PER_SERVICE * len(SERVICES)
--- a/knapweeddeal/cmdline.py
+++ b/knapweeddeal/cmdline.py
@@ -1,98 +1,126 @@
-"""knapweeddeal.cmdline: The operators' command-line tool."""
+"""knapweeddeal.cmdline: The operators' command-line tool `knapweeddeal`."""
 
 import argparse
 import getpass
 import json
+import logging
+import os
 import secrets
 import sys
 
 import curio
 
-from knapweeddeal.controlclient import ask
-from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.messages.operator import (
-    ConfirmAsk,
-    IntentStep,
-    PlanAsk,
-    ServicesAsk,
-    StatusAsk,
-)
-from knapweeddeal.options import address_option, peers_option
+from knapweeddeal import __version__
+from knapweeddeal.commands import COMMANDS
+from knapweeddeal.controlclient import ask, ask_one
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
+from knapweeddeal.operation import argument_address
+from knapweeddeal.options import peers_option
+from knapweeddeal.queries import QUERIES
+from knapweeddeal.render import as_json, as_lines
 
 __all__ = ["main"]
 
+DEFAULT_TIMEOUT_MS = 10_000
+#: Environment variable that stands in for --control.
+CONTROL_VARIABLE = "KNAPWEEDDEAL_CONTROL"
+
+#: All operations by name.
+OPERATIONS = {**COMMANDS, **QUERIES}
+
+EPILOG = """exit status: 0 done, 2 wrong usage, 3 bad message or ticket, 4 bad
+argument or setting, 5 invalid intent, 6 conflict, 7 no quorum or no leader, 8
+unreachable, 9 corrupt storage, 1 anything else"""
+
+
+def parser():
+    """Return the parser of the tool's arguments."""
+    result = argparse.ArgumentParser(
+        prog="knapweeddeal", description="Operate knapweeddeal.", epilog=EPILOG
+    )
+    result.add_argument("--version", action="version", version=__version__)
+    result.add_argument(
+        "--control",
+        default=os.environ.get(CONTROL_VARIABLE, ""),
+        metavar="NAME=IP:PORT,...",
+        help=f"control replicas; or by the variable {CONTROL_VARIABLE}",
+    )
+    result.add_argument(
+        "--json", action="store_true", help="print JSON instead of lines"
+    )
+    result.add_argument(
+        "--timeout-ms", type=int, default=DEFAULT_TIMEOUT_MS, help="longest wait"
+    )
+    result.add_argument(
+        "--operator", default="", help="who asks; your login name if not given"
+    )
+    result.add_argument(
+        "--request-id",
+        default="",
+        help="id of an earlier try, to send the same command again safely",
+    )
+    operations = result.add_subparsers(dest="operation", required=True)
+    for name, operation in OPERATIONS.items():
+        _add_operation(operations, name, operation)
+    return result
+
+
+def _add_operation(operations, name, operation):
+    sub = operations.add_parser(name, help=operation.help, description=operation.help)
+    for argument in operation.arguments:
+        sub.add_argument(*argument.names, **argument.keywords)
+    if operation.asks_process:
+        sub.add_argument(
+            "--at", required=True, metavar="IP:PORT", help="address of the process"
+        )
+
 
 def main(arguments=None):
-    """Run one command and return its exit status."""
-    options = _parser().parse_args(arguments)
+    """Run one operation; return the exit status."""
+    logging.getLogger("curio").setLevel(logging.CRITICAL)
+    options = parser().parse_args(arguments)
+    options.operator = options.operator or getpass.getuser()
+    options.request_id = options.request_id or secrets.token_hex(8)
     try:
-        control = peers_option("--control", options.control, None)
-        message = options.make(options)
-        answer = curio.run(_ask, list(control.values()), message, options.timeout_ms)
+        answer = curio.run(_run, options)
     except KnapweeddealError as error:
-        print(f"knapweeddeal: {error.describe()}", file=sys.stderr)
+        _report(options, error)
         return error.exit_status
-    print(json.dumps(as_json(answer)) if options.json else answer)
+    try:
+        print(as_json(answer) if options.json else "\n".join(as_lines(answer)))
+    except BrokenPipeError:
+        sys.stderr.close()
     return 0
 
 
-async def _ask(addresses, message, timeout_ms):
-    return await ask(addresses, message, timeout_ms=timeout_ms)
-
-
-def as_json(value):
-    """Return a message as maps and lists."""
-    if isinstance(value, list):
-        return [as_json(item) for item in value]
-    schema = getattr(value, "schema", None)
-    if schema is None:
-        return value
-    return {name: as_json(getattr(value, name)) for name in schema}
-
-
-def _parser():
-    parser = argparse.ArgumentParser(prog="knapweeddeal")
-    parser.add_argument("--control", required=True, metavar="NAME=IP:PORT,...")
-    parser.add_argument("--json", action="store_true")
-    parser.add_argument("--request-id", default=secrets.token_hex(8))
-    parser.add_argument("--operator", default=getpass.getuser())
-    parser.add_argument("--timeout-ms", type=int, default=10_000)
-    commands = parser.add_subparsers(required=True)
-    _add_plan(commands.add_parser("plan"))
-    confirm = commands.add_parser("confirm")
-    confirm.add_argument("plan")
-    confirm.set_defaults(make=_confirm)
-    commands.add_parser("status").set_defaults(make=lambda _: StatusAsk())
-    commands.add_parser("services").set_defaults(make=lambda _: ServicesAsk())
-    return parser
-
-
-def _add_plan(plan):
-    actions = plan.add_subparsers(required=True)
-    create = actions.add_parser("create-service")
-    create.add_argument("name")
-    create.add_argument("address", metavar="IP:PORT")
-    create.set_defaults(make=_create)
-
-
-def _create(options):
-    host, port = address_option("address", options.address, None)
-    step = IntentStep(
-        action="create-service",
-        service=options.name,
-        host=host,
-        port=port,
-        upstream_id="",
-    )
-    return PlanAsk(
-        request_id=options.request_id, operator=options.operator, steps=[step]
-    )
-
-
-def _confirm(options):
-    return ConfirmAsk(
-        request_id=options.request_id, operator=options.operator, plan_id=options.plan
-    )
+async def _run(options):
+    operation = OPERATIONS[options.operation]
+    message = operation.message(options)
+    if operation.asks_process:
+        address = argument_address("--at", options.at)
+        return await ask_one(address, message, timeout_ms=options.timeout_ms)
+    if not options.control:
+        raise BadSettingError("must be given", field="--control")
+    replicas = peers_option("--control", options.control, None)
+    return await ask(list(replicas.values()), message, timeout_ms=options.timeout_ms)
+
+
+def _report(options, error):
+    if options.json:
+        failure = {
+            "code": error.code,
+            "text": error.text,
+            "field": error.field,
+            "value": error.value,
+        }
+        print(json.dumps(failure))
+    print(f"knapweeddeal: {error}", file=sys.stderr)
+    if options.operation in COMMANDS:
+        print(
+            f"knapweeddeal: to send the same command again: --request-id"
+            f" {options.request_id}",
+            file=sys.stderr,
+        )
 
 
 if __name__ == "__main__":
--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -62,21 +62,25 @@
             await run_until_first(
                 self._receive(stream),
                 self._outbox.drain_to(stream),
-                self._report(),
+                self._report_for_ever(),
             )
         finally:
             await stream.close()
 
-    async def _report(self):
-        while True:
-            await self._outbox.offer(
-                ConfigurationAsk(
-                    name=self._identity.entry_id,
-                    incarnation=self._identity.incarnation,
-                    zone=self._identity.zone,
-                    applied_version=self._version(),
-                )
+    async def report(self):
+        """Queue a report of the applied version, which asks for a higher one."""
+        await self._outbox.offer(
+            ConfigurationAsk(
+                name=self._identity.entry_id,
+                incarnation=self._identity.incarnation,
+                zone=self._identity.zone,
+                applied_version=self._version(),
             )
+        )
+
+    async def _report_for_ever(self):
+        while True:
+            await self.report()
             await curio.sleep(REPORT_MS / 1000)
 
     async def _receive(self, stream):
--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -6,15 +6,15 @@
 
 import curio
 
-from knapweeddeal import entryprocess
+from knapweeddeal import controlprocess, entryprocess
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import open_log
-from knapweeddeal.settings import ENTRY, read_settings
+from knapweeddeal.settings import CONTROL, ENTRY, read_settings
 
 __all__ = ["main"]
 
 #: What runs each role.
-ROLES = {ENTRY: entryprocess.run}
+ROLES = {CONTROL: controlprocess.run, ENTRY: entryprocess.run}
 
 
 def parser():
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -567,6 +567,8 @@
 
     def undeliverable(self, relay):
         """Ask a caller to send again what didn't reach its flow's owner."""
+        if type(relay) is not Relay:
+            return []
         inner = decode(relay.datagram)
         if type(inner) is not Request:
             return []
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -264,6 +264,7 @@
                 await self._open_port(name, address)
         self._core.apply_configuration(configuration)
         self._version = configuration.version
+        await self._control.report()
         LOG.info("Configuration applied.", version=configuration.version)
 
     async def _open_port(self, name, address):
