--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -4,8 +4,16 @@
 
 from knapweeddeal.errors import BadSettingError
 
-__all__ = ["address_option", "choice_option", "keys_option", "name_option"]
-__all__ += ["peers_option", "text_option", "whole_option"]
+__all__ = [
+    "address_option",
+    "choice_option",
+    "host_option",
+    "keys_option",
+    "name_option",
+    "peers_option",
+    "text_option",
+    "whole_option",
+]
 
 
 def text_option(_field, value, _option):
@@ -47,6 +55,15 @@
     return value
 
 
+def host_option(field, value, _option):
+    """Return the text of an IP number."""
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise BadSettingError("not an IP number", field=field, value=value) from None
+    return value
+
+
 def address_option(field, value, _option):
     """Return host and port of an IP:PORT text."""
     host, _, port = value.rpartition(":")
@@ -55,7 +72,7 @@
         number = int(port)
     except ValueError:
         number = -1
-    if not 0 <= number <= 65535:
+    if not 0 < number <= 65535:
         raise BadSettingError("not an address IP:PORT", field=field, value=value)
     return (host, number)
 
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -1,11 +1,13 @@
 """knapweeddeal.settings: Settings of a daemon, read from INI and checked."""
 
 import configparser
+from types import MappingProxyType
 
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.options import (
     address_option,
     choice_option,
+    host_option,
     keys_option,
     name_option,
     peers_option,
@@ -13,7 +15,15 @@
     whole_option,
 )
 
-__all__ = ["CONTROL", "ENTRY", "OPTIONS", "Option", "Settings", "read_settings"]
+__all__ = [
+    "CONTROL",
+    "ENTRY",
+    "OPTIONS",
+    "Option",
+    "Settings",
+    "read_settings",
+    "reloaded_settings",
+]
 
 ENTRY = "entry"
 CONTROL = "control"
@@ -26,6 +36,7 @@
         "check",
         "choices",
         "default",
+        "empty",
         "key",
         "maximum",
         "minimum",
@@ -44,6 +55,7 @@
         check,
         text,
         default=None,
+        empty=None,
         unit="",
         minimum=0,
         maximum=2**63,
@@ -56,6 +68,7 @@
         self.check = check
         self.text = text
         self.default = default
+        self.empty = empty
         self.unit = unit
         self.minimum = minimum
         self.maximum = maximum
@@ -111,6 +124,7 @@
         key="log_file",
         check=text_option,
         default="",
+        empty="",
         text="File for the log; empty for standard error.",
     ),
     Option(
@@ -129,8 +143,9 @@
     Option(
         section="entry",
         key="service_host",
-        check=text_option,
+        check=host_option,
         default="",
+        empty="",
         roles=(ENTRY,),
         text="Own IP that stands in for service addresses; empty to bind those.",
     ),
@@ -146,6 +161,7 @@
         key="peers",
         check=peers_option,
         default="",
+        empty=MappingProxyType({}),
         roles=(ENTRY,),
         text="Other entries by name.",
     ),
@@ -168,6 +184,10 @@
 )
 
 
+#: Pairs of settings of which the first must be smaller.
+ORDERED = (("heartbeat_ms", "stream_timeout_ms"), ("heartbeat_ms", "lease_ms"))
+
+
 class Settings:
     """Hold checked settings; each option is an attribute by its key."""
 
@@ -181,44 +201,82 @@
 
 def read_settings(path):
     """Return the settings in a file, or raise BadSettingError."""
+    parser = _parse(path)
+    role = parser.get("daemon", "role", fallback="").strip()
+    options = [option for option in OPTIONS if option.key == "role"]
+    if role in (ENTRY, CONTROL):
+        options = [option for option in OPTIONS if role in option.roles]
+        _check_known(path, parser, options)
+    values = {option.key: _read_option(path, parser, option) for option in options}
+    _check_together(path, values)
+    return Settings(values=values)
+
+
+def reloaded_settings(settings, path):
+    """Return settings with what may change read again, and the keys that may not.
+
+    Raises BadSettingError; the settings in use stay as they are then.
+    """
+    fresh = read_settings(path).values()
+    values = settings.values()
+    reloadable = {option.key for option in OPTIONS if option.reloadable}
+    changed = {key for key, value in fresh.items() if values[key] != value}
+    values.update({key: fresh[key] for key in changed & reloadable})
+    return Settings(values=values), sorted(changed - reloadable)
+
+
+def _parse(path):
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        first_line = str(error).splitlines()[0]
-        raise BadSettingError(f"can't read {path}: {first_line}") from None
-    role = parser.get("daemon", "role", fallback="")
-    _check_known(path, parser)
-    values = {}
-    for option in OPTIONS:
-        if role in option.roles or option.key == "role":
-            values[option.key] = _read_option(path, parser, option)
-    return Settings(values=values)
+        reason = " ".join(str(error).split())
+        raise BadSettingError(f"can't be read: {reason}", field=path) from None
+    return parser
 
 
 def _read_option(path, parser, option):
-    field = f"{path} [{option.section}] {option.key}"
+    field = _field(path, option.section, option.key)
     text = parser.get(option.section, option.key, fallback=option.default)
     if text is None:
         raise BadSettingError("must be given", field=field)
-    return option.check(field, text.strip(), option) if text else _empty(field, option)
+    text = text.strip()
+    if text:
+        return option.check(field, text, option)
+    if option.empty is None:
+        raise BadSettingError("must not be empty", field=field)
+    return option.empty
 
 
-def _empty(field, option):
-    if option.check is peers_option:
-        return {}
-    if option.check is text_option and option.default is not None:
-        return ""
-    raise BadSettingError("must not be empty", field=field)
+def _field(path, section, key):
+    return f"{path} [{section}] {key}"
 
 
-def _check_known(path, parser):
-    known = {(option.section, option.key) for option in OPTIONS}
+def _check_known(path, parser, options):
+    known = {(option.section, option.key) for option in options}
     for section in parser.sections():
-        for key in parser[section]:
+        for key, value in parser[section].items():
             if (section, key) not in known:
-                field = f"{path} [{section}] {key}"
                 raise BadSettingError(
-                    "no such setting", field=field, value=parser[section][key]
+                    "no such setting for this role",
+                    field=_field(path, section, key),
+                    value=value,
                 )
+
+
+def _check_together(path, values):
+    for smaller, larger in ORDERED:
+        if values[smaller] >= values[larger]:
+            raise BadSettingError(
+                f"must be smaller than {larger}",
+                field=_field(path, "timing", smaller),
+                value=values[smaller],
+            )
+    own = values["control"].get(values["name"])
+    if values["role"] == CONTROL and own != values["listen"]:
+        raise BadSettingError(
+            "must name this replica by its listen address",
+            field=_field(path, "daemon", "control"),
+            value=own,
+        )
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,127 @@
+"""tests.test_settings: Tests of settings and their checks."""
+
+import tempfile
+from pathlib import Path
+
+import testscenarios
+import testtools
+
+from knapweeddeal import daemon
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.settings import read_settings, reloaded_settings
+
+KEY_1, KEY_2 = "1:" + "00" * 16, "2:" + "11" * 16
+ENTRY = f"""
+[daemon]
+name = entry-1
+role = entry
+zone = zone-a
+listen = 127.0.0.1:7000
+control = control-1=127.0.0.1:7001
+[entry]
+announce = 127.0.0.1:7010
+ticket_keys = {KEY_1}
+"""
+CONTROL = """
+[daemon]
+name = control-1
+role = control
+zone = zone-a
+listen = 127.0.0.1:7001
+control = control-1=127.0.0.1:7001
+[control]
+data_folder = data
+"""
+
+
+class SettingsFile(testtools.TestCase):
+    """Give each test a settings file."""
+
+    def write(self, text):
+        """Write the file."""
+        self.path.write_text(text, encoding="utf-8")
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "test.ini"
+
+
+class Bad(testscenarios.TestWithScenarios, SettingsFile):
+    """Every wrong file gets an error that names file, section, key and value."""
+
+    scenarios = [
+        (name, {"base": base, "old": old, "new": new, "named": named})
+        for name, base, old, new, named in (
+            ("no role", ENTRY, "role = entry", "", ["[daemon] role"]),
+            ("role", ENTRY, "role = entry", "role = king", ["role", "king"]),
+            ("name", ENTRY, "entry-1", "entry 1", ["name", "entry 1"]),
+            ("long name", ENTRY, "entry-1", "e" * 65, ["[daemon] name"]),
+            ("no address", ENTRY, ":7000", "", ["listen", "127.0.0.1"]),
+            ("host name", ENTRY, "127.0.0.1:7000", "vm:7000", ["listen", "vm:7000"]),
+            ("port", ENTRY, ":7000", ":70000", ["listen", "70000"]),
+            ("port 0", ENTRY, ":7000", ":0", ["listen", ":0"]),
+            ("twice", ENTRY, "name = entry-1", "name = a\nname = b", ["name"]),
+            ("no section", ENTRY, "[daemon]", "", ["test.ini"]),
+            ("unknown", ENTRY, "zone =", "colour = red\nzone =", ["colour", "red"]),
+            ("section", ENTRY, "[entry]", "[x]\ny = 1\n[entry]", ["[x] y", "'1'"]),
+            ("other role's", ENTRY, "[entry]", "[control]\ndata_folder = x\n[entry]")
+            + (["data_folder"],),
+            ("peer twice", ENTRY, "control-1=", "a=127.0.0.1:1,a=", ["control", "'a'"]),
+            ("no control", ENTRY, "control-1=127.0.0.1:7001", "", ["control"]),
+            ("key", ENTRY, KEY_1, "1:zz", ["ticket_keys"]),
+            ("short key", ENTRY, KEY_1, "1:00", ["ticket_keys"]),
+            ("three keys", ENTRY, KEY_1, f"{KEY_1},{KEY_2},3:{'22' * 16}")
+            + (["ticket_keys", "3"],),
+            ("service host", ENTRY, "[entry]", "[entry]\nservice_host = vm")
+            + (["service_host", "vm"],),
+            ("text for ms", ENTRY, "[entry]", "[timing]\nlease_ms = 2s\n[entry]")
+            + (["[timing] lease_ms", "2s"],),
+            ("range", ENTRY, "[entry]", "[timing]\nlease_ms = 0\n[entry]")
+            + (["lease_ms", "1 to 3600000 ms", "'0'"],),
+            ("order", ENTRY, "[entry]", "[timing]\nheartbeat_ms = 2000\n[entry]")
+            + (["heartbeat_ms", "stream_timeout_ms"],),
+            ("own address", CONTROL, "control-1=127.0.0.1:7001")
+            + ("control-1=127.0.0.1:7002", ["control", "7002"]),
+            ("no folder", CONTROL, "data_folder = data", "", ["data_folder"]),
+        )
+    ]
+
+    def test_error(self):
+        self.assertIn(self.old, self.base)
+        self.write(self.base.replace(self.old, self.new, 1))
+        error = self.assertRaises(BadSettingError, read_settings, str(self.path))
+        for word in [str(self.path), "bad_setting", *self.named]:
+            self.assertIn(word, str(error))
+
+
+class Unreadable(SettingsFile):
+    """A file that can't be read is an error, not a traceback."""
+
+    def test_missing(self):
+        self.assertRaises(BadSettingError, read_settings, str(self.path))
+
+    def test_not_text(self):
+        self.path.write_bytes(b"\xff\xfe[daemon]")
+        self.assertRaises(BadSettingError, read_settings, str(self.path))
+
+    def test_check_exit_status(self):
+        self.write(ENTRY)
+        self.assertEqual(0, daemon.main(["--check", str(self.path)]))
+        self.write(ENTRY.replace("role = entry", "role = x"))
+        self.assertEqual(4, daemon.main(["--check", str(self.path)]))
+
+
+class Reload(SettingsFile):
+    """A reload takes what may change and names what may not."""
+
+    def test_reload(self):
+        self.write(ENTRY)
+        settings = read_settings(str(self.path))
+        changed = ENTRY.replace(KEY_1, f"{KEY_2},{KEY_1}").replace("zone-a", "zone-b")
+        self.write(changed)
+        fresh, kept = reloaded_settings(settings, str(self.path))
+        self.assertEqual([2, 1], list(fresh.ticket_keys))
+        self.assertEqual("zone-a", fresh.zone)
+        self.assertEqual(["zone"], kept)
