Answer dump, metrics and upstreams on every entry

Cause: an entry cut the stream of an operator. Queries stand apart from the deciding code and read its state only.

--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-from collections import Counter
 from functools import singledispatchmethod
 
 import curio
@@ -19,6 +18,7 @@
 from knapweeddeal.clock import monotonic_ms, wall_ms
 from knapweeddeal.controllink import ControlLink
 from knapweeddeal.entrycore import EntryCore, Identity
+from knapweeddeal.entryqueries import EntryQueries
 from knapweeddeal.errors import KnapweeddealError
 from knapweeddeal.events import (
     AnnounceCame,
@@ -34,6 +34,7 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.peer import Announced, PeerHello
 from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.metrics import Metrics
 from knapweeddeal.peerlink import PeerLink
 from knapweeddeal.serviceport import ServicePort, take_announcements
 from knapweeddeal.stream import serve
@@ -55,7 +56,7 @@
     def __init__(self, *, settings):
         self._settings = settings
         self._inbox = curio.Queue(maxsize=MAX_EVENTS)
-        self._counters = Counter()
+        self._metrics = Metrics()
         self._version = 0
         self._ports = {}
         self._upstream_links = {}
@@ -78,6 +79,9 @@
             wall_clock_ms=wall_ms,
             counters=self._count,
         )
+        self._queries = EntryQueries(
+            core=self._core, metrics=self._metrics, state=self._state
+        )
         self._control = ControlLink(
             identity=self._identity,
             settings=settings,
@@ -85,8 +89,19 @@
             version=lambda: self._version,
         )
 
+    def _state(self):
+        return {
+            "version": self._version,
+            "links": {
+                "ports": {name: port.address for name, port in self._ports.items()},
+                "upstreams": list(self._upstream_links),
+                "peers": list(self._peer_links),
+            },
+            "events_waiting": self._inbox.qsize(),
+        }
+
     def _count(self, name):
-        self._counters[name] += 1
+        self._metrics.count(name)
 
     async def run(self):
         """Serve until cancelled."""
@@ -110,7 +125,7 @@
         try:
             hello = await stream.receive_within(self._settings.stream_timeout_ms)
             if type(hello) is not PeerHello:
-                self._count("dropped_bad_stream")
+                await stream.send(self._queries.answer(hello))
                 return
             await self._take_peer(stream)
         except KnapweeddealError as error:
--- /dev/null
+++ b/knapweeddeal/entryqueries.py
@@ -0,0 +1,82 @@
+"""knapweeddeal.entryqueries: What an entry answers to operators' queries."""
+
+import json
+from functools import singledispatchmethod
+
+from knapweeddeal.inspection import dump_text, plain
+from knapweeddeal.messages.operator import (
+    DumpAnswer,
+    DumpAsk,
+    FailureAnswer,
+    MetricsAsk,
+    UpstreamsAnswer,
+    UpstreamsAsk,
+)
+
+__all__ = ["EntryQueries"]
+
+#: Upstreams that one answer lists.
+MAX_UPSTREAMS = 10_000
+
+
+class EntryQueries:
+    """Answer queries from the state of an entry; change nothing."""
+
+    __slots__ = ("_core", "_metrics", "_state")
+
+    def __init__(self, *, core, metrics, state):
+        self._core = core
+        self._metrics = metrics
+        #: Returns the sections of the state dump that the shell adds.
+        self._state = state
+
+    @singledispatchmethod
+    def answer(self, message):
+        """Return the answer to a query."""
+        return FailureAnswer(
+            code="bad_message",
+            text="an entry doesn't answer this",
+            field="message",
+            value=type(message).__name__,
+        )
+
+    @answer.register
+    def _(self, message: DumpAsk):
+        core = self._core
+        state = {
+            **self._state(),
+            "identity": core.identity,
+            "services": core.services,
+            "upstreams": [_upstream(upstream) for upstream in core.directory.all()],
+            "metrics": self._metrics.summary(),
+            "flows": len(core.flows),
+        }
+        return DumpAnswer(text=dump_text(state, max_bytes=message.max_bytes))
+
+    @answer.register
+    def _(self, message: MetricsAsk):
+        return DumpAnswer(text=json.dumps(self._metrics.summary()))
+
+    @answer.register
+    def _(self, message: UpstreamsAsk):
+        lines = [
+            json.dumps(_upstream(upstream))
+            for upstream in self._core.directory.all()
+            if message.service in ("", upstream.key.service)
+        ]
+        return UpstreamsAnswer(lines=lines[:MAX_UPSTREAMS])
+
+
+def _upstream(upstream):
+    announce = upstream.announce
+    return {
+        "service": announce.service,
+        "upstream_id": announce.upstream_id,
+        "zone": announce.zone,
+        "address": f"{announce.host}:{announce.port}",
+        "state": announce.state,
+        "stream": upstream.ready,
+        "outstanding": upstream.outstanding,
+        "connections": upstream.connections,
+        "lease_until_ms": plain(upstream.lease_until_ms),
+    }
--- /dev/null
+++ b/tests/test_entryqueries.py
@@ -0,0 +1,80 @@
+"""tests.test_entryqueries: Tests of an entry's answers to operators."""
+
+import json
+import types
+
+import testscenarios
+import testtools
+
+from knapweeddeal.directory import Upstream
+from knapweeddeal.entryqueries import EntryQueries
+from knapweeddeal.messages.operator import (
+    DumpAsk,
+    FailureAnswer,
+    MetricsAsk,
+    StatusAsk,
+    UpstreamsAsk,
+)
+from knapweeddeal.messages.upstream import READY, Announce
+from knapweeddeal.metrics import Metrics
+
+ANNOUNCE = Announce(
+    upstream_id="u1",
+    incarnation=1,
+    sequence=1,
+    zone="zone-a",
+    service="a",
+    host="127.0.0.1",
+    port=1,
+    health_port=0,
+    slots=2,
+    max_connections=10,
+    state=READY,
+    drain_ms=0,
+)
+
+
+def queries():
+    """Return the queries of an entry that knows one upstream."""
+    upstream = Upstream(announce=ANNOUNCE, lease_until_ms=5)
+    core = types.SimpleNamespace(
+        identity="e1",
+        services={},
+        flows={},
+        directory=types.SimpleNamespace(all=lambda: [upstream]),
+    )
+    metrics = Metrics()
+    metrics.count("dropped_bad_message")
+    return EntryQueries(core=core, metrics=metrics, state=lambda: {"version": 3})
+
+
+class Answers(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Each query gets what it asks for."""
+
+    scenarios = [
+        ("dump", {"ask": DumpAsk(max_bytes=10_000), "words": ["u1", '"version": 3']}),
+        ("metrics", {"ask": MetricsAsk(), "words": ['"dropped_bad_message": 1']}),
+        ("upstreams", {"ask": UpstreamsAsk(service="a"), "words": ["u1", "ready"]}),
+        ("other service", {"ask": UpstreamsAsk(service="b"), "words": []}),
+    ]
+
+    def test_answer(self):
+        answer = queries().answer(self.ask)
+        text = getattr(answer, "text", None) or "\n".join(answer.lines)
+        for word in self.words:
+            self.assertIn(word, text)
+        self.assertEqual(bool(self.words), bool(text))
+
+    def test_json(self):
+        answer = queries().answer(self.ask)
+        for line in getattr(answer, "lines", None) or [getattr(answer, "text", "{}")]:
+            json.loads(line)
+
+
+class Foreign(testtools.TestCase):
+    """A query for another role gets a failure that names it."""
+
+    def test_failure(self):
+        answer = queries().answer(StatusAsk())
+        self.assertIs(FailureAnswer, type(answer))
+        self.assertEqual("StatusAsk", answer.value)
