--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -120,7 +120,7 @@
             plan_id=f"plan-{index}",
             base_version=self.configuration.version,
             steps=record.steps,
-            expires_ms=record.expires_ms,
+            expires_ms=self._clock_ms + record.life_ms,
             confirmed_version=0,
             confirmed_by="",
         )
--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -13,7 +13,13 @@
     pack_leader_start,
     pack_membership,
 )
-from knapweeddeal.errors import InvalidIntentError, NoQuorumError, NotLeaderError
+from knapweeddeal.errors import (
+    BadMessageError,
+    CorruptStorageError,
+    InvalidIntentError,
+    NoQuorumError,
+    NotLeaderError,
+)
 from knapweeddeal.messages.control import (
     AppendAnswer,
     AppendAsk,
@@ -175,6 +181,7 @@
         state,
         snapshot,
         records,
+        commit_index=0,
         random,
         now_ms,
         election_ms,
@@ -185,7 +192,9 @@
         self.voted_for = state.voted_for
         self.snapshot = snapshot
         self.log = _log_from(snapshot, records)
-        self.commit_index = self.applied_index = self.log.base_index
+        self.applied_index = self.log.base_index
+        noted = min(commit_index, self.log.last_index)
+        self.commit_index = max(noted, self.log.base_index)
         self.role = FOLLOWER
         self.leader = 0
         self._random = random
@@ -435,6 +444,7 @@
         if not self._follow(ask.term, ask.leader):
             self._answer_append(sender, ask, success=False, match=0)
             return
+        _check_records(ask)
         if self.log.term_at(ask.previous_index) != ask.previous_term:
             if ask.previous_index < self.log.base_index:
                 match, success = self.log.base_index, True
@@ -459,7 +469,9 @@
 
     def _cut(self, index):
         if index <= self.commit_index:
-            raise AssertionError(f"leader overwrites committed record {index}")
+            raise CorruptStorageError(
+                "the leader contradicts a committed record", field="index", value=index
+            )
         self.log.cut(index)
         self._self_match = min(self._self_match, index - 1)
 
@@ -790,6 +802,12 @@
     )
 
 
+def _check_records(ask):
+    for place, record in enumerate(ask.records, ask.previous_index + 1):
+        if record.index != place:
+            raise BadMessageError("not the next record", field="index", value=place)
+
+
 @functools.singledispatch
 def _receive(_message, _node, _sender):
     """Drop what doesn't belong between replicas."""
--- a/knapweeddeal/controlclient.py
+++ b/knapweeddeal/controlclient.py
@@ -18,13 +18,15 @@
 
 #: Longest wait for a connection.
 CONNECT_MS = 1_000
+#: Longest wait for one replica; one that works answers or says why not before it.
+TRY_MS = 3_000
 #: Pause before all replicas are asked once more.
 PAUSE_MS = 50
 #: Rounds in which every replica that answers says that there is no quorum.
 MAX_ROUNDS_WITHOUT_QUORUM = 2
 
 
-async def ask(addresses, message, *, timeout_ms):
+async def ask(addresses, message, *, timeout_ms, try_ms=TRY_MS):
     """Return the leader's answer; raise the error that it or the search gave.
 
     A command may be sent more than once; its request id makes that safe.
@@ -33,7 +35,8 @@
     while True:
         address = search.next_address()
         try:
-            return await ask_one(address, message, timeout_ms=search.left_ms())
+            wait_ms = min(search.left_ms(), try_ms)
+            return await ask_one(address, message, timeout_ms=wait_ms)
         except (NotLeaderError, NoQuorumError, UnreachableError) as error:
             search.failed(address, error)
         if search.is_over():
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -16,6 +16,8 @@
 from knapweeddeal.entrytable import EntryTable
 from knapweeddeal.errors import (
     BadMessageError,
+    ConflictError,
+    InvalidIntentError,
     KnapweeddealError,
     NoQuorumError,
     NotLeaderError,
@@ -37,6 +39,7 @@
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
     EntryReports,
+    MembershipRecord,
     PlanRecord,
     SnapshotFile,
 )
@@ -48,6 +51,8 @@
 PATIENCE_ELECTIONS = 2
 #: Records after which the state is written as a snapshot.
 SNAPSHOT_RECORDS = 1_000
+#: Size of the log file after which a snapshot is written at once.
+SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
 #: Records before a snapshot that stay in memory for followers that lag a little.
 KEEP_RECORDS = 500
 #: Time between reports of a follower's entries to the leader.
@@ -191,11 +196,10 @@
         answers, self._answers = self._answers, []
         return answers
 
-    def take_snapshot(self):
+    def take_snapshot(self, log_bytes):
         """Return a new snapshot if enough was applied since the last, else None."""
         node = self.node
-        last = node.snapshot.last_index if node.snapshot else 0
-        if node.applied_index - last < self._snapshot_records:
+        if not self._snapshot_is_due(log_bytes):
             return None
         snapshot = SnapshotFile(
             last_index=node.applied_index,
@@ -273,7 +277,7 @@
             self._reply(pending, _dump_answer(self.dump(), pending.message.max_bytes))
             return
         leader = self.node.leader
-        if not leader:
+        if not leader or self.node.transferring:
             self._waiting.append(pending)
             return
         try:
@@ -301,7 +305,7 @@
                 zones=[],
                 flows=0,
                 planned_ms=pending.wall_ms,
-                expires_ms=pending.wall_ms + self._plan_life_ms,
+                life_ms=self._plan_life_ms,
             ),
         )
 
@@ -312,22 +316,23 @@
 
     def swap(self, pending):
         """Start a change of one member."""
+        ask = pending.message
+        kept = self.state.kept(ask.operator, ask.request_id)
+        if kept is not None:
+            self._reply(pending, self._swap_again(kept, ask.request_id))
+            return
         if self._swap is not None:
-            raise NoQuorumError("another change of replicas is under way")
+            raise ConflictError("another change of replicas is under way")
         self._swap = ReplicaSwap(
             ask_id=pending.ask_id, ask=pending.message, replica=self
         )
         self._go_on_with_swap()
 
-    def kept(self, operator, request_id):
-        """Return the kept answer of a request id, or None."""
-        return self.state.kept(operator, request_id)
-
     def replicas_answer(self):
         """Return who counts and who could."""
         return ReplicasAnswer(
             leader=self.leader_name(),
-            members=list(self.node.log.replicas),
+            members=list(self.node.log.replicas_at(self.node.commit_index)),
             candidates=self.candidates(),
         )
 
@@ -374,6 +379,13 @@
             return
         self._reply(pending, _query(pending.message, self))
 
+    def _swap_again(self, kept, request_id):
+        if isinstance(kept, MembershipRecord):
+            return self.replicas_answer()
+        raise InvalidIntentError(
+            "was given to another command", field="request_id", value=request_id
+        )
+
     def _go_on_with_swap(self):
         try:
             answer = self._swap.go_on(self._now_ms)
@@ -397,6 +409,18 @@
             del pendings[pending.ask_id]
             self._reply(pending, failure_answer(NoQuorumError(text)))
 
+    def _snapshot_is_due(self, log_bytes):
+        """Tell whether to write a snapshot; the members take turns."""
+        node, every = self.node, self._snapshot_records
+        last = node.snapshot.last_index if node.snapshot else 0
+        if node.applied_index == last:
+            return False
+        members = sorted(node.members)
+        place = members.index(node.identity) if node.is_member else 0
+        shift = every * place // max(len(members), 1)
+        by_count = (node.applied_index + shift) // every > (last + shift) // every
+        return by_count or log_bytes > SNAPSHOT_LOG_BYTES
+
     def _reply(self, pending, message):
         self._answers.append(Answer(ask_id=pending.ask_id, message=message))
 
--- /dev/null
+++ b/knapweeddeal/controlstreams.py
@@ -0,0 +1,189 @@
+"""knapweeddeal.controlstreams: Streams that others open to a control replica."""
+
+import contextlib
+import functools
+
+import curio
+
+from knapweeddeal.configurationstate import failure_answer
+from knapweeddeal.controlevents import EntryAsk, EntryGone, OperatorAsk, PeerMessage
+from knapweeddeal.errors import (
+    BadMessageError,
+    KnapweeddealError,
+    StreamClosedError,
+)
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.control import ConfigurationAsk, ReplicaHello
+from knapweeddeal.messages.operator import RefusalsAsk
+from knapweeddeal.messages.peer import PeerHello, RefusalBatch
+from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.replicalink import Outbox
+
+__all__ = ["ControlStreams"]
+
+log = Log(prefix="control")
+
+
+class ControlStreams:
+    """Serve each stream as its first message asks: replica, entry or operator."""
+
+    __slots__ = ("_core", "_events", "_journal", "_timeout_ms")
+
+    def __init__(self, *, core, events, journal, timeout_ms):
+        self._core = core
+        self._events = events
+        self._journal = journal
+        self._timeout_ms = timeout_ms
+
+    async def take(self, stream):
+        """Serve a stream until it ends."""
+        try:
+            first = await stream.receive()
+            await _serve_first(first, self, stream)
+        except BadMessageError as error:
+            log.warning("drops a stream", error=error.describe())
+            with contextlib.suppress(StreamClosedError):
+                await stream.send(failure_answer(error))
+        except (KnapweeddealError, curio.TaskTimeout):
+            return
+
+    async def serve_replica(self, hello, stream):
+        """Take what another replica sends; silence ends the stream."""
+        await stream.send_all(self._core.hello())
+        link = _ReplicaStream(hello=hello, stream=stream, told=self._core.cluster)
+        while True:
+            async with curio.timeout_after(self._timeout_ms / 1000):
+                message = await stream.receive()
+            await _from_replica(message, self, link)
+
+    async def echo(self, message, link):
+        """Answer a heartbeat, and tell the own group if it is new."""
+        await link.stream.send(message)
+        if link.told != self._core.cluster:
+            link.told = self._core.cluster
+            await link.stream.send(self._core.state_message())
+
+    async def pass_on(self, message, link):
+        """Give a replica's message to the core."""
+        await self._events.put(
+            PeerMessage(
+                sender=link.hello.identity, cluster=link.cluster, message=message
+            )
+        )
+
+    async def serve_entry(self, stream):
+        """Take what an entry reports, and push to it."""
+        outbox = Outbox()
+        sender = await curio.spawn(_send_all, stream, outbox)
+        try:
+            while True:
+                await _from_entry(await stream.receive(), self, outbox)
+        finally:
+            await self._events.put(EntryGone(outbox=outbox))
+            await sender.cancel()
+
+    async def on_entry_ask(self, message, outbox):
+        """Give what an entry applied to the core."""
+        await self._events.put(EntryAsk(message=message, outbox=outbox))
+
+    async def on_refusals(self, batch, outbox):
+        """Give refusals to the journal."""
+        await self._journal.hold(batch, outbox)
+
+    async def serve_operator(self, message, stream):
+        """Answer one ask after another."""
+        while True:
+            await stream.send(await _answer(message, self))
+            message = await stream.receive()
+
+    async def ask_core(self, message):
+        """Return the replica's answer."""
+        reply = curio.Queue()
+        await self._events.put(OperatorAsk(message=message, reply=reply))
+        return await reply.get()
+
+    async def find_refusals(self, message):
+        """Return the refusals that this replica holds."""
+        return await self._journal.find(message)
+
+
+class _ReplicaStream:
+    """Hold what is known of a stream from another replica."""
+
+    __slots__ = ("cluster", "hello", "stream", "told")
+
+    def __init__(self, *, hello, stream, told):
+        self.hello = hello
+        self.stream = stream
+        self.told = told
+        self.cluster = 0
+
+
+async def _send_all(stream, outbox):
+    with contextlib.suppress(StreamClosedError):
+        while True:
+            await stream.send_all(await outbox.take())
+
+
+@functools.singledispatch
+async def _serve_first(message, streams, stream):
+    await streams.serve_operator(message, stream)
+
+
+@_serve_first.register
+async def _(message: ReplicaHello, streams, stream):
+    await streams.serve_replica(message, stream)
+
+
+@_serve_first.register
+async def _(_message: PeerHello, streams, stream):
+    await streams.serve_entry(stream)
+
+
+@functools.singledispatch
+async def _from_replica(message, streams, link):
+    await streams.pass_on(message, link)
+
+
+@_from_replica.register
+async def _(message: Heartbeat, streams, link):
+    await streams.echo(message, link)
+
+
+@_from_replica.register
+async def _(message: ReplicaState, streams, link):
+    link.cluster = message.cluster
+    await streams.pass_on(message, link)
+
+
+@functools.singledispatch
+async def _from_entry(message, _streams, _outbox):
+    raise BadMessageError(
+        "not for a control replica", field="message", value=type(message).__name__
+    )
+
+
+@_from_entry.register
+async def _(message: Heartbeat, _streams, outbox):
+    await outbox.put(message)
+
+
+@_from_entry.register
+async def _(message: ConfigurationAsk, streams, outbox):
+    await streams.on_entry_ask(message, outbox)
+
+
+@_from_entry.register
+async def _(message: RefusalBatch, streams, outbox):
+    await streams.on_refusals(message, outbox)
+
+
+@functools.singledispatch
+async def _answer(message, streams):
+    return await streams.ask_core(message)
+
+
+@_answer.register
+async def _(message: RefusalsAsk, streams):
+    return await streams.find_refusals(message)
--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -6,6 +6,7 @@
     "BadTicketError",
     "ConflictError",
     "CorruptStorageError",
+    "DiskFailedError",
     "KnapweeddealError",
     "InvalidIntentError",
     "NoQuorumError",
@@ -110,6 +111,13 @@
     exit_status = 9
 
 
+class DiskFailedError(KnapweeddealError):
+    """Report that a data folder can't be read or written."""
+
+    code = "disk_failed"
+    exit_status = 9
+
+
 #: Failure classes by the code that travels in answers.
 BY_CODE = {
     cls.code: cls
@@ -119,6 +127,7 @@
         BadTicketError,
         ConflictError,
         CorruptStorageError,
+        DiskFailedError,
         KnapweeddealError,
         InvalidIntentError,
         NoQuorumError,
--- /dev/null
+++ b/knapweeddeal/manifest.py
@@ -0,0 +1,85 @@
+"""knapweeddeal.manifest: The file that tells how much of the others was synced."""
+
+import os
+import struct
+
+from knapweeddeal.frames import FRAME, corrupt, frame, frame_at, write_atomically
+
+__all__ = ["Manifest"]
+
+#: Slot of the manifest: sequence, log number, synced bytes, snapshot index, commit.
+SLOT = struct.Struct(">QQQQQ")
+SLOT_SPACING_BYTES = 512
+SLOTS = 2
+
+
+class Manifest:
+    """Tell which files of a folder count, and how much of the log was synced.
+
+    Two slots are written in turn, so that a torn write leaves the other one.
+    """
+
+    __slots__ = ("_file", "_path", "_sequence", "commit_index", "log_number")
+    __slots__ += ("snapshot_index", "synced_bytes")
+
+    def __init__(self, *, path):
+        self._path = path
+        self._file = open(path, "r+b", buffering=0)  # noqa: SIM115
+        slots = [self._read_slot(number) for number in range(SLOTS)]
+        found = max(filter(None, slots), default=None)
+        if found is None:
+            raise corrupt(path, 0, "no slot matches its checksum")
+        self._sequence, self.log_number, self.synced_bytes = found[:3]
+        self.snapshot_index, self.commit_index = found[3:]
+
+    @classmethod
+    def create(cls, path):
+        """Write the manifest of an empty folder."""
+        write_atomically(path, bytes(SLOT_SPACING_BYTES * SLOTS))
+        manifest = cls.__new__(cls)
+        manifest._path = path
+        manifest._file = open(path, "r+b", buffering=0)  # noqa: SIM115
+        manifest._sequence = 0
+        manifest.commit_index = 0
+        manifest.set_all(log_number=1, synced_bytes=0, snapshot_index=0)
+        manifest.close()
+
+    def set_synced(self, synced_bytes, commit_index):
+        """Note durably how much of the log was synced, and how much is committed."""
+        self.synced_bytes = synced_bytes
+        self.commit_index = max(commit_index, self.commit_index)
+        self._write_slot()
+        os.fdatasync(self._file.fileno())
+
+    def set_all(self, *, log_number, synced_bytes, snapshot_index):
+        """Switch durably to another log file and snapshot, in both slots."""
+        self.log_number = log_number
+        self.synced_bytes = synced_bytes
+        self.snapshot_index = snapshot_index
+        for _ in range(SLOTS):
+            self._write_slot()
+            os.fdatasync(self._file.fileno())
+
+    def close(self):
+        """Close the file."""
+        self._file.close()
+
+    def _write_slot(self):
+        self._sequence += 1
+        payload = SLOT.pack(
+            self._sequence,
+            self.log_number,
+            self.synced_bytes,
+            self.snapshot_index,
+            self.commit_index,
+        )
+        offset = self._sequence % SLOTS * SLOT_SPACING_BYTES
+        os.pwrite(self._file.fileno(), frame(payload), offset)
+
+    def _read_slot(self, number):
+        offset = number * SLOT_SPACING_BYTES
+        data = os.pread(self._file.fileno(), FRAME.size + SLOT.size, offset)
+        payload = frame_at(data, 0)
+        if payload is None or len(payload) != SLOT.size:
+            return None
+        return SLOT.unpack(payload)
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -84,7 +84,7 @@
         "zones": ListOf(NAME),
         "flows": Whole(),
         "planned_ms": Whole(),
-        "expires_ms": Whole(),
+        "life_ms": Whole(),
     }
     __slots__ = tuple(schema)
 
--- a/knapweeddeal/replicalink.py
+++ b/knapweeddeal/replicalink.py
@@ -11,12 +11,14 @@
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.stream import connect
 
-__all__ = ["LinkDown", "LinkUp", "Outbox", "ReplicaLink"]
+__all__ = ["LinkDown", "LinkPool", "LinkUp", "Outbox", "ReplicaLink"]
 
 #: Messages that wait for one replica; more are dropped, as the log sends again.
 MAX_WAITING = 1_000
 #: Pause before another try to connect.
 RECONNECT_MS = 100
+#: Addresses that one replica connects to, at most.
+MAX_LINKS = 64
 
 
 class Outbox:
@@ -132,6 +134,37 @@
             return await stream.receive()
 
 
+class LinkPool:
+    """Keep one link to each address; `hello` gives what opens a stream."""
+
+    __slots__ = ("_events", "_heartbeat_ms", "_tasks", "_timeout_ms", "hello")
+
+    def __init__(self, *, events, heartbeat_ms, timeout_ms):
+        self._events = events
+        self._heartbeat_ms = heartbeat_ms
+        self._timeout_ms = timeout_ms
+        self._tasks = {}
+        self.hello = None
+
+    async def dial(self, address):
+        """Keep a link to an address from now on."""
+        if address in self._tasks or len(self._tasks) >= MAX_LINKS:
+            return
+        link = ReplicaLink(
+            address=address,
+            hello=self.hello,
+            events=self._events,
+            heartbeat_ms=self._heartbeat_ms,
+            timeout_ms=self._timeout_ms,
+        )
+        self._tasks[address] = await curio.spawn(link.run, daemon=True)
+
+    async def close(self):
+        """End all links."""
+        for task in self._tasks.values():
+            await task.cancel()
+
+
 async def _until_closed(work, *arguments):
     """Run a task of a stream until the stream ends or falls silent."""
     with contextlib.suppress(KnapweeddealError, curio.TaskTimeout):
--- a/knapweeddeal/replicaswap.py
+++ b/knapweeddeal/replicaswap.py
@@ -38,7 +38,7 @@
         """Take the next step if it is due; return the answer at the end, else None."""
         self._until_ms = self._until_ms or now_ms + SWAP_MS
         if self._node.leader != self._node.identity:
-            raise NotLeaderError("the leader changed; resend", field="leader")
+            raise NotLeaderError("the leader changed, resend", field="leader")
         if now_ms >= self._until_ms:
             self._drop_learner()
             raise NoQuorumError("the replica didn't catch up in time")
