--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -34,6 +34,7 @@
     MembershipRecord,
     SnapshotFile,
 )
+from knapweeddeal.record import Record
 
 __all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "Envelope", "Node", "ReadReady", "Ready"]
 
@@ -50,29 +51,17 @@
 CAUGHT_UP_RECORDS = 16
 
 
-class Envelope:
+class Envelope(Record):
     """Address a message to a replica by its identity."""
 
     __slots__ = ("message", "to")
 
-    def __init__(self, *, to, message):
-        self.to = to
-        self.message = message
 
-    def __repr__(self):
-        """Return address and message."""
-        return f"Envelope(to={self.to}, message={self.message!r})"
-
-
-class ReadReady:
+class ReadReady(Record):
     """Tell that a read may be answered, or, with `index` 0, that it failed."""
 
     __slots__ = ("index", "read_id")
 
-    def __init__(self, *, read_id, index):
-        self.read_id = read_id
-        self.index = index
-
 
 class Ready:
     """Hold what the embedder has to do after a step.
@@ -125,16 +114,11 @@
         self.offset_bytes = 0
 
 
-class Read:
+class Read(Record):
     """Hold a read that waits for its quorum round."""
 
     __slots__ = ("index", "read_id", "round")
 
-    def __init__(self, *, read_id, index, round):
-        self.read_id = read_id
-        self.index = index
-        self.round = round
-
 
 class Node:
     """Decide for one replica; `identity` belongs to its data folder.
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -193,7 +193,7 @@
         for envelope in envelopes:
             outbox = self._outboxes.get(envelope.to)
             if outbox is not None:
-                await outbox.put(envelope.message)
+                await outbox.offer(envelope.message)
 
     async def _answer(self):
         for answer in self._replica.take_answers():
@@ -208,7 +208,7 @@
         self._pushed_version = configuration.version
         for outbox, applied in self._entries.items():
             if applied < configuration.version:
-                await outbox.put(ConfigurationPush(configuration=configuration))
+                await outbox.offer(ConfigurationPush(configuration=configuration))
 
     async def _snapshot(self):
         snapshot = self._replica.take_snapshot(self._folder.size_bytes())
@@ -236,7 +236,7 @@
         report = self._replica.take_report()
         outbox = self._outboxes.get(node.leader)
         if report is not None and outbox is not None:
-            await outbox.put(report)
+            await outbox.offer(report)
 
     # The group of replicas.
 
@@ -263,7 +263,7 @@
         founders = node.log.replicas_at(1)
         await in_thread(self._folder.set_cluster, cluster_of(founders))
         for outbox in self._outboxes.values():
-            await outbox.put(self.state_message())
+            await outbox.offer(self.state_message())
         for state in list(self._states.values()):
             await self._offer_founding(state)
 
@@ -275,7 +275,7 @@
         outbox = self._outboxes.get(state.replica.identity)
         if outbox is not None and state.replica in founders:
             founding = Founding(cluster=self._folder.cluster, replicas=founders)
-            await outbox.put(founding)
+            await outbox.offer(founding)
 
     def _is_foreign(self, cluster):
         own = self._folder.cluster
@@ -347,7 +347,7 @@
         self._replica.entries.heard(event.message, monotonic_ms())
         configuration = self._replica.state.configuration
         if configuration.version > applied:
-            await event.outbox.put(ConfigurationPush(configuration=configuration))
+            await event.outbox.offer(ConfigurationPush(configuration=configuration))
 
     def on_entry_gone(self, event):
         """Stop pushing to an entry."""
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -1,23 +1,23 @@
 """knapweeddeal.controlprocess: A control replica as a process."""
 
-import os
 import secrets
 import signal
 from pathlib import Path
 
 import curio
-from curio import socket
 
 from knapweeddeal.controlcore import Core
 from knapweeddeal.controlevents import StopAsk
 from knapweeddeal.controlstreams import ControlStreams
-from knapweeddeal.errors import DiskFailedError, KnapweeddealError
+from knapweeddeal.errors import BadSettingError, DiskFailedError, KnapweeddealError
 from knapweeddeal.journal import Journal
 from knapweeddeal.journaltask import JournalTask
 from knapweeddeal.logs import Log
 from knapweeddeal.replicalink import LinkPool
+from knapweeddeal.signals import SignalReader
 from knapweeddeal.storage import DataFolder
 from knapweeddeal.stream import serve
+from knapweeddeal.tasks import run_until_first
 
 __all__ = ["run"]
 
@@ -70,37 +70,34 @@
         journal=keeper,
         timeout_ms=settings.stream_timeout_ms,
     )
-    failures = []
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(_guard, failures, core.run)
-        await group.spawn(_guard, failures, keeper.run)
-        await group.spawn(_guard, failures, serve, settings.listen, streams.take)
-        await group.spawn(_watch_signals, events)
-    await links.close()
-    if failures:
-        raise failures[0]
-
-
-async def _guard(failures, work, *arguments):
-    """Run a task; what fails in it ends the process with its code."""
     try:
-        await work(*arguments)
+        await run_until_first(
+            core.run(),
+            keeper.run(),
+            _serve(settings.listen, streams),
+            _watch_signals(events),
+        )
     except KnapweeddealError as error:
         log.warning("stops", error=error.describe())
-        failures.append(error)
+        raise
+    finally:
+        await links.close()
+
+
+async def _serve(address, streams):
+    try:
+        await serve(address, streams.take)
     except OSError as error:
-        failures.append(DiskFailedError(str(error), field="listen"))
+        raise BadSettingError(
+            error.strerror or str(error), field="[daemon] listen", value=address
+        ) from None
 
 
 async def _watch_signals(events):
     """Ask for a planned stop at SIGTERM or SIGINT."""
-    reader, writer = socket.socketpair()
-    os.set_blocking(writer.fileno(), False)
-    signal.set_wakeup_fd(writer.fileno())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
+    signals = SignalReader(numbers=(signal.SIGTERM, signal.SIGINT))
     while True:
-        await reader.recv(1)
+        await signals.next()
         await events.put(StopAsk())
 
 
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -4,7 +4,6 @@
 """
 
 import functools
-import json
 
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.consensus import LEADER
@@ -22,6 +21,7 @@
     NoQuorumError,
     NotLeaderError,
 )
+from knapweeddeal.inspection import dump_text
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.operator import (
     ConfirmAsk,
@@ -43,6 +43,7 @@
     PlanRecord,
     SnapshotFile,
 )
+from knapweeddeal.record import Record
 from knapweeddeal.replicaswap import ReplicaSwap
 
 __all__ = ["Answer", "ControlReplica"]
@@ -62,15 +63,11 @@
 UNHEARD = "no majority of the control replicas answered"
 
 
-class Answer:
+class Answer(Record):
     """Address an answer to the ask that it belongs to."""
 
     __slots__ = ("ask_id", "message")
 
-    def __init__(self, *, ask_id, message):
-        self.ask_id = ask_id
-        self.message = message
-
 
 class Pending:
     """Hold an ask that waits: for a leader, a commit or a quorum round."""
@@ -495,7 +492,4 @@
 
 
 def _dump_answer(values, max_bytes):
-    text = json.dumps(values)
-    if len(text) > max_bytes:
-        text = json.dumps({"truncated": True})[:max_bytes]
-    return DumpAnswer(text=text)
+    return DumpAnswer(text=dump_text(values, max_bytes=max_bytes))
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -18,7 +18,7 @@
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.messages.upstream import Heartbeat
-from knapweeddeal.replicalink import Outbox
+from knapweeddeal.outbox import Outbox
 
 __all__ = ["ControlStreams"]
 
@@ -75,7 +75,7 @@
     async def serve_entry(self, stream):
         """Take what an entry reports, and push to it."""
         outbox = Outbox()
-        sender = await curio.spawn(_send_all, stream, outbox)
+        sender = await curio.spawn(_drain, outbox, stream)
         try:
             while True:
                 await _from_entry(await stream.receive(), self, outbox)
@@ -120,10 +120,9 @@
         self.cluster = 0
 
 
-async def _send_all(stream, outbox):
+async def _drain(outbox, stream):
     with contextlib.suppress(StreamClosedError):
-        while True:
-            await stream.send_all(await outbox.take())
+        await outbox.drain_to(stream)
 
 
 @functools.singledispatch
@@ -166,7 +165,7 @@
 
 @_from_entry.register
 async def _(message: Heartbeat, _streams, outbox):
-    await outbox.put(message)
+    await outbox.offer(message)
 
 
 @_from_entry.register
--- a/knapweeddeal/journaltask.py
+++ b/knapweeddeal/journaltask.py
@@ -7,6 +7,7 @@
 from knapweeddeal.errors import CorruptStorageError
 from knapweeddeal.messages.operator import RefusalsAnswer
 from knapweeddeal.messages.peer import RefusalAck
+from knapweeddeal.record import Record
 
 __all__ = ["HoldAsk", "JournalTask"]
 
@@ -16,15 +17,11 @@
 MAX_BATCHES = 64
 
 
-class HoldAsk:
+class HoldAsk(Record):
     """Carry a batch of refusals, and the outbox for its acknowledgement."""
 
     __slots__ = ("batch", "outbox")
 
-    def __init__(self, *, batch, outbox):
-        self.batch = batch
-        self.outbox = outbox
-
 
 class JournalTask:
     """Sync batches of refusals together, then acknowledge each."""
@@ -46,7 +43,7 @@
             records = [record for ask in asks for record in ask.batch.records]
             await in_thread(self._journal.hold, records)
             for ask in asks:
-                await ask.outbox.put(RefusalAck(batch=ask.batch.batch))
+                await ask.outbox.offer(RefusalAck(batch=ask.batch.batch))
 
     async def find(self, ask):
         """Return the answer to a query; it reads files beside the owning task."""
--- a/knapweeddeal/plans.py
+++ b/knapweeddeal/plans.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.errors import InvalidIntentError
 from knapweeddeal.messages.control import Configuration, ServiceEntry
+from knapweeddeal.record import Record
 
 __all__ = ["ACTIONS", "Change", "apply_steps"]
 
@@ -11,17 +12,11 @@
 NAME_MARKS = "-._"
 
 
-class Change:
+class Change(Record):
     """Hold a configuration that an intent leads to, and how it differs."""
 
     __slots__ = ("configuration", "differences", "services", "upstreams")
 
-    def __init__(self, *, configuration, differences, services, upstreams):
-        self.configuration = configuration
-        self.differences = differences
-        self.services = services
-        self.upstreams = upstreams
-
 
 def apply_steps(configuration, steps):
     """Return the Change that steps make; raise InvalidIntentError."""
--- a/knapweeddeal/replicalink.py
+++ b/knapweeddeal/replicalink.py
@@ -1,69 +1,34 @@
 """knapweeddeal.replicalink: A stream on which one replica sends to another."""
 
-import collections
-import contextlib
-
 import curio
 
 from knapweeddeal.errors import KnapweeddealError, StreamClosedError
 from knapweeddeal.messages.control import ReplicaHello
 from knapweeddeal.messages.replication import ReplicaState
-from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.outbox import Outbox
+from knapweeddeal.record import Record
 from knapweeddeal.stream import connect
+from knapweeddeal.tasks import run_until_first
 
-__all__ = ["LinkDown", "LinkPool", "LinkUp", "Outbox", "ReplicaLink"]
+__all__ = ["LinkDown", "LinkPool", "LinkUp", "ReplicaLink"]
 
-#: Messages that wait for one replica; more are dropped, as the log sends again.
-MAX_WAITING = 1_000
 #: Pause before another try to connect.
 RECONNECT_MS = 100
 #: Addresses that one replica connects to, at most.
 MAX_LINKS = 64
 
 
-class Outbox:
-    """Keep messages for one sending task; the newest are dropped when full."""
-
-    __slots__ = ("_event", "_messages")
-
-    def __init__(self):
-        self._messages = collections.deque()
-        self._event = curio.Event()
-
-    async def put(self, message):
-        """Add a message if there is room."""
-        if len(self._messages) < MAX_WAITING:
-            self._messages.append(message)
-        await self._event.set()
-
-    async def take(self):
-        """Wait for messages and return them all."""
-        await self._event.wait()
-        self._event.clear()
-        messages = list(self._messages)
-        self._messages.clear()
-        return messages
-
-
-class LinkUp:
+class LinkUp(Record):
     """Tell that a replica was reached, and what it said of itself."""
 
     __slots__ = ("outbox", "state")
 
-    def __init__(self, *, state, outbox):
-        self.state = state
-        self.outbox = outbox
-
 
-class LinkDown:
+class LinkDown(Record):
     """Tell that a replica is no longer reached by a link."""
 
     __slots__ = ("identity", "outbox")
 
-    def __init__(self, *, identity, outbox):
-        self.identity = identity
-        self.outbox = outbox
-
 
 class ReplicaLink:
     """Connect to one address again and again, and send what waits."""
@@ -87,7 +52,7 @@
                 continue
             try:
                 await self._use(stream)
-            except (KnapweeddealError, curio.TaskTimeout):
+            except KnapweeddealError:
                 await curio.sleep(RECONNECT_MS / 1000)
             finally:
                 await stream.close()
@@ -106,21 +71,11 @@
             await self._events.put(LinkDown(identity=hello.identity, outbox=outbox))
 
     async def _carry(self, stream, outbox):
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(_until_closed, self._send, stream, outbox)
-            await group.spawn(_until_closed, self._beat, outbox)
-            await group.spawn(_until_closed, self._listen, stream, outbox)
-
-    async def _send(self, stream, outbox):
-        while True:
-            messages = await outbox.take()
-            async with curio.timeout_after(self._timeout_ms / 1000):
-                await stream.send_all(messages)
-
-    async def _beat(self, outbox):
-        while True:
-            await curio.sleep(self._heartbeat_ms / 1000)
-            await outbox.put(Heartbeat())
+        await run_until_first(
+            outbox.drain_to(stream),
+            outbox.beat(self._heartbeat_ms),
+            self._listen(stream, outbox),
+        )
 
     async def _listen(self, stream, outbox):
         """Expect echoes of heartbeats; silence raises TaskTimeout."""
@@ -130,8 +85,11 @@
                 await self._events.put(LinkUp(state=message, outbox=outbox))
 
     async def _receive(self, stream):
-        async with curio.timeout_after(self._timeout_ms / 1000):
-            return await stream.receive()
+        try:
+            async with curio.timeout_after(self._timeout_ms / 1000):
+                return await stream.receive()
+        except curio.TaskTimeout:
+            raise StreamClosedError("silence") from None
 
 
 class LinkPool:
@@ -163,9 +121,3 @@
         """End all links."""
         for task in self._tasks.values():
             await task.cancel()
-
-
-async def _until_closed(work, *arguments):
-    """Run a task of a stream until the stream ends or falls silent."""
-    with contextlib.suppress(KnapweeddealError, curio.TaskTimeout):
-        await work(*arguments)
