End a daemon that lost one of its main tasks, with status and one line

Cause: an address that couldn't be bound crashed one task and left the rest running: a daemon with a log full of traceback that served nothing. The main tasks now end together, typed errors become the exit status. Ruled out: checking addresses in the settings; only binding tells.

--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -40,12 +40,15 @@
         addresses = list(self._settings.control.values())
         start = self._identity.incarnation % max(1, len(addresses))
         addresses = addresses[start:] + addresses[:start]
+        last = ""
         while True:
             for address in addresses:
                 try:
                     await self._carry(address)
                 except KnapweeddealError as error:
-                    LOG.info("Stream ended.", why=str(error))
+                    if str(error) != last:
+                        LOG.info("Stream ended.", why=str(error))
+                    last = str(error)
                 await curio.sleep(self._settings.heartbeat_ms / 1000)
 
     async def _carry(self, address):
--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -7,7 +7,7 @@
 import curio
 
 from knapweeddeal import controlprocess, entryprocess
-from knapweeddeal.errors import BadSettingError
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.logs import open_log
 from knapweeddeal.settings import CONTROL, ENTRY, read_settings
 
@@ -40,9 +40,13 @@
     if options.check:
         print("settings are good")
         return 0
-    open_log(settings.log_file)
     signal.signal(signal.SIGINT, signal.SIG_DFL)
-    curio.run(ROLES[settings.role], settings)
+    try:
+        open_log(settings.log_file)
+        curio.run(ROLES[settings.role], settings)
+    except KnapweeddealError as error:
+        print(f"knapweeddeald: {error}", file=sys.stderr)
+        return error.exit_status
     return 0
 
 
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -19,7 +19,7 @@
 from knapweeddeal.controllink import ControlLink
 from knapweeddeal.entrycore import EntryCore, Identity
 from knapweeddeal.entryqueries import EntryQueries
-from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.events import (
     AnnounceCame,
     CallerDatagram,
@@ -38,6 +38,7 @@
 from knapweeddeal.peerlink import PeerLink
 from knapweeddeal.serviceport import ServicePort, take_announcements
 from knapweeddeal.stream import serve
+from knapweeddeal.tasks import run_until_first
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstreamlink import UpstreamLink
 
@@ -109,12 +110,14 @@
             host=self._settings.announce[0], port=self._settings.announce[1]
         )
         LOG.info("Started.", name=self._settings.name)
-        async with self._tasks as tasks:
-            await tasks.spawn(serve, self._settings.listen, self._take_stream)
-            await tasks.spawn(take_announcements, announce, self._inbox)
-            await tasks.spawn(self._control.run)
-            await tasks.spawn(self._tick)
-            await self._decide()
+        async with self._tasks:
+            await run_until_first(
+                serve(self._settings.listen, self._take_stream),
+                take_announcements(announce, self._inbox),
+                self._control.run(),
+                self._tick(),
+                self._decide(),
+            )
 
     async def _tick(self):
         while True:
@@ -285,7 +288,7 @@
     async def _open_port(self, name, address):
         try:
             port = ServicePort(service=name, address=address, inbox=self._inbox)
-        except OSError as error:
+        except BadSettingError as error:
             LOG.warning("Address can't be bound.", service=name, why=str(error))
             return
         port.task = await self._tasks.spawn(port.run)
--- a/knapweeddeal/logs.py
+++ b/knapweeddeal/logs.py
@@ -5,16 +5,29 @@
 
 import eliot
 
+from knapweeddeal.errors import BadSettingError
+
 __all__ = ["Log", "open_log"]
 
 
 def open_log(path):
-    """Send the log to a file, or to standard error if the path is empty."""
-    target = open(path, "a", encoding="utf-8") if path else sys.stderr  # noqa: SIM115
-    eliot.to_file(target)
+    """Send the log to a file, or to standard error if the path is empty.
+
+    Raises BadSettingError if the file can't be opened.
+    """
+    eliot.to_file(_open(path) if path else sys.stderr)
     logging.getLogger("curio").setLevel(logging.ERROR)
 
 
+def _open(path):
+    try:
+        return open(path, "a", encoding="utf-8")
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be opened: {error.strerror}", field="log_file", value=path
+        ) from None
+
+
 class Log:
     """Write the log lines of one part."""
 
--- a/knapweeddeal/serviceport.py
+++ b/knapweeddeal/serviceport.py
@@ -4,7 +4,7 @@
 from curio import socket
 
 from knapweeddeal.actions import Address
-from knapweeddeal.errors import BadMessageError
+from knapweeddeal.errors import BadMessageError, BadSettingError
 from knapweeddeal.events import AnnounceCame, CallerDatagram
 from knapweeddeal.messages import decode, encode
 from knapweeddeal.messages.peer import MAX_DATAGRAM_BYTES
@@ -72,8 +72,15 @@
 
 
 def udp_socket(address):
-    """Return a bound UDP socket."""
+    """Return a bound UDP socket; raise BadSettingError."""
     port = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     port.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 21)
-    port.bind((address.host, address.port))
+    try:
+        port.bind((address.host, address.port))
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be bound: {error.strerror}",
+            field="address",
+            value=f"{address.host}:{address.port}",
+        ) from None
     return port
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -4,7 +4,12 @@
 import msgpack
 from curio import socket
 
-from knapweeddeal.errors import BadMessageError, StreamClosedError, UnreachableError
+from knapweeddeal.errors import (
+    BadMessageError,
+    BadSettingError,
+    StreamClosedError,
+    UnreachableError,
+)
 from knapweeddeal.messages.base import encode, from_wire
 
 __all__ = ["Stream", "connect", "serve"]
@@ -84,8 +89,11 @@
 
 
 async def serve(address, handler):
-    """Take streams for ever; run `handler(stream)` as a task for each."""
-    listener = curio.tcp_server_socket(*address, reuse_address=True)
+    """Take streams for ever; run `handler(stream)` as a task for each.
+
+    Raises BadSettingError if the address can't be bound.
+    """
+    listener = _listen(address)
 
     async def take(connection, _address):
         _no_delay(connection)
@@ -98,5 +106,16 @@
     await curio.network.run_server(listener, take)
 
 
+def _listen(address):
+    try:
+        return curio.tcp_server_socket(*address, reuse_address=True)
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be bound: {error.strerror}",
+            field="listen",
+            value=":".join(map(str, address)),
+        ) from None
+
+
 def _no_delay(connection):
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,59 @@
+"""tests.test_daemon: A daemon that can't start ends with a status and one line."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import testscenarios
+import testtools
+
+ROOT = Path(__file__).resolve().parent.parent
+TIMEOUT_S = 20
+#: An address of no interface of this VM.
+FOREIGN = "192.0.2.1:7000"
+SETTINGS = """
+[daemon]
+name = entry-1
+role = entry
+zone = zone-a
+listen = 127.251.0.1:7000
+log_file =
+control = control-1=127.251.0.2:7000
+[entry]
+announce = 127.251.0.1:7010
+ticket_keys = 1:00112233445566778899aabbccddeeff
+"""
+
+
+class CannotStart(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The error names the setting; there is no traceback and no half daemon."""
+
+    scenarios = [
+        (
+            "listen",
+            {"old": "listen = 127.251.0.1:7000", "new": f"listen = {FOREIGN}"},
+        ),
+        (
+            "announce",
+            {"old": "announce = 127.251.0.1:7010", "new": f"announce = {FOREIGN}"},
+        ),
+        ("log file", {"old": "log_file =", "new": "log_file = /nowhere/log"}),
+    ]
+
+    def test_exit_status(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "entry.ini"
+            path.write_text(SETTINGS.replace(self.old, self.new), encoding="utf-8")
+            done = subprocess.run(
+                [sys.executable, "-m", "knapweeddeal.daemon", str(path)],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=TIMEOUT_S,
+                check=False,
+            )
+        self.assertEqual(4, done.returncode, done.stderr)
+        self.assertIn("knapweeddeald: bad_setting: can't be", done.stderr)
+        self.assertIn(self.new.split(" = ")[1], done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
