Count flows by upstream, so that a plan can say whom it affects

Cause: a plan names no zones and 0 flows, whatever it touches. Ruled out: asking all entries at each plan, since one that is cut off would hold up every plan.

--- a/knapweeddeal/messages/control.py
+++ b/knapweeddeal/messages/control.py
@@ -9,6 +9,8 @@
     "Configuration",
     "ConfigurationAsk",
     "ConfigurationPush",
+    "FlowCount",
+    "FlowCounts",
     "LogRecord",
     "Replica",
     "ReplicaHello",
@@ -171,3 +173,28 @@
         "round": Whole(),
     }
     __slots__ = tuple(schema)
+
+
+class FlowCount(Message):
+    """Tell how many flows one entry owns on an upstream."""
+
+    tag = 83
+    schema = {
+        "service": Text(max_chars=64),
+        "upstream_id": NAME,
+        "zone": NAME,
+        "flows": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class FlowCounts(Message):
+    """Report the counts of an entry that changed noticeably; `whole` replaces all."""
+
+    tag = 84
+    schema = {
+        "name": NAME,
+        "whole": Flag(),
+        "counts": ListOf(Nested(FlowCount), max_items=10_000),
+    }
+    __slots__ = tuple(schema)
