Split the entry's decisions, and carry moves, hand-overs and settling

Cause: one module of 600 lines held every decision, scanned all opens and all flows on some packets, and had no answer to a lost owner, a leaving upstream or a planned stop. Ruled out: handing a flow's move to whichever entry sees it (two of them would open the flow on two upstreams); forwarding a request to another upstream than its ticket names (a cancellation there by an entry that lost the owner would claim not_run for a request that runs elsewhere). Now: router, opening, owner, moves, resolution, handover around one context; EntryCore keeps its entry points. The deciding task never puts into its own inbox; datagrams are shed when that is full.

--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -87,13 +87,20 @@
     def _adopt(self, ticket, caller, *, now_ms):
         return self.router.adopt(ticket, caller, now_ms=now_ms)
 
-    # Configuration and directory
+    # Queries
+
+    @property
+    def flows(self):
+        """Return the flows that are owned here."""
+        return self.owner.flows
 
     @property
     def services(self):
         """Return the confirmed services by name."""
         return self.context.services
 
+    # Configuration and directory
+
     def apply_configuration(self, configuration):
         """Put a confirmed configuration in force."""
         self.context.apply_configuration(configuration)
@@ -217,10 +224,14 @@
 
     @from_peer.register
     def _(self, message: HandOverAsk, peer=None, *, now_ms):
+        if peer is None:
+            return self.context.drop("unexpected")
         return self.taking.asked(message, peer, now_ms=now_ms)
 
     @from_peer.register
     def _(self, message: HandOver, peer=None, *, now_ms):
+        if peer is None:
+            return self.context.drop("unexpected")
         return self.taking.take(message, peer, now_ms=now_ms)
 
     @from_peer.register
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -1,8 +1,10 @@
 """knapweeddeal.entryprocess: The tasks of an entry around its decisions."""
 
+import itertools
 import random
 import secrets
-from collections import Counter
+import signal
+import traceback
 from functools import singledispatchmethod
 
 import curio
@@ -14,29 +16,40 @@
     ToCaller,
     ToControl,
     ToPeer,
+    ToStream,
     ToUpstream,
 )
 from knapweeddeal.clock import monotonic_ms, wall_ms
 from knapweeddeal.controllink import ControlLink
-from knapweeddeal.entrycore import EntryCore, Identity
-from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.entrycore import Candidate, EntryCore, Identity
+from knapweeddeal.entryqueries import EntryQueries
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.events import (
     AnnounceCame,
     CallerDatagram,
     ConfigurationCame,
+    Peer,
+    PeerDown,
     PeerMessage,
+    StopAsked,
     Tick,
     Undeliverable,
     UpstreamDown,
     UpstreamMessage,
     UpstreamUp,
 )
+from knapweeddeal.inbox import Inbox
+from knapweeddeal.limits import Limits
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.peer import Announced, PeerHello
+from knapweeddeal.messages.peer import Announced, PeerHello, Successions
 from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.outbox import Outbox
 from knapweeddeal.peerlink import PeerLink
 from knapweeddeal.serviceport import ServicePort, take_announcements
+from knapweeddeal.signals import SignalReader
 from knapweeddeal.stream import serve
+from knapweeddeal.tasks import run_until_first
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstreamlink import UpstreamLink
 
@@ -46,7 +59,11 @@
 
 #: Events that may wait for the deciding task.
 MAX_EVENTS = 20_000
+#: Events that are decided before other tasks get their turn.
+MAX_IN_A_ROW = 128
 TICK_MS = 50
+#: Peers that are asked for their successions at the start.
+MAX_ASKED = 3
 
 
 class EntryProcess:
@@ -54,12 +71,15 @@
 
     def __init__(self, *, settings):
         self._settings = settings
-        self._inbox = curio.Queue(maxsize=MAX_EVENTS)
-        self._counters = Counter()
+        self._inbox = Inbox(max_events=MAX_EVENTS)
+        self._metrics = Metrics()
         self._version = 0
         self._ports = {}
         self._upstream_links = {}
         self._peer_links = {}
+        self._peer_streams = {}
+        self._stream_numbers = itertools.count(1)
+        self._touched = set()
         self._tasks = curio.TaskGroup(wait=None)
         host, port = settings.listen
         self._identity = Identity(
@@ -73,11 +93,14 @@
             sealer=TicketSealer(
                 keys=settings.ticket_keys, life_ms=settings.ticket_life_ms
             ),
-            lease_ms=settings.lease_ms,
+            limits=Limits(lease_ms=settings.lease_ms, stop_ms=settings.stop_ms),
             rng=random.Random(secrets.randbits(64)),
             wall_clock_ms=wall_ms,
             counters=self._count,
         )
+        self._queries = EntryQueries(
+            core=self._core, metrics=self._metrics, state=self._state
+        )
         self._control = ControlLink(
             identity=self._identity,
             settings=settings,
@@ -85,55 +108,137 @@
             version=lambda: self._version,
         )
 
+    def _state(self):
+        return {
+            "version": self._version,
+            "links": {
+                "ports": {name: port.address for name, port in self._ports.items()},
+                "upstreams": list(self._upstream_links),
+                "peers": list(self._peer_links),
+                "peer_streams": len(self._peer_streams),
+            },
+            "events_waiting": self._inbox.qsize(),
+        }
+
     def _count(self, name):
-        self._counters[name] += 1
+        self._metrics.count(name)
 
     async def run(self):
-        """Serve until cancelled."""
+        """Serve until cancelled or stopped as planned."""
         announce = Address(
             host=self._settings.announce[0], port=self._settings.announce[1]
         )
         LOG.info("Started.", name=self._settings.name)
-        async with self._tasks as tasks:
-            await tasks.spawn(serve, self._settings.listen, self._take_stream)
-            await tasks.spawn(take_announcements, announce, self._inbox)
-            await tasks.spawn(self._control.run)
-            await tasks.spawn(self._tick)
-            await self._decide()
+        async with self._tasks:
+            await run_until_first(
+                serve(self._settings.listen, self._take_stream),
+                take_announcements(announce, self._inbox),
+                self._control.run(),
+                self._tick(),
+                self._await_stop(),
+                self._decide(),
+            )
+        LOG.info("Stopped.", name=self._settings.name)
 
     async def _tick(self):
         while True:
             await curio.sleep(TICK_MS / 1000)
-            await self._inbox.put(Tick())
+            await self._inbox.put_at_once(Tick())
+
+    async def _await_stop(self):
+        signals = SignalReader(numbers=[signal.SIGTERM])
+        while True:
+            await signals.next()
+            await self._inbox.put_at_once(StopAsked())
+
+    # Streams that others open
 
     async def _take_stream(self, stream):
         try:
             hello = await stream.receive_within(self._settings.stream_timeout_ms)
             if type(hello) is not PeerHello:
-                self._count("dropped_bad_stream")
+                await stream.send(self._queries.answer(hello))
                 return
-            await self._take_peer(stream)
+            await self._take_peer(stream, hello)
         except KnapweeddealError as error:
             LOG.info("Peer stream ended.", why=str(error))
 
-    async def _take_peer(self, stream):
+    async def _take_peer(self, stream, hello):
+        peer = Peer(
+            name=hello.name,
+            incarnation=hello.incarnation,
+            stream=next(self._stream_numbers),
+        )
+        outbox = Outbox()
+        self._peer_streams[peer.stream] = outbox
+        try:
+            await run_until_first(
+                self._receive_from(stream, peer, outbox), outbox.drain_to(stream)
+            )
+        finally:
+            del self._peer_streams[peer.stream]
+
+    async def _receive_from(self, stream, peer, outbox):
         while True:
-            message = await stream.receive()
+            message = await stream.receive_within(self._settings.stream_timeout_ms)
             if type(message) is Heartbeat:
-                await stream.send(message)
+                await outbox.offer(message)
             elif type(message) is Announced:
                 event = AnnounceCame(announce=message.announce, direct=False)
                 await self._inbox.put(event)
             else:
-                await self._inbox.put(PeerMessage(message=message))
+                await self._inbox.put(PeerMessage(message=message, peer=peer))
 
     # The deciding task
 
     async def _decide(self):
-        while True:
-            event = await self._inbox.get()
-            for action in await self._handle(event):
+        await self._ask_successions()
+        while not self._core.stopped:
+            for event in await self._inbox.take(MAX_IN_A_ROW):
+                await self._handle_safely(event)
+            await self._wake_touched()
+            await curio.sleep(0)
+
+    async def _ask_successions(self):
+        ask = Successions(ask=True, successions=[])
+        for candidate in self._candidates()[:MAX_ASKED]:
+            await self._perform(ToPeer(address=candidate.address, message=ask))
+        await self._wake_touched()
+
+    async def _handle_safely(self, event):
+        """Decide on one event; an error in it is logged and ends nothing else."""
+        try:
+            actions = await self._handle(event)
+            for action in actions:
                 await self._perform(action)
+        except Exception:
+            self._count("errors")
+            LOG.warning(
+                "Event failed.",
+                event=type(event).__name__,
+                trace=traceback.format_exc(),
+            )
+
+    async def _wake_touched(self):
+        for sender in self._touched:
+            await sender.wake()
+        self._touched.clear()
+
+    def _candidates(self):
+        """Return the other entries, the one after this one by name first."""
+        names = sorted(self._settings.peers)
+        later = [name for name in names if name > self._settings.name]
+        earlier = [name for name in names if name < self._settings.name]
+        return [
+            Candidate(
+                name=name,
+                address=Address(
+                    host=self._settings.peers[name][0],
+                    port=self._settings.peers[name][1],
+                ),
+            )
+            for name in later + earlier
+        ]
 
     @singledispatchmethod
     async def _handle(self, event):
@@ -156,16 +261,24 @@
 
     @_handle.register
     async def _(self, event: UpstreamDown):
-        self._upstream_links.pop(event.key, None)
-        return self._core.stream_down(event.key, now_ms=monotonic_ms())
+        now_ms = monotonic_ms()
+        link = self._upstream_links.pop(event.key, None)
+        actions = []
+        for message in link.outbox.unsent() if link else ():
+            actions += self._core.unsent(message, event.key, now_ms=now_ms)
+        return [*actions, *self._core.stream_down(event.key, now_ms=now_ms)]
 
     @_handle.register
     async def _(self, event: PeerMessage):
-        return self._core.from_peer(event.message, now_ms=monotonic_ms())
+        return self._core.from_peer(event.message, event.peer, now_ms=monotonic_ms())
 
     @_handle.register
     async def _(self, event: Undeliverable):
-        return self._core.undeliverable(event.message)
+        return self._core.undeliverable(event.message, now_ms=monotonic_ms())
+
+    @_handle.register
+    async def _(self, event: PeerDown):
+        return self._core.peer_down(event.address, now_ms=monotonic_ms())
 
     @_handle.register
     async def _(self, event: AnnounceCame):
@@ -181,6 +294,11 @@
         await self._apply(event.configuration)
         return []
 
+    @_handle.register
+    async def _(self, _event: StopAsked):
+        LOG.info("Stop asked.", flows=len(self._core.flows))
+        return self._core.begin_stop(self._candidates(), now_ms=monotonic_ms())
+
     @_handle.register
     async def _(self, _event: Tick):
         return self._core.tick(now_ms=monotonic_ms())
@@ -194,8 +312,10 @@
     @_perform.register
     async def _(self, action: ToCaller):
         port = self._ports.get(action.service)
-        if port is None or not await port.offer(action.caller, action.message):
+        if port is None or not port.put(action.caller, action.message):
             self._count("dropped_to_caller")
+            return
+        self._touched.add(port)
 
     @_perform.register
     async def _(self, action: Dial):
@@ -209,17 +329,24 @@
             inbox=self._inbox,
         )
         self._upstream_links[action.key] = link
-        await self._tasks.spawn(link.run)
+        link.task = await self._tasks.spawn(link.run)
 
     @_perform.register
     async def _(self, action: CloseStream):
-        self._upstream_links.pop(action.key, None)
+        link = self._upstream_links.get(action.key)
+        if link is not None:
+            await link.task.cancel(blocking=False)
 
     @_perform.register
     async def _(self, action: ToUpstream):
         link = self._upstream_links.get(action.key)
-        if link is None or not await link.offer(action.message):
-            self._count("dropped_to_upstream")
+        if link is not None and link.outbox.put(action.message):
+            self._touched.add(link.outbox)
+            return
+        self._count("dropped_to_upstream")
+        now_ms = monotonic_ms()
+        for then in self._core.unsent(action.message, action.key, now_ms=now_ms):
+            await self._perform(then)
 
     @_perform.register
     async def _(self, action: ToPeer):
@@ -233,18 +360,31 @@
             )
             self._peer_links[action.address] = link
             await self._tasks.spawn(self._run_peer_link, action.address, link)
-        if not await link.offer(action.message):
+        if link.outbox.put(action.message):
+            self._touched.add(link.outbox)
+        else:
             self._count("dropped_to_peer")
 
+    @_perform.register
+    async def _(self, action: ToStream):
+        outbox = self._peer_streams.get(action.stream)
+        if outbox is None or not outbox.put(action.message):
+            self._count("dropped_to_stream")
+            return
+        self._touched.add(outbox)
+
     @_perform.register
     async def _(self, action: ToControl):
-        await self._control.offer(action.message)
+        if not await self._control.offer(action.message):
+            self._count("dropped_to_control")
 
     async def _run_peer_link(self, address, link):
         try:
             await link.run()
         finally:
+            # From here on a message opens a new stream, so what is left is final.
             self._peer_links.pop(address, None)
+        await link.report_left()
 
     async def _apply(self, configuration):
         if configuration.version <= self._version:
@@ -264,12 +404,18 @@
                 await self._open_port(name, address)
         self._core.apply_configuration(configuration)
         self._version = configuration.version
+        await self._control.report()
         LOG.info("Configuration applied.", version=configuration.version)
 
     async def _open_port(self, name, address):
         try:
-            port = ServicePort(service=name, address=address, inbox=self._inbox)
-        except OSError as error:
+            port = ServicePort(
+                service=name,
+                address=address,
+                inbox=self._inbox,
+                counters=self._count,
+            )
+        except BadSettingError as error:
             LOG.warning("Address can't be bound.", service=name, why=str(error))
             return
         port.task = await self._tasks.spawn(port.run)
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -7,7 +7,9 @@
     "CallerDatagram",
     "ConfigurationCame",
     "Peer",
+    "PeerDown",
     "PeerMessage",
+    "StopAsked",
     "Tick",
     "Undeliverable",
     "UpstreamDown",
@@ -61,6 +63,18 @@
     __slots__ = ("address", "message")
 
 
+class PeerDown(Record):
+    """Tell that another entry couldn't be reached or fell silent."""
+
+    __slots__ = ("address",)
+
+
+class StopAsked(Record):
+    """Tell that the process is to stop as planned."""
+
+    __slots__ = ()
+
+
 class AnnounceCame(Record):
     """Tell of an announcement; `direct` if the upstream itself sent it here."""
 
--- /dev/null
+++ b/knapweeddeal/storage.py
@@ -0,0 +1,209 @@
+"""knapweeddeal.storage: The data folder of a control replica."""
+
+import contextlib
+import fcntl
+import os
+from pathlib import Path
+
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.frames import (
+    FRAME,
+    corrupt,
+    decode_as,
+    frame,
+    read_frames,
+    read_message,
+    write_all,
+    write_atomically,
+)
+from knapweeddeal.manifest import Manifest
+from knapweeddeal.messages.base import encode
+from knapweeddeal.messages.control import LogRecord
+from knapweeddeal.messages.replication import HardState, IdentityFile, SnapshotFile
+
+__all__ = ["DataFolder"]
+
+IDENTITY_NAME = "identity"
+STATE_NAME = "term"
+MANIFEST_NAME = "manifest"
+LOCK_NAME = "lock"
+#: Empty file that shows that the folder once had an identity.
+INITIALIZED_NAME = "initialized"
+
+
+class DataFolder:
+    """Keep the identity, term, vote, log and snapshot of one replica.
+
+    All methods block; each returns after what it wrote was synced. After opening,
+    `identity`, `cluster`, `state`, `snapshot` (or None) and `records` tell what was
+    found; `records` go on from the snapshot.
+    """
+
+    __slots__ = ("_lock", "_log", "_manifest", "_path", "cluster", "cut_bytes")
+    __slots__ += ("identity", "records", "snapshot", "state")
+
+    def __init__(self, *, path, mint):
+        self._path = Path(path)
+        self._path.mkdir(parents=True, exist_ok=True)
+        self._lock = self._take_lock()
+        if not self._has_identity():
+            self._create(mint())
+        self._open()
+
+    def close(self):
+        """Close the files and free the folder."""
+        self._log.close()
+        self._manifest.close()
+        self._lock.close()
+
+    def set_cluster(self, cluster):
+        """Bind the folder to a group of replicas for good."""
+        self.cluster = cluster
+        self._write_identity()
+
+    def set_state(self, state):
+        """Keep a term and vote."""
+        self.state = state
+        write_atomically(self._path / STATE_NAME, frame(encode(state)))
+
+    @property
+    def commit_index(self):
+        """Return the highest index that is known to be committed."""
+        return self._manifest.commit_index
+
+    def append(self, records, *, commit_index=0):
+        """Add records; one with an index that is taken replaces all from there."""
+        data = b"".join(frame(encode(record)) for record in records)
+        write_all(self._log, data)
+        os.fdatasync(self._log.fileno())
+        self._manifest.set_synced(self._manifest.synced_bytes + len(data), commit_index)
+
+    def note_commit(self, commit_index):
+        """Note how much is committed."""
+        self._manifest.set_synced(self._manifest.synced_bytes, commit_index)
+
+    def set_snapshot(self, snapshot, records):
+        """Replace snapshot and log by a snapshot and the records that stay."""
+        if self._manifest.snapshot_index != snapshot.last_index:
+            path = self._snapshot_path(snapshot.last_index)
+            write_atomically(path, frame(encode(snapshot)))
+        number = self._manifest.log_number + 1
+        data = b"".join(frame(encode(record)) for record in records)
+        write_atomically(self._log_path(number), data)
+        self._manifest.set_all(
+            log_number=number,
+            synced_bytes=len(data),
+            snapshot_index=snapshot.last_index,
+        )
+        self._log.close()
+        self._open_log()
+        self._remove_old()
+
+    def size_bytes(self):
+        """Return the size of the log file."""
+        return self._manifest.synced_bytes
+
+    def _take_lock(self):
+        lock = open(self._path / LOCK_NAME, "wb")  # noqa: SIM115
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            raise BadSettingError(
+                "another process uses the folder", field="data_folder", value=self._path
+            ) from None
+        return lock
+
+    def _has_identity(self):
+        names = {path.name for path in self._path.iterdir()}
+        if IDENTITY_NAME in names:
+            return True
+        if INITIALIZED_NAME in names:
+            raise corrupt(self._path / IDENTITY_NAME, 0, "the file is missing")
+        return False
+
+    def _create(self, identity):
+        """Write the identity last: without it the folder counts as empty."""
+        self.identity = identity
+        self.cluster = 0
+        self.set_state(HardState(term=0, voted_for=0))
+        Manifest.create(self._path / MANIFEST_NAME)
+        write_atomically(self._log_path(1), b"")
+        self._write_identity()
+        write_atomically(self._path / INITIALIZED_NAME, b"")
+
+    def _write_identity(self):
+        message = IdentityFile(identity=self.identity, cluster=self.cluster)
+        write_atomically(self._path / IDENTITY_NAME, frame(encode(message)))
+
+    def _open(self):
+        identity = read_message(self._path / IDENTITY_NAME, IdentityFile)
+        self.identity = identity.identity
+        self.cluster = identity.cluster
+        self.state = read_message(self._path / STATE_NAME, HardState)
+        manifest = self._path / MANIFEST_NAME
+        if not manifest.exists():
+            raise corrupt(manifest, 0, "the file is missing")
+        self._manifest = Manifest(path=manifest)
+        self.snapshot = self._read_snapshot()
+        self._read_log()
+        self._open_log()
+        self._remove_old()
+
+    def _read_snapshot(self):
+        index = self._manifest.snapshot_index
+        if not index:
+            return None
+        return read_message(self._snapshot_path(index), SnapshotFile)
+
+    def _read_log(self):
+        path = self._log_path(self._manifest.log_number)
+        try:
+            data = path.read_bytes()
+        except FileNotFoundError:
+            raise corrupt(path, 0, "the file is missing") from None
+        payloads, end = read_frames(path, data, self._manifest.synced_bytes)
+        self.cut_bytes = len(data) - end
+        if self.cut_bytes:
+            os.truncate(path, end)
+        self._manifest.set_synced(end, 0)
+        self.records = self._join(path, payloads)
+
+    def _join(self, path, payloads):
+        """Return the records that stand: a later one replaces all from its index."""
+        records, offset = [], 0
+        for payload in payloads:
+            record = decode_as(path, offset, payload, LogRecord)
+            while records and records[-1].index >= record.index:
+                records.pop()
+            if records and records[-1].index + 1 != record.index:
+                raise corrupt(path, offset, "a record is missing before this one")
+            records.append(record)
+            offset += FRAME.size + len(payload)
+        base = self._manifest.snapshot_index
+        if records and records[0].index > base + 1:
+            raise corrupt(path, 0, "a record is missing before this one")
+        last_index = records[-1].index if records else base
+        if last_index < self._manifest.commit_index:
+            raise corrupt(path, offset, "a committed record is missing")
+        return records
+
+    def _open_log(self):
+        path = self._log_path(self._manifest.log_number)
+        self._log = open(path, "ab", buffering=0)  # noqa: SIM115
+
+    def _remove_old(self):
+        keep = {
+            self._log_path(self._manifest.log_number),
+            self._snapshot_path(self._manifest.snapshot_index),
+        }
+        for pattern in ("log-*", "snapshot-*", "*.tmp"):
+            for path in set(self._path.glob(pattern)) - keep:
+                with contextlib.suppress(FileNotFoundError):
+                    path.unlink()
+
+    def _log_path(self, number):
+        return self._path / f"log-{number:08d}"
+
+    def _snapshot_path(self, index):
+        return self._path / f"snapshot-{index:016d}"
