Bound what an upstream remembers, and keep its promises safe

Cause: the sets of seen and cancelled requests grew for ever, and a flow that ended and came back could let a cancellation stand for a request that ran. Ruled out: forgetting a flow's log when the flow ends (that fault); refusing work on flows that ended (a request first sent before a move would be lost). Now: a log for each flow and owner with floors; logs outlive their flows for the life of a ticket; without room a cancellation doesn't stand. A cancellation of a request that runs or ran gets its answer, so a lost owner costs nobody the answer. Callers lower the deadline with each attempt and close flows that a repeated open made twice.

--- a/knapweeddeal/caller.py
+++ b/knapweeddeal/caller.py
@@ -46,7 +46,7 @@
 class Pending(Record):
     """Hold a request under way and the parts of its answer so far."""
 
-    __slots__ = ("parts", "resends", "result", "wake")
+    __slots__ = ("message", "parts", "resends", "result", "wake")
 
 
 class CallerFlow:
@@ -101,20 +101,25 @@
             deadline_ms=deadline_ms,
             body=body,
         )
-        pending = Pending(parts={}, resends=0, result=None, wake=curio.Event())
+        pending = Pending(
+            message=message, parts={}, resends=0, result=None, wake=curio.Event()
+        )
         self._pending[number] = pending
-        await self._send_until_settled(message, pending, deadline_ms)
+        await self._send_until_settled(pending, deadline_ms)
         del self._pending[number]
         self._settle(number)
         return pending.result or Result(kind=UNKNOWN, reason="timeout", body=b"")
 
     async def cancel(self, number):
         """Ask that a request under way doesn't run."""
+        pending = self._pending.get(number)
+        if pending is None:
+            return
         await self._send(
             Cancel(
                 service=self.service,
                 flow_id=self.flow_id,
-                ticket=self._ticket,
+                ticket=pending.message.ticket,
                 number=number,
             )
         )
@@ -131,18 +136,32 @@
     def _flow_message(self, cls):
         return cls(service=self.service, flow_id=self.flow_id, ticket=self._ticket)
 
-    async def _send_until_settled(self, message, pending, left_ms):
+    async def _send_until_settled(self, pending, left_ms):
         wait_ms = FIRST_RETRY_MS
         while pending.result is None and left_ms > 0:
-            await self._send(message)
+            await self._send(pending.message)
             pending.wake.clear()
             await self._wait(pending.wake, min(wait_ms, left_ms))
             left_ms -= wait_ms
             wait_ms = min(2 * wait_ms, MAX_RETRY_MS)
-            message = message.replace(attempt=message.attempt + 1)
-            if pending.resends >= RENEW_AFTER and message.ticket == self._ticket:
+            pending.message = self._next_attempt(pending, left_ms)
+            same_ticket = pending.message.ticket == self._ticket
+            if pending.resends >= RENEW_AFTER and same_ticket:
                 await self._send(self._flow_message(Renew))
 
+    def _next_attempt(self, pending, left_ms):
+        """Return the request for its next attempt.
+
+        Only an idempotent request may go with another ticket than its first.
+        """
+        message = pending.message
+        renewed = message.idempotent and pending.resends
+        return message.replace(
+            attempt=message.attempt + 1,
+            deadline_ms=max(0, left_ms),
+            ticket=self._ticket if renewed else message.ticket,
+        )
+
     async def _wait(self, event, wait_ms):
         await curio.ignore_after(wait_ms / 1000, event.wait)
 
@@ -183,10 +202,21 @@
                 await handler(message)
 
     async def _on_opened(self, message):
-        if message.nonce == self._nonce and not self._ticket:
+        if message.nonce != self._nonce:
+            return
+        if not self._ticket:
             self.flow_id = message.flow_id
             self._ticket = message.ticket
             await self._opened.set()
+        elif message.flow_id != self.flow_id:
+            # Another entry answered a repeated open; its flow isn't wanted.
+            await self._send(
+                Close(
+                    service=self.service,
+                    flow_id=message.flow_id,
+                    ticket=message.ticket,
+                )
+            )
 
     async def _on_open_refused(self, message):
         if message.nonce == self._nonce and not self._ticket:
@@ -197,6 +227,8 @@
         pending = self._pending.get(message.number)
         if pending is None or message.flow_id != self.flow_id:
             return
+        if message.part >= message.parts:
+            return
         pending.parts[message.part] = message.body
         if len(pending.parts) == message.parts:
             body = b"".join(pending.parts[part] for part in range(message.parts))
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -3,13 +3,20 @@
 from knapweeddeal.actions import Address, ToCaller, UpstreamKey
 from knapweeddeal.balance import choose
 from knapweeddeal.directory import Directory
-from knapweeddeal.messages.caller import Outcome
+from knapweeddeal.messages.caller import MAX_BODY_BYTES, AnswerPart, Outcome
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.record import Record
 from knapweeddeal.refusals import RefusalQueue
 
-__all__ = ["EntryContext", "Identity", "outcome", "ticket_address", "ticket_upstream"]
+__all__ = [
+    "EntryContext",
+    "Identity",
+    "answer_parts",
+    "outcome",
+    "ticket_address",
+    "ticket_upstream",
+]
 
 
 class Identity(Record):
@@ -114,6 +121,29 @@
     return ToCaller(service=service, caller=caller, message=message)
 
 
+def answer_parts(service, caller, flow_id, number, body):
+    """Return the actions that tell a caller a whole answer."""
+    pieces = [
+        body[start : start + MAX_BODY_BYTES]
+        for start in range(0, len(body), MAX_BODY_BYTES)
+    ] or [b""]
+    return [
+        ToCaller(
+            service=service,
+            caller=caller,
+            message=AnswerPart(
+                service=service,
+                flow_id=flow_id,
+                number=number,
+                part=part,
+                parts=len(pieces),
+                body=piece,
+            ),
+        )
+        for part, piece in enumerate(pieces)
+    ]
+
+
 def ticket_upstream(ticket):
     """Return the key of the upstream that a ticket names."""
     return UpstreamKey(
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -181,7 +181,10 @@
     @from_upstream.register
     def _(self, message: WorkAnswer, key, *, now_ms):
         self.context.note_load(key, message)
-        return self.owner.answered(message, key)
+        return [
+            *self.owner.answered(message, key),
+            *self.resolution.answered(message, key),
+        ]
 
     @from_upstream.register
     def _(self, message: WorkShed, key, *, now_ms):
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -3,7 +3,12 @@
 from functools import singledispatchmethod
 
 from knapweeddeal.actions import Dial, ToCaller, ToUpstream
-from knapweeddeal.entrycontext import outcome, ticket_address, ticket_upstream
+from knapweeddeal.entrycontext import (
+    answer_parts,
+    outcome,
+    ticket_address,
+    ticket_upstream,
+)
 from knapweeddeal.flowtable import Flow, FlowTable
 from knapweeddeal.ledger import (
     ANSWERED,
@@ -17,11 +22,9 @@
     Ledger,
 )
 from knapweeddeal.messages.caller import (
-    MAX_BODY_BYTES,
     NOT_RUN,
     RESEND,
     UNKNOWN,
-    AnswerPart,
     Cancel,
     Moved,
     Request,
@@ -298,26 +301,9 @@
         )
 
     def _parts(self, flow, number, body):
-        pieces = [
-            body[start : start + MAX_BODY_BYTES]
-            for start in range(0, len(body), MAX_BODY_BYTES)
-        ] or [b""]
-        service = flow.upstream.service
-        return [
-            ToCaller(
-                service=service,
-                caller=flow.caller,
-                message=AnswerPart(
-                    service=service,
-                    flow_id=flow.flow_id,
-                    number=number,
-                    part=part,
-                    parts=len(pieces),
-                    body=piece,
-                ),
-            )
-            for part, piece in enumerate(pieces)
-        ]
+        return answer_parts(
+            flow.upstream.service, flow.caller, flow.flow_id, number, body
+        )
 
     # Messages of upstreams
 
--- a/knapweeddeal/resolution.py
+++ b/knapweeddeal/resolution.py
@@ -3,7 +3,12 @@
 from functools import singledispatchmethod
 
 from knapweeddeal.actions import Address, Dial, ToUpstream
-from knapweeddeal.entrycontext import outcome, ticket_address, ticket_upstream
+from knapweeddeal.entrycontext import (
+    answer_parts,
+    outcome,
+    ticket_address,
+    ticket_upstream,
+)
 from knapweeddeal.errors import BadMessageError, BadTicketError
 from knapweeddeal.messages import decode
 from knapweeddeal.messages.caller import (
@@ -22,7 +27,7 @@
 
 #: Attempts of a caller before another entry than the owner settles its request.
 SETTLING_ATTEMPT = 3
-#: Attempts after which a request is `unknown` if its upstream doesn't answer.
+#: Attempts after which a request is `unknown` if its upstream can't be reached.
 LAST_ATTEMPT = 12
 #: Time in which an upstream must answer a cancellation.
 SETTLE_MS = 3_000
@@ -101,7 +106,8 @@
     def _(self, message: Request, ticket, caller, reason, now_ms):
         if message.idempotent:
             return [self._resend(message, caller, reason)]
-        if message.attempt >= LAST_ATTEMPT:
+        reachable = self._context.ready(ticket_upstream(ticket))
+        if message.attempt >= LAST_ATTEMPT and not reachable:
             self._context.count("requests_unknown")
             return [self._outcome(message, caller, UNKNOWN, reason)]
         return self._cancel(message, ticket, caller, reason, now_ms)
@@ -148,6 +154,22 @@
         self._context.refuse(refusal, message.flow_id, message.number, settling.reason)
         return []
 
+    def answered(self, message, key):
+        """Pass on an answer that the upstream gave to the cancellation."""
+        name = (message.flow_id, message.owner_incarnation, message.number)
+        settling = self._settling.get(name)
+        if settling is None or settling.key != key:
+            return []
+        del self._settling[name]
+        self._context.count("answers_passed_on")
+        return answer_parts(
+            settling.service,
+            settling.caller,
+            message.flow_id,
+            message.number,
+            message.body,
+        )
+
     def expire(self, *, now_ms):
         """Give up what no upstream answered; the caller sends again."""
         while self._settling:
--- a/knapweeddeal/upstream.py
+++ b/knapweeddeal/upstream.py
@@ -1,6 +1,7 @@
 """knapweeddeal.upstream: The reference side of an upstream: announce, serve, push."""
 
-from collections import deque
+import contextlib
+from collections import Counter, deque
 from functools import singledispatchmethod
 
 import curio
@@ -29,10 +30,21 @@
 from knapweeddeal.record import Record
 from knapweeddeal.stream import serve
 from knapweeddeal.tasks import run_until_first
+from knapweeddeal.worklog import EndedLogs, FlowLog
 
 __all__ = ["UpstreamCore", "UpstreamServer", "WorkKey"]
 
 ANNOUNCE_MS = 300
+TICK_MS = 500
+#: Silence after which a stream is closed.
+STREAM_TIMEOUT_MS = 3_000
+#: Time after which a flow that no message reached ends.
+IDLE_MS = 600_000
+#: Life of the system's tickets: so long cancellations have to stand.
+TICKET_LIFE_MS = 86_400_000
+#: Answers that are kept for an asker that lost the owner.
+MAX_ANSWERS = 1_000
+MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
 #: Requests that may wait for a slot, for each slot.
 MAX_QUEUED_PER_SLOT = 64
 
@@ -44,15 +56,18 @@
 
 
 class HeldFlow(Record):
-    """Hold a flow: where its caller is, by which stream it last came, its pushes."""
+    """Hold a flow: its caller, the stream it last came by, its pushes, its log."""
 
-    __slots__ = ("caller_host", "caller_port", "stream", "pushed")
+    __slots__ = ("caller_host", "caller_port", "stream", "pushed", "seen_ms", "log")
 
 
 class Job(Record):
-    """Hold a request that waits or runs."""
+    """Hold a request that waits or runs, and the streams that want its answer."""
 
-    __slots__ = ("key", "work", "stream", "until_ms")
+    __slots__ = ("key", "work", "streams", "until_ms")
+
+    __eq__ = object.__eq__
+    __hash__ = object.__hash__
 
 
 class Reply(Record):
@@ -68,15 +83,24 @@
 
 
 class UpstreamCore:
-    """Decide for an upstream: take flows, queue work, stand by cancellations."""
+    """Decide for an upstream: take flows, queue work, stand by cancellations.
+
+    A cancellation of a request that runs, or ran a moment ago, is answered by
+    the request's own answer: its owner may be gone, and the asker passes it on.
+    """
 
-    def __init__(self, *, announce):
+    def __init__(self, *, announce, idle_ms=IDLE_MS, ticket_life_ms=TICKET_LIFE_MS):
         self.announce = announce
         self.flows = {}
-        self._queue = deque()
-        self._seen = set()
-        self._cancelled = set()
         self.running = 0
+        #: Counts of what happened, by name.
+        self.counters = Counter()
+        self._idle_ms = idle_ms
+        self._ended = EndedLogs(life_ms=ticket_life_ms)
+        self._queue = deque()
+        self._jobs = {}
+        self._answers = {}
+        self._answer_bytes = 0
 
     @property
     def outstanding(self):
@@ -92,6 +116,7 @@
     @singledispatchmethod
     def receive(self, message, stream, *, now_ms):
         """Decide on a message that came on a stream; return replies and runs."""
+        self.counters["dropped_unexpected"] += 1
         return []
 
     @receive.register
@@ -101,45 +126,57 @@
             if reason:
                 shed = FlowShed(flow_id=message.flow_id, reason=reason, **self._load())
                 return [Reply(stream=stream, message=shed)]
-        self._touch(message, stream)
+        self._touch(message, stream, now_ms, opens=True)
         accepted = FlowAccepted(flow_id=message.flow_id, **self._load())
         return [Reply(stream=stream, message=accepted)]
 
     @receive.register
     def _(self, message: FlowTouch, stream, *, now_ms):
-        self._touch(message, stream)
+        self._touch(message, stream, now_ms)
         return []
 
     @receive.register
     def _(self, message: FlowClose, stream, *, now_ms):
-        self.flows.pop(message.flow_id, None)
+        flow = self.flows.pop(message.flow_id, None)
+        if flow is not None:
+            self._ended.put(message.flow_id, flow.log, now_ms=now_ms)
         return []
 
     @receive.register
     def _(self, message: Work, stream, *, now_ms):
         key = _work_key(message)
-        if key in self._cancelled:
+        log = self._log_for(message, stream, now_ms)
+        if log.cancelled(key.owner_incarnation, key.number):
             return [self._shed(message, stream, "cancelled")]
-        if key in self._seen:
+        if log.repeated(key.owner_incarnation, key.number):
+            self.counters["dropped_repeated"] += 1
             return []
+        log.see(key.owner_incarnation, key.number)
         if self.outstanding >= self.announce.slots * (1 + MAX_QUEUED_PER_SLOT):
-            self._cancelled.add(key)
+            self._promise(key, log, now_ms)
             return [self._shed(message, stream, "overloaded")]
-        self._seen.add(key)
-        self._touch(message, stream)
-        until_ms = now_ms + message.deadline_ms
-        self._queue.append(Job(key=key, work=message, stream=stream, until_ms=until_ms))
+        job = Job(
+            key=key,
+            work=message,
+            streams=[stream],
+            until_ms=now_ms + message.deadline_ms,
+        )
+        self._jobs[key] = job
+        self._queue.append(job)
         return self._start(now_ms)
 
     @receive.register
     def _(self, message: WorkCancel, stream, *, now_ms):
         key = _work_key(message)
-        waiting = [job for job in self._queue if job.key == key]
-        for job in waiting:
-            self._queue.remove(job)
-        stands = bool(waiting) or key not in self._seen
-        if stands:
-            self._cancelled.add(key)
+        kept = self._answers.get(key)
+        if kept is not None:
+            return [self._answer(key, kept, stream)]
+        job = self._jobs.get(key)
+        if job is not None and job not in self._queue:
+            if stream not in job.streams:
+                job.streams.append(stream)
+            return []
+        stands = self._cancel(key, job, now_ms)
         answer = WorkCancelled(
             flow_id=key.flow_id,
             owner_incarnation=key.owner_incarnation,
@@ -148,17 +185,84 @@
         )
         return [Reply(stream=stream, message=answer)]
 
+    def _cancel(self, key, job, now_ms):
+        log = self._log(key.flow_id)
+        if log is None:
+            return False
+        if job is None and log.cancelled(key.owner_incarnation, key.number):
+            return True
+        if job is None and log.seen(key.owner_incarnation, key.number):
+            return False
+        if not self._promise(key, log, now_ms):
+            return False
+        if job is not None:
+            self._queue.remove(job)
+            del self._jobs[key]
+        return True
+
+    def _promise(self, key, log, now_ms):
+        """Note that a request never runs; tell whether there was room to."""
+        if not log.cancels() and self._ended.full():
+            self.counters["promises_without_room"] += 1
+            return False
+        done = log.promise(key.owner_incarnation, key.number)
+        if key.flow_id not in self.flows:
+            self._ended.put(key.flow_id, log, now_ms=now_ms)
+        return done
+
+    def _log(self, flow_id):
+        """Return the log of a flow; None if it may have been forgotten."""
+        flow = self.flows.get(flow_id)
+        return flow.log if flow is not None else self._ended.get(flow_id)
+
+    def _log_for(self, work, stream, now_ms):
+        """Return the log of a request's flow; the flow isn't opened by it."""
+        if work.flow_id in self.flows:
+            return self._touch(work, stream, now_ms).log
+        log = self._ended.get(work.flow_id)
+        if log is None:
+            log = FlowLog(forgot=True)
+            self._ended.put(work.flow_id, log, now_ms=now_ms)
+        return log
+
     def finish(self, job, body, *, now_ms):
         """Answer a job and start what waits for its slot."""
         self.running -= 1
+        del self._jobs[job.key]
+        self._keep(job.key, body)
+        replies = [self._answer(job.key, body, stream) for stream in job.streams]
+        return [*replies, *self._start(now_ms)]
+
+    def _answer(self, key, body, stream):
         answer = WorkAnswer(
-            flow_id=job.key.flow_id,
-            owner_incarnation=job.key.owner_incarnation,
-            number=job.key.number,
+            flow_id=key.flow_id,
+            owner_incarnation=key.owner_incarnation,
+            number=key.number,
             body=body,
             **self._load(),
         )
-        return [Reply(stream=job.stream, message=answer), *self._start(now_ms)]
+        return Reply(stream=stream, message=answer)
+
+    def _keep(self, key, body):
+        self._answers[key] = body
+        self._answer_bytes += len(body)
+        while (
+            len(self._answers) > MAX_ANSWERS
+            or self._answer_bytes > MAX_KEPT_ANSWER_BYTES
+        ):
+            oldest = next(iter(self._answers))
+            self._answer_bytes -= len(self._answers.pop(oldest))
+
+    def tick(self, *, now_ms):
+        """End flows that no message reached for long."""
+        self._ended.expire(now_ms=now_ms)
+        while self.flows:
+            flow_id, flow = next(iter(self.flows.items()))
+            if now_ms - flow.seen_ms < self._idle_ms:
+                return
+            self.counters["flows_expired"] += 1
+            del self.flows[flow_id]
+            self._ended.put(flow_id, flow.log, now_ms=now_ms)
 
     def push(self, flow_id, body):
         """Return the push of a body on a flow, or nothing if the flow is gone."""
@@ -180,13 +284,19 @@
         while self._queue and self.running < self.announce.slots:
             job = self._queue.popleft()
             if job.until_ms <= now_ms:
-                self._cancelled.add(job.key)
-                actions.append(self._shed(job.work, job.stream, "deadline"))
+                actions += self._turn_away_late(job, now_ms)
                 continue
             self.running += 1
             actions.append(Run(job=job))
         return actions
 
+    def _turn_away_late(self, job, now_ms):
+        del self._jobs[job.key]
+        log = self._log(job.key.flow_id)
+        if log is not None:
+            self._promise(job.key, log, now_ms)
+        return [self._shed(job.work, stream, "deadline") for stream in job.streams]
+
     def _shed(self, work, stream, reason):
         shed = WorkShed(
             flow_id=work.flow_id,
@@ -197,19 +307,27 @@
         )
         return Reply(stream=stream, message=shed)
 
-    def _touch(self, message, stream):
-        flow = self.flows.get(message.flow_id)
+    def _touch(self, message, stream, now_ms, *, opens=False):
+        flow = self.flows.pop(message.flow_id, None)
         if flow is None:
-            self.flows[message.flow_id] = HeldFlow(
-                caller_host=message.caller_host,
-                caller_port=message.caller_port,
+            log = self._ended.pop(message.flow_id)
+            if log is None:
+                forgot = not opens or self._ended.forgot(now_ms=now_ms)
+                log = FlowLog(forgot=forgot)
+            flow = HeldFlow(
+                caller_host="",
+                caller_port=0,
                 stream=stream,
                 pushed=0,
+                seen_ms=now_ms,
+                log=log,
             )
-            return
+        self.flows[message.flow_id] = flow
         flow.caller_host = message.caller_host
         flow.caller_port = message.caller_port
         flow.stream = stream
+        flow.seen_ms = now_ms
+        return flow
 
     def _reason_to_shed(self):
         if self.announce.state == LEAVING:
@@ -219,6 +337,12 @@
         return ""
 
 
+class UpstreamStream(Record):
+    """Hold what the shell needs to send on a stream and to break it."""
+
+    __slots__ = ("outbox", "task")
+
+
 class UpstreamServer:
     """Run an upstream: announcements out, streams in, work by `application`."""
 
@@ -227,7 +351,7 @@
         self._announce_to = announce_to
         self._application = application
         self._clock_ms = clock_ms
-        self._outboxes = {}
+        self._streams = {}
         self._tasks = curio.TaskGroup(wait=None)
         self._sequence = 0
 
@@ -236,6 +360,7 @@
         announce = self.core.announce
         async with self._tasks as tasks:
             await tasks.spawn(serve, (announce.host, announce.port), self._take)
+            await tasks.spawn(self._tick)
             await self._announce_for_ever()
 
     async def push(self, flow_id, body):
@@ -247,27 +372,35 @@
             while True:
                 self._sequence += 1
                 announce = self.core.announce.replace(sequence=self._sequence)
-                await port.sendto(encode(announce), self._announce_to)
+                with contextlib.suppress(OSError):
+                    await port.sendto(encode(announce), self._announce_to)
                 await curio.sleep(ANNOUNCE_MS / 1000)
 
+    async def _tick(self):
+        while True:
+            await curio.sleep(TICK_MS / 1000)
+            self.core.tick(now_ms=self._clock_ms())
+
     async def _take(self, stream):
         outbox = Outbox()
+        key = id(outbox)
         try:
             if not await self._greet(stream):
                 return
-            self._outboxes[id(outbox)] = outbox
+            task = await curio.current_task()
+            self._streams[key] = UpstreamStream(outbox=outbox, task=task)
             await run_until_first(
-                self._receive(stream, id(outbox)),
+                self._receive(stream, key),
                 outbox.drain_to(stream),
             )
         except KnapweeddealError:
             return
         finally:
-            self._outboxes.pop(id(outbox), None)
+            self._streams.pop(key, None)
 
     async def _greet(self, stream):
         announce = self.core.announce
-        hello = await stream.receive()
+        hello = await stream.receive_within(STREAM_TIMEOUT_MS)
         await stream.send(
             StreamWelcome(
                 service=announce.service,
@@ -283,23 +416,38 @@
 
     async def _receive(self, stream, key):
         while True:
-            message = await stream.receive()
+            message = await stream.receive_within(STREAM_TIMEOUT_MS)
             if type(message) is Heartbeat:
-                await self._outboxes[key].offer(message)
+                await self._send(key, message)
                 continue
             actions = self.core.receive(message, key, now_ms=self._clock_ms())
             await self._perform_all(actions)
 
     async def _perform_all(self, actions):
         for action in actions:
-            if type(action) is Run:
-                await self._tasks.spawn(self._run_job, action.job)
-                continue
-            outbox = self._outboxes.get(action.stream)
-            if outbox is None and type(action.message) is UpstreamPush:
-                outbox = next(iter(self._outboxes.values()), None)
-            if outbox is not None:
-                await outbox.offer(action.message)
+            await self._perform(action)
+
+    @singledispatchmethod
+    async def _perform(self, action):
+        raise TypeError(f"no such action: {action!r}")
+
+    @_perform.register
+    async def _(self, action: Run):
+        await self._tasks.spawn(self._run_job, action.job)
+
+    @_perform.register
+    async def _(self, action: Reply):
+        key = action.stream
+        if key not in self._streams and type(action.message) is UpstreamPush:
+            key = next(iter(self._streams), None)
+        await self._send(key, action.message)
+
+    async def _send(self, key, message):
+        """Send a message; a stream without room for it is broken."""
+        stream = self._streams.get(key)
+        if stream is not None and not await stream.outbox.offer(message):
+            del self._streams[key]
+            await stream.task.cancel(blocking=False)
 
     async def _run_job(self, job):
         body = await self._application(job.work)
