Lease upstreams from registrars in bulk; keep the highest configuration

Cause: entries copied every announcement to every peer, so the cost of an entry grew with upstreams times entries, and nothing bounded a late message. Now a registrar lists what it heard within the silence time, numbers its changes, and answers an ask with one lease once the asker knows them all. A lease runs from the asker's own clock when it asked. DirectoryDelta got a field since: without it a delayed delta could close over a gap. Gone names are typed (UpstreamName, tag 54). Not yet wired into the processes.

--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -1,9 +1,53 @@
 """knapweeddeal.directory: Upstreams that an entry knows, each under a lease."""
 
 from knapweeddeal.actions import Address, UpstreamKey
-from knapweeddeal.messages.upstream import LEAVING
+from knapweeddeal.messages.peer import LeaseAsk, UpstreamName
+from knapweeddeal.messages.upstream import READY
+from knapweeddeal.placement import COPIES, Placement, rendezvous
+from knapweeddeal.record import Record
+from knapweeddeal.registrar import FORGET_MS
 
-__all__ = ["Directory", "Upstream"]
+__all__ = ["AskRegistrar", "Directory", "Upstream"]
+
+#: Asks of the preferred registrar for one ask of another that holds the same.
+ASKS_FOR_SPARE = 2
+#: Time between tries to open the stream to an upstream.
+DIAL_MS = 500
+#: Start of a time that never was.
+NEVER_MS = -(10**15)
+
+
+class AskRegistrar(Record):
+    """Ask the shell to send a lease ask to an entry, by name."""
+
+    __slots__ = ("name", "message")
+
+
+class View:
+    """Hold what one registrar lists, and when its bulk lease was asked for."""
+
+    __slots__ = (
+        "asked_ms",
+        "epoch",
+        "heard_ms",
+        "keys",
+        "leased_ms",
+        "name",
+        "version",
+    )
+
+    def __init__(self, *, name):
+        self.name = name
+        self.epoch = 0
+        self.version = 0
+        #: Listed incarnations by the upstream's name.
+        self.keys = {}
+        #: When the last ask was sent.
+        self.asked_ms = NEVER_MS
+        #: When the registrar's last answer was taken.
+        self.heard_ms = NEVER_MS
+        #: When the last ask that was answered by a lease was sent.
+        self.leased_ms = NEVER_MS
 
 
 class Upstream:
@@ -11,52 +55,186 @@
 
     __slots__ = (
         "announce",
+        "cold_since_ms",
         "connections",
+        "dialled_ms",
+        "ejected",
+        "heard_ms",
         "key",
-        "lease_until_ms",
+        "lease_ms",
+        "listed_ms",
         "outstanding",
+        "polled_connections",
+        "polled_ms",
+        "polled_outstanding",
         "ready",
+        "reported_ms",
+        "views",
     )
 
-    def __init__(self, *, announce, lease_until_ms):
+    def __init__(self, *, announce, lease_ms):
         self.announce = announce
         self.key = UpstreamKey(
             service=announce.service,
             upstream_id=announce.upstream_id,
             incarnation=announce.incarnation,
         )
-        self.lease_until_ms = lease_until_ms
+        self.lease_ms = lease_ms
+        #: Views of registrars that list it.
+        self.views = []
+        #: Latest lease of a view that listed it and no longer does.
+        self.listed_ms = NEVER_MS
+        #: When its own announcement last came straight to this entry.
+        self.heard_ms = NEVER_MS
         #: Requests that this entry has under way here.
         self.outstanding = 0
-        #: Flows, as the upstream last reported.
+        #: Flows, as the upstream last reported on the data path, and when.
         self.connections = 0
+        self.reported_ms = NEVER_MS
+        #: Load as its health address last gave it, and when it was asked.
+        self.polled_outstanding = 0
+        self.polled_connections = 0
+        self.polled_ms = NEVER_MS
+        #: When it joined before this entry's eyes; NEVER_MS if it was there before.
+        self.cold_since_ms = NEVER_MS
+        #: When its stream was last asked for.
+        self.dialled_ms = NEVER_MS
         #: Whether the stream to it stands.
         self.ready = False
+        #: Whether it is kept from new flows for its failures.
+        self.ejected = False
 
     @property
     def address(self):
         """Return where its stream is opened."""
         return Address(host=self.announce.host, port=self.announce.port)
 
+    @property
+    def lease_until_ms(self):
+        """Return until when it may get new flows."""
+        leased_ms = max((view.leased_ms for view in self.views), default=NEVER_MS)
+        return max(leased_ms, self.heard_ms) + self.lease_ms
+
 
 class Directory:
-    """Hold upstreams by key."""
+    """Hold upstreams by key, as registrars list them.
 
-    __slots__ = ("_lease_ms", "_upstreams")
+    Times are milliseconds of this entry's own clock that never jumps: a lease runs
+    from when it was asked for, so an answer that is late extends nothing.
+    """
 
-    def __init__(self, *, lease_ms):
+    __slots__ = (
+        "_ask_ms",
+        "_by_service",
+        "_lease_ms",
+        "_name",
+        "_per_zone",
+        "_upstreams",
+        "_views",
+        "_zones",
+    )
+
+    def __init__(self, *, lease_ms, name="", ask_ms=500, per_zone=COPIES):
         self._lease_ms = lease_ms
+        self._name = name
+        self._ask_ms = ask_ms
+        self._per_zone = per_zone
         self._upstreams = {}
+        self._by_service = {}
+        #: Views by the name of the registrar.
+        self._views = {}
+        #: Names of the registrars by zone, the preferred one first.
+        self._zones = {}
+
+    # Commands
+
+    def set_members(self, names_by_zone):
+        """Take the names of the live entries of each zone."""
+        placement = Placement(names_by_zone=names_by_zone, per_zone=self._per_zone)
+        self._zones = {
+            zone: rendezvous(self._name, registrars, len(registrars))
+            for zone, registrars in placement.registrars.items()
+        }
+        wanted = {name for names in self._zones.values() for name in names}
+        for name in wanted - set(self._views):
+            self._views[name] = View(name=name)
+
+    def asks(self, *, now_ms):
+        """Return the lease asks that are due."""
+        due = []
+        for names in self._zones.values():
+            due += [self._ask(name, now_ms) for name in self._due(names, now_ms)]
+        return due
+
+    def take_lease(self, name, answer, *, now_ms):
+        """Take a registrar's bulk lease, if all its changes are known here."""
+        view = self._views.get(name)
+        if view is None or answer.asked_ms > now_ms:
+            return
+        if answer.epoch == view.epoch and answer.version == view.version:
+            view.heard_ms = now_ms
+            view.leased_ms = max(view.leased_ms, answer.asked_ms)
+
+    def take_delta(self, name, delta, *, now_ms):
+        """Take a registrar's changes; return the ask for what comes next, if any."""
+        view = self._views.get(name)
+        if view is None or not _extends(view, delta):
+            return []
+        was_known = view.leased_ms != NEVER_MS
+        if delta.whole:
+            self._clear(view)
+        view.heard_ms = now_ms
+        view.epoch = delta.epoch
+        view.version = delta.version
+        for gone in delta.gone:
+            self._unlist(view, gone)
+        for announce in delta.changed:
+            self._list(view, announce, now_ms if was_known else NEVER_MS)
+        return [self._ask(name, now_ms)]
 
     def apply(self, announce, *, now_ms):
-        """Take an announcement, unless a later one is held."""
-        new = Upstream(announce=announce, lease_until_ms=now_ms + self._lease_ms)
-        held = self._upstreams.get(new.key)
-        if held is None:
-            self._upstreams[new.key] = new
-        elif held.announce.sequence < announce.sequence:
-            held.announce = announce
-            held.lease_until_ms = new.lease_until_ms
+        """Take an announcement that came straight from the upstream."""
+        rival = any(
+            upstream.key.upstream_id == announce.upstream_id
+            and upstream.key.incarnation != announce.incarnation
+            and upstream.lease_until_ms > now_ms
+            for upstream in self._by_service.get(announce.service, {}).values()
+        )
+        if rival:
+            return
+        upstream = self._upstream(announce, now_ms)
+        if upstream.heard_ms == NEVER_MS or _is_later(announce, upstream):
+            upstream.announce = announce
+            upstream.heard_ms = now_ms
+
+    def sweep(self, *, now_ms):
+        """Forget views and upstreams that ended long ago."""
+        wanted = {name for names in self._zones.values() for name in names}
+        for name, view in list(self._views.items()):
+            if name not in wanted and view.leased_ms + self._lease_ms < now_ms:
+                self._clear(view)
+                del self._views[name]
+        for upstream in list(self._upstreams.values()):
+            if upstream.ready or upstream.outstanding or upstream.views:
+                continue
+            last_ms = max(upstream.listed_ms, upstream.heard_ms)
+            if last_ms + FORGET_MS < now_ms:
+                self._forget(upstream)
+
+    def to_dial(self, *, now_ms):
+        """Return the upstreams under lease whose streams are to be opened now."""
+        due = [
+            upstream
+            for upstream in self._upstreams.values()
+            if not upstream.ready
+            and upstream.dialled_ms + DIAL_MS <= now_ms
+            and upstream.lease_until_ms > now_ms
+        ]
+        for upstream in due:
+            upstream.dialled_ms = now_ms
+        return due
+
+    # Queries
 
     def get(self, key):
         """Return an upstream, or None."""
@@ -70,8 +248,76 @@
         """Return the upstreams that may get new flows of a service."""
         return [
             upstream
-            for upstream in self._upstreams.values()
-            if upstream.key.service == service
-            and upstream.lease_until_ms > now_ms
-            and upstream.announce.state != LEAVING
+            for upstream in self._by_service.get(service, {}).values()
+            if upstream.announce.state == READY and upstream.lease_until_ms > now_ms
         ]
+
+    # Asking registrars
+
+    def _due(self, names, now_ms):
+        views = [self._views[name] for name in names]
+        late_ms = now_ms - 2 * self._ask_ms
+        spares_wait = 0 < len(names) <= COPIES and views[0].leased_ms > late_ms
+        for index, view in enumerate(views):
+            times = ASKS_FOR_SPARE if index and spares_wait else 1
+            if now_ms - view.asked_ms >= times * self._ask_ms:
+                yield view.name
+
+    def _ask(self, name, now_ms):
+        view = self._views[name]
+        if now_ms - view.heard_ms > FORGET_MS // 2:
+            self._clear(view)
+        view.asked_ms = now_ms
+        ask = LeaseAsk(asked_ms=now_ms, epoch=view.epoch, version=view.version)
+        return AskRegistrar(name=name, message=ask)
+
+    # What registrars list
+
+    def _list(self, view, announce, joined_ms):
+        name = UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
+        upstream = self._upstream(announce, joined_ms)
+        if view.keys.get(name) != upstream.key:
+            self._unlist(view, name)
+            view.keys[name] = upstream.key
+            upstream.views.append(view)
+        if _is_later(announce, upstream):
+            upstream.announce = announce
+
+    def _unlist(self, view, name):
+        key = view.keys.pop(name, None)
+        if key is None:
+            return
+        upstream = self._upstreams[key]
+        upstream.views.remove(view)
+        upstream.listed_ms = max(upstream.listed_ms, view.leased_ms)
+
+    def _clear(self, view):
+        for name in list(view.keys):
+            self._unlist(view, name)
+        view.epoch = 0
+        view.version = 0
+
+    def _upstream(self, announce, joined_ms):
+        new = Upstream(announce=announce, lease_ms=self._lease_ms)
+        held = self._upstreams.get(new.key)
+        if held is not None:
+            return held
+        new.cold_since_ms = joined_ms
+        self._upstreams[new.key] = new
+        self._by_service.setdefault(new.key.service, {})[new.key] = new
+        return new
+
+    def _forget(self, upstream):
+        key = upstream.key
+        del self._upstreams[key]
+        del self._by_service[key.service][key]
+
+
+def _is_later(announce, upstream):
+    return announce.sequence > upstream.announce.sequence
+
+
+def _extends(view, delta):
+    if delta.whole:
+        return delta.since == view.version
+    return delta.epoch == view.epoch and delta.since <= view.version < delta.version
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -34,6 +34,7 @@
     "RefusalRecord",
     "Relay",
     "Succession",
+    "UpstreamName",
 ]
 
 #: Largest datagram that a caller may send.
@@ -154,19 +155,29 @@
     __slots__ = tuple(schema)
 
 
+class UpstreamName(Message):
+    """Name an upstream, whatever its incarnation."""
+
+    tag = 54
+    schema = {"service": SERVICE, "upstream_id": NAME}
+    __slots__ = tuple(schema)
+
+
 class DirectoryDelta(Message):
-    """Carry upstreams that changed and ids that are gone, up to `version`.
+    """Carry upstreams that changed and are gone after `since`, up to `version`.
 
-    A snapshot (`whole`) replaces all that the asker holds of this registrar.
+    The first part of a snapshot (`whole`) replaces all that the asker holds of
+    this registrar; `since` is the version that the asker had.
     """
 
     tag = 53
     schema = {
         "epoch": Whole(),
+        "since": Whole(),
         "version": Whole(),
         "whole": Flag(),
         "changed": ListOf(Nested(Announce)),
-        "gone": ListOf(Text(max_chars=64)),
+        "gone": ListOf(Nested(UpstreamName)),
     }
     __slots__ = tuple(schema)
 
--- /dev/null
+++ b/knapweeddeal/placement.py
@@ -0,0 +1,47 @@
+"""knapweeddeal.placement: Which registrars hold an upstream, by rendezvous hash."""
+
+import hashlib
+
+__all__ = ["COPIES", "Placement", "rendezvous"]
+
+#: Registrars that hold each upstream.
+COPIES = 2
+
+
+class Placement:
+    """Place upstreams on registrars, given the live entries of each zone.
+
+    `per_zone` bounds the registrars of a zone; 0 makes every entry one.
+    """
+
+    __slots__ = ("registrars",)
+
+    def __init__(self, *, names_by_zone, per_zone):
+        #: Names of the registrars by zone.
+        self.registrars = {
+            zone: rendezvous(zone, names, per_zone or len(names))
+            for zone, names in names_by_zone.items()
+            if names
+        }
+
+    def of_upstream(self, announce):
+        """Return the registrars that hold an upstream.
+
+        Another zone stands in for one that has no live entry.
+        """
+        if not self.registrars:
+            return []
+        zone = announce.zone
+        if zone not in self.registrars:
+            (zone,) = rendezvous(zone, self.registrars, 1)
+        subject = f"{announce.service} {announce.upstream_id}"
+        return rendezvous(subject, self.registrars[zone], COPIES)
+
+
+def rendezvous(subject, names, count):
+    """Return the `count` names that rank highest for a subject."""
+    return sorted(names, key=lambda name: _weight(subject, name), reverse=True)[:count]
+
+
+def _weight(subject, name):
+    return hashlib.blake2b(f"{subject}|{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/knapweeddeal/registrar.py
@@ -0,0 +1,221 @@
+"""knapweeddeal.registrar: Upstreams of a zone as announced, for entries to lease."""
+
+import operator
+from bisect import bisect_right
+
+from knapweeddeal.messages.peer import DirectoryDelta, LeaseAnswer, UpstreamName
+from knapweeddeal.messages.upstream import Announce
+from knapweeddeal.record import Record
+
+__all__ = ["FORGET_MS", "MAX_DELTA_CHANGES", "Registrar"]
+
+#: Changes in one delta, so that it fits a datagram.
+MAX_DELTA_CHANGES = 8
+#: Announcements after which an incarnation may take another one's place.
+MIN_HEARD = 2
+#: Incarnations that are remembered of one upstream.
+MAX_INCARNATIONS = 4
+#: Outdated items that the list of changes may hold beside the current ones.
+MAX_OUTDATED = 1_000
+#: Time for which an upstream that is gone is remembered. An entry that heard
+#: nothing for half of it takes a snapshot.
+FORGET_MS = 600_000
+
+#: What a change is told by: every field but the sequence.
+CONTENT = operator.attrgetter(*(name for name in Announce.schema if name != "sequence"))
+VERSION = operator.attrgetter("version")
+
+
+class Heard(Record):
+    """Hold the last announcement of one incarnation, and when it was heard."""
+
+    __slots__ = ("announce", "first_ms", "last_ms", "times")
+
+
+class Listing(Record):
+    """Hold an upstream: incarnations heard, the one listed, its last change."""
+
+    __slots__ = ("heard", "listed", "name", "version")
+
+    @property
+    def current(self):
+        """Return what was heard of the listed incarnation, or None."""
+        return self.heard.get(self.listed)
+
+
+class Change(Record):
+    """Say that a listing changed at a version."""
+
+    __slots__ = ("listing", "version")
+
+
+class Registrar:
+    """Hold the upstreams heard lately and the order of their changes.
+
+    `epoch` is random for each process: an entry that knows another one takes a
+    snapshot. Times are milliseconds of a clock that never jumps.
+    """
+
+    __slots__ = (
+        "_changes",
+        "_gone",
+        "_listings",
+        "_present",
+        "_silence_ms",
+        "_started_ms",
+        "epoch",
+        "version",
+    )
+
+    def __init__(self, *, epoch, silence_ms, now_ms):
+        self.epoch = epoch
+        self.version = 0
+        self._silence_ms = silence_ms
+        self._started_ms = now_ms
+        self._listings = {}
+        #: Listed upstreams by name, the one heard longest ago first.
+        self._present = {}
+        #: Upstreams no longer listed by name, the one gone longest ago first.
+        self._gone = {}
+        self._changes = []
+
+    # Commands
+
+    def hear(self, announce, *, now_ms):
+        """Take an announcement of an upstream."""
+        listing = self._listing(announce)
+        heard = listing.heard.get(announce.incarnation)
+        if heard is not None and announce.sequence <= heard.announce.sequence:
+            return
+        if heard is None:
+            heard = _first_heard(listing, announce, now_ms)
+        elif self._is_silent(heard, now_ms):
+            heard.times = 0
+        before = heard.announce
+        heard.announce = announce
+        heard.last_ms = now_ms
+        heard.times += 1
+        if listing.listed != announce.incarnation:
+            if self._takes_place(listing, heard, now_ms):
+                listing.listed = announce.incarnation
+                self._change(listing)
+        elif CONTENT(before) != CONTENT(announce):
+            self._change(listing)
+        if listing.listed == announce.incarnation:
+            self._present.pop(listing.name, None)
+            self._present[listing.name] = listing
+
+    def sweep(self, *, now_ms):
+        """Drop the upstreams that fell silent."""
+        while self._present:
+            listing = next(iter(self._present.values()))
+            if not self._is_silent(listing.current, now_ms):
+                break
+            del self._present[listing.name]
+            listing.listed = None
+            self._gone[listing.name] = now_ms
+            self._change(listing)
+        self._forget(now_ms)
+
+    # Queries
+
+    def answer(self, ask, *, now_ms):
+        """Return the answer to a lease ask.
+
+        An asker that knows every change gets the bulk lease; any other gets the
+        next changes, and has to ask again.
+        """
+        self.sweep(now_ms=now_ms)
+        if ask.epoch == self.epoch and ask.version == self.version:
+            return LeaseAnswer(
+                asked_ms=ask.asked_ms, epoch=self.epoch, version=self.version
+            )
+        return self._delta(ask)
+
+    def listed(self):
+        """Return the announcements of the listed upstreams."""
+        return [listing.current.announce for listing in self._present.values()]
+
+    def _delta(self, ask):
+        whole = ask.epoch != self.epoch or ask.version > self.version
+        delta = DirectoryDelta(
+            epoch=self.epoch,
+            since=ask.version,
+            version=self.version,
+            whole=whole,
+            changed=[],
+            gone=[],
+        )
+        start = bisect_right(self._changes, 0 if whole else ask.version, key=VERSION)
+        for index in range(start, len(self._changes)):
+            change = self._changes[index]
+            if change.listing.version != change.version:
+                continue
+            if len(delta.changed) + len(delta.gone) == MAX_DELTA_CHANGES:
+                delta.version = change.version - 1
+                break
+            if change.listing.listed is not None:
+                delta.changed.append(change.listing.current.announce)
+            else:
+                delta.gone.append(change.listing.name)
+        return delta
+
+    # Which incarnation is listed
+
+    def _takes_place(self, listing, heard, now_ms):
+        """Tell whether an incarnation takes the place of the one that is listed.
+
+        Incarnations are random. The one first heard later is the newer, if this
+        registrar was up long enough to tell; a late announcement of an older one
+        counts for nothing while the newer one is heard.
+        """
+        if len(listing.heard) == 1:
+            return True
+        current = listing.current
+        if current is None and heard.first_ms == now_ms:
+            return True
+        if heard.times < MIN_HEARD:
+            return False
+        if current is None or 2 * (now_ms - current.last_ms) > self._silence_ms:
+            return True
+        was_up = heard.first_ms - self._started_ms > self._silence_ms
+        return was_up and heard.first_ms > current.first_ms
+
+    def _is_silent(self, heard, now_ms):
+        return now_ms - heard.last_ms > self._silence_ms
+
+    # The list of changes
+
+    def _listing(self, announce):
+        name = UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
+        listing = self._listings.get(name)
+        if listing is None:
+            listing = Listing(name=name, heard={}, listed=None, version=0)
+            self._listings[name] = listing
+        return listing
+
+    def _change(self, listing):
+        if listing.listed is not None:
+            self._gone.pop(listing.name, None)
+        self.version += 1
+        listing.version = self.version
+        self._changes.append(Change(listing=listing, version=self.version))
+        if len(self._changes) > 2 * len(self._listings) + MAX_OUTDATED:
+            self._changes = [c for c in self._changes if c.listing.version == c.version]
+
+    def _forget(self, now_ms):
+        while self._gone:
+            name, gone_ms = next(iter(self._gone.items()))
+            if now_ms - gone_ms <= FORGET_MS:
+                return
+            del self._gone[name]
+            self._listings.pop(name).version = 0
+
+
+def _first_heard(listing, announce, now_ms):
+    while len(listing.heard) >= MAX_INCARNATIONS:
+        spare = [i for i in listing.heard if i != listing.listed]
+        del listing.heard[min(spare, key=lambda i: listing.heard[i].last_ms)]
+    heard = Heard(announce=announce, first_ms=now_ms, last_ms=now_ms, times=0)
+    listing.heard[announce.incarnation] = heard
+    return heard
--- /dev/null
+++ b/tests/directoryfakes.py
@@ -0,0 +1,121 @@
+"""tests.directoryfakes: Announcements, and a net of entries and registrars."""
+
+from knapweeddeal.directory import Directory
+from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages.peer import LeaseAnswer
+from knapweeddeal.messages.upstream import READY, Announce
+from knapweeddeal.placement import Placement
+from knapweeddeal.registrar import Registrar
+
+SILENCE_MS = 2_000
+LEASE_MS = 2_000
+ASK_MS = 500
+#: Longest time for which new work may still go to an upstream that fell silent.
+BOUND_MS = SILENCE_MS + LEASE_MS
+
+
+def announce(number=1, *, incarnation=1, sequence=1, **changes):
+    """Return an announcement."""
+    values = {
+        "upstream_id": f"upstream-{number}",
+        "incarnation": incarnation,
+        "sequence": sequence,
+        "zone": "zone-a",
+        "service": "records",
+        "host": "127.0.0.1",
+        "port": 7020,
+        "health_port": 0,
+        "slots": 2,
+        "max_connections": 4000,
+        "state": READY,
+        "drain_ms": 0,
+        **changes,
+    }
+    return Announce(**values)
+
+
+class Net:
+    """Carry asks and answers between one entry and registrars, by a schedule.
+
+    `rng` decides on delay and loss; `cut` holds names that can't be reached.
+    """
+
+    def __init__(self, *, rng, zones, max_delay_ms=0, loss=0.0, per_zone=2):
+        self.now_ms = 0
+        self.rng = rng
+        self.zones = zones
+        self.cut = set()
+        self.max_delay_ms = max_delay_ms
+        self.loss = loss
+        self.messages = 0
+        self.bytes = 0
+        self._under_way = []
+        self.registrars = {}
+        for names in zones.values():
+            for name in names:
+                self.restart(name)
+        self.entry = Directory(
+            lease_ms=LEASE_MS, name="asker", ask_ms=ASK_MS, per_zone=per_zone
+        )
+        self.entry.set_members(zones)
+        self.placement = Placement(names_by_zone=zones, per_zone=per_zone)
+
+    def restart(self, name):
+        """Start a registrar afresh, with another epoch."""
+        self.registrars[name] = Registrar(
+            epoch=self.rng.getrandbits(64), silence_ms=SILENCE_MS, now_ms=self.now_ms
+        )
+
+    def hear(self, message):
+        """Hand an announcement to its registrars."""
+        for name in self.placement.of_upstream(message):
+            self._post(name, message)
+
+    def run(self, until_ms, *, step_ms=50, each_step=None):
+        """Let time pass."""
+        while self.now_ms < until_ms:
+            self.now_ms += step_ms
+            self._deliver()
+            self.entry.sweep(now_ms=self.now_ms)
+            for ask in self.entry.asks(now_ms=self.now_ms):
+                self._post(ask.name, ask.message)
+            self._deliver()
+            if each_step:
+                each_step()
+
+    def fresh(self, service="records"):
+        """Return the ids of the upstreams that the entry may use."""
+        fresh = self.entry.fresh(service, now_ms=self.now_ms)
+        return sorted(upstream.key.upstream_id for upstream in fresh)
+
+    def _post(self, name, message):
+        data = encode(message)
+        self.messages += 1
+        self.bytes += len(data)
+        if name in self.cut or self.rng.random() < self.loss:
+            return
+        delay_ms = self.rng.randint(0, self.max_delay_ms)
+        self._under_way.append((self.now_ms + delay_ms, name, data))
+
+    def _deliver(self):
+        while True:
+            due = [item for item in self._under_way if item[0] <= self.now_ms]
+            if not due:
+                return
+            self._under_way = [i for i in self._under_way if i[0] > self.now_ms]
+            self.rng.shuffle(due)
+            for _, name, data in due:
+                self._receive(name, decode(data))
+
+    def _receive(self, name, message):
+        if type(message).__name__ == "Announce":
+            self.registrars[name].hear(message, now_ms=self.now_ms)
+        elif type(message).__name__ == "LeaseAsk":
+            answer = self.registrars[name].answer(message, now_ms=self.now_ms)
+            self._post(name, answer)
+        elif type(message) is LeaseAnswer:
+            self.entry.take_lease(name, message, now_ms=self.now_ms)
+        else:
+            asks = self.entry.take_delta(name, message, now_ms=self.now_ms)
+            for ask in asks:
+                self._post(ask.name, ask.message)
