--- a/knapweeddeal/flowcounts.py
+++ b/knapweeddeal/flowcounts.py
@@ -3,7 +3,7 @@
 from knapweeddeal.messages.control import FlowCount, FlowCounts
 from knapweeddeal.record import Record
 
-__all__ = ["Affected", "FlowCounter", "FlowTable"]
+__all__ = ["Affected", "FlowCountTable", "FlowCounter"]
 
 #: Share by which a count must change to be reported again.
 NOTICEABLE_SHARE = 0.05
@@ -72,7 +72,7 @@
     __slots__ = ("upstreams", "zones", "flows")
 
 
-class FlowTable:
+class FlowCountTable:
     """Hold the counts of all entries and tell whom a plan affects."""
 
     __slots__ = ("_counts", "_heard_ms")
--- a/tests/test_flowcounts.py
+++ b/tests/test_flowcounts.py
@@ -4,7 +4,7 @@
 import testtools
 
 from knapweeddeal.actions import UpstreamKey
-from knapweeddeal.flowcounts import FORGET_MS, FlowCounter, FlowTable
+from knapweeddeal.flowcounts import FORGET_MS, FlowCounter, FlowCountTable
 from knapweeddeal.messages.control import Configuration, ServiceEntry
 
 
@@ -25,7 +25,7 @@
 
 def counted():
     """Return a table with flows of two entries on two services."""
-    table = FlowTable()
+    table = FlowCountTable()
     for name, flows in (("e1", 3), ("e2", 2)):
         counter = FlowCounter(name=name)
         for _ in range(flows):
