Work out capacity at the size of two years from measured slopes

Cause: the users ask for this page; nothing said what a daemon costs at 5,900. Not measured yet: sockets of 3,100 addresses, the voting log.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""bench: Measurements; each module runs by itself and prints tables."""
--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,128 @@
+"""bench.streams: What idle streams cost: memory and processor time a stream end.
+
+Run as `python -m bench.streams`. Both ends of every stream stand in one process
+of its own for each count; a figure is half of what the pair costs.
+"""
+
+import resource
+import subprocess
+import sys
+import time
+
+import curio
+
+from bench import samples
+from bench.capacity import PAGE_BYTES, resident_bytes
+from bench.tables import print_head, print_table
+from knapweeddeal.actions import Address, UpstreamKey
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.entrycore import Identity
+from knapweeddeal.settings import OPTIONS, Settings
+from knapweeddeal.upstream import UpstreamServer
+from knapweeddeal.upstreamlink import UpstreamLink
+
+COUNTS = (100, 200, 400)
+RUNS = 3
+WATCH_S = 5.0
+PORT = 28_443
+TIMEOUT_S = 20.0
+
+
+def settings():
+    """Return the settings with their defaults."""
+    timing = (option for option in OPTIONS if option.section == "timing")
+    return Settings(values={option.key: int(option.default) for option in timing})
+
+
+async def application(work):
+    """Answer with the request's body."""
+    return work.body
+
+
+async def measure(count):
+    """Return bytes and processor time a second of idle streams."""
+    announce = samples.announce(1).replace(host="127.0.0.1", port=PORT)
+    server = UpstreamServer(
+        announce=announce,
+        announce_to=("127.0.0.1", PORT + 1),
+        application=application,
+        clock_ms=monotonic_ms,
+    )
+    identity = Identity(
+        entry_id="entry-0001",
+        incarnation=samples.big(),
+        zone="zone",
+        address=Address(host="127.0.0.1", port=1),
+    )
+    key = UpstreamKey(
+        service=announce.service,
+        upstream_id=announce.upstream_id,
+        incarnation=announce.incarnation,
+    )
+    inbox = curio.Queue()
+    async with curio.TaskGroup(wait=None) as tasks:
+        await tasks.spawn(server.run)
+        await curio.sleep(0.2)
+        before = resident_bytes()
+        for _ in range(count):
+            link = UpstreamLink(
+                key=key,
+                address=Address(host=announce.host, port=announce.port),
+                identity=identity,
+                settings=settings(),
+                inbox=inbox,
+            )
+            await tasks.spawn(link.run)
+        async with curio.timeout_after(TIMEOUT_S):
+            for _ in range(count):
+                await inbox.get()
+        await curio.sleep(1)
+        held = resident_bytes() - before
+        spent_s, started_s = time.process_time(), time.monotonic()
+        await curio.sleep(WATCH_S)
+        spent_s = time.process_time() - spent_s
+        share = spent_s / (time.monotonic() - started_s)
+        broken = inbox.qsize()
+        await tasks.cancel_remaining()
+    return held, share, broken
+
+
+def one_run(count):
+    """Return the figures of a process of its own."""
+    command = [sys.executable, "-m", "bench.streams", str(count)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    held, share, broken = done.stdout.split()
+    return int(held) / count / 2, float(share) * 1e6 / count / 2, int(broken)
+
+
+def rows():
+    """Return a row for each count."""
+    for count in COUNTS:
+        runs = [one_run(count) for _ in range(RUNS)]
+        held = [run[0] for run in runs]
+        spent = [run[1] for run in runs]
+        yield [
+            count,
+            f"{min(held):.0f} to {max(held):.0f}",
+            f"{min(spent):.0f} to {max(spent):.0f}",
+            sum(run[2] for run in runs),
+        ]
+
+
+def main():
+    """Print the table."""
+    print_head("python -m bench.streams")
+    files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    print(f"pages of {PAGE_BYTES} B, {files} open files allowed")
+    print_table(
+        f"Idle streams with heartbeats every 500 ms, {RUNS} runs, per stream end",
+        ["streams", "resident bytes", "processor us a second", "broken"],
+        rows(),
+    )
+
+
+if __name__ == "__main__":
+    if sys.argv[1:]:
+        print(*curio.run(measure, int(sys.argv[1])))
+    else:
+        main()
