--- /dev/null
+++ b/knapweeddeal/cmdline.py
@@ -0,0 +1,127 @@
+"""knapweeddeal.cmdline: The operators' command-line tool `knapweeddeal`."""
+
+import argparse
+import getpass
+import json
+import logging
+import os
+import secrets
+import sys
+
+import curio
+
+from knapweeddeal import __version__
+from knapweeddeal.commands import COMMANDS
+from knapweeddeal.controlclient import ask, ask_one
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
+from knapweeddeal.operation import argument_address
+from knapweeddeal.options import peers_option
+from knapweeddeal.queries import QUERIES
+from knapweeddeal.render import as_json, as_lines
+
+__all__ = ["main"]
+
+DEFAULT_TIMEOUT_MS = 10_000
+#: Environment variable that stands in for --control.
+CONTROL_VARIABLE = "KNAPWEEDDEAL_CONTROL"
+
+#: All operations by name.
+OPERATIONS = {**COMMANDS, **QUERIES}
+
+EPILOG = """exit status: 0 done, 2 wrong usage, 3 bad message or ticket, 4 bad
+argument or setting, 5 invalid intent, 6 conflict, 7 no quorum or no leader, 8
+unreachable, 9 corrupt storage, 1 anything else"""
+
+
+def parser():
+    """Return the parser of the tool's arguments."""
+    result = argparse.ArgumentParser(
+        prog="knapweeddeal", description="Operate knapweeddeal.", epilog=EPILOG
+    )
+    result.add_argument("--version", action="version", version=__version__)
+    result.add_argument(
+        "--control",
+        default=os.environ.get(CONTROL_VARIABLE, ""),
+        metavar="NAME=IP:PORT,...",
+        help=f"control replicas; or by the variable {CONTROL_VARIABLE}",
+    )
+    result.add_argument(
+        "--json", action="store_true", help="print JSON instead of lines"
+    )
+    result.add_argument(
+        "--timeout-ms", type=int, default=DEFAULT_TIMEOUT_MS, help="longest wait"
+    )
+    result.add_argument(
+        "--operator", default="", help="who asks; your login name if not given"
+    )
+    result.add_argument(
+        "--request-id",
+        default="",
+        help="id of an earlier try, to send the same command again safely",
+    )
+    operations = result.add_subparsers(dest="operation", required=True)
+    for name, operation in OPERATIONS.items():
+        _add_operation(operations, name, operation)
+    return result
+
+
+def _add_operation(operations, name, operation):
+    sub = operations.add_parser(name, help=operation.help, description=operation.help)
+    for argument in operation.arguments:
+        sub.add_argument(*argument.names, **argument.keywords)
+    if operation.asks_process:
+        sub.add_argument(
+            "--at", required=True, metavar="IP:PORT", help="address of the process"
+        )
+
+
+def main(arguments=None):
+    """Run one operation; return the exit status."""
+    logging.getLogger("curio").setLevel(logging.CRITICAL)
+    options = parser().parse_args(arguments)
+    options.operator = options.operator or getpass.getuser()
+    options.request_id = options.request_id or secrets.token_hex(8)
+    try:
+        answer = curio.run(_run, options)
+    except KnapweeddealError as error:
+        _report(options, error)
+        return error.exit_status
+    try:
+        print(as_json(answer) if options.json else "\n".join(as_lines(answer)))
+    except BrokenPipeError:
+        sys.stderr.close()
+    return 0
+
+
+async def _run(options):
+    operation = OPERATIONS[options.operation]
+    message = operation.message(options)
+    if operation.asks_process:
+        address = argument_address("--at", options.at)
+        return await ask_one(address, message, timeout_ms=options.timeout_ms)
+    if not options.control:
+        raise BadSettingError("must be given", field="--control")
+    replicas = peers_option("--control", options.control, None)
+    return await ask(list(replicas.values()), message, timeout_ms=options.timeout_ms)
+
+
+def _report(options, error):
+    if options.json:
+        failure = {
+            "code": error.code,
+            "text": error.text,
+            "field": error.field,
+            "value": error.value,
+        }
+        print(json.dumps(failure))
+    print(f"knapweeddeal: {error}", file=sys.stderr)
+    if options.operation in COMMANDS:
+        print(
+            f"knapweeddeal: to send the same command again: --request-id"
+            f" {options.request_id}",
+            file=sys.stderr,
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -40,12 +40,15 @@
         addresses = list(self._settings.control.values())
         start = self._identity.incarnation % max(1, len(addresses))
         addresses = addresses[start:] + addresses[:start]
+        last = ""
         while True:
             for address in addresses:
                 try:
                     await self._carry(address)
                 except KnapweeddealError as error:
-                    LOG.info("Stream ended.", why=str(error))
+                    if str(error) != last:
+                        LOG.info("Stream ended.", why=str(error))
+                    last = str(error)
                 await curio.sleep(self._settings.heartbeat_ms / 1000)
 
     async def _carry(self, address):
@@ -62,21 +65,25 @@
             await run_until_first(
                 self._receive(stream),
                 self._outbox.drain_to(stream),
-                self._report(),
+                self._report_for_ever(),
             )
         finally:
             await stream.close()
 
-    async def _report(self):
-        while True:
-            await self._outbox.offer(
-                ConfigurationAsk(
-                    name=self._identity.entry_id,
-                    incarnation=self._identity.incarnation,
-                    zone=self._identity.zone,
-                    applied_version=self._version(),
-                )
+    async def report(self):
+        """Queue a report of the applied version, which asks for a higher one."""
+        await self._outbox.offer(
+            ConfigurationAsk(
+                name=self._identity.entry_id,
+                incarnation=self._identity.incarnation,
+                zone=self._identity.zone,
+                applied_version=self._version(),
             )
+        )
+
+    async def _report_for_ever(self):
+        while True:
+            await self.report()
             await curio.sleep(REPORT_MS / 1000)
 
     async def _receive(self, stream):
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-from collections import Counter
 from functools import singledispatchmethod
 
 import curio
@@ -19,7 +18,8 @@
 from knapweeddeal.clock import monotonic_ms, wall_ms
 from knapweeddeal.controllink import ControlLink
 from knapweeddeal.entrycore import EntryCore, Identity
-from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.entryqueries import EntryQueries
+from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.events import (
     AnnounceCame,
     CallerDatagram,
@@ -34,9 +34,11 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.peer import Announced, PeerHello
 from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.metrics import Metrics
 from knapweeddeal.peerlink import PeerLink
 from knapweeddeal.serviceport import ServicePort, take_announcements
 from knapweeddeal.stream import serve
+from knapweeddeal.tasks import run_until_first
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstreamlink import UpstreamLink
 
@@ -55,7 +57,7 @@
     def __init__(self, *, settings):
         self._settings = settings
         self._inbox = curio.Queue(maxsize=MAX_EVENTS)
-        self._counters = Counter()
+        self._metrics = Metrics()
         self._version = 0
         self._ports = {}
         self._upstream_links = {}
@@ -78,6 +80,9 @@
             wall_clock_ms=wall_ms,
             counters=self._count,
         )
+        self._queries = EntryQueries(
+            core=self._core, metrics=self._metrics, state=self._state
+        )
         self._control = ControlLink(
             identity=self._identity,
             settings=settings,
@@ -85,8 +90,19 @@
             version=lambda: self._version,
         )
 
+    def _state(self):
+        return {
+            "version": self._version,
+            "links": {
+                "ports": {name: port.address for name, port in self._ports.items()},
+                "upstreams": list(self._upstream_links),
+                "peers": list(self._peer_links),
+            },
+            "events_waiting": self._inbox.qsize(),
+        }
+
     def _count(self, name):
-        self._counters[name] += 1
+        self._metrics.count(name)
 
     async def run(self):
         """Serve until cancelled."""
@@ -94,12 +110,14 @@
             host=self._settings.announce[0], port=self._settings.announce[1]
         )
         LOG.info("Started.", name=self._settings.name)
-        async with self._tasks as tasks:
-            await tasks.spawn(serve, self._settings.listen, self._take_stream)
-            await tasks.spawn(take_announcements, announce, self._inbox)
-            await tasks.spawn(self._control.run)
-            await tasks.spawn(self._tick)
-            await self._decide()
+        async with self._tasks:
+            await run_until_first(
+                serve(self._settings.listen, self._take_stream),
+                take_announcements(announce, self._inbox),
+                self._control.run(),
+                self._tick(),
+                self._decide(),
+            )
 
     async def _tick(self):
         while True:
@@ -110,7 +128,7 @@
         try:
             hello = await stream.receive_within(self._settings.stream_timeout_ms)
             if type(hello) is not PeerHello:
-                self._count("dropped_bad_stream")
+                await stream.send(self._queries.answer(hello))
                 return
             await self._take_peer(stream)
         except KnapweeddealError as error:
@@ -264,12 +282,13 @@
                 await self._open_port(name, address)
         self._core.apply_configuration(configuration)
         self._version = configuration.version
+        await self._control.report()
         LOG.info("Configuration applied.", version=configuration.version)
 
     async def _open_port(self, name, address):
         try:
             port = ServicePort(service=name, address=address, inbox=self._inbox)
-        except OSError as error:
+        except BadSettingError as error:
             LOG.warning("Address can't be bound.", service=name, why=str(error))
             return
         port.task = await self._tasks.spawn(port.run)
