Name the zones and count the flows that a plan affects; metrics of replicas

Cause: a plan said 0 flows and no zones, and a control replica refused to show metrics (a follower answered not_leader to it). Entries report counted flows on their stream to a replica, replicas pass them to each other. Before: tests.test_operations failed on both points; after: a drain plan of two upstreams with 6 open flows counts 6 flows and names their zones.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -69,12 +69,12 @@
 
 
 def applied_everywhere(cluster):
-    """Return the status lines once every entry applied the configuration."""
-    lines = cluster.operate("status").stdout.strip()
-    entries = lines.count(f": version {len(SERVICES)}\n") + lines.endswith(
-        f": version {len(SERVICES)}"
-    )
-    return lines if entries == len(cluster.entries) else None
+    """Return the status lines once every entry applied the last configuration."""
+    status = json.loads(cluster.operate("--json", "status").stdout)
+    versions = [entry["applied_version"] for entry in status["entries"]]
+    if versions != [status["version"]] * len(cluster.entries):
+        return None
+    return cluster.operate("status").stdout.strip()
 
 
 async def use_flow(service, address, rng, report):
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -12,6 +12,7 @@
 from knapweeddeal.consensuslog import unpack_membership
 from knapweeddeal.controlevents import (
     EntryAsk,
+    EntryFlows,
     EntryGone,
     OperatorAsk,
     PeerMessage,
@@ -294,6 +295,8 @@
         self._states[identity] = state
         self._formation.heard(state)
         self._replica.peer_connected(state.replica)
+        for report in self._replica.flow_counts.own_reports():
+            await event.outbox.offer(report)
         await self._offer_founding(state)
 
     def on_link_down(self, event):
@@ -345,10 +348,18 @@
         applied = event.message.applied_version
         self._entries[event.outbox] = applied
         self._replica.entries.heard(event.message, monotonic_ms())
+        self._replica.flow_counts.heard(event.message.name, now_ms=monotonic_ms())
         configuration = self._replica.state.configuration
         if configuration.version > applied:
             await event.outbox.offer(ConfigurationPush(configuration=configuration))
 
+    async def on_entry_flows(self, event):
+        """Take an entry's counted flows and pass them to every replica."""
+        report = event.message
+        self._replica.flow_counts.take(report, now_ms=monotonic_ms())
+        for outbox in self._outboxes.values():
+            await outbox.offer(report)
+
     def on_entry_gone(self, event):
         """Stop pushing to an entry."""
         self._entries.pop(event.outbox, None)
@@ -392,6 +403,11 @@
     await core.on_entry_ask(event)
 
 
+@_take.register
+async def _(event: EntryFlows, core):
+    await core.on_entry_flows(event)
+
+
 @_take.register
 async def _(event: EntryGone, core):
     core.on_entry_gone(event)
--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -2,7 +2,14 @@
 
 from knapweeddeal.record import Record
 
-__all__ = ["EntryAsk", "EntryGone", "OperatorAsk", "PeerMessage", "StopAsk"]
+__all__ = [
+    "EntryAsk",
+    "EntryFlows",
+    "EntryGone",
+    "OperatorAsk",
+    "PeerMessage",
+    "StopAsk",
+]
 
 
 class PeerMessage(Record):
@@ -23,6 +30,12 @@
     __slots__ = ("message", "outbox")
 
 
+class EntryFlows(Record):
+    """Carry an entry's report of the flows that it owns."""
+
+    __slots__ = ("message",)
+
+
 class EntryGone(Record):
     """Tell that an entry's stream ended."""
 
--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -3,7 +3,7 @@
 import curio
 
 from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.events import ConfigurationCame, PeerMessage
+from knapweeddeal.events import ConfigurationCame, ControlUp, PeerMessage
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationAsk, ConfigurationPush
 from knapweeddeal.messages.peer import PeerHello
@@ -62,6 +62,7 @@
                     zone=self._identity.zone,
                 )
             )
+            await self._inbox.put(ControlUp())
             await run_until_first(
                 self._receive(stream),
                 self._outbox.drain_to(stream),
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import json
 
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.consensus import LEADER
@@ -21,12 +22,16 @@
     NoQuorumError,
     NotLeaderError,
 )
+from knapweeddeal.flowcounts import FlowCountTable
 from knapweeddeal.inspection import dump_text
 from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.messages.control import FlowCounts
 from knapweeddeal.messages.operator import (
     ConfirmAsk,
     DumpAnswer,
     DumpAsk,
+    FailureAnswer,
+    MetricsAsk,
     PlanAsk,
     ReplicasAnswer,
     ReplicasAsk,
@@ -43,6 +48,8 @@
     PlanRecord,
     SnapshotFile,
 )
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.plans import apply_steps
 from knapweeddeal.record import Record
 from knapweeddeal.replicaswap import ReplicaSwap
 
@@ -58,6 +65,7 @@
 KEEP_RECORDS = 500
 #: Time between reports of a follower's entries to the leader.
 REPORT_MS = 1_000
+US_PER_MS = 1_000
 
 UNSURE = "no majority answered; it may still take effect, resend the same request id"
 UNHEARD = "no majority of the control replicas answered"
@@ -72,10 +80,19 @@
 class Pending:
     """Hold an ask that waits: for a leader, a commit or a quorum round."""
 
-    __slots__ = ("ask_id", "index", "message", "term", "until_ms", "wall_ms")
+    __slots__ = (
+        "ask_id",
+        "asked_ms",
+        "index",
+        "message",
+        "term",
+        "until_ms",
+        "wall_ms",
+    )
 
-    def __init__(self, *, ask_id, message, until_ms, wall_ms):
+    def __init__(self, *, ask_id, message, asked_ms, until_ms, wall_ms):
         self.ask_id = ask_id
+        self.asked_ms = asked_ms
         self.message = message
         self.until_ms = until_ms
         self.wall_ms = wall_ms
@@ -103,6 +120,8 @@
         "_waiting",
         "connected",
         "entries",
+        "flow_counts",
+        "metrics",
         "node",
         "own",
         "state",
@@ -123,6 +142,8 @@
         self.node = node
         self.state = state
         self.entries = EntryTable()
+        self.flow_counts = FlowCountTable()
+        self.metrics = Metrics()
         self.connected = {}
         self._election_ms = election_ms
         self._plan_life_ms = plan_life_ms
@@ -144,7 +165,13 @@
         self._now_ms = max(now_ms, self._now_ms)
         until_ms = self._now_ms + PATIENCE_ELECTIONS * self._election_ms
         self._dispatch(
-            Pending(ask_id=ask_id, message=message, until_ms=until_ms, wall_ms=wall_ms)
+            Pending(
+                ask_id=ask_id,
+                message=message,
+                asked_ms=self._now_ms,
+                until_ms=until_ms,
+                wall_ms=wall_ms,
+            )
         )
 
     def forget(self, ask_id):
@@ -156,6 +183,11 @@
         self._now_ms = max(now_ms, self._now_ms)
         if isinstance(message, EntryReports):
             self.entries.merge(message, now_ms)
+            for status in message.entries:
+                self.flow_counts.heard(status.name, now_ms=now_ms)
+            return
+        if isinstance(message, FlowCounts):
+            self.flow_counts.apply(message, now_ms=now_ms)
             return
         self.node.receive(sender, message, now_ms)
 
@@ -270,8 +302,9 @@
     # Asks.
 
     def _dispatch(self, pending):
-        if isinstance(pending.message, DumpAsk):
-            self._reply(pending, _dump_answer(self.dump(), pending.message.max_bytes))
+        answer = _local_answer(pending.message, self)
+        if answer is not None:
+            self._reply(pending, answer)
             return
         leader = self.node.leader
         if not leader or self.node.transferring:
@@ -290,22 +323,32 @@
         self._proposed[pending.ask_id] = pending
 
     def plan(self, pending):
-        """Replicate a plan."""
+        """Replicate a plan, with whom it affects as far as is known here."""
         ask = pending.message
+        affected = self._affected(ask.steps)
         self.propose(
             pending,
             PlanRecord(
                 operator=ask.operator,
                 request_id=ask.request_id,
                 steps=ask.steps,
-                upstreams=[],
-                zones=[],
-                flows=0,
+                upstreams=affected.upstreams,
+                zones=affected.zones,
+                flows=affected.flows,
                 planned_ms=pending.wall_ms,
                 life_ms=self._plan_life_ms,
             ),
         )
 
+    def _affected(self, steps):
+        old = self.state.configuration
+        try:
+            new = apply_steps(old, steps).configuration
+        except InvalidIntentError:
+            # The state machine refuses it, in the same way on every replica.
+            new = old
+        return self.flow_counts.affected(old, new, now_ms=self._now_ms)
+
     def read(self, pending):
         """Start the quorum round of a query."""
         self._reading[pending.ask_id] = pending
@@ -419,8 +462,18 @@
         return by_count or log_bytes > SNAPSHOT_LOG_BYTES
 
     def _reply(self, pending, message):
+        self._measure(pending, message)
         self._answers.append(Answer(ask_id=pending.ask_id, message=message))
 
+    def _measure(self, pending, message):
+        kind = type(pending.message).__name__
+        if isinstance(message, FailureAnswer):
+            self.metrics.count(f"{kind}_{message.code}")
+            return
+        self.metrics.count(kind)
+        wait_ms = self._now_ms - pending.asked_ms
+        self.metrics.record_us(kind, wait_ms * US_PER_MS)
+
     def _not_leader(self):
         replica = self._leader_replica()
         address = f"{replica.host}:{replica.port}" if replica else ""
@@ -434,6 +487,22 @@
         return self.connected.get(leader)
 
 
+@functools.singledispatch
+def _local_answer(_message, _replica):
+    """Return the answer that needs no leader, or None."""
+    return
+
+
+@_local_answer.register
+def _(message: DumpAsk, replica):
+    return DumpAnswer(text=dump_text(replica.dump(), max_bytes=message.max_bytes))
+
+
+@_local_answer.register
+def _(_message: MetricsAsk, replica):
+    return DumpAnswer(text=json.dumps(replica.metrics.summary()))
+
+
 @functools.singledispatch
 def _ask(message, _replica, _pending):
     raise BadMessageError("not for a control replica", field="message", value=message)
@@ -489,7 +558,3 @@
 
 def _named(replica):
     return f"{replica.name}={replica.host}:{replica.port} {replica.identity:016x}"
-
-
-def _dump_answer(values, max_bytes):
-    return DumpAnswer(text=dump_text(values, max_bytes=max_bytes))
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -6,14 +6,20 @@
 import curio
 
 from knapweeddeal.configurationstate import failure_answer
-from knapweeddeal.controlevents import EntryAsk, EntryGone, OperatorAsk, PeerMessage
+from knapweeddeal.controlevents import (
+    EntryAsk,
+    EntryFlows,
+    EntryGone,
+    OperatorAsk,
+    PeerMessage,
+)
 from knapweeddeal.errors import (
     BadMessageError,
     KnapweeddealError,
     StreamClosedError,
 )
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.control import ConfigurationAsk, ReplicaHello
+from knapweeddeal.messages.control import ConfigurationAsk, FlowCounts, ReplicaHello
 from knapweeddeal.messages.operator import RefusalsAsk
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
 from knapweeddeal.messages.replication import ReplicaState
@@ -87,6 +93,10 @@
         """Give what an entry applied to the core."""
         await self._events.put(EntryAsk(message=message, outbox=outbox))
 
+    async def on_entry_flows(self, message):
+        """Give an entry's counted flows to the core."""
+        await self._events.put(EntryFlows(message=message))
+
     async def on_refusals(self, batch, outbox):
         """Give refusals to the journal."""
         await self._journal.hold(batch, outbox)
@@ -173,6 +183,11 @@
     await streams.on_entry_ask(message, outbox)
 
 
+@_from_entry.register
+async def _(message: FlowCounts, streams, _outbox):
+    await streams.on_entry_flows(message)
+
+
 @_from_entry.register
 async def _(message: RefusalBatch, streams, outbox):
     await streams.on_refusals(message, outbox)
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.actions import Address, Dial, ToCaller, ToControl
 from knapweeddeal.entrycontext import EntryContext, Identity
+from knapweeddeal.flowcounts import FlowCountReporter
 from knapweeddeal.handover import Candidate, HandingOver, TakingOver
 from knapweeddeal.messages.caller import Push
 from knapweeddeal.messages.peer import (
@@ -84,6 +85,8 @@
             handing=self.handing,
         )
 
+        self._flow_reports = FlowCountReporter(name=identity.entry_id)
+
     def _adopt(self, ticket, caller, *, now_ms):
         return self.router.adopt(ticket, caller, now_ms=now_ms)
 
@@ -292,4 +295,19 @@
                 ToControl(message=batch)
                 for batch in self.refusals.batches(now_ms=now_ms)
             ),
+            *self._report_flows(now_ms),
         ]
+
+    def control_up(self):
+        """Note that another control replica listens from now on."""
+        self._flow_reports.start_over()
+
+    def _report_flows(self, now_ms):
+        report = self._flow_reports.report(
+            self.flows.counts(), self._zone_of, now_ms=now_ms
+        )
+        return [] if report is None else [ToControl(message=report)]
+
+    def _zone_of(self, key):
+        upstream = self.directory.get(key)
+        return "" if upstream is None else upstream.announce.zone
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -28,6 +28,7 @@
     AnnounceCame,
     CallerDatagram,
     ConfigurationCame,
+    ControlUp,
     Peer,
     PeerDown,
     PeerMessage,
@@ -294,6 +295,11 @@
         await self._apply(event.configuration)
         return []
 
+    @_handle.register
+    async def _(self, _event: ControlUp):
+        self._core.control_up()
+        return []
+
     @_handle.register
     async def _(self, _event: StopAsked):
         LOG.info("Stop asked.", flows=len(self._core.flows))
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -6,6 +6,7 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlUp",
     "Peer",
     "PeerDown",
     "PeerMessage",
@@ -87,6 +88,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlUp(Record):
+    """Tell that a stream to a control replica stands."""
+
+    __slots__ = ()
+
+
 class Tick(Record):
     """Tell that time passed."""
 
--- a/knapweeddeal/flowcounts.py
+++ b/knapweeddeal/flowcounts.py
@@ -3,67 +3,56 @@
 from knapweeddeal.messages.control import FlowCount, FlowCounts
 from knapweeddeal.record import Record
 
-__all__ = ["Affected", "FlowCountTable", "FlowCounter"]
+__all__ = ["Affected", "FlowCountReporter", "FlowCountTable"]
 
 #: Share by which a count must change to be reported again.
 NOTICEABLE_SHARE = 0.05
+#: Time between two reports of an entry.
+REPORT_MS = 5_000
 #: Silence after which an entry's counts don't count any more.
 FORGET_MS = 30_000
 
 
-class FlowCounter:
-    """Count the flows that an entry owns, and report what changed noticeably."""
+class FlowCountReporter:
+    """Report the flows that an entry owns, by upstream, when they changed."""
 
-    __slots__ = ("_flows", "_name", "_reported", "_zones")
+    __slots__ = ("_due_ms", "_name", "_reported")
 
     def __init__(self, *, name):
         self._name = name
-        self._flows = {}
-        self._zones = {}
         self._reported = None
-
-    def add(self, key, zone):
-        """Count a flow on an upstream."""
-        self._flows[key] = self._flows.get(key, 0) + 1
-        self._zones[key] = zone
-
-    def remove(self, key):
-        """Count one flow less on an upstream."""
-        self._flows[key] = self._flows.get(key, 0) - 1
+        self._due_ms = 0
 
     def start_over(self):
         """Report all counts the next time: another replica listens."""
         self._reported = None
 
-    def report(self):
-        """Return the report to send now, or None if nothing changed noticeably."""
+    def report(self, counts, zone_of, *, now_ms):
+        """Return the report of counts by upstream that is due, or None."""
+        if now_ms < self._due_ms:
+            return None
+        self._due_ms = now_ms + REPORT_MS
         whole = self._reported is None
         reported = self._reported or {}
         changed = {
-            key: flows
-            for key, flows in self._flows.items()
-            if whole or _is_noticeable(reported.get(key, 0), flows)
+            key: counts.get(key, 0)
+            for key in {**reported, **counts}
+            if whole or _is_noticeable(reported.get(key, 0), counts.get(key, 0))
         }
         if not changed and not whole:
             return None
-        self._reported = {**reported, **changed}
-        counts = [self._count(key, flows) for key, flows in changed.items()]
-        self._drop_empty()
-        return FlowCounts(name=self._name, whole=whole, counts=counts)
-
-    def _count(self, key, flows):
-        return FlowCount(
-            service=key.service,
-            upstream_id=key.upstream_id,
-            zone=self._zones[key],
-            flows=flows,
-        )
-
-    def _drop_empty(self):
-        for key in [key for key, flows in self._flows.items() if not flows]:
-            del self._flows[key]
-            del self._zones[key]
-            self._reported.pop(key, None)
+        merged = {**reported, **changed}
+        self._reported = {key: flows for key, flows in merged.items() if flows}
+        listed = [
+            FlowCount(
+                service=key.service,
+                upstream_id=key.upstream_id,
+                zone=zone_of(key),
+                flows=flows,
+            )
+            for key, flows in changed.items()
+        ]
+        return FlowCounts(name=self._name, whole=whole, counts=listed)
 
 
 class Affected(Record):
@@ -75,14 +64,21 @@
 class FlowCountTable:
     """Hold the counts of all entries and tell whom a plan affects."""
 
-    __slots__ = ("_counts", "_heard_ms")
+    __slots__ = ("_counts", "_heard_ms", "_own")
 
     def __init__(self):
         self._counts = {}
+        self._own = set()
         self._heard_ms = {}
 
+    def take(self, report, *, now_ms):
+        """Take a report that an entry sent to this replica."""
+        self.apply(report, now_ms=now_ms)
+        self._own.add(report.name)
+
     def apply(self, report, *, now_ms):
-        """Take an entry's report."""
+        """Take an entry's report, whichever replica it was sent to."""
+        self._own.discard(report.name)
         counts = self._counts.setdefault(report.name, {})
         if report.whole:
             counts.clear()
@@ -95,6 +91,13 @@
         if name in self._counts:
             self._heard_ms[name] = now_ms
 
+    def own_reports(self):
+        """Return whole reports of the entries that report to this replica."""
+        return [
+            FlowCounts(name=name, whole=True, counts=list(self._counts[name].values()))
+            for name in sorted(self._own)
+        ]
+
     def affected(self, old, new, *, now_ms):
         """Return what the step from one configuration to another touches."""
         whole, drained = _touched(old, new)
--- a/knapweeddeal/flowtable.py
+++ b/knapweeddeal/flowtable.py
@@ -1,5 +1,7 @@
 """knapweeddeal.flowtable: The flows that an entry owns, the idle ones first."""
 
+from collections import Counter
+
 from knapweeddeal.record import Record
 
 __all__ = ["Flow", "FlowTable"]
@@ -34,11 +36,12 @@
 class FlowTable:
     """Hold flows by owner incarnation and flow id, in the order of their use."""
 
-    __slots__ = ("_idle_ms", "_tables")
+    __slots__ = ("_counts", "_idle_ms", "_tables")
 
     def __init__(self, *, idle_ms):
         self._idle_ms = idle_ms
         self._tables = {}
+        self._counts = Counter()
 
     def __len__(self):
         """Return how many flows are held."""
@@ -57,7 +60,28 @@
     def put(self, flow):
         """Hold a flow."""
         table = self._tables.setdefault(flow.owner_incarnation, {})
+        replaced = table.pop(flow.flow_id, None)
+        if replaced is not None:
+            self._count_off(replaced.upstream)
         table[flow.flow_id] = flow
+        self._counts[flow.upstream] += 1
+
+    def move(self, flow, key, address):
+        """Put a flow on another upstream."""
+        if self.get(flow.owner_incarnation, flow.flow_id) is flow:
+            self._count_off(flow.upstream)
+            self._counts[key] += 1
+        flow.upstream = key
+        flow.address = address
+
+    def counts(self):
+        """Return how many flows are held, by upstream."""
+        return dict(self._counts)
+
+    def _count_off(self, key):
+        self._counts[key] -= 1
+        if not self._counts[key]:
+            del self._counts[key]
 
     def touch(self, flow, *, now_ms):
         """Note that a flow is used."""
@@ -71,6 +95,7 @@
         if table.get(flow.flow_id) is not flow:
             return
         del table[flow.flow_id]
+        self._count_off(flow.upstream)
         if not table:
             del self._tables[flow.owner_incarnation]
 
--- a/knapweeddeal/moves.py
+++ b/knapweeddeal/moves.py
@@ -140,8 +140,7 @@
         departure = Departure(
             at_ms=now_ms + REPEAT_MS, flow=flow, left=flow.upstream, repeats=REPEATS
         )
-        flow.upstream = key
-        flow.address = upstream.address
+        self.owner.flows.move(flow, key, upstream.address)
         flow.issued_ms = max(self._context.wall_clock_ms(), flow.issued_ms + 1)
         self._departures.append(departure)
         return [self.owner.moved(flow)]
--- a/tests/test_flowcounts.py
+++ b/tests/test_flowcounts.py
@@ -4,7 +4,12 @@
 import testtools
 
 from knapweeddeal.actions import UpstreamKey
-from knapweeddeal.flowcounts import FORGET_MS, FlowCounter, FlowCountTable
+from knapweeddeal.flowcounts import (
+    FORGET_MS,
+    REPORT_MS,
+    FlowCountReporter,
+    FlowCountTable,
+)
 from knapweeddeal.messages.control import Configuration, ServiceEntry
 
 
@@ -23,16 +28,21 @@
     return Configuration(version=1, services=list(services))
 
 
+ZONES = {"u1": "zone-a", "u2": "zone-b", "v1": "zone-b"}
+
+
+def zone_of(upstream_key):
+    """Return the zone of an upstream."""
+    return ZONES[upstream_key.upstream_id]
+
+
 def counted():
     """Return a table with flows of two entries on two services."""
     table = FlowCountTable()
     for name, flows in (("e1", 3), ("e2", 2)):
-        counter = FlowCounter(name=name)
-        for _ in range(flows):
-            counter.add(key("u1"), "zone-a")
-            counter.add(key("u2"), "zone-b")
-            counter.add(key("v1", "b"), "zone-b")
-        table.apply(counter.report(), now_ms=0)
+        counts = {key("u1"): flows, key("u2"): flows, key("v1", "b"): flows}
+        report = FlowCountReporter(name=name).report(counts, zone_of, now_ms=0)
+        table.apply(report, now_ms=0)
     return table
 
 
@@ -78,24 +88,21 @@
 class Reports(testtools.TestCase):
     """Reports carry what changed noticeably, and silent entries don't count."""
 
-    def test_small_change_is_not_reported(self):
-        counter = FlowCounter(name="e1")
-        for _ in range(100):
-            counter.add(key("u1"), "zone-a")
-        self.assertEqual(100, counter.report().counts[0].flows)
-        counter.add(key("u1"), "zone-a")
-        self.assertIs(None, counter.report())
-        for _ in range(9):
-            counter.add(key("u1"), "zone-a")
-        self.assertEqual(110, counter.report().counts[0].flows)
-
-    def test_last_flow_is_reported(self):
-        counter = FlowCounter(name="e1")
-        counter.add(key("u1"), "zone-a")
-        counter.report()
-        counter.remove(key("u1"))
-        self.assertEqual([0], [count.flows for count in counter.report().counts])
-        self.assertIs(None, counter.report())
+    def test_noticeable_changes(self):
+        reporter = FlowCountReporter(name="e1")
+        seen = []
+        for turn, flows in enumerate((100, 101, 110, 110, 0, 0, 1)):
+            counts = {key("u1"): flows} if flows else {}
+            report = reporter.report(counts, zone_of, now_ms=turn * REPORT_MS)
+            seen.append([count.flows for count in report.counts] if report else None)
+        self.assertEqual([[100], None, [110], None, [0], None, [1]], seen)
+
+    def test_pace_and_new_listener(self):
+        reporter = FlowCountReporter(name="e1")
+        self.assertTrue(reporter.report({}, zone_of, now_ms=0).whole)
+        reporter.start_over()
+        self.assertIs(None, reporter.report({}, zone_of, now_ms=REPORT_MS - 1))
+        self.assertTrue(reporter.report({}, zone_of, now_ms=REPORT_MS).whole)
 
     def test_silent_entry(self):
         old, new = configuration(service("a")), configuration()
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,100 @@
+"""tests.test_operations: Operators' commands and queries against a whole system."""
+
+import json
+import random
+import tempfile
+
+import curio
+import testtools
+
+from demo.__main__ import SERVICES, applied_everywhere, configure, start
+from demo.cluster import Cluster, wait_until
+from knapweeddeal.caller import open_flow
+
+FLOWS = 6
+SERVICE = "records"
+
+
+class Operations(testtools.TestCase):
+    """One system serves every check: each leaves it as it was."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.cluster = Cluster(folder=folder.name)
+        cls.addClassCleanup(cls.cluster.close)
+        start(cls.cluster)
+        configure(cls.cluster)
+        wait_until(lambda: applied_everywhere(cls.cluster))
+
+    def json(self, *arguments, status=0):
+        """Run the tool with --json; return what it printed."""
+        done = self.cluster.operate("--json", *arguments)
+        self.assertEqual(status, done.returncode, done.stdout + done.stderr)
+        return json.loads(done.stdout)
+
+    def drain(self):
+        """Return plans that drain each upstream of the service."""
+        return [
+            self.json("drain", SERVICE, name) for name in ("upstream-1", "upstream-2")
+        ]
+
+    def test_plan_names_whom_it_affects(self):
+        async def count_while_open():
+            address = self.cluster.service_address(SERVICES[SERVICE])
+            flows = [
+                await open_flow(SERVICE, address, rng=random.Random(n))
+                for n in range(FLOWS)
+            ]
+            plans = await curio.run_in_thread(self.wait_for_counts)
+            for flow in flows:
+                await flow.close()
+            return plans
+
+        plans = curio.run(count_while_open)
+        self.assertEqual(FLOWS, sum(plan["flows"] for plan in plans))
+        zones = sorted(zone for plan in plans for zone in plan["zones"])
+        touched = [plan for plan in plans if plan["flows"]]
+        self.assertEqual(["zone-a", "zone-b"][: len(touched)], zones)
+
+    def wait_for_counts(self):
+        """Return plans once they count all flows."""
+
+        def counted():
+            plans = self.drain()
+            return plans if sum(plan["flows"] for plan in plans) == FLOWS else None
+
+        return wait_until(counted)
+
+    def test_conflict_has_its_own_status(self):
+        first, second = self.drain()
+        version = self.json("confirm", first["plan_id"])["version"]
+        failure = self.json("confirm", second["plan_id"], status=6)
+        self.assertEqual("conflict", failure["code"])
+        self.assertIn(str(version), failure["text"] + failure["value"])
+        undone = self.json("drain", SERVICE, "upstream-1", "--undo")
+        self.json("confirm", undone["plan_id"])
+
+    def test_resend_gets_the_same_plan(self):
+        words = ("--request-id", "again", "drain", SERVICE, "upstream-1")
+        self.assertEqual(self.json(*words), self.json(*words))
+
+    def test_invalid_intent_names_field_and_value(self):
+        failure = self.json("plan", "remove-service", "nothing", status=5)
+        self.assertEqual(
+            ("invalid_intent", "service", "nothing"),
+            (failure["code"], failure["field"], failure["value"]),
+        )
+
+    def test_process_queries(self):
+        for address in (
+            self.cluster.entry_address("entry-1"),
+            self.cluster.replica_address("control-1"),
+        ):
+            self.assertIn("counters", self.json("metrics", "--at", address))
+            dumped = self.json("dump", "--at", address, "--max-bytes", "4096")
+            self.assertTrue(len(json.dumps(dumped)) <= 4096)
+        listed = self.json("upstreams", "--at", self.cluster.entry_address("entry-1"))
+        self.assertEqual(4, len(listed))
