Read settings again on SIGHUP

Cause: SIGHUP ended a process, and changing ticket keys took a restart of every entry. Entries take new keys and stream times at once; what has to wait for a restart is named in the log; a bad file changes nothing. Before: SIGHUP killed entry-1 in tests.test_operations (signal 1); after: it logs the outcome of each of three files and serves on.

--- a/bench/streams.py
+++ b/bench/streams.py
@@ -31,7 +31,9 @@
 def settings():
     """Return the settings with their defaults."""
     timing = (option for option in OPTIONS if option.section == "timing")
-    return Settings(values={option.key: int(option.default) for option in timing})
+    return Settings(
+        path="", values={option.key: int(option.default) for option in timing}
+    )
 
 
 async def application(work):
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -158,6 +158,10 @@
             check=False,
         )
 
+    def output(self, name):
+        """Return what a process printed and logged so far."""
+        return (self.folder / f"{name}.out").read_text(encoding="utf-8")
+
     # Ending
 
     def signal(self, name, number):
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -13,6 +13,7 @@
 from knapweeddeal.journal import Journal
 from knapweeddeal.journaltask import JournalTask
 from knapweeddeal.logs import Log
+from knapweeddeal.reload import reload_settings
 from knapweeddeal.replicalink import LinkPool
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.storage import DataFolder
@@ -75,7 +76,7 @@
             core.run(),
             keeper.run(),
             _serve(settings.listen, streams),
-            _watch_signals(events),
+            _watch_signals(events, settings),
         )
     except KnapweeddealError as error:
         log.warning("stops", error=error.describe())
@@ -93,12 +94,14 @@
         ) from None
 
 
-async def _watch_signals(events):
-    """Ask for a planned stop at SIGTERM or SIGINT."""
-    signals = SignalReader(numbers=(signal.SIGTERM, signal.SIGINT))
+async def _watch_signals(events, settings):
+    """Ask for a planned stop at SIGTERM or SIGINT; read settings at SIGHUP."""
+    signals = SignalReader(numbers=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     while True:
-        await signals.next()
-        await events.put(StopAsk())
+        if await signals.next() == signal.SIGHUP:
+            reload_settings(settings)
+        else:
+            await events.put(StopAsk())
 
 
 def _mint_identity():
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -32,6 +32,7 @@
     Peer,
     PeerDown,
     PeerMessage,
+    ReloadAsked,
     StopAsked,
     Tick,
     Undeliverable,
@@ -47,6 +48,7 @@
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.outbox import Outbox
 from knapweeddeal.peerlink import PeerLink
+from knapweeddeal.reload import reload_settings
 from knapweeddeal.serviceport import ServicePort, take_announcements
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.stream import serve
@@ -63,6 +65,8 @@
 #: Events that are decided before other tasks get their turn.
 MAX_IN_A_ROW = 128
 TICK_MS = 50
+#: Events by the signal that they stand for.
+SIGNALS = {signal.SIGTERM: StopAsked, signal.SIGHUP: ReloadAsked}
 #: Peers that are asked for their successions at the start.
 MAX_ASKED = 3
 
@@ -89,11 +93,12 @@
             zone=settings.zone,
             address=Address(host=host, port=port),
         )
+        self._sealer = TicketSealer(
+            keys=settings.ticket_keys, life_ms=settings.ticket_life_ms
+        )
         self._core = EntryCore(
             identity=self._identity,
-            sealer=TicketSealer(
-                keys=settings.ticket_keys, life_ms=settings.ticket_life_ms
-            ),
+            sealer=self._sealer,
             limits=Limits(lease_ms=settings.lease_ms, stop_ms=settings.stop_ms),
             rng=random.Random(secrets.randbits(64)),
             wall_clock_ms=wall_ms,
@@ -136,7 +141,7 @@
                 take_announcements(announce, self._inbox),
                 self._control.run(),
                 self._tick(),
-                self._await_stop(),
+                self._take_signals(),
                 self._decide(),
             )
         LOG.info("Stopped.", name=self._settings.name)
@@ -146,11 +151,11 @@
             await curio.sleep(TICK_MS / 1000)
             await self._inbox.put_at_once(Tick())
 
-    async def _await_stop(self):
-        signals = SignalReader(numbers=[signal.SIGTERM])
+    async def _take_signals(self):
+        signals = SignalReader(numbers=SIGNALS)
         while True:
-            await signals.next()
-            await self._inbox.put_at_once(StopAsked())
+            event = SIGNALS[await signals.next()]
+            await self._inbox.put_at_once(event())
 
     # Streams that others open
 
@@ -305,6 +310,12 @@
         LOG.info("Stop asked.", flows=len(self._core.flows))
         return self._core.begin_stop(self._candidates(), now_ms=monotonic_ms())
 
+    @_handle.register
+    async def _(self, _event: ReloadAsked):
+        if reload_settings(self._settings):
+            self._sealer.set_keys(self._settings.ticket_keys)
+        return []
+
     @_handle.register
     async def _(self, _event: Tick):
         return self._core.tick(now_ms=monotonic_ms())
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -10,6 +10,7 @@
     "Peer",
     "PeerDown",
     "PeerMessage",
+    "ReloadAsked",
     "StopAsked",
     "Tick",
     "Undeliverable",
@@ -70,6 +71,12 @@
     __slots__ = ("address",)
 
 
+class ReloadAsked(Record):
+    """Tell that the settings are to be read again."""
+
+    __slots__ = ()
+
+
 class StopAsked(Record):
     """Tell that the process is to stop as planned."""
 
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -22,7 +22,6 @@
     "Option",
     "Settings",
     "read_settings",
-    "reloaded_settings",
 ]
 
 ENTRY = "entry"
@@ -40,7 +39,7 @@
         "key",
         "maximum",
         "minimum",
-        "reloadable",
+        "reload_roles",
         "roles",
         "section",
         "text",
@@ -61,7 +60,7 @@
         maximum=2**63,
         choices=(),
         roles=(ENTRY, CONTROL),
-        reloadable=False,
+        reload_roles=(),
     ):
         self.section = section
         self.key = key
@@ -74,21 +73,22 @@
         self.maximum = maximum
         self.choices = choices
         self.roles = roles
-        self.reloadable = reloadable
+        #: Roles that take a changed value without a restart.
+        self.reload_roles = reload_roles
 
 
-def time_option(key, default, text, *, section="timing", minimum=1, maximum=3_600_000):
+def time_option(key, default, text, *, maximum=3_600_000, reload_roles=()):
     """Return an option in milliseconds."""
     return Option(
-        section=section,
+        section="timing",
         key=key,
         check=whole_option,
         default=str(default),
         unit="ms",
-        minimum=minimum,
+        minimum=1,
         maximum=maximum,
         text=text,
-        reloadable=True,
+        reload_roles=reload_roles,
     )
 
 
@@ -171,12 +171,22 @@
         check=keys_option,
         maximum=2,
         roles=(ENTRY,),
-        reloadable=True,
+        reload_roles=(ENTRY,),
         text="Ticket keys ID:HEX; the first signs, both are accepted.",
     ),
     time_option("lease_ms", 2_000, "Life of an upstream's lease."),
-    time_option("heartbeat_ms", 500, "Time between heartbeats on a stream."),
-    time_option("stream_timeout_ms", 2_000, "Silence after which a stream is cut."),
+    time_option(
+        "heartbeat_ms",
+        500,
+        "Time between heartbeats on a stream.",
+        reload_roles=(ENTRY,),
+    ),
+    time_option(
+        "stream_timeout_ms",
+        2_000,
+        "Silence after which a stream is cut.",
+        reload_roles=(ENTRY,),
+    ),
     time_option("ticket_life_ms", 86_400_000, "Life of a ticket.", maximum=10**9),
     time_option("stop_ms", 10_000, "Longest time that a planned stop waits."),
     time_option("election_ms", 500, "Shortest time without a leader before a vote."),
@@ -191,12 +201,32 @@
 class Settings:
     """Hold checked settings; each option is an attribute by its key."""
 
-    def __init__(self, *, values):
-        self.__dict__.update(values)
+    def __init__(self, *, path, values):
+        self._path = path
+        self._values = values
+
+    def __getattr__(self, key):
+        """Return a setting."""
+        try:
+            return self._values[key]
+        except KeyError:
+            raise AttributeError(key) from None
 
     def values(self):
         """Return all settings by key."""
-        return dict(self.__dict__)
+        return dict(self._values)
+
+    def reload(self):
+        """Read again what may change; return the changed keys that may not.
+
+        Raises BadSettingError; all settings stay as they are then.
+        """
+        fresh = read_settings(self._path).values()
+        changed = {key for key, value in fresh.items() if self._values[key] != value}
+        may_change = {o.key for o in OPTIONS if self.role in o.reload_roles}
+        for key in changed & may_change:
+            self._values[key] = fresh[key]
+        return sorted(changed - may_change)
 
 
 def read_settings(path):
@@ -209,20 +239,7 @@
         _check_known(path, parser, options)
     values = {option.key: _read_option(path, parser, option) for option in options}
     _check_together(path, values)
-    return Settings(values=values)
-
-
-def reloaded_settings(settings, path):
-    """Return settings with what may change read again, and the keys that may not.
-
-    Raises BadSettingError; the settings in use stay as they are then.
-    """
-    fresh = read_settings(path).values()
-    values = settings.values()
-    reloadable = {option.key for option in OPTIONS if option.reloadable}
-    changed = {key for key, value in fresh.items() if values[key] != value}
-    values.update({key: fresh[key] for key in changed & reloadable})
-    return Settings(values=values), sorted(changed - reloadable)
+    return Settings(path=path, values=values)
 
 
 def _parse(path):
--- a/knapweeddeal/ticket.py
+++ b/knapweeddeal/ticket.py
@@ -39,9 +39,13 @@
     __slots__ = ("_keys", "_life_ms", "_sealing_id")
 
     def __init__(self, *, keys, life_ms):
+        self._life_ms = life_ms
+        self.set_keys(keys)
+
+    def set_keys(self, keys):
+        """Take keys by id, the sealing one first."""
         self._keys = dict(keys)
         self._sealing_id = next(iter(self._keys))
-        self._life_ms = life_ms
 
     def seal(self, ticket):
         """Return the bytes that callers carry."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -25,7 +25,7 @@
             limits if option.unit else "",
             "must be given" if option.default is None else option.default,
             " ".join(option.roles),
-            "yes" if option.reloadable else "",
+            " ".join(option.reload_roles),
             option.text,
         )
         rows.append(f"| {' | '.join(cells)} |")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,13 +2,14 @@
 
 import json
 import random
+import signal
 import tempfile
 
 import curio
 import testtools
 
 from demo.__main__ import SERVICES, applied_everywhere, configure, start
-from demo.cluster import Cluster, wait_until
+from demo.cluster import TICKET_KEYS, Cluster, wait_until
 from knapweeddeal.caller import open_flow
 
 FLOWS = 6
@@ -98,3 +99,20 @@
             self.assertTrue(len(json.dumps(dumped)) <= 4096)
         listed = self.json("upstreams", "--at", self.cluster.entry_address("entry-1"))
         self.assertEqual(4, len(listed))
+
+    def test_reload_takes_a_second_key(self):
+        cluster = self.cluster
+        path = cluster.folder / "entry-1.ini"
+        text = path.read_text(encoding="utf-8")
+        more = text.replace(TICKET_KEYS, f"{TICKET_KEYS},2:{'11' * 32}")
+        for new, words in (
+            (more.replace("zone-a", "zone-x"), 'wait_for_restart":["zone"]'),
+            ("[daemon]", "Settings stay as they are."),
+            (text, 'wait_for_restart":[]'),
+        ):
+            path.write_text(new, encoding="utf-8")
+            cluster.signal("entry-1", signal.SIGHUP)
+            wait_until(lambda words=words: words in cluster.output("entry-1"))
+        cluster.signal("control-1", signal.SIGHUP)
+        wait_until(lambda: "Settings read again" in cluster.output("control-1"))
+        self.json("status")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 
 from knapweeddeal import daemon
 from knapweeddeal.errors import BadSettingError
-from knapweeddeal.settings import read_settings, reloaded_settings
+from knapweeddeal.settings import read_settings
 
 KEY_1, KEY_2 = "1:" + "00" * 16, "2:" + "11" * 16
 ENTRY = f"""
@@ -121,7 +121,14 @@
         settings = read_settings(str(self.path))
         changed = ENTRY.replace(KEY_1, f"{KEY_2},{KEY_1}").replace("zone-a", "zone-b")
         self.write(changed)
-        fresh, kept = reloaded_settings(settings, str(self.path))
-        self.assertEqual([2, 1], list(fresh.ticket_keys))
-        self.assertEqual("zone-a", fresh.zone)
-        self.assertEqual(["zone"], kept)
+        self.assertEqual(["zone"], settings.reload())
+        self.assertEqual([2, 1], list(settings.ticket_keys))
+        self.assertEqual("zone-a", settings.zone)
+
+    def test_bad_file_changes_nothing(self):
+        self.write(ENTRY)
+        settings = read_settings(str(self.path))
+        before = settings.values()
+        self.write(ENTRY.replace(KEY_1, KEY_2) + "[timing]\nlease_ms = x\n")
+        self.assertRaises(BadSettingError, settings.reload)
+        self.assertEqual(before, settings.values())
