--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -78,12 +78,17 @@
 
 async def connect(address, *, timeout_ms):
     """Return a stream to an address; raise UnreachableError."""
+    connection = _new_socket(address)
     try:
-        connection = await curio.timeout_after(
-            timeout_ms / 1000, curio.open_connection, *address
-        )
+        await curio.timeout_after(timeout_ms / 1000, connection.connect, address)
     except (OSError, curio.TaskTimeout) as error:
-        raise UnreachableError(str(error), field="address", value=address) from None
+        await connection.close()
+        raise UnreachableError(
+            str(error), field="address", value=":".join(map(str, address))
+        ) from None
+    except curio.CancelledError:
+        await connection.close()
+        raise
     _no_delay(connection)
     return Stream(socket=connection)
 
@@ -106,6 +111,11 @@
     await curio.network.run_server(listener, take)
 
 
+def _new_socket(address):
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    return socket.socket(family, socket.SOCK_STREAM)
+
+
 def _listen(address):
     try:
         return curio.tcp_server_socket(*address, reuse_address=True)
