Let the joined fake pass over reports of flow counts

Cause: entries report flow counts to control now; the fake took every message to control for a batch of refusals.

--- a/tests/entries.py
+++ b/tests/entries.py
@@ -30,7 +30,7 @@
     Request,
 )
 from knapweeddeal.messages.control import Configuration, ServiceEntry
-from knapweeddeal.messages.peer import RefusalAck
+from knapweeddeal.messages.peer import RefusalAck, RefusalBatch
 from knapweeddeal.messages.upstream import LEAVING, READY, Announce, UpstreamPush, Work
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstream import Reply, Run, UpstreamCore
@@ -370,6 +370,8 @@
 
     @_carry.register
     def _(self, action: ToControl, name):
+        if type(action.message) is not RefusalBatch:
+            return
         if self.hold_records:
             self.batches.append((name, action.message.batch))
         else:
