--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,109 @@
+"""bench.policy: The policy under load and faults, beside naive ways.
+
+Run as `python -m bench.policy [SCENARIO ...]`; without names all run.
+"""
+
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from bench.choosers import CHOOSERS
+from bench.scenarios import SCENARIOS
+from bench.tables import print_head, print_table, spread
+from bench.world import Setup, Size, World
+
+__all__ = ["CELLS", "FUNDACION", "GUILD", "SIZES", "results"]
+
+SEEDS = (1, 2, 3, 4, 5)
+#: Trials that run at the same time.
+WORKERS = 4
+
+FUNDACION = Size(name="fundacion-7", entries=12, upstreams=7, limit=4_000, caller_ms=3)
+GUILD = Size(name="guild-7", entries=19, upstreams=7, limit=4_200, caller_ms=1)
+SIZES = {
+    size.name: size
+    for size in (
+        FUNDACION,
+        GUILD,
+        Size(name="fundacion-4", entries=12, upstreams=4, limit=4_000, caller_ms=3),
+        Size(name="guild-4", entries=19, upstreams=4, limit=4_200, caller_ms=1),
+    )
+}
+
+#: Columns and what they show of one trial.
+CELLS = {
+    "peak now": lambda f: f.peak,
+    "peak 5 s": lambda f: f.window_peak,
+    "conn peak": lambda f: f.connection_peak,
+    "p50 ms": lambda f: f.wait_ms(50),
+    "p99 ms": lambda f: f.wait_ms(99),
+    "p99.9 ms": lambda f: f.wait_ms(99.9),
+    "refused": lambda f: f.refused,
+    "asks/open": lambda f: f.asked_opens / max(1, f.opens),
+    "sent/request": lambda f: f.forwards_measured / max(1, f.requests),
+    "in time": lambda f: f.share_in_time,
+    "late": lambda f: f.late,
+    "broken planned": lambda f: f.broken_planned,
+    "broken unplanned": lambda f: f.broken_unplanned,
+    "unjournalled": lambda f: f.not_in_journal,
+}
+
+
+def one(size_name, scenario_name, chooser_name, seed):
+    """Return the cells of one trial."""
+    setup = Setup(
+        size=SIZES[size_name],
+        chooser=CHOOSERS[chooser_name],
+        seed=seed,
+        **SCENARIOS[scenario_name].changes,
+    )
+    figures = World(setup).run()
+    return {name: float(show(figures)) for name, show in CELLS.items()}
+
+
+def results(size_names, scenario_names, chooser_names, seeds=SEEDS):
+    """Return the cells of all trials by (size, scenario, chooser)."""
+    with ProcessPoolExecutor(WORKERS) as workers:
+        running = {
+            (size, scenario, chooser): [
+                workers.submit(one, size, scenario, chooser, seed) for seed in seeds
+            ]
+            for size in size_names
+            for scenario in scenario_names
+            for chooser in chooser_names
+        }
+        return {
+            name: [future.result() for future in futures]
+            for name, futures in running.items()
+        }
+
+
+def print_results(found):
+    """Print a table for each size and scenario."""
+    places = dict.fromkeys((size, scenario) for size, scenario, _ in found)
+    for size, scenario in places:
+        rows = [
+            [chooser, *(spread([trial[cell] for trial in trials]) for cell in CELLS)]
+            for (a, b, chooser), trials in found.items()
+            if (a, b) == (size, scenario)
+        ]
+        title = f"{size}, {scenario}: {SCENARIOS[scenario].text}"
+        print_table(title, ["chooser", *CELLS], rows)
+
+
+def main():
+    """Run trials and print their tables."""
+    started_s = time.monotonic()
+    names = [name for name in sys.argv[1:] if name in SCENARIOS] or list(SCENARIOS)
+    print_head("python -m bench.policy")
+    print(f"seeds {SEEDS}; cells are median (range) over seeds")
+    sizes = [FUNDACION.name, GUILD.name]
+    print_results(results(sizes, names, CHOOSERS))
+    small = [name for name in SIZES if name not in sizes]
+    quiet = [name for name in names if name in ("even", "heavy")]
+    print_results(results(small, quiet, CHOOSERS))
+    print(f"\n{time.monotonic() - started_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,102 @@
+"""bench.scenarios: Loads and faults under which the policy is measured."""
+
+__all__ = ["SCENARIOS", "Scenario"]
+
+
+class Scenario:
+    """Give what happens in a trial."""
+
+    __slots__ = ("changes", "text")
+
+    def __init__(self, *, text, **changes):
+        self.text = text
+        self.changes = changes
+
+
+def _lag_and_lie(world):
+    for fake in world.upstreams:
+        fake.lag_ms = 5_000.0
+    world.upstreams[1].lies = True
+
+
+def _join_cold(world):
+    world.add_upstream(
+        cold_factor=4.0,
+        cold_ms=20_000.0,
+        cold_until_ms=world.heap.now_ms + 20_000.0,
+    )
+
+
+def _shed(world):
+    world.upstreams[2].shed_opens = 1.0
+    world.upstreams[2].shed_requests = 0.5
+
+
+def _shed_no_more(world):
+    world.upstreams[2].shed_opens = 0.0
+    world.upstreams[2].shed_requests = 0.0
+
+
+def _leave(world):
+    world.drain_upstream(0, 20_000.0)
+
+
+def _lose_entries(world):
+    world.lose_entry(0)
+    world.lose_entry(5)
+
+
+SCENARIOS = {
+    "even": Scenario(text="70 % of the slots' work"),
+    "heavy": Scenario(
+        text="heavy-tailed times, 5 % of the flows send half of the requests",
+        heavy=True,
+        load=0.6,
+    ),
+    "lag": Scenario(
+        text="reported loads 5 s old, one upstream reports 0 always",
+        events=((0.0, _lag_and_lie),),
+    ),
+    "cold": Scenario(
+        text="an upstream joins empty and four times slower, warm after 20 s",
+        events=((20.0, _join_cold),),
+    ),
+    "shed": Scenario(
+        text="one upstream sheds all opens and half of the requests for 20 s",
+        events=((20.0, _shed), (40.0, _shed_no_more)),
+        load=0.6,
+    ),
+    "cut": Scenario(
+        text="a zone is cut off for 15 s",
+        events=(
+            (25.0, lambda world: world.cut("zone-1")),
+            (40.0, lambda world: world.cut(None)),
+        ),
+    ),
+    "churn": Scenario(
+        text="an upstream leaves as planned, one joins, two entries die, one joins",
+        events=(
+            (20.0, _join_cold),
+            (22.0, _leave),
+            (25.0, _lose_entries),
+            (30.0, lambda world: world.add_entry()),
+        ),
+        load=0.6,
+        filled=0.6,
+    ),
+    "loss": Scenario(
+        text="an upstream is lost, its callers open again within 2 s",
+        events=((25.0, lambda world: world.lose_upstream(3)),),
+        load=0.6,
+        filled=0.6,
+    ),
+    "overload": Scenario(
+        text="twice the work that the slots can do",
+        load=2.0,
+    ),
+    "heavy overload": Scenario(
+        text="twice the work, heavy-tailed times and callers",
+        load=2.0,
+        heavy=True,
+    ),
+}
