--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -47,8 +47,6 @@
 MAX_APPEND_BYTES = 1 << 20
 #: Bytes of one part of a snapshot.
 SNAPSHOT_PART_BYTES = 256 * 1024
-#: A learner that lacks no more records than this caught up.
-CAUGHT_UP_RECORDS = 16
 
 
 class Envelope(Record):
@@ -123,8 +121,9 @@
 class Node:
     """Decide for one replica; `identity` belongs to its data folder.
 
-    A replica votes, campaigns and counts only where the membership of its own log
-    names its identity, so one with an empty folder does neither.
+    Only identities in a candidate's or leader's membership count. A replica campaigns
+    if its own log names it, and votes if its log isn't empty: so one whose folder was
+    lost, which has a new identity, does neither until it was swapped in.
     """
 
     __slots__ = (
@@ -236,11 +235,11 @@
         return identity in self._learners and identity not in self.members
 
     def caught_up(self, identity):
-        """Tell whether a learner or member holds nearly all records."""
+        """Tell whether a replica holds all committed records and answers."""
         progress = self._progress.get(identity)
-        if progress is None:
+        if progress is None or not self._is_fresh(progress):
             return False
-        return progress.match_index + CAUGHT_UP_RECORDS >= self.log.last_index
+        return progress.match_index >= self.commit_index
 
     # Commands of the embedder.
 
@@ -384,8 +383,11 @@
         self._broadcast()
 
     def on_vote_ask(self, sender, ask):
-        """Give a vote, or tell whether it would be given."""
-        if not self.is_member:
+        """Give a vote, or tell whether it would be given.
+
+        A member may lack the record that names it, so the candidate's log decides.
+        """
+        if not self.log.last_index:
             return
         if ask.pre:
             granted = ask.term > self.term and not self._hears_leader()
--- a/knapweeddeal/frames.py
+++ b/knapweeddeal/frames.py
@@ -39,8 +39,6 @@
     Damage before `synced_bytes` raises CorruptStorageError; what comes after the
     last whole frame beyond it is a torn tail.
     """
-    if len(data) < synced_bytes:
-        raise corrupt(path, len(data), "synced bytes are missing")
     payloads, offset = [], 0
     while offset < len(data):
         payload = frame_at(data, offset)
@@ -49,7 +47,7 @@
         payloads.append(payload)
         offset += FRAME.size + len(payload)
     if offset < synced_bytes:
-        raise corrupt(path, offset, "a synced record doesn't match its checksum")
+        raise corrupt(path, offset, "a synced record is damaged")
     return payloads, offset
 
 
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,300 @@
+"""tests.test_consensus: Tests of the replicated log on random schedules."""
+
+import random
+
+import testscenarios
+import testtools
+
+from knapweeddeal.consensus import LEADER, Node
+from knapweeddeal.consensuslog import pack_command, pack_membership
+from knapweeddeal.errors import (
+    BadMessageError,
+    CorruptStorageError,
+    InvalidIntentError,
+    NoQuorumError,
+)
+from knapweeddeal.messages.control import (
+    AppendAnswer,
+    AppendAsk,
+    LogRecord,
+    VoteAnswer,
+    VoteAsk,
+)
+from knapweeddeal.messages.replication import HardState, MembershipRecord
+from tests.consensusworld import ELECTION_MS, HEARTBEAT_MS, FakeDisk, World, replica
+
+#: Steps of one schedule.
+STEPS = 1_500
+SEEDS = range(12)
+
+
+def network_step(world):
+    """Deliver, lose or double a message."""
+    world.deliver(loss=0.05, duplicate=0.05)
+
+
+def cut_step(world):
+    """Cut replicas off, or join them again."""
+    count = world.random.choice((0, 0, 1, 2))
+    world.cut = set(world.random.sample(sorted(world.nodes), count))
+
+
+#: Steps by weight; each schedule leaves some out.
+CALM = [
+    (40, network_step),
+    (10, lambda world: world.pass_time(HEARTBEAT_MS)),
+    (4, World.propose),
+    (2, World.read),
+]
+FAULTS = [*CALM, (1, World.crash_any), (1, World.deliver_and_crash), (1, cut_step)]
+CHANGES = [*FAULTS, (2, World.change_members), (1, World.transfer_any)]
+SNAPSHOTS = [*CHANGES, (1, World.compact_any)]
+
+
+class Schedules(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Whatever happens, what is committed stays and a term has one leader."""
+
+    scenarios = [
+        (f"{name} {seed}", {"seed": seed, "steps": steps})
+        for name, steps in (
+            ("calm", CALM),
+            ("faults", FAULTS),
+            ("changes", CHANGES),
+            ("snapshots", SNAPSHOTS),
+        )
+        for seed in SEEDS
+    ]
+
+    def test_promises(self):
+        world = World(seed=self.seed)
+        weights = [weight for weight, _ in self.steps]
+        actions = [action for _, action in self.steps]
+        for action in world.random.choices(actions, weights, k=STEPS):
+            action(world)
+        world.settle()
+        committed = set()
+        for lead in world.believers():
+            committed = world.applied[lead]
+        self.assertEqual(len(committed), len(set(committed)))
+        self.assertEqual(set(), world.acknowledged - set(committed))
+        self.assertNotEqual([], committed)
+
+
+def command(index, term):
+    """Return a record with a command."""
+    return LogRecord(index=index, term=term, command=pack_command(b"0"))
+
+
+FOUNDING = LogRecord(
+    index=1,
+    term=1,
+    command=pack_membership(
+        MembershipRecord(
+            replicas=[replica(1), replica(2), replica(3)], operator="", request_id=""
+        )
+    ),
+)
+
+
+def make_node(records):
+    """Return replica 1 of three, after a restart with these records."""
+    return Node(
+        identity=1,
+        state=HardState(term=2, voted_for=0),
+        snapshot=None,
+        records=records,
+        random=random.Random(1),
+        now_ms=0,
+        election_ms=ELECTION_MS,
+        heartbeat_ms=HEARTBEAT_MS,
+    )
+
+
+def elected(**settings):
+    """Return a world after its first election, and the leader."""
+    world = World(seed=1, **settings)
+    world.settle()
+    return world, world.nodes[world.believers()[0]]
+
+
+class Membership(testtools.TestCase):
+    """Only identities that the log names vote and count."""
+
+    def test_empty_folder_neither_votes_nor_campaigns(self):
+        world, _ = elected()
+        empty = world.nodes[4]
+        ask = VoteAsk(term=99, candidate=1, last_index=99, last_term=9, pre=False)
+        empty.receive(1, ask, world.now_ms)
+        for _ in range(100):
+            empty.tick(world.now_ms + 100 * ELECTION_MS)
+        self.assertFalse(empty.take_ready())
+        self.assertEqual(0, empty.term)
+
+    def test_two_of_three_emptied_never_commit(self):
+        world, leader = elected(spares=0)
+        world.propose()
+        world.settle()
+        before = dict(world.truth)
+        for identity in sorted(leader.members - {leader.identity}):
+            world.disks[identity] = FakeDisk()
+            world.start(identity)
+            # An emptied folder mints another identity.
+            world.nodes[identity + 10] = world.nodes.pop(identity)
+            world.nodes[identity + 10].identity = identity + 10
+            world.disks[identity + 10] = world.disks[identity]
+            world.applied[identity + 10] = []
+        world.network = []
+        for _ in range(50):
+            world.pass_time(HEARTBEAT_MS)
+            world.propose()
+            world.network = [m for m in world.network if m[1] in world.nodes]
+            for _ in range(20):
+                world.deliver()
+        self.assertEqual(before, world.truth)
+        self.assertEqual([], world.believers())
+
+    def test_learner_does_not_count(self):
+        world, leader = elected()
+        leader.add_learner(4)
+        leader.add_learner(5)
+        voters = {member.identity for member in leader.log.replicas}
+        world.cut = voters - {leader.identity}
+        world.propose()
+        index = leader.log.last_index
+        for _ in range(4):
+            world.pass_time(HEARTBEAT_MS)
+            for _ in range(100):
+                world.deliver()
+        self.assertEqual(index, world.nodes[4].log.last_index)
+        self.assertEqual(index, world.nodes[5].log.last_index)
+        self.assertTrue(index > leader.commit_index)
+
+    def test_one_change_at_a_time(self):
+        _, leader = elected()
+        members = list(leader.log.replicas)
+        for wanted in ([*members, replica(4), replica(5)], members):
+            record = MembershipRecord(replicas=wanted, operator="", request_id="")
+            self.assertRaises(InvalidIntentError, leader.propose_membership, record)
+
+    def test_next_change_waits_for_the_last(self):
+        _, leader = elected()
+        members = list(leader.log.replicas)
+        first = MembershipRecord(
+            replicas=[*members, replica(4)], operator="", request_id=""
+        )
+        leader.propose_membership(first)
+        second = first.replace(replicas=members)
+        self.assertRaises(NoQuorumError, leader.propose_membership, second)
+
+
+class Commit(testtools.TestCase):
+    """A record is committed when a majority synced it and the log before it."""
+
+    def lead(self, records):
+        """Return a node that was elected in term 3 with these records."""
+        node = make_node(records)
+        node.tick(10 * ELECTION_MS)
+        for pre in (True, False):
+            answer = VoteAnswer(term=3, voter=2, granted=True, pre=pre)
+            node.receive(2, answer, 10 * ELECTION_MS)
+        self.assertEqual((LEADER, 3), (node.role, node.term))
+        return node
+
+    def answer(self, node, match_index):
+        """Let replica 2 acknowledge records."""
+        message = AppendAnswer(
+            term=3, follower=2, success=True, match_index=match_index, round=0
+        )
+        node.receive(2, message, 10 * ELECTION_MS)
+
+    def test_not_by_counting_an_older_term(self):
+        node = self.lead([FOUNDING, command(2, 2)])
+        node.persisted(node.take_ready())
+        self.answer(node, 2)
+        self.assertEqual(0, node.commit_index)
+        self.answer(node, 3)
+        self.assertEqual(3, node.commit_index)
+
+    def test_not_before_own_sync(self):
+        node = self.lead([FOUNDING])
+        ready = node.take_ready()
+        self.answer(node, 2)
+        self.assertEqual(0, node.commit_index)
+        node.persisted(ready)
+        self.assertEqual(2, node.commit_index)
+
+    def test_follower_trusts_only_what_matched(self):
+        node = make_node([FOUNDING, command(2, 1), command(3, 1)])
+        ask = AppendAsk(
+            term=3,
+            leader=2,
+            previous_index=1,
+            previous_term=1,
+            records=[],
+            commit_index=3,
+            round=0,
+        )
+        node.receive(2, ask, 0)
+        self.assertEqual(1, node.commit_index)
+
+
+class Leadership(testtools.TestCase):
+    """A leader that can't reach a majority says so soon."""
+
+    def test_silent_leader_steps_down(self):
+        world, leader = elected()
+        world.cut = {leader.identity}
+        for _ in range(20):
+            world.pass_time(HEARTBEAT_MS)
+        self.assertNotEqual(LEADER, leader.role)
+
+    def test_cut_replica_does_not_raise_terms(self):
+        world, leader = elected()
+        other = sorted(leader.members - {leader.identity})[0]
+        world.cut = {other}
+        term = leader.term
+        for _ in range(100):
+            world.pass_time(HEARTBEAT_MS)
+            for _ in range(20):
+                world.deliver()
+        self.assertEqual(term, world.nodes[other].term)
+        world.settle()
+        self.assertEqual(term, leader.term)
+
+    def test_stopped_leader_fails_reads_after_waking(self):
+        world, leader = elected()
+        asleep = world.nodes.pop(leader.identity)
+        world.network = []
+        for _ in range(100):
+            world.pass_time(HEARTBEAT_MS)
+            world.network = [m for m in world.network if m[1] in world.nodes]
+            world.deliver()
+            world.propose()
+        asleep.read("late")
+        asleep.tick(world.now_ms)
+        reads = asleep.take_ready().reads
+        self.assertEqual([("late", 0)], [(r.read_id, r.index) for r in reads])
+
+
+class BadAppend(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A follower refuses appends that make no sense."""
+
+    scenarios = [
+        ("gap", {"index": 9, "error": BadMessageError}),
+        ("committed", {"index": 1, "error": CorruptStorageError}),
+    ]
+
+    def test_refused(self):
+        world, leader = elected()
+        follower = world.nodes[sorted(leader.members - {leader.identity})[0]]
+        record = LogRecord(index=self.index, term=99, command=b"\0x")
+        ask = AppendAsk(
+            term=99,
+            leader=leader.identity,
+            previous_index=0,
+            previous_term=0,
+            records=[record],
+            commit_index=0,
+            round=0,
+        )
+        self.assertRaises(self.error, follower.receive, leader.identity, ask, 0)
--- /dev/null
+++ b/tests/test_consensuslog.py
@@ -0,0 +1,83 @@
+"""tests.test_consensuslog: Tests of the log in memory."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal.consensuslog import ConsensusLog, pack_command, pack_membership
+from knapweeddeal.messages.replication import MembershipRecord, SnapshotFile
+from tests.consensusworld import replica
+
+
+def membership(*identities):
+    """Return record bytes of a membership."""
+    replicas = [replica(identity) for identity in identities]
+    return pack_membership(
+        MembershipRecord(replicas=replicas, operator="", request_id="")
+    )
+
+
+def filled():
+    """Return a log of terms 1, 1, 2, 2, 3 with memberships at 1 and 4."""
+    log = ConsensusLog()
+    log.add(1, membership(1, 2, 3))
+    log.add(1, pack_command(b"a"))
+    log.add(2, pack_command(b"b"))
+    log.add(2, membership(1, 2))
+    log.add(3, pack_command(b"c"))
+    return log
+
+
+def identities(replicas):
+    """Return the identities of replicas."""
+    return [found.identity for found in replicas]
+
+
+class Memberships(testtools.TestCase):
+    """The latest record in the log names the membership."""
+
+    def test_cut_brings_the_older_back(self):
+        log = filled()
+        self.assertEqual([1, 2], identities(log.replicas))
+        log.cut(4)
+        self.assertEqual([1, 2, 3], identities(log.replicas))
+        self.assertEqual((3, 2), (log.last_index, log.last_term))
+
+    def test_dropping_the_front_keeps_the_membership(self):
+        log = filled()
+        log.drop_before(3)
+        self.assertEqual([1, 2, 3], identities(log.replicas_at(3)))
+        self.assertEqual([1, 2], identities(log.replicas))
+        self.assertEqual((None, 2, 2), tuple(log.term_at(i) for i in (2, 3, 4)))
+
+
+class Reset(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Records stay after a snapshot only if they go on from it."""
+
+    scenarios = [
+        ("same term", {"term": 2, "last": (5, 3), "members": [1, 2]}),
+        ("other term", {"term": 9, "last": (3, 9), "members": [7]}),
+    ]
+
+    def test_reset(self):
+        log = filled()
+        snapshot = SnapshotFile(
+            last_index=3, last_term=self.term, replicas=[replica(7)], data=b""
+        )
+        log.reset(snapshot)
+        self.assertEqual(self.last, (log.last_index, log.last_term))
+        self.assertEqual(self.members, identities(log.replicas))
+
+
+class Reading(testtools.TestCase):
+    """Slices are whole and bounded."""
+
+    def test_slice(self):
+        log = filled()
+        self.assertEqual([2, 3], [record.index for record in log.slice(2, 3)])
+        self.assertEqual([2], [r.index for r in log.slice(2, 5, max_bytes=1)])
+        self.assertEqual([], log.slice(6, 9))
+
+    def test_first_of_term(self):
+        self.assertEqual(
+            [1, 1, 3, 3, 5], [filled().first_of_term(i) for i in range(1, 6)]
+        )
