--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
 """tests.test_docs: The pages and the code say the same."""
 
+import re
 from pathlib import Path
 
 import testscenarios
@@ -48,3 +49,14 @@
     def test_listed(self):
         page = (DOCS / "OPERATORS.md").read_text(encoding="utf-8")
         self.assertIn(f"| `{self.cls.code}` | {self.cls.exit_status} |", page)
+
+
+class Examples(testtools.TestCase):
+    """The examples of the embedders' page run as they stand."""
+
+    def test_examples(self):
+        page = (DOCS / "LIBRARY.md").read_text(encoding="utf-8")
+        examples = re.findall(r"^```python\n(.*?)^```", page, re.DOTALL | re.MULTILINE)
+        self.assertEqual(3, len(examples))
+        for example in examples:
+            exec(compile(example, "LIBRARY.md", "exec"), {})
