Know the live entries by probes and riding rumours

Cause: entries knew only the peers of their settings, neither their zones nor whether they live. News ride on datagrams a bounded number of times; sync asks compare one bucket of records. Each check was seen failing with its mechanism broken: no refutation, no retry of lost members, pauses held against others, no fan-out of versions, notes taken twice, no burial, rumours without bound, no sync.

--- /dev/null
+++ b/knapweeddeal/memberrecords.py
@@ -0,0 +1,126 @@
+"""knapweeddeal.memberrecords: What is known of each member, and which record wins."""
+
+import zlib
+
+from knapweeddeal.messages.member import ALIVE, DEAD, LEFT, SUSPECT
+from knapweeddeal.record import Record
+
+__all__ = ["Member", "MemberRecords", "is_live", "supersedes"]
+
+#: Order of states under one counter.
+RANKS = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
+LIVE = frozenset((ALIVE, SUSPECT))
+#: Time for which a member that is gone is remembered.
+FORGET_MS = 600_000
+
+
+class Member(Record):
+    """Hold a member's record, when it changed, and its place among buckets."""
+
+    __slots__ = ("changed_ms", "place", "record")
+
+
+class MemberRecords:
+    """Hold the records of all members but this one, by name."""
+
+    __slots__ = ("_by_address", "_members")
+
+    def __init__(self):
+        self._members = {}
+        self._by_address = {}
+
+    def __len__(self):
+        """Return how many members are known, live or not."""
+        return len(self._members)
+
+    # Commands
+
+    def put(self, record, *, now_ms):
+        """Take a record and return True, unless a later one is held."""
+        held = self._members.get(record.name)
+        if held is None:
+            if not is_live(record):
+                return False
+            place = zlib.crc32(record.name.encode())
+            held = Member(record=record, changed_ms=now_ms, place=place)
+            self._members[record.name] = held
+        elif not supersedes(record, held.record):
+            return False
+        self._by_address.pop((held.record.host, held.record.port), None)
+        self._by_address[(record.host, record.port)] = record.name
+        held.record = record
+        held.changed_ms = now_ms
+        return True
+
+    def forget(self, *, now_ms):
+        """Drop the members that are gone for long."""
+        for name, member in list(self._members.items()):
+            if not is_live(member.record) and now_ms - member.changed_ms > FORGET_MS:
+                address = (member.record.host, member.record.port)
+                if self._by_address.get(address) == name:
+                    del self._by_address[address]
+                del self._members[name]
+
+    # Queries
+
+    def get(self, name):
+        """Return a member's record, or None."""
+        member = self._members.get(name)
+        return member.record if member else None
+
+    def at(self, address):
+        """Return the name of the member at an address, or None."""
+        return self._by_address.get((address.host, address.port))
+
+    def live(self):
+        """Return the records of the members that count as live."""
+        return [m.record for m in self._members.values() if is_live(m.record)]
+
+    def lost(self):
+        """Return the records of the members that died unplanned."""
+        return [m.record for m in self._members.values() if m.record.state == DEAD]
+
+    def suspected_before(self, time_ms):
+        """Return the records of the members under suspicion since a time."""
+        return [
+            m.record
+            for m in self._members.values()
+            if m.record.state == SUSPECT and m.changed_ms <= time_ms
+        ]
+
+    def bucket(self, bucket, buckets, own):
+        """Return the records of a bucket, with this process's own."""
+        found = [
+            m.record for m in self._members.values() if m.place % buckets == bucket
+        ]
+        if zlib.crc32(own.name.encode()) % buckets == bucket:
+            found.append(own)
+        return found
+
+
+def is_live(record):
+    """Tell whether a record counts as that of a live member."""
+    return record.state in LIVE
+
+
+def supersedes(record, held):
+    """Tell whether a record takes the place of another one of the same member.
+
+    A process that restarted raises its counter over that of the former one.
+    """
+    if record.incarnation == held.incarnation:
+        new = (record.counter, RANKS[record.state])
+        return new > (held.counter, RANKS[held.state])
+    new = (record.counter, record.incarnation)
+    return new > (held.counter, held.incarnation)
+
+
+def digest(records):
+    """Return a whole number that stands for the live ones of some records."""
+    result = 0
+    for record in records:
+        if is_live(record):
+            text = f"{record.name} {record.incarnation} {record.counter}"
+            first = zlib.crc32(text.encode())
+            result ^= first << 32 | zlib.crc32(text.encode(), first)
+    return result
--- /dev/null
+++ b/knapweeddeal/membership.py
@@ -0,0 +1,482 @@
+"""knapweeddeal.membership: Which entries live, by probes and rumours at steady cost."""
+
+from functools import singledispatchmethod
+
+from knapweeddeal.actions import Address
+from knapweeddeal.memberrecords import MemberRecords, digest, is_live
+from knapweeddeal.messages.member import (
+    ALIVE,
+    DEAD,
+    LEFT,
+    SUSPECT,
+    Note,
+    Ping,
+    PingAnswer,
+    PingAsk,
+    SyncAnswer,
+    SyncAsk,
+)
+from knapweeddeal.record import Record
+from knapweeddeal.rumours import Rumours
+
+__all__ = [
+    "MemberGone",
+    "MembersChanged",
+    "Membership",
+    "NoteCame",
+    "SendDatagram",
+    "VersionSeen",
+]
+
+#: Members that are asked to ping one that didn't answer.
+HELPERS = 3
+#: Members that are told at once of a new version, or of this process's leave.
+FANOUT = 3
+LEAVE_FANOUT = 8
+JOIN_FANOUT = 8
+#: Periods for which a member that starts looks for others in haste.
+JOIN_PERIODS = 5
+#: Records and notes that ride on one datagram.
+RIDING_RECORDS = 6
+RIDING_NOTES = 2
+#: Records in an answer to a sync ask, and the mean size of a bucket.
+SYNC_RECORDS = 12
+BUCKET_RECORDS = 6
+#: Buckets that a joining member asks for at a time.
+SYNC_ASKS = 8
+#: Periods between two tries at a member that is lost, and between two sync asks.
+RETRY_PERIODS = 3
+SYNC_PERIODS = 5
+#: Fewest periods between two sweeps over all buckets; else one for each bucket.
+MIN_SWEEP_PERIODS = 5
+#: Periods with a sync ask in each, after one that brought news.
+EAGER_PERIODS = 3
+#: Probes in a row without an answer that make a suspicion.
+PROBE_TRIES = 2
+#: Fewest periods for which a member may refute a suspicion.
+MIN_SUSPICION_PERIODS = 3
+#: Parts of a period: wait for a direct answer, and longest pause of this process
+#: after which a missing answer is held against itself.
+ANSWER_PART = 0.3
+PAUSE_PART = 0.5
+
+
+class SendDatagram(Record):
+    """Ask the shell to send a message to an address."""
+
+    __slots__ = ("address", "message")
+
+
+class MembersChanged(Record):
+    """Tell that the live members are others than before."""
+
+    __slots__ = ()
+
+
+class MemberGone(Record):
+    """Tell that a member left as planned or died."""
+
+    __slots__ = ("planned", "record")
+
+
+class VersionSeen(Record):
+    """Tell that a member shows a version higher than the one here."""
+
+    __slots__ = ("name", "version")
+
+
+class NoteCame(Record):
+    """Tell of a note that was not known here."""
+
+    __slots__ = ("note",)
+
+
+class Probe(Record):
+    """Hold the probe under way."""
+
+    __slots__ = ("answered", "helped", "number", "record", "sent_ms", "tries")
+
+
+class Favour(Record):
+    """Hold a ping on behalf of another member."""
+
+    __slots__ = ("address", "number", "until_ms")
+
+
+class Membership:
+    """Know the live entries; every method returns a list of actions.
+
+    One member is probed each `probe_ms`; what is learnt rides on the probes. The
+    cost of a member doesn't grow with the number of members, only with changes.
+    """
+
+    def __init__(self, *, record, seeds, rng, probe_ms, now_ms):
+        self.record = record
+        self.records = MemberRecords()
+        self._seeds = seeds
+        self._rng = rng
+        self._probe_ms = probe_ms
+        self._version = 0
+        self._rumours = Rumours()
+        self._notes = Rumours()
+        #: Ends of the lives of notes known here, by note id.
+        self._known_notes = {}
+        self._rumours.add(record.name, record)
+        self._number = 0
+        self._round = []
+        self._probe = None
+        self._favours = {}
+        self._period_ms = now_ms - probe_ms
+        self._periods = 0
+        self._ticked_ms = now_ms
+        self._paused = False
+        self._buckets = []
+        self._eager_until = 0
+        self._next_sweep = 0
+        #: Bits of the number of members that were known at the last word of this one.
+        self._told_members = 0
+
+    # Queries
+
+    def names_by_zone(self):
+        """Return the names of the live members, this one too, by zone."""
+        zones = {}
+        for record in [*self.records.live(), self.record]:
+            if is_live(record):
+                zones.setdefault(record.zone, []).append(record.name)
+        return zones
+
+    def address(self, name):
+        """Return the address of a member, or None."""
+        record = self.record if name == self.record.name else self.records.get(name)
+        return _address(record) if record else None
+
+    # Commands
+
+    def tick(self, *, now_ms):
+        """Do what time asks for; call it several times in each period."""
+        pause_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
+        self._paused = self._paused or pause_ms > self._probe_ms * PAUSE_PART
+        actions = self._sync_next()
+        if now_ms - self._period_ms >= self._probe_ms:
+            self._period_ms = now_ms
+            actions += self._end_period(now_ms)
+        elif self._probe and not self._probe.answered and not self._probe.helped:
+            actions += self._ask_helpers(now_ms)
+        return actions
+
+    def set_version(self, version):
+        """Show another applied version, and tell some members at once."""
+        if version <= self._version:
+            return []
+        self._version = version
+        return [self._ping(_address(record)) for record in self._some(FANOUT)]
+
+    def spread_note(self, *, topic, body, life_ms, now_ms):
+        """Pass a small item to every member until its life ends."""
+        note = Note(
+            note_id=self._rng.getrandbits(64), topic=topic, life_ms=life_ms, body=body
+        )
+        self._known_notes[note.note_id] = now_ms + life_ms
+        self._notes.add(note.note_id, note)
+        return [self._ping(_address(record)) for record in self._some(FANOUT)]
+
+    def leave(self, *, now_ms):
+        """Tell that this member leaves as planned."""
+        self._own(LEFT, self.record.counter + 1)
+        told = self._some(LEAVE_FANOUT)
+        return [self._ping(_address(record), self.record) for record in told]
+
+    @singledispatchmethod
+    def receive(self, message, source, *, now_ms):
+        """Take a message that came from an address."""
+        return []
+
+    @receive.register
+    def _(self, message: Ping, source, *, now_ms):
+        actions = self._take(message, source, now_ms)
+        known = self.records.get(message.name)
+        doubt = known is not None and (
+            known.incarnation != message.incarnation or known.state != ALIVE
+        )
+        answer = self._message(PingAnswer, message.number, known if doubt else None)
+        return [*actions, SendDatagram(address=source, message=answer)]
+
+    @receive.register
+    def _(self, message: PingAnswer, source, *, now_ms):
+        actions = self._take(message, source, now_ms)
+        probe = self._probe
+        if probe is not None and probe.number == message.number:
+            probe.answered = probe.answered or message.name == probe.record.name
+        favour = self._favours.pop(message.number, None)
+        if favour is not None:
+            answer = message.replace(number=favour.number, records=[], notes=[])
+            actions.append(SendDatagram(address=favour.address, message=answer))
+        return actions
+
+    @receive.register
+    def _(self, message: PingAsk, source, *, now_ms):
+        ping = self._ping(Address(host=message.host, port=message.port))
+        self._favours[self._number] = Favour(
+            address=source,
+            number=message.number,
+            until_ms=now_ms + self._probe_ms,
+        )
+        return [ping]
+
+    @receive.register
+    def _(self, message: SyncAsk, source, *, now_ms):
+        if message.bucket >= message.buckets:
+            return []
+        found = self.records.bucket(message.bucket, message.buckets, self.record)
+        parts = _parts(found) or [[]]
+        if message.digest == digest(found):
+            parts = [[]]
+        elif message.buckets == 1:
+            parts = [[self.record, *self._some(SYNC_RECORDS - 1)]]
+        return [SendDatagram(address=source, message=self._sync(p)) for p in parts]
+
+    @receive.register
+    def _(self, message: SyncAnswer, source, *, now_ms):
+        actions = []
+        for record in message.records:
+            is_news = record.name == message.name
+            actions += self._take_record(record, now_ms, is_news=is_news)
+        if actions:
+            self._eager_until = self._periods + EAGER_PERIODS
+        if message.members > self._live_count() and self._periods >= self._next_sweep:
+            self._sweep_buckets(source, 1 + message.members // BUCKET_RECORDS)
+        return actions
+
+    # Records and notes
+
+    def _take(self, message, source, now_ms):
+        actions = []
+        for record in message.records:
+            actions += self._take_record(record, now_ms, is_news=True)
+        for note in message.notes:
+            actions += self._take_note(note, now_ms)
+        if message.version > self._version:
+            actions.append(VersionSeen(name=message.name, version=message.version))
+        if self.records.get(message.name) is None:
+            actions.append(self._sync_ask(source, 0, 1))
+        return actions
+
+    def _take_record(self, record, now_ms, *, is_news):
+        if record.name != self.record.name:
+            return self._put(record, now_ms, is_news=is_news)
+        self._refute(record)
+        return []
+
+    def _put(self, record, now_ms, *, is_news=True):
+        before = self.records.get(record.name)
+        if not self.records.put(record, now_ms=now_ms):
+            return []
+        if is_news:
+            self._rumours.add(record.name, record)
+        if len(self.records).bit_length() > self._told_members:
+            self._told_members = len(self.records).bit_length()
+            self._rumours.add(self.record.name, self.record)
+        was_live = before is not None and is_live(before)
+        replaced = was_live and before.incarnation != record.incarnation
+        if was_live == is_live(record) and not replaced:
+            return []
+        actions = [MembersChanged()]
+        if was_live:
+            planned = record.state == LEFT
+            actions.append(MemberGone(record=before, planned=planned))
+        return actions
+
+    def _refute(self, record):
+        if record.incarnation == self.record.incarnation:
+            if record.state != ALIVE and record.counter >= self.record.counter:
+                self._own(self.record.state, record.counter + 1)
+        elif record.counter >= self.record.counter:
+            self._own(self.record.state, record.counter + 1)
+
+    def _own(self, state, counter):
+        self.record = self.record.replace(state=state, counter=counter)
+        self._rumours.add(self.record.name, self.record)
+
+    def _take_note(self, note, now_ms):
+        if note.note_id in self._known_notes or not note.life_ms:
+            return []
+        self._known_notes[note.note_id] = now_ms + note.life_ms
+        self._notes.add(note.note_id, note)
+        return [NoteCame(note=note)]
+
+    # Probes
+
+    def _end_period(self, now_ms):
+        self._periods += 1
+        actions = self._judge_probe(now_ms)
+        actions += self._bury(now_ms)
+        self._expire(now_ms)
+        actions += self._start_probe(now_ms)
+        if self._periods % RETRY_PERIODS == 0 or self._is_joining():
+            actions += self._retry_lost()
+        eager = self._periods <= self._eager_until
+        if eager or self._periods % SYNC_PERIODS == 0:
+            actions += self._sync_some()
+        return actions
+
+    def _judge_probe(self, now_ms):
+        probe, self._probe = self._probe, None
+        paused, self._paused = self._paused, False
+        if probe is None or probe.answered or paused:
+            return []
+        held = self.records.get(probe.record.name)
+        if held is None or held.state != ALIVE:
+            return []
+        if probe.tries < PROBE_TRIES:
+            return [self._probe_again(held, probe.tries + 1, now_ms)]
+        suspect = held.replace(state=SUSPECT)
+        actions = self._put(suspect, now_ms)
+        return [*actions, self._ping(_address(held), suspect)]
+
+    def _bury(self, now_ms):
+        periods = max(MIN_SUSPICION_PERIODS, (len(self.records) + 1).bit_length())
+        actions = []
+        for record in self.records.suspected_before(now_ms - periods * self._probe_ms):
+            actions += self._put(record.replace(state=DEAD), now_ms)
+        return actions
+
+    def _expire(self, now_ms):
+        self.records.forget(now_ms=now_ms)
+        self._favours = {n: f for n, f in self._favours.items() if f.until_ms > now_ms}
+        for note_id in [n for n, end in self._known_notes.items() if end <= now_ms]:
+            del self._known_notes[note_id]
+
+    def _start_probe(self, now_ms):
+        record = None if self._probe else self._next_to_probe()
+        return [self._probe_again(record, 1, now_ms)] if record else []
+
+    def _probe_again(self, record, tries, now_ms):
+        ping = self._ping(_address(record), record if record.state != ALIVE else None)
+        self._probe = Probe(
+            record=record,
+            number=ping.message.number,
+            sent_ms=now_ms,
+            answered=False,
+            helped=False,
+            tries=tries,
+        )
+        return ping
+
+    def _next_to_probe(self):
+        while True:
+            if not self._round:
+                self._round = [record.name for record in self.records.live()]
+                self._rng.shuffle(self._round)
+            if not self._round:
+                return None
+            record = self.records.get(self._round.pop())
+            if record is not None and is_live(record):
+                return record
+
+    def _ask_helpers(self, now_ms):
+        probe = self._probe
+        if now_ms - probe.sent_ms < self._probe_ms * ANSWER_PART:
+            return []
+        probe.helped = True
+        ask = PingAsk(
+            name=self.record.name,
+            number=probe.number,
+            host=probe.record.host,
+            port=probe.record.port,
+        )
+        return [
+            SendDatagram(address=_address(record), message=ask)
+            for record in self._some(HELPERS)
+            if record.name != probe.record.name
+        ]
+
+    def _is_joining(self):
+        return self._periods <= JOIN_PERIODS or not self.records.live()
+
+    def _retry_lost(self):
+        lost = [(_address(record), record) for record in self.records.lost()]
+        for name, address in self._seeds.items():
+            if self.records.get(name) is None:
+                lost.append((address, None))
+        count = JOIN_FANOUT if self._is_joining() else 1
+        chosen = self._rng.sample(lost, min(count, len(lost)))
+        return [self._ping(address, record) for address, record in chosen]
+
+    # Sync
+
+    def _sync_some(self):
+        buckets = 1 + len(self.records) // BUCKET_RECORDS
+        return [
+            self._sync_ask(_address(record), self._rng.randrange(buckets), buckets)
+            for record in self._some(1)
+        ]
+
+    def _sweep_buckets(self, source, buckets):
+        self._buckets = [(source, bucket, buckets) for bucket in range(buckets)]
+        self._rng.shuffle(self._buckets)
+        self._next_sweep = self._periods + max(MIN_SWEEP_PERIODS, buckets)
+
+    def _live_count(self):
+        return len(self.records.live()) + 1
+
+    def _sync_next(self):
+        due, self._buckets = self._buckets[:SYNC_ASKS], self._buckets[SYNC_ASKS:]
+        return [self._sync_ask(*ask) for ask in due]
+
+    def _sync_ask(self, address, bucket, buckets):
+        held = self.records.bucket(bucket, buckets, self.record)
+        ask = SyncAsk(
+            name=self.record.name, bucket=bucket, buckets=buckets, digest=digest(held)
+        )
+        return SendDatagram(address=address, message=ask)
+
+    def _sync(self, records):
+        return SyncAnswer(
+            name=self.record.name, members=self._live_count(), records=records
+        )
+
+    # Datagrams
+
+    def _ping(self, address, first=None):
+        self._number += 1
+        message = self._message(Ping, self._number, first)
+        return SendDatagram(address=address, message=message)
+
+    def _message(self, cls, number, first):
+        members = len(self.records) + 1
+        records = self._rumours.take(RIDING_RECORDS, members=members)
+        if first is not None and first not in records:
+            records.insert(0, first)
+        return cls(
+            name=self.record.name,
+            incarnation=self.record.incarnation,
+            number=number,
+            version=self._version,
+            records=records,
+            notes=self._riding_notes(members),
+        )
+
+    def _riding_notes(self, members):
+        riding = []
+        for note in self._notes.take(RIDING_NOTES, members=members):
+            left_ms = self._known_notes.get(note.note_id, 0) - self._ticked_ms
+            if left_ms > 0:
+                riding.append(note.replace(life_ms=left_ms))
+        return riding
+
+    def _some(self, count):
+        live = self.records.live()
+        return self._rng.sample(live, min(count, len(live)))
+
+
+def _address(record):
+    return Address(host=record.host, port=record.port)
+
+
+def _parts(records):
+    return [
+        records[start : start + SYNC_RECORDS]
+        for start in range(0, len(records), SYNC_RECORDS)
+    ]
--- a/knapweeddeal/messages/__init__.py
+++ b/knapweeddeal/messages/__init__.py
@@ -3,6 +3,7 @@
 from knapweeddeal.messages import (
     caller,
     control,
+    member,
     operator,
     peer,
     replication,
@@ -16,6 +17,7 @@
 FAMILIES = {
     "caller": caller,
     "control": control,
+    "member": member,
     "operator": operator,
     "peer": peer,
     "replication": replication,
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,177 @@
+"""tests.test_membership: Tests of membership, with many members in one process."""
+
+import random
+
+import testscenarios
+import testtools
+
+from knapweeddeal.memberrecords import supersedes
+from knapweeddeal.messages.member import ALIVE, DEAD, LEFT, SUSPECT, MemberRecord
+from tests.memberfakes import PROBE_MS, MemberNet
+
+COUNT = 40
+SETTLE_MS = 60 * PROBE_MS
+
+
+def settled(seed=1, **options):
+    """Return a net whose members know each other."""
+    net = MemberNet(rng=random.Random(seed), **{"count": COUNT, **options})
+    net.run(SETTLE_MS, until=net.agreed)
+    return net
+
+
+class Order(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Which of two records wins doesn't depend on which came first.
+
+    Records are (incarnation, counter, state); the later one of a pair wins.
+    """
+
+    scenarios = [
+        ("suspicion", {"pair": ((1, 0, ALIVE), (1, 0, SUSPECT))}),
+        ("refuted", {"pair": ((1, 0, SUSPECT), (1, 1, ALIVE))}),
+        ("death", {"pair": ((1, 1, SUSPECT), (1, 1, DEAD))}),
+        ("refuted death", {"pair": ((1, 1, DEAD), (1, 2, ALIVE))}),
+        ("late suspicion", {"pair": ((1, 0, SUSPECT), (1, 1, SUSPECT))}),
+        ("leave", {"pair": ((1, 1, DEAD), (1, 1, LEFT))}),
+        ("restart", {"pair": ((9, 1, DEAD), (3, 2, ALIVE))}),
+        ("two at once", {"pair": ((3, 2, DEAD), (9, 2, ALIVE))}),
+    ]
+
+    def record(self, incarnation, counter, state):
+        return MemberRecord(
+            name="entry-1",
+            incarnation=incarnation,
+            counter=counter,
+            zone="zone-a",
+            host="127.0.0.1",
+            port=1,
+            state=state,
+        )
+
+    def test_later_wins(self):
+        before, after = (self.record(*values) for values in self.pair)
+        self.assertTrue(supersedes(after, before))
+        self.assertFalse(supersedes(before, after))
+        self.assertFalse(supersedes(after, after))
+
+
+class Life(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Members join, die, leave and restart."""
+
+    scenarios = [
+        ("no loss", {"loss": 0.0, "seed": 1}),
+        ("loss", {"loss": 0.1, "seed": 2}),
+        ("much loss", {"loss": 0.2, "seed": 3}),
+    ]
+
+    def setUp(self):
+        super().setUp()
+        self.net = settled(self.seed, loss=self.loss)
+        self.assertTrue(self.net.agreed())
+
+    def test_join(self):
+        self.net.start("entry-999")
+        self.net.run(SETTLE_MS, until=self.net.agreed)
+        self.assertTrue(self.net.agreed())
+
+    def test_deaths_at_once(self):
+        for number in range(5, 15):
+            self.net.kill(f"entry-{number}")
+        self.net.gone.clear()
+        self.net.run(SETTLE_MS, until=self.net.agreed)
+        self.assertTrue(self.net.agreed())
+        self.assertFalse(any(action.planned for _, _, action in self.net.gone))
+
+    def test_leave_is_quick(self):
+        self.net.leave("entry-7")
+        self.net.run(10 * PROBE_MS, until=self.net.agreed)
+        self.assertTrue(self.net.agreed())
+        told = [action for _, _, action in self.net.gone if action.planned]
+        self.assertGreaterEqual(len(told), COUNT - 1)
+
+    def test_restart_under_its_name(self):
+        self.net.kill("entry-7")
+        self.net.run(500)
+        self.net.start("entry-7")
+        incarnation = self.net.members["entry-7"].record.incarnation
+
+        def renewed():
+            return all(
+                member.records.get("entry-7").incarnation == incarnation
+                for name, member in self.net.members.items()
+                if name != "entry-7"
+            )
+
+        self.net.run(SETTLE_MS, until=lambda: renewed() and self.net.agreed())
+        self.assertTrue(renewed())
+
+    def test_cut_and_heal(self):
+        near = {f"entry-{n}" for n in range(0, COUNT, 4)}
+        far = set(self.net.members) - near
+        self.net.side = dict.fromkeys(near, "near")
+        sides = (near, far)
+        self.net.run(
+            120 * PROBE_MS, until=lambda: all(self.net.agreed(s) for s in sides)
+        )
+        self.assertEqual([True, True], [self.net.agreed(s) for s in sides])
+        self.net.side = {}
+        self.net.run(120 * PROBE_MS, until=self.net.agreed)
+        self.assertTrue(self.net.agreed())
+
+    def test_note_reaches_all_once(self):
+        actions = self.net.members["entry-3"].spread_note(
+            topic="succession", body=b"x", life_ms=20_000, now_ms=self.net.now_ms
+        )
+        self.net.perform("entry-3", actions)
+        self.net.run(15_000)
+        self.assertEqual({1}, set(self.net.notes.values()))
+        self.assertEqual(COUNT - 1, len(self.net.notes))
+
+    def test_version_reaches_all(self):
+        self.net.set_version("entry-3", 7)
+
+        def everywhere():
+            return set(self.net.versions.values()) == {7}
+
+        self.net.run(10 * PROBE_MS, until=everywhere)
+        self.assertTrue(everywhere())
+
+
+class Steady(testtools.TestCase):
+    """Nobody is declared dead who lives, and the cost doesn't grow with members."""
+
+    def test_no_false_death(self):
+        net = settled(4, loss=0.05)
+        net.gone.clear()
+        net.run(120 * PROBE_MS)
+        self.assertEqual([], net.gone)
+        self.assertTrue(net.agreed())
+
+    def test_pauses_are_not_held_against_others(self):
+        net = settled(5)
+        name, member = next(iter(net.members.items()))
+        for _ in range(5):
+            del net.members[name]
+            net.run(PROBE_MS)
+            net.members[name] = member
+            net.perform(name, member.tick(now_ms=net.now_ms))
+        suspects = [record.name for record in member.records.suspected_before(10**9)]
+        self.assertEqual([], suspects)
+
+    def test_new_version_spreads_at_once(self):
+        net = settled(7, count=100)
+        net.set_version("entry-3", 7)
+        net.run(PROBE_MS // 4)
+        reached = [version for version in net.versions.values() if version == 7]
+        self.assertGreater(len(reached), 80)
+
+    def test_cost_of_a_member(self):
+        rates = {}
+        for count in (16, 160):
+            net = settled(6, count=count)
+            net.run(20 * PROBE_MS)
+            before = net.bytes.total()
+            net.run(20 * PROBE_MS)
+            rates[count] = (net.bytes.total() - before) / count / 20
+        self.assertLess(rates[160], 1.3 * rates[16])
+        self.assertLess(rates[160], 500)
