--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -6,7 +6,12 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlUp",
+    "Peer",
+    "PeerDown",
     "PeerMessage",
+    "ReloadAsked",
+    "StopAsked",
     "Tick",
     "Undeliverable",
     "UpstreamDown",
@@ -39,16 +44,43 @@
     __slots__ = ("key", "message")
 
 
+class Peer(Record):
+    """Name the process that sent a message, and the stream for an answer."""
+
+    __slots__ = ("name", "incarnation", "stream")
+
+
 class PeerMessage(Record):
-    """Tell of a message of another entry or a control replica."""
+    """Tell of a message of another entry or a control replica.
 
-    __slots__ = ("message",)
+    `peer` is None where the sender is known by the stream that was dialled.
+    """
+
+    __slots__ = ("message", "peer")
 
 
 class Undeliverable(Record):
     """Tell that a message didn't reach another entry."""
 
-    __slots__ = ("message",)
+    __slots__ = ("address", "message")
+
+
+class PeerDown(Record):
+    """Tell that another entry couldn't be reached or fell silent."""
+
+    __slots__ = ("address",)
+
+
+class ReloadAsked(Record):
+    """Tell that the settings are to be read again."""
+
+    __slots__ = ()
+
+
+class StopAsked(Record):
+    """Tell that the process is to stop as planned."""
+
+    __slots__ = ()
 
 
 class AnnounceCame(Record):
@@ -63,6 +95,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlUp(Record):
+    """Tell that a stream to a control replica stands."""
+
+    __slots__ = ()
+
+
 class Tick(Record):
     """Tell that time passed."""
 
