Bring about failures of real processes under load

Cause: no test killed, suspended, stopped or flooded a process. Ruled out: sleeping for fixed times; the scripts wait until every flow got further answers.

--- /dev/null
+++ b/tests/load.py
@@ -0,0 +1,200 @@
+"""tests.load: Flows under load on a small cluster, and what became of them."""
+
+import json
+import random
+from collections import Counter
+from pathlib import Path
+
+import curio
+
+from demo.cluster import Cluster, wait_until
+from knapweeddeal import controlclient
+from knapweeddeal.caller import ANSWER, open_flow
+from knapweeddeal.errors import UnreachableError
+from knapweeddeal.messages.caller import NOT_RUN
+from knapweeddeal.messages.operator import DumpAsk, MetricsAsk
+
+__all__ = ["Load", "SmallCluster"]
+
+SERVICE = "records"
+PORT = 7001
+#: Longest pause between two requests of one flow.
+PAUSE_S = 0.1
+#: Longest wait for a condition.
+WAIT_S = 20
+OPEN_MS = 15_000
+
+
+class SmallCluster:
+    """Run one service on a few real processes."""
+
+    def __init__(self, *, folder, entries=3, upstreams=2, drain_ms=4_000, work_ms=20):
+        self.cluster = Cluster(folder=folder, entries=entries)
+        self.folder = Path(folder)
+        self._drain_ms = drain_ms
+        self._work_ms = work_ms
+        self._number = 0
+        try:
+            self._start(upstreams)
+        except BaseException:
+            self.close()
+            raise
+
+    def _start(self, upstreams):
+        for name in self.cluster.replicas:
+            self.cluster.start_replica(name)
+        for name in self.cluster.entries:
+            self.cluster.start_entry(name)
+        self.cluster.start_fabric([PORT])
+        for _ in range(upstreams):
+            self.add_upstream()
+        self._configure()
+
+    def _configure(self):
+        host, port = self.address
+
+        def plan():
+            done = self.cluster.operate(
+                "--json", "plan", "create-service", SERVICE, f"{host}:{port}"
+            )
+            return json.loads(done.stdout) if done.returncode == 0 else None
+
+        planned = wait_until(plan)
+        self.cluster.operate("confirm", planned["plan_id"])
+
+    @property
+    def address(self):
+        """Return the address that callers use."""
+        return self.cluster.service_address(PORT)
+
+    def add_upstream(self):
+        """Start another upstream; return its name."""
+        self._number += 1
+        name = f"upstream-{self._number}"
+        self.cluster.start_upstream(
+            name,
+            self._number,
+            SERVICE,
+            *("--drain-ms", str(self._drain_ms), "--work-ms", str(self._work_ms)),
+            *("--slots", "8"),
+        )
+        return name
+
+    def counters(self, entry):
+        """Return the counters of an entry; empty if it doesn't answer."""
+        return self._ask(entry, MetricsAsk())["counters"]
+
+    def serves(self, entry):
+        """Tell whether an entry has its configuration and all streams."""
+        try:
+            state = self._ask(entry, DumpAsk(max_bytes=100_000))
+        except UnreachableError:
+            return False
+        streams = [upstream["stream"] for upstream in state["upstreams"]]
+        return state["version"] > 0 and any(streams) and all(streams)
+
+    def _ask(self, entry, message):
+        host, _, port = self.cluster.entry_address(entry).rpartition(":")
+        address = (host, int(port))
+        return json.loads(curio.run(ask, address, message).text)
+
+    def runs(self):
+        """Return how often each request ran, by flow and number."""
+        path = self.folder / f"{SERVICE}.runs"
+        text = path.read_text(encoding="utf-8") if path.exists() else ""
+        return Counter(tuple(map(int, line.split()[1:3])) for line in text.splitlines())
+
+    def tracebacks(self):
+        """Return the names of processes that wrote a traceback."""
+        return [
+            path.name
+            for path in sorted(self.folder.glob("*.out"))
+            if "Traceback" in path.read_text(encoding="utf-8", errors="replace")
+        ]
+
+    def close(self):
+        """End every process."""
+        self.cluster.close()
+
+
+async def ask(address, message):
+    """Return one process's answer."""
+    return await controlclient.ask_one(address, message, timeout_ms=3_000)
+
+
+class Load:
+    """Send requests on flows until told to stop; note every outcome."""
+
+    def __init__(self, *, address, flows=12, seed=1, deadline_ms=8_000):
+        self.results = {}
+        self.answered = Counter()
+        self._address = address
+        self._count = flows
+        self._rng = random.Random(seed)
+        self._deadline_ms = deadline_ms
+        self._going = True
+        self.flows = []
+
+    async def run(self, script):
+        """Open all flows, run a script beside the load, then end the load."""
+        for _ in range(self._count):
+            self.flows.append(
+                await open_flow(
+                    SERVICE, self._address, rng=self._rng, deadline_ms=OPEN_MS
+                )
+            )
+        async with curio.TaskGroup() as tasks:
+            for flow in self.flows:
+                await tasks.spawn(self._use, flow)
+            try:
+                await script(self)
+            finally:
+                self._going = False
+        for flow in self.flows:
+            await flow.close()
+
+    async def _use(self, flow):
+        number = 0
+        while self._going:
+            number += 1
+            result = await flow.request(b"%d" % number, deadline_ms=self._deadline_ms)
+            self.results[flow.flow_id, number] = result
+            self.answered[flow.flow_id] += result.kind == ANSWER
+            await curio.sleep(self._rng.random() * PAUSE_S)
+
+    async def answers_on_every_flow(self, count=3):
+        """Wait until each flow got some more answers."""
+        goal = {
+            flow.flow_id: self.answered[flow.flow_id] + count for flow in self.flows
+        }
+
+        def reached():
+            return all(
+                self.answered[flow_id] >= wanted for flow_id, wanted in goal.items()
+            )
+
+        await self.until(reached)
+
+    async def until(self, condition):
+        """Wait for a condition; raise TimeoutError."""
+        async with curio.timeout_after(WAIT_S):
+            while not condition():
+                await curio.sleep(0.02)
+
+    # What became of it
+
+    def kinds(self):
+        """Return how often each kind of outcome came."""
+        return Counter(result.kind for result in self.results.values())
+
+    def not_run(self):
+        """Return the requests that were told `not_run`."""
+        return [name for name, result in self.results.items() if result.kind == NOT_RUN]
+
+    def others(self):
+        """Return the outcomes that are no answer."""
+        return {
+            name: f"{result.kind}:{result.reason}"
+            for name, result in self.results.items()
+            if result.kind != ANSWER
+        }
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,163 @@
+"""tests.test_failures: Failures of real processes under load."""
+
+import functools
+import os
+import signal
+import socket
+import tempfile
+
+import curio
+import testtools
+
+from demo.cluster import wait_until
+from knapweeddeal.caller import UNKNOWN
+from tests.load import PORT, Load, SmallCluster
+
+GARBAGE = (b"", b"\xc1", b"\x91\x01", os.urandom(4000), b"\x00" * 1500, b"\xdd\xff" * 9)
+
+
+class Case(testtools.TestCase):
+    """Run a small cluster and check that no request ran twice or was lied about."""
+
+    ENTRIES = 3
+    UPSTREAMS = 2
+
+    def setUp(self):
+        super().setUp()
+        folder = self.new_folder()
+        self.small = SmallCluster(
+            folder=folder, entries=self.ENTRIES, upstreams=self.UPSTREAMS
+        )
+        self.addCleanup(self.small.close)
+        self.cluster = self.small.cluster
+        self.load = Load(address=self.small.address)
+
+    def new_folder(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return folder.name
+
+    def run_load(self, script):
+        curio.run(functools.partial(self.load.run, script))
+        runs = self.small.runs()
+        self.assertEqual({}, {name: n for name, n in runs.items() if n > 1})
+        self.assertEqual([], [name for name in self.load.not_run() if name in runs])
+        self.assertEqual([], self.small.tracebacks())
+
+    async def in_thread(self, call, *arguments):
+        return await curio.run_in_thread(call, *arguments)
+
+
+class EntryKilled(Case):
+    """An entry that is killed breaks no flow and no answer."""
+
+    def test_killed(self):
+        async def script(load):
+            await load.answers_on_every_flow()
+            self.cluster.kill("entry-1")
+            await load.answers_on_every_flow()
+
+        self.run_load(script)
+        self.assertEqual(0, self.load.kinds()[UNKNOWN], self.load.others())
+
+    def test_suspended_and_woken(self):
+        async def script(load):
+            await load.answers_on_every_flow()
+            self.cluster.signal("entry-2", signal.SIGSTOP)
+            await load.answers_on_every_flow()
+            self.cluster.signal("entry-2", signal.SIGCONT)
+            await load.answers_on_every_flow()
+
+        self.run_load(script)
+
+
+class UpstreamKilled(Case):
+    """An upstream that is killed costs what was under way there, and no flow."""
+
+    def test_killed(self):
+        async def script(load):
+            await load.answers_on_every_flow()
+            self.cluster.kill("upstream-1")
+            await load.answers_on_every_flow()
+
+        self.run_load(script)
+        broken = sum(
+            self.small.counters(entry).get("flows_broken", 0)
+            for entry in self.cluster.entries
+        )
+        self.assertGreater(broken, 0)
+        self.assertLessEqual(self.load.kinds()[UNKNOWN], len(self.load.flows))
+
+
+class UpstreamLeaves(Case):
+    """An upstream that leaves under load breaks nothing."""
+
+    def test_leaves(self):
+        async def script(load):
+            await load.answers_on_every_flow()
+            self.small.add_upstream()
+            status = await self.in_thread(self.cluster.stop, "upstream-1")
+            self.assertEqual(0, status)
+            await load.answers_on_every_flow()
+
+        self.run_load(script)
+        self.assertEqual({}, self.load.others())
+        counters = [self.small.counters(entry) for entry in self.cluster.entries]
+        self.assertEqual(0, sum(c.get("flows_broken", 0) for c in counters))
+        self.assertGreater(sum(c.get("flows_moved", 0) for c in counters), 0)
+
+
+class RollingRestart(Case):
+    """All entries are restarted as planned, one after the other, under load."""
+
+    def test_rolling(self):
+        async def script(load):
+            await load.answers_on_every_flow()
+            for name in self.cluster.entries:
+                status = await self.in_thread(self.cluster.stop, name)
+                self.assertEqual(0, status)
+                await load.answers_on_every_flow(1)
+                self.cluster.start_entry(name)
+                await self.in_thread(
+                    wait_until, functools.partial(self.small.serves, name)
+                )
+                await load.answers_on_every_flow(1)
+
+        self.run_load(script)
+        self.assertEqual({}, self.load.others())
+
+
+class Garbage(Case):
+    """Garbage at every port is dropped and counted, and nothing else suffers."""
+
+    def test_garbage(self):
+        async def script(load):
+            await load.answers_on_every_flow(1)
+            await self.in_thread(self.send_garbage)
+            await load.answers_on_every_flow()
+
+        self.run_load(script)
+        self.assertEqual({}, self.load.others())
+        for entry in self.cluster.entries:
+            counters = self.small.counters(entry)
+            self.assertGreater(counters["dropped_bad_message"], 0)
+            self.assertEqual(0, counters.get("errors", 0))
+
+    def send_garbage(self):
+        for number in range(1, self.ENTRIES + 1):
+            host = self.cluster.host(2, number)
+            for port in (PORT, 7010):
+                self.send_datagrams(host, port)
+            self.send_streams(host, 7000)
+        for number in range(1, self.UPSTREAMS + 1):
+            self.send_streams(self.cluster.host(3, number), 7020)
+
+    def send_datagrams(self, host, port):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in GARBAGE:
+                sender.sendto(data, (host, port))
+
+    def send_streams(self, host, port):
+        for data in GARBAGE:
+            with socket.create_connection((host, port), timeout=5) as sender:
+                sender.sendall(data)
