Count a stream that stood before its upstream was announced here

Cause: an entry that restarts opens streams by callers' tickets before it hears of the upstreams. The stream's word "up" found no upstream in the directory and was lost; the announcement that came later added the upstream without a stream and asked for one that existed already. That upstream got no flows from this entry, and requests of its flows were answered `resend` for ever. Ruled out: membership (the dump of the entry that hung showed all leases fresh and one stream missing), load on the machine (no event was waiting). Both new tests fail on the former code; the fake shell in tests.entries now keeps one link a key, as the real one does.

--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -129,6 +129,7 @@
         "_lease_ms",
         "_name",
         "_per_zone",
+        "_streams",
         "_upstreams",
         "_views",
         "_zones",
@@ -140,6 +141,8 @@
         self._ask_ms = ask_ms
         self._per_zone = per_zone
         self._upstreams = {}
+        #: Upstreams whose streams stand, also those that nobody announced here yet.
+        self._streams = set()
         self._by_service = {}
         #: Views by the name of the registrar.
         self._views = {}
@@ -234,8 +237,27 @@
             upstream.dialled_ms = now_ms
         return due
 
+    def stream_up(self, key):
+        """Note that the stream to an upstream stands."""
+        self._streams.add(key)
+        upstream = self._upstreams.get(key)
+        if upstream is not None:
+            upstream.ready = True
+
+    def stream_down(self, key):
+        """Note that the stream to an upstream broke, with all that was under way."""
+        self._streams.discard(key)
+        upstream = self._upstreams.get(key)
+        if upstream is not None:
+            upstream.ready = False
+            upstream.outstanding = 0
+
     # Queries
 
+    def has_stream(self, key):
+        """Tell whether the stream to an upstream stands."""
+        return key in self._streams
+
     def get(self, key):
         """Return an upstream, or None."""
         return self._upstreams.get(key)
@@ -303,6 +325,7 @@
         if held is not None:
             return held
         new.cold_since_ms = joined_ms
+        new.ready = new.key in self._streams
         self._upstreams[new.key] = new
         self._by_service.setdefault(new.key.service, {})[new.key] = new
         return new
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -77,8 +77,7 @@
 
     def ready(self, key):
         """Tell whether the stream to an upstream stands."""
-        upstream = self.directory.get(key)
-        return upstream is not None and upstream.ready
+        return self.directory.has_stream(key)
 
     def pick(self, service, tried, *, now_ms):
         """Return an upstream for a flow, or None; never one of those tried."""
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -122,17 +122,12 @@
     def stream_up(self, key):
         """Note that the stream to an upstream stands."""
         self.moves.stream_up(key)
-        upstream = self.directory.get(key)
-        if upstream is not None:
-            upstream.ready = True
+        self.directory.stream_up(key)
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
         self.moves.stream_down(key, now_ms=now_ms)
-        upstream = self.directory.get(key)
-        if upstream is not None:
-            upstream.ready = False
-            upstream.outstanding = 0
+        self.directory.stream_down(key)
         return [
             *self.owner.stream_down(key),
             *self.opening.stream_down(key, now_ms=now_ms),
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -101,7 +101,10 @@
         #: Pairs of names that can't reach each other.
         self.cut = set()
         self.dead = set()
+        #: Upstreams whose announcements are lost.
+        self.silent = set()
         self.callers = {}
+        self._links = set()
         self._queue = deque()
         self._limits = limits
         self._sequence = 0
@@ -119,6 +122,7 @@
     def add_entry(self, name):
         """Start an entry; one of the same name has another incarnation."""
         number = ord(name[0])
+        self._links = {link for link in self._links if link[0] != name}
         core = EntryCore(
             identity=Identity(
                 entry_id=name,
@@ -169,7 +173,7 @@
         for name, upstream in self.upstreams.items():
             upstream.announce = upstream.announce.replace(sequence=self._sequence)
             for entry_name, core in self.entries.items():
-                if self.reach(name, entry_name):
+                if self.reach(name, entry_name) and name not in self.silent:
                     self._push(
                         entry_name,
                         core.apply_announce(upstream.announce, now_ms=self.now_ms),
@@ -200,6 +204,7 @@
     def down(self, entry, upstream):
         """Break the stream between an entry and an upstream."""
         core = self.entries[entry]
+        self._links.discard((entry, self.key(upstream)))
         self._push(entry, core.stream_down(self.key(upstream), now_ms=self.now_ms))
         self.deliver()
 
@@ -286,9 +291,10 @@
     def _(self, action: Dial, name):
         key = action.key
         core = self.entries[name]
-        if core.context.ready(key):
+        if (name, key) in self._links:
             return
         if self.reach(name, key.upstream_id):
+            self._links.add((name, key))
             core.stream_up(key)
         else:
             self._push(name, core.stream_down(key, now_ms=self.now_ms))
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -838,3 +838,29 @@
     release: 4,
     leave_or_return: 1,
 }
+
+
+class RestartedEntry(testtools.TestCase):
+    """An entry whose streams were opened by tickets, before it heard of upstreams."""
+
+    def joined(self):
+        """Return entries of which one knows an upstream only by a ticket."""
+        joined = Joined(entries=("a",))
+        caller = joined.open("a")
+        joined.silent.add("u1")
+        joined.add_entry("b")
+        joined.send("b", caller, caller.on_flow(KeepAlive))
+        return joined, caller
+
+    def test_stream_counts_once_announced(self):
+        joined, _ = self.joined()
+        joined.silent.clear()
+        joined.announce_all()
+        upstreams = joined.entries["b"].directory.all()
+        self.assertEqual([True], [upstream.ready for upstream in upstreams])
+
+    def test_request_runs_before_the_announcement(self):
+        joined, caller = self.joined()
+        joined.send("b", caller, caller.on_flow(Renew))
+        joined.send("b", caller, caller.request(1))
+        self.assertEqual(["answer"], caller.outcomes(1))
