--- a/knapweeddeal/journal.py
+++ b/knapweeddeal/journal.py
@@ -169,6 +169,8 @@
     def _read_segments(self):
         last = self._manifest.log_number
         first = max(self._manifest.snapshot_index, 1)
+        for path in self._path.glob("*.tmp"):
+            path.unlink()
         for path in self._path.glob("refusals-*"):
             if not first <= int(path.name.partition("-")[2]) <= last:
                 path.unlink()
--- /dev/null
+++ b/tests/test_configurationstate.py
@@ -0,0 +1,205 @@
+"""tests.test_configurationstate: Tests of plans, confirmations and resends."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal import configurationstate
+from knapweeddeal.configurationstate import ConfigurationState
+from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, IntentStep
+from knapweeddeal.messages.replication import (
+    ConfirmRecord,
+    MembershipRecord,
+    PlanRecord,
+)
+
+LIFE_MS = 1_000
+
+
+def plan(name, request_id, *, operator="ana", now_ms=0, port=80):
+    """Return a record that plans to create a service."""
+    step = IntentStep(
+        action="create-service",
+        service=name,
+        host="127.0.0.1",
+        port=port,
+        upstream_id="",
+    )
+    return PlanRecord(
+        operator=operator,
+        request_id=request_id,
+        steps=[step],
+        upstreams=["u1"],
+        zones=["z"],
+        flows=3,
+        planned_ms=now_ms,
+        life_ms=LIFE_MS,
+    )
+
+
+def confirm(plan_id, request_id, *, operator="ana", now_ms=0):
+    """Return a record that confirms a plan."""
+    return ConfirmRecord(
+        operator=operator, request_id=request_id, plan_id=plan_id, confirmed_ms=now_ms
+    )
+
+
+class StateTest(testtools.TestCase):
+    """Apply records one after another, to a state and to one that restarts."""
+
+    def setUp(self):
+        super().setUp()
+        self.state = ConfigurationState()
+        self.shadow = ConfigurationState()
+        self.index = 0
+
+    def apply(self, record):
+        """Apply a record; a state restored from an image must answer the same."""
+        self.index += 1
+        answer = self.state.apply(self.index, record)
+        self.assertEqual(answer, self.shadow.apply(self.index, record))
+        image = self.shadow.image()
+        self.shadow = ConfigurationState()
+        self.shadow.restore(image)
+        self.assertEqual(self.state.image(), image)
+        return answer
+
+    def assertFails(self, answer, code, field, value):  # noqa: N802
+        """Check a failure."""
+        self.assertIsInstance(answer, FailureAnswer)
+        self.assertEqual(
+            (code, field, str(value)), (answer.code, answer.field, answer.value)
+        )
+
+
+class Confirm(StateTest):
+    """A confirmation is a compare-and-set on the plan's base version."""
+
+    def test_plan_changes_nothing(self):
+        answer = self.apply(plan("web", "r1"))
+        self.assertEqual((0, ["web"]), (answer.base_version, answer.services))
+        self.assertEqual((["u1"], ["z"], 3, LIFE_MS), self.affected(answer))
+        self.assertEqual(0, self.state.configuration.version)
+
+    def affected(self, answer):
+        """Return who is affected, and until when."""
+        return (answer.upstreams, answer.zones, answer.flows, answer.expires_ms)
+
+    def test_confirmed(self):
+        made = self.apply(plan("web", "r1"))
+        answer = self.apply(confirm(made.plan_id, "r2"))
+        self.assertEqual(ConfirmAnswer(plan_id=made.plan_id, version=1), answer)
+        names = [entry.name for entry in self.state.configuration.services]
+        self.assertEqual(["web"], names)
+
+    def test_of_two_with_equal_versions_one_wins(self):
+        first = self.apply(plan("web", "r1"))
+        second = self.apply(plan("dns", "r1", operator="ben", port=53))
+        self.assertEqual(first.base_version, second.base_version)
+        self.apply(confirm(first.plan_id, "r2"))
+        lost = self.apply(confirm(second.plan_id, "r2", operator="ben"))
+        self.assertFails(lost, "conflict", "version", 1)
+        self.assertEqual(1, self.state.configuration.version)
+
+    def test_same_plan_again(self):
+        made = self.apply(plan("web", "r1"))
+        self.apply(confirm(made.plan_id, "r2"))
+        self.assertEqual(1, self.apply(confirm(made.plan_id, "r3")).version)
+        other = self.apply(confirm(made.plan_id, "r4", operator="ben"))
+        self.assertFails(other, "conflict", "version", 1)
+
+    def test_unknown(self):
+        answer = self.apply(confirm("plan-9", "r1"))
+        self.assertFails(answer, "invalid_intent", "plan_id", "plan-9")
+
+    def test_invalid_intent(self):
+        answer = self.apply(plan("no name", "r1"))
+        self.assertFails(answer, "invalid_intent", "service", "no name")
+
+
+class Expiry(testscenarios.TestWithScenarios, StateTest):
+    """A plan ends by the time in the records, never by a clock of the replica."""
+
+    scenarios = [
+        ("in time", {"now_ms": LIFE_MS - 1, "code": None}),
+        ("late", {"now_ms": LIFE_MS, "code": "invalid_intent"}),
+    ]
+
+    def test_confirm(self):
+        made = self.apply(plan("web", "r1"))
+        answer = self.apply(confirm(made.plan_id, "r2", now_ms=self.now_ms))
+        self.assertEqual(self.code, getattr(answer, "code", None))
+
+    def test_clock_that_ran_ahead(self):
+        self.apply(plan("old", "r0", now_ms=10**12))
+        made = self.apply(plan("web", "r1", now_ms=5))
+        answer = self.apply(confirm(made.plan_id, "r2", now_ms=6))
+        self.assertEqual(1, answer.version)
+
+
+class Resend(StateTest):
+    """A request id gets the same result again, whatever happened since."""
+
+    def test_plan(self):
+        first = self.apply(plan("web", "r1"))
+        self.assertEqual(first, self.apply(plan("web", "r1", now_ms=500)))
+        self.assertEqual(1, self.state.counts()["plans"])
+
+    def test_confirm_after_other_changes(self):
+        made = self.apply(plan("web", "r1"))
+        first = self.apply(confirm(made.plan_id, "r2"))
+        other = self.apply(plan("dns", "r3", port=53))
+        self.apply(confirm(other.plan_id, "r4"))
+        again = self.apply(confirm(made.plan_id, "r2", now_ms=10 * LIFE_MS))
+        self.assertEqual(first, again)
+        self.assertEqual(2, self.state.configuration.version)
+
+    def test_conflict(self):
+        first = self.apply(plan("web", "r1"))
+        second = self.apply(plan("dns", "r2", port=53))
+        self.apply(confirm(first.plan_id, "r3"))
+        lost = self.apply(confirm(second.plan_id, "r4"))
+        self.assertEqual(lost, self.apply(confirm(second.plan_id, "r4")))
+
+    def test_failure_stays(self):
+        failed = self.apply(confirm("plan-2", "r1"))
+        self.apply(plan("web", "r2"))
+        self.assertEqual(failed, self.apply(confirm("plan-2", "r1")))
+
+    def test_id_of_another_command(self):
+        made = self.apply(plan("web", "r1"))
+        answer = self.apply(confirm(made.plan_id, "r1"))
+        self.assertFails(answer, "invalid_intent", "request_id", "r1")
+        self.assertEqual(0, self.state.configuration.version)
+
+    def test_ids_belong_to_operators(self):
+        self.apply(plan("web", "r1"))
+        other = self.apply(plan("dns", "r1", operator="ben", port=53))
+        self.assertEqual(["dns"], other.services)
+
+    def test_membership(self):
+        record = MembershipRecord(replicas=[], operator="ana", request_id="r1")
+        self.apply(record)
+        self.assertEqual(record, self.state.kept("ana", "r1"))
+
+
+class Bounds(testscenarios.TestWithScenarios, StateTest):
+    """Memory is bounded, and what was dropped can't take effect twice."""
+
+    scenarios = [
+        ("results", {"limit": "MAX_RESULTS", "most": 4, "counted": "results"}),
+        (
+            "bytes",
+            {"limit": "MAX_RESULT_BYTES", "most": 500, "counted": "result_bytes"},
+        ),
+        ("plans", {"limit": "MAX_PLANS", "most": 4, "counted": "plans"}),
+    ]
+
+    def test_bounded(self):
+        self.patch(configurationstate, self.limit, self.most)
+        made = self.apply(plan("web", "r0"))
+        self.apply(confirm(made.plan_id, "c0"))
+        for number in range(20):
+            self.apply(plan(f"s{number}", f"r{number + 1}", port=100 + number))
+        self.assertTrue(0 < self.state.counts()[self.counted] <= self.most)
+        self.apply(confirm(made.plan_id, "c0", now_ms=5))
+        self.assertEqual(1, self.state.configuration.version)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,216 @@
+"""tests.test_journal: Tests of the refusal journal."""
+
+import os
+import shutil
+import tempfile
+from pathlib import Path
+
+import testscenarios
+import testtools
+
+from knapweeddeal.errors import CorruptStorageError
+from knapweeddeal.journal import Journal
+from knapweeddeal.messages.operator import RefusalsAsk
+from knapweeddeal.messages.peer import RefusalRecord
+
+SEGMENT_BYTES = 400
+MAX_SEGMENTS = 4
+
+
+def refusal(number, **changes):
+    """Return a refusal."""
+    values = {
+        "record_id": number,
+        "caller": f"127.0.0.1:{1000 + number}",
+        "service": "web",
+        "flow_id": number,
+        "number": 1,
+        "refused_ms": 10 * number,
+        "entry_id": "e1",
+        "reason": "no_upstream",
+    }
+    return RefusalRecord(**{**values, **changes})
+
+
+def query(**changes):
+    """Return a query."""
+    values = {
+        "service": "",
+        "caller": "",
+        "reason": "",
+        "since_ms": 0,
+        "until_ms": 0,
+        "limit": 0,
+    }
+    return RefusalsAsk(**{**values, **changes})
+
+
+class JournalTest(testtools.TestCase):
+    """Give each test a journal with small segments."""
+
+    def setUp(self):
+        super().setUp()
+        self.path = Path(tempfile.mkdtemp(prefix="journal-"))
+        self.addCleanup(shutil.rmtree, self.path)
+
+    def open(self):
+        """Open the journal."""
+        journal = Journal(
+            path=self.path, segment_bytes=SEGMENT_BYTES, max_segments=MAX_SEGMENTS
+        )
+        self.addCleanup(journal.close)
+        return journal
+
+    def reopen(self, journal):
+        """Close and open again."""
+        journal.close()
+        return self.open()
+
+    def ids(self, journal, **changes):
+        """Return the ids that a query finds."""
+        return [record.record_id for record in journal.find(query(**changes))]
+
+
+class Holding(JournalTest):
+    """What was acknowledged is held once, and found after a restart."""
+
+    def test_restart(self):
+        journal = self.open()
+        journal.hold([refusal(1), refusal(2)])
+        journal = self.reopen(journal)
+        self.assertEqual([refusal(1), refusal(2)], journal.find(query()))
+
+    def test_resent_batch(self):
+        journal = self.open()
+        self.assertEqual(2, journal.hold([refusal(1), refusal(2), refusal(2)]))
+        self.assertEqual(1, journal.hold([refusal(2), refusal(3)]))
+        journal = self.reopen(journal)
+        self.assertEqual(0, journal.hold([refusal(1)]))
+        self.assertEqual([1, 2, 3], self.ids(journal))
+
+    def test_sync_comes_first(self):
+        journal = self.open()
+        synced = []
+        self.patch(
+            os,
+            "fdatasync",
+            lambda descriptor: synced.append(os.fstat(descriptor).st_size),
+        )
+        journal.hold([refusal(1)])
+        log = next(self.path.glob("refusals-*"))
+        self.assertEqual(log.stat().st_size, synced[0])
+        self.assertEqual(2, len(synced))
+
+    def test_segments_are_bounded(self):
+        journal = self.open()
+        for number in range(1, 101):
+            journal.hold([refusal(number)])
+        self.assertEqual(MAX_SEGMENTS, len(list(self.path.glob("refusals-*"))))
+        found = self.ids(journal)
+        self.assertEqual(list(range(found[0], 101)), found)
+        self.assertTrue(10 < len(found) < 50)
+        journal = self.reopen(journal)
+        self.assertEqual(found, self.ids(journal))
+        self.assertEqual(len(found), journal.count())
+
+
+class Query(testscenarios.TestWithScenarios, JournalTest):
+    """A query names service, caller, time or reason."""
+
+    scenarios = [
+        ("all", {"changes": {}, "expected": [1, 2, 3, 4]}),
+        ("service", {"changes": {"service": "dns"}, "expected": [2]}),
+        ("caller", {"changes": {"caller": "127.0.0.1:1003"}, "expected": [3]}),
+        (
+            "host of callers",
+            {"changes": {"caller": "127.0.0.1"}, "expected": [1, 2, 3]},
+        ),
+        ("reason", {"changes": {"reason": "deadline"}, "expected": [3]}),
+        ("since", {"changes": {"since_ms": 20}, "expected": [2, 3, 4]}),
+        ("until", {"changes": {"until_ms": 20}, "expected": [1, 2]}),
+        ("limit", {"changes": {"limit": 2}, "expected": [1, 2]}),
+        ("none", {"changes": {"service": "web", "reason": "x"}, "expected": []}),
+    ]
+
+    def test_find(self):
+        journal = self.open()
+        journal.hold([refusal(4, caller="127.0.0.2:1"), refusal(3, reason="deadline")])
+        journal.hold([refusal(2, service="dns"), refusal(1)])
+        self.assertEqual(self.expected, self.ids(journal, **self.changes))
+
+
+class Damage(testscenarios.TestWithScenarios, JournalTest):
+    """Any single damage leaves all that was acknowledged, or stops the process."""
+
+    scenarios = [
+        (f"{damage} {name}", {"damage": damage, "name": name})
+        for damage in ("flip", "truncate")
+        for name in ("refusals-00000001", "refusals-00000002", "manifest")
+    ]
+
+    def test_every_byte(self):
+        self.patch(os, "fsync", lambda _: None)
+        self.patch(os, "fdatasync", lambda _: None)
+        journal = self.open()
+        for number in range(1, 11):
+            journal.hold([refusal(number)])
+        journal.close()
+        target = self.path / self.name
+        kept = {path: path.read_bytes() for path in self.path.iterdir()}
+        self.assertEqual(3, len(kept))
+        stopped = 0
+        for place in range(len(kept[target])):
+            for path, data in kept.items():
+                path.write_bytes(data)
+            damaged = bytearray(kept[target])
+            if self.damage == "flip":
+                damaged[place] ^= 0x41
+            else:
+                del damaged[place:]
+            target.write_bytes(damaged)
+            try:
+                journal = self.open()
+                self.assertEqual(list(range(1, 11)), self.ids(journal))
+                journal.close()
+            except CorruptStorageError:
+                stopped += 1
+        if self.name != "manifest":
+            self.assertEqual(len(kept[target]), stopped)
+
+
+class TornTail(JournalTest):
+    """A write that wasn't acknowledged may be cut."""
+
+    def test_every_length(self):
+        journal = self.open()
+        journal.hold([refusal(1)])
+        journal.close()
+        path = next(self.path.glob("refusals-*"))
+        whole = path.read_bytes()
+        for length in range(len(whole)):
+            path.write_bytes(whole + whole[:length])
+            journal = self.open()
+            self.assertEqual([1], self.ids(journal))
+            journal.close()
+            self.assertEqual(whole, path.read_bytes())
+
+    def test_seal_without_a_next_segment(self):
+        journal = self.open()
+        for number in range(1, 5):
+            journal.hold([refusal(number)])
+        self.patch(os, "rename", self.fail_rename)
+        for number in range(5, 12):
+            try:
+                journal.hold([refusal(number)])
+            except OSError:
+                break
+        self.patch(os, "rename", os.replace)
+        journal = self.reopen(journal)
+        journal.hold([refusal(99)])
+        found = self.ids(self.reopen(journal))
+        self.assertEqual([1, 2, 3, 4], found[:4])
+        self.assertEqual(99, found[-1])
+
+    def fail_rename(self, *_):
+        """Fail as a full disk does."""
+        raise OSError("no space")
