Test control replicas as real processes

Found by the tests: the commit index reached the disk only with the next record, so a replica that restarted alone didn't know the last confirmation; it is noted when idle now.

--- a/knapweeddeal/controlclient.py
+++ b/knapweeddeal/controlclient.py
@@ -12,9 +12,10 @@
 )
 from knapweeddeal.messages.operator import FailureAnswer
 from knapweeddeal.options import address_option
+from knapweeddeal.record import Record
 from knapweeddeal.stream import connect
 
-__all__ = ["ask", "ask_one"]
+__all__ = ["FoundRefusals", "ask", "ask_one", "ask_refusals"]
 
 #: Longest wait for a connection.
 CONNECT_MS = 1_000
@@ -22,8 +23,6 @@
 TRY_MS = 3_000
 #: Pause before all replicas are asked once more.
 PAUSE_MS = 50
-#: Rounds in which every replica that answers says that there is no quorum.
-MAX_ROUNDS_WITHOUT_QUORUM = 2
 
 
 async def ask(addresses, message, *, timeout_ms, try_ms=TRY_MS):
@@ -60,6 +59,43 @@
     return answer
 
 
+class FoundRefusals(Record):
+    """Hold refusals that replicas gave, and the replicas that gave none by fault."""
+
+    __slots__ = ("records", "silent")
+
+
+async def ask_refusals(addresses, message, *, timeout_ms):
+    """Return the refusals that all replicas hold; raise if none answers.
+
+    Each replica holds what entries handed to it, so one alone knows only a part.
+    """
+    async with curio.TaskGroup() as group:
+        tasks = [
+            await group.spawn(_answer_or_error, address, message, timeout_ms)
+            for address in addresses
+        ]
+    by_id, silent, errors = {}, [], []
+    for address, task in zip(addresses, tasks, strict=True):
+        answer = task.result
+        if isinstance(answer, KnapweeddealError):
+            silent.append(address)
+            errors.append(answer)
+            continue
+        by_id.update((record.record_id, record) for record in answer.records)
+    if len(silent) == len(addresses):
+        raise errors[0]
+    records = sorted(by_id.values(), key=lambda record: record.refused_ms)
+    return FoundRefusals(records=records[: message.limit or None], silent=silent)
+
+
+async def _answer_or_error(address, message, timeout_ms):
+    try:
+        return await ask_one(address, message, timeout_ms=timeout_ms)
+    except KnapweeddealError as error:
+        return error
+
+
 async def _exchange(address, message, connect_ms):
     stream = await connect(address, timeout_ms=connect_ms)
     try:
@@ -76,16 +112,14 @@
 class _Search:
     """Choose whom to ask next, and remember the failure that says most."""
 
-    __slots__ = ("_addresses", "_error", "_hint", "_place", "_rounds", "_until_ms")
-    __slots__ += ("_quiet",)
+    __slots__ = ("_addresses", "_barren", "_error", "_hint", "_place", "_until_ms")
 
     def __init__(self, *, addresses, until_ms):
         self._addresses = addresses
         self._until_ms = until_ms
         self._hint = None
         self._place = 0
-        self._rounds = 0
-        self._quiet = 0
+        self._barren = set()
         self._error = None
 
     def next_address(self):
@@ -99,11 +133,10 @@
 
     def failed(self, address, error):
         """Learn from a failure."""
+        self._barren.add(address)
         if isinstance(error, NotLeaderError):
-            self._quiet = 0
+            self._barren = set()
             self._follow(address, error)
-        if isinstance(error, NoQuorumError):
-            self._quiet += 1
         if not isinstance(error, NotLeaderError) or self._error is None:
             keep = isinstance(self._error, NoQuorumError)
             self._error = self._error if keep else error
@@ -125,9 +158,11 @@
         return PAUSE_MS if at_end and self._hint is None else 0
 
     def is_over(self):
-        """Tell whether to give up."""
-        most = MAX_ROUNDS_WITHOUT_QUORUM * len(self._addresses)
-        return monotonic_ms() >= self._until_ms or self._quiet >= most
+        """Tell whether to give up: at the end, or when no replica knows a leader."""
+        if monotonic_ms() >= self._until_ms:
+            return True
+        is_barren = self._barren >= set(self._addresses)
+        return is_barren and isinstance(self._error, NoQuorumError)
 
     def error(self):
         """Return the failure to raise."""
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -40,8 +40,6 @@
 HEARTBEATS_PER_ELECTION = 5
 #: Events that one step takes before it writes and sends.
 MAX_EVENTS = 256
-#: Time between notes of what is committed, when no record is written.
-NOTE_COMMIT_MS = 1_000
 
 
 class Core:
@@ -54,7 +52,6 @@
         "_formation",
         "_links",
         "_next_ask",
-        "_note_ms",
         "_outboxes",
         "_own",
         "_pushed_version",
@@ -84,7 +81,6 @@
         self._next_ask = 1
         self._pushed_version = 0
         self._stop_ms = 0
-        self._note_ms = 0
         self._told_leader = None
 
     def _make_replica(self):
@@ -220,13 +216,10 @@
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
     async def _note_commit(self):
-        """Keep what is committed, for a restart without a quorum."""
+        """Keep what is committed, for a restart without a quorum, when idle."""
         commit_index = self._replica.node.commit_index
-        now_ms = monotonic_ms()
-        if commit_index == self._folder.commit_index or now_ms < self._note_ms:
-            return
-        self._note_ms = now_ms + NOTE_COMMIT_MS
-        await in_thread(self._folder.note_commit, commit_index)
+        if commit_index > self._folder.commit_index and self._events.empty():
+            await in_thread(self._folder.note_commit, commit_index)
 
     async def _report(self):
         node = self._replica.node
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,6 +13,8 @@
 import curio
 
 from knapweeddeal import controlclient
+from knapweeddeal.errors import NoQuorumError, UnreachableError
+from knapweeddeal.messages.operator import StatusAsk
 
 ROOT = Path(__file__).resolve().parent.parent
 #: Longest wait for a condition.
@@ -146,6 +148,16 @@
         """Return the answer of one replica, or raise its error."""
         return curio.run(ask_one, self.addresses[name], message, timeout_ms)
 
+    def wait_for_leader(self):
+        """Return the status once a leader has a quorum."""
+        return wait_until(self._status_or_none, "a leader")
+
+    def _status_or_none(self):
+        try:
+            return self.ask(StatusAsk())
+        except (NoQuorumError, UnreachableError):
+            return None
+
     def close(self):
         """End all processes and remove the folder."""
         for daemon in self.daemons.values():
