Put members, registrars and leases into the entry process

Cause: an entry copied each announcement to every peer of its settings over streams; it knew neither zones nor deaths. Now a presence task owns the UDP socket on the listen address: membership, the registrar's part, and the handing of announcements to two registrars. The deciding task keeps the directory and asks for leases by name. Configurations go by version: whoever sees a peer ahead asks it over a stream; a starting entry holds back until it saw two peers or waited start_wait_ms. A planned stop leaves the membership first; hand-overs go to live members. An announcement dials its own upstream only, not every upstream that is down. Host texts of datagrams are checked to be IP numbers: a name would be looked up.

--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -1,7 +1,14 @@
 """knapweeddeal.directory: Upstreams that an entry knows, each under a lease."""
 
-from knapweeddeal.actions import Address, UpstreamKey
-from knapweeddeal.messages.peer import LeaseAsk, UpstreamName
+from functools import singledispatchmethod
+
+from knapweeddeal.actions import Address, Dial, UpstreamKey
+from knapweeddeal.messages.peer import (
+    DirectoryDelta,
+    LeaseAnswer,
+    LeaseAsk,
+    UpstreamName,
+)
 from knapweeddeal.messages.upstream import READY
 from knapweeddeal.placement import COPIES, Placement, rendezvous
 from knapweeddeal.record import Record
@@ -13,6 +20,8 @@
 ASKS_FOR_SPARE = 2
 #: Time between tries to open the stream to an upstream.
 DIAL_MS = 500
+#: Time between sweeps over all upstreams.
+SWEEP_MS = 1_000
 #: Start of a time that never was.
 NEVER_MS = -(10**15)
 
@@ -57,7 +66,6 @@
         "announce",
         "cold_since_ms",
         "connections",
-        "dialled_ms",
         "ejected",
         "heard_ms",
         "key",
@@ -74,11 +82,7 @@
 
     def __init__(self, *, announce, lease_ms):
         self.announce = announce
-        self.key = UpstreamKey(
-            service=announce.service,
-            upstream_id=announce.upstream_id,
-            incarnation=announce.incarnation,
-        )
+        self.key = _key(announce)
         self.lease_ms = lease_ms
         #: Views of registrars that list it.
         self.views = []
@@ -97,8 +101,6 @@
         self.polled_ms = NEVER_MS
         #: When it joined before this entry's eyes; NEVER_MS if it was there before.
         self.cold_since_ms = NEVER_MS
-        #: When its stream was last asked for.
-        self.dialled_ms = NEVER_MS
         #: Whether the stream to it stands.
         self.ready = False
         #: Whether it is kept from new flows for its failures.
@@ -126,9 +128,11 @@
     __slots__ = (
         "_ask_ms",
         "_by_service",
+        "_dials_ms",
         "_lease_ms",
         "_name",
         "_per_zone",
+        "_swept_ms",
         "_upstreams",
         "_views",
         "_zones",
@@ -139,6 +143,8 @@
         self._name = name
         self._ask_ms = ask_ms
         self._per_zone = per_zone
+        self._swept_ms = NEVER_MS
+        self._dials_ms = NEVER_MS
         self._upstreams = {}
         self._by_service = {}
         #: Views by the name of the registrar.
@@ -159,6 +165,34 @@
         for name in wanted - set(self._views):
             self._views[name] = View(name=name)
 
+    def tick(self, *, now_ms):
+        """Return the asks and dials that are due; call it several times a second."""
+        if now_ms - self._swept_ms >= SWEEP_MS:
+            self._swept_ms = now_ms
+            self.sweep(now_ms=now_ms)
+        actions = self.asks(now_ms=now_ms)
+        if now_ms - self._dials_ms >= DIAL_MS:
+            self._dials_ms = now_ms
+            actions += self.dials(now_ms=now_ms)
+        return actions
+
+    @singledispatchmethod
+    def take(self, message, name, *, now_ms):
+        """Take a registrar's answer; return asks and dials that follow."""
+        return []
+
+    @take.register
+    def _(self, message: LeaseAnswer, name, *, now_ms):
+        before = self._views.get(name)
+        first = before is not None and before.leased_ms == NEVER_MS
+        self.take_lease(name, message, now_ms=now_ms)
+        return self.dials(now_ms=now_ms) if first else []
+
+    @take.register
+    def _(self, message: DirectoryDelta, name, *, now_ms):
+        asks = self.take_delta(name, message, now_ms=now_ms)
+        return [*asks, *self.dials_of(message.changed, now_ms=now_ms)]
+
     def asks(self, *, now_ms):
         """Return the lease asks that are due."""
         due = []
@@ -221,20 +255,24 @@
             if last_ms + FORGET_MS < now_ms:
                 self._forget(upstream)
 
-    def to_dial(self, *, now_ms):
-        """Return the upstreams under lease whose streams are to be opened now."""
-        due = [
-            upstream
+    # Queries
+
+    def dials(self, *, now_ms):
+        """Return the dials of upstreams under lease whose streams don't stand."""
+        return [
+            Dial(key=upstream.key, address=upstream.address)
             for upstream in self._upstreams.values()
-            if not upstream.ready
-            and upstream.dialled_ms + DIAL_MS <= now_ms
-            and upstream.lease_until_ms > now_ms
+            if not upstream.ready and upstream.lease_until_ms > now_ms
         ]
-        for upstream in due:
-            upstream.dialled_ms = now_ms
-        return due
 
-    # Queries
+    def dials_of(self, announces, *, now_ms):
+        """Return the dials that some announcements ask for."""
+        wanted = {_key(announce) for announce in announces}
+        return [
+            Dial(key=key, address=upstream.address)
+            for key, upstream in ((key, self._upstreams.get(key)) for key in wanted)
+            if upstream and not upstream.ready and upstream.lease_until_ms > now_ms
+        ]
 
     def get(self, key):
         """Return an upstream, or None."""
@@ -313,6 +351,14 @@
         del self._by_service[key.service][key]
 
 
+def _key(announce):
+    return UpstreamKey(
+        service=announce.service,
+        upstream_id=announce.upstream_id,
+        incarnation=announce.incarnation,
+    )
+
+
 def _is_later(announce, upstream):
     return announce.sequence > upstream.announce.sequence
 
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -49,7 +49,12 @@
         self.wall_clock_ms = wall_clock_ms
         #: Counts an event by its name.
         self.count = counters
-        self.directory = Directory(lease_ms=limits.lease_ms)
+        self.directory = Directory(
+            lease_ms=limits.lease_ms,
+            name=identity.entry_id,
+            ask_ms=limits.lease_ask_ms,
+            per_zone=limits.registrars_per_zone,
+        )
         self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatchmethod
 
-from knapweeddeal.actions import Address, Dial, ToCaller, ToControl
+from knapweeddeal.actions import Address, ToCaller, ToControl
 from knapweeddeal.entrycontext import EntryContext, Identity
 from knapweeddeal.flowcounts import FlowCountReporter
 from knapweeddeal.handover import Candidate, HandingOver, TakingOver
@@ -111,11 +111,7 @@
     def apply_announce(self, announce, *, now_ms):
         """Take an upstream's announcement and see that its stream stands."""
         self.directory.apply(announce, now_ms=now_ms)
-        return [
-            Dial(key=upstream.key, address=upstream.address)
-            for upstream in self.directory.all()
-            if not upstream.ready and upstream.lease_until_ms > now_ms
-        ]
+        return self.directory.dials_of([announce], now_ms=now_ms)
 
     # Streams of upstreams
 
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -20,7 +20,9 @@
     ToUpstream,
 )
 from knapweeddeal.clock import monotonic_ms, wall_ms
+from knapweeddeal.configurationspread import ConfigurationSpread
 from knapweeddeal.controllink import ControlLink
+from knapweeddeal.directory import AskRegistrar
 from knapweeddeal.entrycore import Candidate, EntryCore, Identity
 from knapweeddeal.entryqueries import EntryQueries
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
@@ -29,6 +31,10 @@
     CallerDatagram,
     ConfigurationCame,
     ControlUp,
+    DirectoryCame,
+    MemberLost,
+    MembersCame,
+    NoteTaken,
     Peer,
     PeerDown,
     PeerMessage,
@@ -39,15 +45,23 @@
     UpstreamDown,
     UpstreamMessage,
     UpstreamUp,
+    VersionApplied,
+    VersionCame,
 )
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.limits import Limits
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.peer import Announced, PeerHello, Successions
+from knapweeddeal.membership import Membership
+from knapweeddeal.messages.control import ConfigurationAsk, ConfigurationPush
+from knapweeddeal.messages.member import ALIVE, MemberRecord
+from knapweeddeal.messages.peer import PeerHello, Successions
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.outbox import Outbox
 from knapweeddeal.peerlink import PeerLink
+from knapweeddeal.presence import Presence
+from knapweeddeal.presenceport import PresencePort
+from knapweeddeal.registrar import Registrar
 from knapweeddeal.reload import reload_settings
 from knapweeddeal.serviceport import ServicePort, take_announcements
 from knapweeddeal.signals import SignalReader
@@ -99,7 +113,12 @@
         self._core = EntryCore(
             identity=self._identity,
             sealer=self._sealer,
-            limits=Limits(lease_ms=settings.lease_ms, stop_ms=settings.stop_ms),
+            limits=Limits(
+                lease_ms=settings.lease_ms,
+                lease_ask_ms=settings.lease_ask_ms,
+                registrars_per_zone=settings.registrars_per_zone,
+                stop_ms=settings.stop_ms,
+            ),
             rng=random.Random(secrets.randbits(64)),
             wall_clock_ms=wall_ms,
             counters=self._count,
@@ -114,6 +133,51 @@
             version=lambda: self._version,
         )
 
+        self._members = {}
+        self._spread = ConfigurationSpread(
+            seeds=len(settings.peers),
+            wait_ms=settings.start_wait_ms,
+            now_ms=monotonic_ms(),
+        )
+        self._presence = PresencePort(
+            presence=self._new_presence(),
+            address=self._identity.address,
+            entry=self._inbox,
+            counters=self._count,
+        )
+
+    def _new_presence(self):
+        settings, now_ms = self._settings, monotonic_ms()
+        record = MemberRecord(
+            name=settings.name,
+            incarnation=self._identity.incarnation,
+            counter=0,
+            zone=settings.zone,
+            host=self._identity.address.host,
+            port=self._identity.address.port,
+            state=ALIVE,
+        )
+        seeds = {
+            name: Address(host=host, port=port)
+            for name, (host, port) in settings.peers.items()
+        }
+        membership = Membership(
+            record=record,
+            seeds=seeds,
+            rng=random.Random(secrets.randbits(64)),
+            probe_ms=settings.probe_ms,
+            now_ms=now_ms,
+        )
+        registrar = Registrar(
+            epoch=secrets.randbits(32), silence_ms=settings.silence_ms, now_ms=now_ms
+        )
+        return Presence(
+            membership=membership,
+            registrar=registrar,
+            per_zone=settings.registrars_per_zone,
+            counters=self._count,
+        )
+
     def _state(self):
         return {
             "version": self._version,
@@ -124,10 +188,11 @@
                 "peer_streams": len(self._peer_streams),
             },
             "events_waiting": self._inbox.qsize(),
+            "members": dict(self._members),
         }
 
-    def _count(self, name):
-        self._metrics.count(name)
+    def _count(self, name, number=1):
+        self._metrics.count(name, number)
 
     async def run(self):
         """Serve until cancelled or stopped as planned."""
@@ -138,7 +203,8 @@
         async with self._tasks:
             await run_until_first(
                 serve(self._settings.listen, self._take_stream),
-                take_announcements(announce, self._inbox),
+                take_announcements(announce, self._presence.inbox),
+                self._presence.run(),
                 self._control.run(),
                 self._tick(),
                 self._take_signals(),
@@ -189,9 +255,6 @@
             message = await stream.receive_within(self._settings.stream_timeout_ms)
             if type(message) is Heartbeat:
                 await outbox.offer(message)
-            elif type(message) is Announced:
-                event = AnnounceCame(announce=message.announce, direct=False)
-                await self._inbox.put(event)
             else:
                 await self._inbox.put(PeerMessage(message=message, peer=peer))
 
@@ -232,18 +295,16 @@
 
     def _candidates(self):
         """Return the other entries, the one after this one by name first."""
-        names = sorted(self._settings.peers)
-        later = [name for name in names if name > self._settings.name]
-        earlier = [name for name in names if name < self._settings.name]
+        addresses = {
+            name: Address(host=host, port=port)
+            for name, (host, port) in self._settings.peers.items()
+        }
+        addresses = {**self._members} or addresses
+        addresses.pop(self._settings.name, None)
+        later = sorted(name for name in addresses if name > self._settings.name)
+        earlier = sorted(name for name in addresses if name < self._settings.name)
         return [
-            Candidate(
-                name=name,
-                address=Address(
-                    host=self._settings.peers[name][0],
-                    port=self._settings.peers[name][1],
-                ),
-            )
-            for name in later + earlier
+            Candidate(name=name, address=addresses[name]) for name in later + earlier
         ]
 
     @singledispatchmethod
@@ -276,6 +337,11 @@
 
     @_handle.register
     async def _(self, event: PeerMessage):
+        if type(event.message) is ConfigurationAsk:
+            push = self._spread.answer(event.message.applied_version)
+            return [ToStream(stream=event.peer.stream, message=push)] if push else []
+        if type(event.message) is ConfigurationPush:
+            return await self._offer(event.message.configuration)
         return self._core.from_peer(event.message, event.peer, now_ms=monotonic_ms())
 
     @_handle.register
@@ -288,16 +354,44 @@
 
     @_handle.register
     async def _(self, event: AnnounceCame):
-        if event.direct:
-            for host, port in self._settings.peers.values():
-                address = Address(host=host, port=port)
-                message = Announced(announce=event.announce)
-                await self._perform(ToPeer(address=address, message=message))
         return self._core.apply_announce(event.announce, now_ms=monotonic_ms())
 
     @_handle.register
     async def _(self, event: ConfigurationCame):
-        await self._apply(event.configuration)
+        return await self._offer(event.configuration)
+
+    @_handle.register
+    async def _(self, event: MembersCame):
+        self._members = event.addresses
+        self._core.directory.set_members(event.names_by_zone)
+        return self._core.directory.tick(now_ms=monotonic_ms())
+
+    @_handle.register
+    async def _(self, event: MemberLost):
+        LOG.info("Entry is gone.", entry=event.name, planned=event.planned)
+        return []
+
+    @_handle.register
+    async def _(self, event: DirectoryCame):
+        directory = self._core.directory
+        return directory.take(event.message, event.name, now_ms=monotonic_ms())
+
+    @_handle.register
+    async def _(self, event: VersionCame):
+        asks = self._spread.saw(event.name, event.version, now_ms=monotonic_ms())
+        message = [
+            ConfigurationAsk(
+                name=self._identity.entry_id,
+                incarnation=self._identity.incarnation,
+                zone=self._identity.zone,
+                applied_version=ask.applied_version,
+            )
+            for ask in asks
+        ]
+        return [ToPeer(address=event.address, message=m) for m in message]
+
+    @_handle.register
+    async def _(self, _event: NoteTaken):
         return []
 
     @_handle.register
@@ -308,6 +402,7 @@
     @_handle.register
     async def _(self, _event: StopAsked):
         LOG.info("Stop asked.", flows=len(self._core.flows))
+        await self._presence.leave()
         return self._core.begin_stop(self._candidates(), now_ms=monotonic_ms())
 
     @_handle.register
@@ -318,7 +413,10 @@
 
     @_handle.register
     async def _(self, _event: Tick):
-        return self._core.tick(now_ms=monotonic_ms())
+        now_ms = monotonic_ms()
+        await self._apply_due(now_ms)
+        actions = self._core.tick(now_ms=now_ms)
+        return [*actions, *self._core.directory.tick(now_ms=now_ms)]
 
     # Actions
 
@@ -390,6 +488,10 @@
             return
         self._touched.add(outbox)
 
+    @_perform.register
+    async def _(self, action: AskRegistrar):
+        await self._presence.inbox.put_at_once(action)
+
     @_perform.register
     async def _(self, action: ToControl):
         if not await self._control.offer(action.message):
@@ -403,9 +505,17 @@
             self._peer_links.pop(address, None)
         await link.report_left()
 
+    async def _offer(self, configuration):
+        self._spread.offer(configuration)
+        await self._apply_due(monotonic_ms())
+        return []
+
+    async def _apply_due(self, now_ms):
+        configuration = self._spread.to_apply(now_ms=now_ms)
+        if configuration is not None:
+            await self._apply(configuration)
+
     async def _apply(self, configuration):
-        if configuration.version <= self._version:
-            return
         wanted = {
             entry.name: Address(
                 host=self._settings.service_host or entry.host, port=entry.port
@@ -421,6 +531,10 @@
                 await self._open_port(name, address)
         self._core.apply_configuration(configuration)
         self._version = configuration.version
+        self._spread.mark_applied(configuration.version)
+        await self._presence.inbox.put_at_once(
+            VersionApplied(version=configuration.version)
+        )
         await self._control.report()
         LOG.info("Configuration applied.", version=configuration.version)
 
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -3,6 +3,13 @@
 from knapweeddeal.record import Record
 
 __all__ = [
+    "DirectoryCame",
+    "MemberDatagram",
+    "MemberLost",
+    "MembersCame",
+    "NoteTaken",
+    "VersionApplied",
+    "VersionCame",
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
@@ -84,9 +91,51 @@
 
 
 class AnnounceCame(Record):
-    """Tell of an announcement; `direct` if the upstream itself sent it here."""
+    """Tell of an announcement that an upstream sent here."""
 
-    __slots__ = ("announce", "direct")
+    __slots__ = ("announce",)
+
+
+class MemberDatagram(Record):
+    """Tell of a datagram of another entry."""
+
+    __slots__ = ("source", "data")
+
+
+class MembersCame(Record):
+    """Tell which entries live, by zone, and their addresses."""
+
+    __slots__ = ("addresses", "names_by_zone")
+
+
+class MemberLost(Record):
+    """Tell that another entry left as planned, or died."""
+
+    __slots__ = ("incarnation", "name", "planned")
+
+
+class DirectoryCame(Record):
+    """Tell of a registrar's lease or changes."""
+
+    __slots__ = ("message", "name")
+
+
+class NoteTaken(Record):
+    """Tell of an item that another entry passes to all."""
+
+    __slots__ = ("body", "topic")
+
+
+class VersionCame(Record):
+    """Tell which version another entry has in force."""
+
+    __slots__ = ("address", "name", "version")
+
+
+class VersionApplied(Record):
+    """Tell that a version is in force here."""
+
+    __slots__ = ("version",)
 
 
 class ConfigurationCame(Record):
--- a/knapweeddeal/limits.py
+++ b/knapweeddeal/limits.py
@@ -8,11 +8,13 @@
 
     __slots__ = (
         "flow_idle_ms",
+        "lease_ask_ms",
         "lease_ms",
         "max_answer_bytes",
         "max_answers",
         "max_flows",
         "max_opens",
+        "registrars_per_zone",
         "stop_ms",
     )
 
@@ -20,6 +22,8 @@
         self,
         *,
         lease_ms=2_000,
+        lease_ask_ms=500,
+        registrars_per_zone=2,
         flow_idle_ms=600_000,
         max_flows=400_000,
         max_opens=20_000,
@@ -27,7 +31,11 @@
         max_answer_bytes=48 * 1024 * 1024,
         stop_ms=10_000,
     ):
+        #: Life of an upstream's lease, and time between asks for it.
         self.lease_ms = lease_ms
+        self.lease_ask_ms = lease_ask_ms
+        #: Registrars of one zone; 0 makes every entry one.
+        self.registrars_per_zone = registrars_per_zone
         #: Time after which a flow that no packet reached is forgotten.
         self.flow_idle_ms = flow_idle_ms
         #: Flows owned; over it new opens are refused.
--- a/knapweeddeal/membership.py
+++ b/knapweeddeal/membership.py
@@ -80,7 +80,7 @@
 
 
 class VersionSeen(Record):
-    """Tell that a member shows a version higher than the one here."""
+    """Tell of a member's version: a higher one, or any while there is none here."""
 
     __slots__ = ("name", "version")
 
@@ -186,7 +186,8 @@
         """Tell that this member leaves as planned."""
         self._own(LEFT, self.record.counter + 1)
         told = self._some(LEAVE_FANOUT)
-        return [self._ping(_address(record), self.record) for record in told]
+        pings = [self._ping(_address(record), self.record) for record in told]
+        return [MembersChanged(), *pings]
 
     @singledispatchmethod
     def receive(self, message, source, *, now_ms):
@@ -257,7 +258,7 @@
             actions += self._take_record(record, now_ms, is_news=True)
         for note in message.notes:
             actions += self._take_note(note, now_ms)
-        if message.version > self._version:
+        if message.version > self._version or not self._version:
             actions.append(VersionSeen(name=message.name, version=message.version))
         if self.records.get(message.name) is None:
             actions.append(self._sync_ask(source, 0, 1))
@@ -289,6 +290,8 @@
         return actions
 
     def _refute(self, record):
+        if self.record.state == LEFT:
+            return
         if record.incarnation == self.record.incarnation:
             if record.state != ALIVE and record.counter >= self.record.counter:
                 self._own(self.record.state, record.counter + 1)
--- /dev/null
+++ b/knapweeddeal/presenceport.py
@@ -0,0 +1,143 @@
+"""knapweeddeal.presenceport: The task and the socket of an entry's presence."""
+
+import ipaddress
+import traceback
+from functools import lru_cache, singledispatchmethod
+
+import curio
+
+from knapweeddeal.actions import Address
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.directory import AskRegistrar
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.events import (
+    AnnounceCame,
+    MemberDatagram,
+    Tick,
+    VersionApplied,
+)
+from knapweeddeal.inbox import Inbox
+from knapweeddeal.logs import Log
+from knapweeddeal.membership import SendDatagram
+from knapweeddeal.messages import decode, encode
+from knapweeddeal.serviceport import udp_socket
+from knapweeddeal.tasks import run_until_first
+
+__all__ = ["PresencePort"]
+
+LOG = Log(prefix="presence")
+
+MAX_DATAGRAM_BYTES = 8192
+#: Events that may wait for the presence's task.
+MAX_EVENTS = 10_000
+#: Events that are decided before other tasks get their turn.
+MAX_IN_A_ROW = 64
+TICK_MS = 100
+
+
+class PresencePort:
+    """Own the presence and its socket; tell the entry's inbox what concerns it."""
+
+    __slots__ = ("_count", "_entry", "_presence", "_socket", "inbox")
+
+    def __init__(self, *, presence, address, entry, counters):
+        self._presence = presence
+        self._entry = entry
+        self._count = counters
+        self._socket = udp_socket(address)
+        self.inbox = Inbox(max_events=MAX_EVENTS)
+
+    async def run(self):
+        """Carry datagrams until cancelled."""
+        await self._entry.put_at_once(self._presence.members())
+        async with self._socket:
+            await run_until_first(self._receive(), self._tick(), self._decide())
+
+    async def leave(self):
+        """Tell others that this entry leaves."""
+        await self._perform(self._presence.leave(now_ms=monotonic_ms()))
+
+    async def _receive(self):
+        while True:
+            try:
+                data, source = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                self._count("dropped_socket_error")
+                continue
+            source = Address(host=source[0], port=source[1])
+            if self.inbox.shed(MemberDatagram(source=source, data=data)):
+                self._count("dropped_overload")
+            await self.inbox.wake()
+
+    async def _tick(self):
+        while True:
+            await curio.sleep(TICK_MS / 1000)
+            await self.inbox.put_at_once(Tick())
+
+    async def _decide(self):
+        while True:
+            for event in await self.inbox.take(MAX_IN_A_ROW):
+                await self._decide_safely(event)
+            await curio.sleep(0)
+
+    async def _decide_safely(self, event):
+        """Decide on one event; an error in it is logged and ends nothing else."""
+        try:
+            await self._perform(self._handle(event, monotonic_ms()))
+        except BadMessageError:
+            self._count("dropped_bad_message")
+        except Exception:
+            self._count("errors")
+            LOG.warning(
+                "Event failed.",
+                event=type(event).__name__,
+                trace=traceback.format_exc(),
+            )
+
+    @singledispatchmethod
+    def _handle(self, event, now_ms):
+        raise TypeError(f"no such event: {event!r}")
+
+    @_handle.register
+    def _(self, event: MemberDatagram, now_ms):
+        message = decode(event.data)
+        return self._presence.receive(message, event.source, now_ms=now_ms)
+
+    @_handle.register
+    def _(self, event: AnnounceCame, now_ms):
+        return self._presence.announce(event.announce, now_ms=now_ms)
+
+    @_handle.register
+    def _(self, event: AskRegistrar, now_ms):
+        return self._presence.ask(event.name, event.message, now_ms=now_ms)
+
+    @_handle.register
+    def _(self, event: VersionApplied, now_ms):
+        return self._presence.set_version(event.version)
+
+    @_handle.register
+    def _(self, event: Tick, now_ms):
+        return self._presence.tick(now_ms=now_ms)
+
+    async def _perform(self, actions):
+        for action in actions:
+            if type(action) is SendDatagram:
+                await self._send(action)
+            else:
+                await self._entry.put_at_once(action)
+
+    async def _send(self, action):
+        host, port = action.address.host, action.address.port
+        data = encode(action.message)
+        self._count("presence_datagrams_sent")
+        self._count("presence_bytes_sent", len(data))
+        try:
+            await self._socket.sendto(data, (_checked_ip(host), port))
+        except (OSError, OverflowError, ValueError):
+            self._count("dropped_send_error")
+
+
+@lru_cache(maxsize=10_000)
+def _checked_ip(host):
+    """Return an IP number, or raise ValueError: names are never looked up."""
+    return str(ipaddress.ip_address(host))
--- a/knapweeddeal/serviceport.py
+++ b/knapweeddeal/serviceport.py
@@ -117,7 +117,7 @@
             except BadMessageError:
                 continue
             if type(message) is Announce:
-                await inbox.put(AnnounceCame(announce=message, direct=True))
+                await inbox.put(AnnounceCame(announce=message))
 
 
 def udp_socket(address):
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -191,11 +191,29 @@
     time_option("stop_ms", 10_000, "Longest time that a planned stop waits."),
     time_option("election_ms", 500, "Shortest time without a leader before a vote."),
     time_option("plan_life_ms", 600_000, "Time in which a plan can be confirmed."),
+    Option(
+        section="entry",
+        key="registrars_per_zone",
+        check=whole_option,
+        default="2",
+        unit="entries",
+        maximum=64,
+        roles=(ENTRY,),
+        text="Entries of a zone that lease out its upstreams; 0 for all.",
+    ),
+    time_option("silence_ms", 2_000, "Silence after which an upstream is dropped."),
+    time_option("lease_ask_ms", 500, "Time between asks for leases."),
+    time_option("probe_ms", 1_000, "Time between probes of other entries."),
+    time_option("start_wait_ms", 2_000, "Longest wait for peers before serving."),
 )
 
 
 #: Pairs of settings of which the first must be smaller.
-ORDERED = (("heartbeat_ms", "stream_timeout_ms"), ("heartbeat_ms", "lease_ms"))
+ORDERED = (
+    ("heartbeat_ms", "stream_timeout_ms"),
+    ("heartbeat_ms", "lease_ms"),
+    ("lease_ask_ms", "lease_ms"),
+)
 
 
 class Settings:
