--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: run test lint
+.PHONY: run test lint specs
 
 run: $(STAMP)
 	$(PYTHON) -m demo
@@ -10,6 +10,9 @@
 test: $(STAMP)
 	$(PYTHON) -m tests
 
+specs: $(STAMP)
+	KNAPWEEDDEAL_SPECS=deep $(PYTHON) -m tests test_specs
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- /dev/null
+++ b/tests/specs.py
@@ -0,0 +1,63 @@
+"""tests.specs: Search the specifications for states that must never be."""
+
+import functools
+from pathlib import Path
+
+import maude
+
+__all__ = ["Found", "explore", "guards", "rule_labels"]
+
+SPECS = Path(__file__).resolve().parent.parent / "specs"
+
+maude.init(advise=False)
+
+
+class Found:
+    """Hold what a search met: states, rules that fired, traces by fault."""
+
+    __slots__ = ("rules", "states", "traces")
+
+    def __init__(self):
+        self.states = 0
+        self.rules = set()
+        self.traces = {}
+
+
+def _module(name):
+    module = maude.getModule(name.upper())
+    if module is None and maude.load(str(SPECS / f"{name}.maude")):
+        module = maude.getModule(name.upper())
+    return module
+
+
+def rule_labels(name):
+    """Return the labels of a spec's rules."""
+    return {rule.getLabel() for rule in _module(name).getRules()}
+
+
+def guards(name):
+    """Return the guards of a spec."""
+    term = _module(name).parseTerm("all")
+    term.reduce()
+    return set(str(term).split(" ; "))
+
+
+@functools.cache
+def explore(name, start, *, until="", max_states=None):
+    """Search from a start term, at most until one fault or some states."""
+    module = _module(name)
+    term = module.parseTerm(start)
+    if term is None:
+        raise ValueError(f"no start term: {start}")
+    found = Found()
+    search = term.search(maude.ANY_STEPS, module.parseTerm("S:State"))
+    for state, _, path, _ in search:
+        found.states += 1
+        if found.states > 1:
+            found.rules.add(search.getRule(search.getStateNr()).getLabel())
+        if str(state.symbol()) == "wrong":
+            fault = str(next(state.arguments()))
+            found.traces.setdefault(fault, [rule.getLabel() for rule in path()[1::2]])
+        if until in found.traces or found.states == max_states:
+            break
+    return found
