--- /dev/null
+++ b/knapweeddeal/events.py
@@ -0,0 +1,107 @@
+"""knapweeddeal.events: What the tasks of an entry tell its deciding task."""
+
+from knapweeddeal.record import Record
+
+__all__ = [
+    "AnnounceCame",
+    "CallerDatagram",
+    "ConfigurationCame",
+    "ControlUp",
+    "Peer",
+    "PeerDown",
+    "PeerMessage",
+    "ReloadAsked",
+    "StopAsked",
+    "Tick",
+    "Undeliverable",
+    "UpstreamDown",
+    "UpstreamMessage",
+    "UpstreamUp",
+]
+
+
+class CallerDatagram(Record):
+    """Tell of a datagram that came to a service's address."""
+
+    __slots__ = ("service", "caller", "data")
+
+
+class UpstreamUp(Record):
+    """Tell that the stream to an upstream stands."""
+
+    __slots__ = ("key",)
+
+
+class UpstreamDown(Record):
+    """Tell that the stream to an upstream broke or wasn't opened."""
+
+    __slots__ = ("key",)
+
+
+class UpstreamMessage(Record):
+    """Tell of a message on an upstream's stream."""
+
+    __slots__ = ("key", "message")
+
+
+class Peer(Record):
+    """Name the process that sent a message, and the stream for an answer."""
+
+    __slots__ = ("name", "incarnation", "stream")
+
+
+class PeerMessage(Record):
+    """Tell of a message of another entry or a control replica.
+
+    `peer` is None where the sender is known by the stream that was dialled.
+    """
+
+    __slots__ = ("message", "peer")
+
+
+class Undeliverable(Record):
+    """Tell that a message didn't reach another entry."""
+
+    __slots__ = ("address", "message")
+
+
+class PeerDown(Record):
+    """Tell that another entry couldn't be reached or fell silent."""
+
+    __slots__ = ("address",)
+
+
+class ReloadAsked(Record):
+    """Tell that the settings are to be read again."""
+
+    __slots__ = ()
+
+
+class StopAsked(Record):
+    """Tell that the process is to stop as planned."""
+
+    __slots__ = ()
+
+
+class AnnounceCame(Record):
+    """Tell of an announcement; `direct` if the upstream itself sent it here."""
+
+    __slots__ = ("announce", "direct")
+
+
+class ConfigurationCame(Record):
+    """Tell of a confirmed configuration."""
+
+    __slots__ = ("configuration",)
+
+
+class ControlUp(Record):
+    """Tell that a stream to a control replica stands."""
+
+    __slots__ = ()
+
+
+class Tick(Record):
+    """Tell that time passed."""
+
+    __slots__ = ()
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -25,6 +25,8 @@
     "FlowRecord",
     "HandOver",
     "HandOverAck",
+    "HandOverAsk",
+    "HandOverOffer",
     "LeaseAnswer",
     "LeaseAsk",
     "LedgerRecord",
@@ -34,6 +36,8 @@
     "RefusalRecord",
     "Relay",
     "Succession",
+    "Successions",
+    "UpstreamName",
 ]
 
 #: Largest datagram that a caller may send.
@@ -127,6 +131,34 @@
     __slots__ = tuple(schema)
 
 
+class HandOverAsk(Message):
+    """Ask another entry to take the ledgers of one that stops as planned."""
+
+    tag = 47
+    schema = {"name": NAME, "owner_incarnation": Whole(), "flows": Whole()}
+    __slots__ = tuple(schema)
+
+
+class HandOverOffer(Message):
+    """Offer to take the ledgers of an entry, or decline."""
+
+    tag = 48
+    schema = {
+        "owner_incarnation": Whole(),
+        "accepted": Flag(),
+        "succession": Nested(Succession),
+    }
+    __slots__ = tuple(schema)
+
+
+class Successions(Message):
+    """Tell the successions that an entry holds, and ask for the other's."""
+
+    tag = 49
+    schema = {"ask": Flag(), "successions": ListOf(Nested(Succession), max_items=4096)}
+    __slots__ = tuple(schema)
+
+
 class Announced(Message):
     """Hand an upstream's announcement to a registrar of its zone."""
 
@@ -154,19 +186,29 @@
     __slots__ = tuple(schema)
 
 
+class UpstreamName(Message):
+    """Name an upstream, whatever its incarnation."""
+
+    tag = 54
+    schema = {"service": SERVICE, "upstream_id": NAME}
+    __slots__ = tuple(schema)
+
+
 class DirectoryDelta(Message):
-    """Carry upstreams that changed and ids that are gone, up to `version`.
+    """Carry upstreams that changed and are gone after `since`, up to `version`.
 
-    A snapshot (`whole`) replaces all that the asker holds of this registrar.
+    The first part of a snapshot (`whole`) replaces all that the asker holds of
+    this registrar; `since` is the version that the asker had.
     """
 
     tag = 53
     schema = {
         "epoch": Whole(),
+        "since": Whole(),
         "version": Whole(),
         "whole": Flag(),
         "changed": ListOf(Nested(Announce)),
-        "gone": ListOf(Text(max_chars=64)),
+        "gone": ListOf(Nested(UpstreamName)),
     }
     __slots__ = tuple(schema)
 
--- /dev/null
+++ b/knapweeddeal/peerlink.py
@@ -0,0 +1,64 @@
+"""knapweeddeal.peerlink: The stream of an entry to another entry, opened on demand."""
+
+from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.events import PeerDown, PeerMessage, Undeliverable
+from knapweeddeal.messages.peer import PeerHello
+from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.outbox import Outbox
+from knapweeddeal.stream import connect
+from knapweeddeal.tasks import run_until_first
+
+__all__ = ["PeerLink"]
+
+#: Time without a message after which a stream is closed.
+IDLE_MS = 10_000
+
+
+class PeerLink:
+    """Own the stream to one other entry, until it breaks or has long been idle."""
+
+    __slots__ = ("_address", "_hello", "_inbox", "_settings", "outbox")
+
+    def __init__(self, *, address, identity, settings, inbox):
+        self._address = address
+        self._settings = settings
+        self._inbox = inbox
+        self.outbox = Outbox()
+        self._hello = PeerHello(
+            name=identity.entry_id,
+            incarnation=identity.incarnation,
+            zone=identity.zone,
+        )
+
+    async def run(self):
+        """Open the stream, carry messages until it ends, and report the rest."""
+        try:
+            await self._carry()
+        except KnapweeddealError:
+            await self._inbox.put_at_once(PeerDown(address=self._address))
+
+    async def report_left(self):
+        """Report the messages that may not have been sent."""
+        for message in self.outbox.left():
+            event = Undeliverable(address=self._address, message=message)
+            await self._inbox.put_at_once(event)
+
+    async def _carry(self):
+        address = (self._address.host, self._address.port)
+        settings = self._settings
+        stream = await connect(address, timeout_ms=settings.stream_timeout_ms)
+        try:
+            await stream.send(self._hello)
+            await run_until_first(
+                self._receive(stream),
+                self.outbox.drain_to(stream),
+                self.outbox.beat_until_idle(settings.heartbeat_ms, idle_ms=IDLE_MS),
+            )
+        finally:
+            await stream.close()
+
+    async def _receive(self, stream):
+        while True:
+            message = await stream.receive_within(self._settings.stream_timeout_ms)
+            if type(message) is not Heartbeat:
+                await self._inbox.put(PeerMessage(message=message, peer=None))
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -4,7 +4,12 @@
 import msgpack
 from curio import socket
 
-from knapweeddeal.errors import BadMessageError, StreamClosedError, UnreachableError
+from knapweeddeal.errors import (
+    BadMessageError,
+    BadSettingError,
+    StreamClosedError,
+    UnreachableError,
+)
 from knapweeddeal.messages.base import encode, from_wire
 
 __all__ = ["Stream", "connect", "serve"]
@@ -20,12 +25,11 @@
     One task receives and one task sends; senders share a stream by a queue.
     """
 
-    __slots__ = ("_ready", "_socket", "_unpacker")
+    __slots__ = ("_socket", "_unpacker")
 
     def __init__(self, *, socket):
         self._socket = socket
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_BUFFER_BYTES)
-        self._ready = []
 
     async def send(self, message):
         """Send one message; raise StreamClosedError."""
@@ -48,6 +52,13 @@
                 raise BadMessageError("not msgpack") from error
             await self._fill()
 
+    async def receive_within(self, timeout_ms):
+        """Return the next message; raise StreamClosedError if none comes in time."""
+        try:
+            return await curio.timeout_after(timeout_ms / 1000, self.receive)
+        except curio.TaskTimeout:
+            raise StreamClosedError("silent", field="ms", value=timeout_ms) from None
+
     async def _fill(self):
         try:
             data = await self._socket.recv(READ_BYTES)
@@ -67,19 +78,27 @@
 
 async def connect(address, *, timeout_ms):
     """Return a stream to an address; raise UnreachableError."""
+    connection = _new_socket(address)
     try:
-        connection = await curio.timeout_after(
-            timeout_ms / 1000, curio.open_connection, *address
-        )
+        await curio.timeout_after(timeout_ms / 1000, connection.connect, address)
     except (OSError, curio.TaskTimeout) as error:
-        raise UnreachableError(str(error), field="address", value=address) from None
+        await connection.close()
+        raise UnreachableError(
+            str(error), field="address", value=":".join(map(str, address))
+        ) from None
+    except curio.CancelledError:
+        await connection.close()
+        raise
     _no_delay(connection)
     return Stream(socket=connection)
 
 
 async def serve(address, handler):
-    """Take streams for ever; run `handler(stream)` as a task for each."""
-    listener = curio.tcp_server_socket(*address, reuse_address=True)
+    """Take streams for ever; run `handler(stream)` as a task for each.
+
+    Raises BadSettingError if the address can't be bound.
+    """
+    listener = _listen(address)
 
     async def take(connection, _address):
         _no_delay(connection)
@@ -92,5 +111,21 @@
     await curio.network.run_server(listener, take)
 
 
+def _new_socket(address):
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    return socket.socket(family, socket.SOCK_STREAM)
+
+
+def _listen(address):
+    try:
+        return curio.tcp_server_socket(*address, reuse_address=True)
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be bound: {error.strerror}",
+            field="listen",
+            value=":".join(map(str, address)),
+        ) from None
+
+
 def _no_delay(connection):
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/knapweeddeal/upstream.py
@@ -0,0 +1,472 @@
+"""knapweeddeal.upstream: The reference side of an upstream: announce, serve, push."""
+
+import contextlib
+from collections import Counter, deque
+from functools import singledispatchmethod
+
+import curio
+from curio import socket
+
+from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.messages import encode
+from knapweeddeal.messages.upstream import (
+    LEAVING,
+    FlowAccepted,
+    FlowClose,
+    FlowOpen,
+    FlowShed,
+    FlowTouch,
+    Heartbeat,
+    StreamHello,
+    StreamWelcome,
+    UpstreamPush,
+    Work,
+    WorkAnswer,
+    WorkCancel,
+    WorkCancelled,
+    WorkShed,
+)
+from knapweeddeal.outbox import Outbox
+from knapweeddeal.record import Record
+from knapweeddeal.stream import serve
+from knapweeddeal.tasks import run_until_first
+from knapweeddeal.worklog import EndedLogs, FlowLog
+
+__all__ = ["UpstreamCore", "UpstreamServer", "WorkKey"]
+
+ANNOUNCE_MS = 300
+TICK_MS = 500
+#: Silence after which a stream is closed.
+STREAM_TIMEOUT_MS = 3_000
+#: Time after which a flow that no message reached ends.
+IDLE_MS = 600_000
+#: Life of the system's tickets: so long cancellations have to stand.
+TICKET_LIFE_MS = 86_400_000
+#: Answers that are kept for an asker that lost the owner.
+MAX_ANSWERS = 1_000
+MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
+#: Requests that may wait for a slot, for each slot.
+MAX_QUEUED_PER_SLOT = 64
+
+
+class WorkKey(Record):
+    """Name one request."""
+
+    __slots__ = ("flow_id", "owner_incarnation", "number")
+
+
+class HeldFlow(Record):
+    """Hold a flow: its caller, the stream it last came by, its pushes, its log."""
+
+    __slots__ = ("caller_host", "caller_port", "stream", "pushed", "seen_ms", "log")
+
+
+class Job(Record):
+    """Hold a request that waits or runs, and the streams that want its answer."""
+
+    __slots__ = ("key", "work", "streams", "until_ms")
+
+    __eq__ = object.__eq__
+    __hash__ = object.__hash__
+
+
+class Reply(Record):
+    """Ask the shell to send a message on a stream."""
+
+    __slots__ = ("stream", "message")
+
+
+class Run(Record):
+    """Ask the shell to run a job."""
+
+    __slots__ = ("job",)
+
+
+class UpstreamCore:
+    """Decide for an upstream: take flows, queue work, stand by cancellations.
+
+    A cancellation of a request that runs, or ran a moment ago, is answered by
+    the request's own answer: its owner may be gone, and the asker passes it on.
+    """
+
+    def __init__(self, *, announce, idle_ms=IDLE_MS, ticket_life_ms=TICKET_LIFE_MS):
+        self.announce = announce
+        self.flows = {}
+        self.running = 0
+        #: Counts of what happened, by name.
+        self.counters = Counter()
+        self._idle_ms = idle_ms
+        self._ended = EndedLogs(life_ms=ticket_life_ms)
+        self._queue = deque()
+        self._jobs = {}
+        self._answers = {}
+        self._answer_bytes = 0
+
+    @property
+    def outstanding(self):
+        """Return how many requests wait or run."""
+        return self.running + len(self._queue)
+
+    def _load(self):
+        return {
+            "outstanding": self.outstanding,
+            "connections": len(self.flows),
+        }
+
+    @singledispatchmethod
+    def receive(self, message, stream, *, now_ms):
+        """Decide on a message that came on a stream; return replies and runs."""
+        self.counters["dropped_unexpected"] += 1
+        return []
+
+    @receive.register
+    def _(self, message: FlowOpen, stream, *, now_ms):
+        if message.flow_id not in self.flows:
+            reason = self._reason_to_shed()
+            if reason:
+                shed = FlowShed(flow_id=message.flow_id, reason=reason, **self._load())
+                return [Reply(stream=stream, message=shed)]
+        self._touch(message, stream, now_ms, opens=True)
+        accepted = FlowAccepted(flow_id=message.flow_id, **self._load())
+        return [Reply(stream=stream, message=accepted)]
+
+    @receive.register
+    def _(self, message: FlowTouch, stream, *, now_ms):
+        self._touch(message, stream, now_ms)
+        return []
+
+    @receive.register
+    def _(self, message: FlowClose, stream, *, now_ms):
+        flow = self.flows.pop(message.flow_id, None)
+        if flow is not None:
+            self._ended.put(message.flow_id, flow.log, now_ms=now_ms)
+        return []
+
+    @receive.register
+    def _(self, message: Work, stream, *, now_ms):
+        key = _work_key(message)
+        log = self._log_for(message, stream, now_ms)
+        if log.cancelled(key.owner_incarnation, key.number):
+            return [self._shed(message, stream, "cancelled")]
+        if log.repeated(key.owner_incarnation, key.number):
+            known = self._known(key, stream)
+            if known is not None or not message.idempotent:
+                return known or []
+        log.see(key.owner_incarnation, key.number)
+        if self.outstanding >= self.announce.slots * (1 + MAX_QUEUED_PER_SLOT):
+            self._promise(key, log, now_ms)
+            return [self._shed(message, stream, "overloaded")]
+        job = Job(
+            key=key,
+            work=message,
+            streams=[stream],
+            until_ms=now_ms + message.deadline_ms,
+        )
+        self._jobs[key] = job
+        self._queue.append(job)
+        return self._start(now_ms)
+
+    @receive.register
+    def _(self, message: WorkCancel, stream, *, now_ms):
+        key = _work_key(message)
+        job = self._jobs.get(key)
+        if job is None or job not in self._queue:
+            known = self._known(key, stream)
+            if known is not None:
+                return known
+        stands = self._cancel(key, job, now_ms)
+        answer = WorkCancelled(
+            flow_id=key.flow_id,
+            owner_incarnation=key.owner_incarnation,
+            number=key.number,
+            stands=stands,
+        )
+        return [Reply(stream=stream, message=answer)]
+
+    def _known(self, key, stream):
+        """Return the answer of a request, now or once it ran; None without it."""
+        kept = self._answers.get(key)
+        if kept is not None:
+            return [self._answer(key, kept, stream)]
+        job = self._jobs.get(key)
+        if job is None:
+            return None
+        if stream not in job.streams:
+            job.streams.append(stream)
+        return []
+
+    def _cancel(self, key, job, now_ms):
+        log = self._log(key.flow_id)
+        if log is None:
+            return False
+        if job is None and log.cancelled(key.owner_incarnation, key.number):
+            return True
+        if job is None and log.seen(key.owner_incarnation, key.number):
+            return False
+        if not self._promise(key, log, now_ms):
+            return False
+        if job is not None:
+            self._queue.remove(job)
+            del self._jobs[key]
+        return True
+
+    def _promise(self, key, log, now_ms):
+        """Note that a request never runs; tell whether there was room to."""
+        if not log.cancels() and self._ended.full():
+            self.counters["promises_without_room"] += 1
+            return False
+        done = log.promise(key.owner_incarnation, key.number)
+        if key.flow_id not in self.flows:
+            self._ended.put(key.flow_id, log, now_ms=now_ms)
+        return done
+
+    def _log(self, flow_id):
+        """Return the log of a flow; None if it may have been forgotten."""
+        flow = self.flows.get(flow_id)
+        return flow.log if flow is not None else self._ended.get(flow_id)
+
+    def _log_for(self, work, stream, now_ms):
+        """Return the log of a request's flow; the flow isn't opened by it."""
+        if work.flow_id in self.flows:
+            return self._touch(work, stream, now_ms).log
+        log = self._ended.get(work.flow_id)
+        if log is None:
+            log = FlowLog(forgot=True)
+            self._ended.put(work.flow_id, log, now_ms=now_ms)
+        return log
+
+    def finish(self, job, body, *, now_ms):
+        """Answer a job and start what waits for its slot."""
+        self.running -= 1
+        del self._jobs[job.key]
+        self._keep(job.key, body)
+        replies = [self._answer(job.key, body, stream) for stream in job.streams]
+        return [*replies, *self._start(now_ms)]
+
+    def _answer(self, key, body, stream):
+        answer = WorkAnswer(
+            flow_id=key.flow_id,
+            owner_incarnation=key.owner_incarnation,
+            number=key.number,
+            body=body,
+            **self._load(),
+        )
+        return Reply(stream=stream, message=answer)
+
+    def _keep(self, key, body):
+        self._answers[key] = body
+        self._answer_bytes += len(body)
+        while (
+            len(self._answers) > MAX_ANSWERS
+            or self._answer_bytes > MAX_KEPT_ANSWER_BYTES
+        ):
+            oldest = next(iter(self._answers))
+            self._answer_bytes -= len(self._answers.pop(oldest))
+
+    def tick(self, *, now_ms):
+        """End flows that no message reached for long."""
+        self._ended.expire(now_ms=now_ms)
+        while self.flows:
+            flow_id, flow = next(iter(self.flows.items()))
+            if now_ms - flow.seen_ms < self._idle_ms:
+                return
+            self.counters["flows_expired"] += 1
+            del self.flows[flow_id]
+            self._ended.put(flow_id, flow.log, now_ms=now_ms)
+
+    def push(self, flow_id, body):
+        """Return the push of a body on a flow, or nothing if the flow is gone."""
+        flow = self.flows.get(flow_id)
+        if flow is None:
+            return []
+        flow.pushed += 1
+        push = UpstreamPush(
+            flow_id=flow_id,
+            sequence=flow.pushed,
+            caller_host=flow.caller_host,
+            caller_port=flow.caller_port,
+            body=body,
+        )
+        return [Reply(stream=flow.stream, message=push)]
+
+    def _start(self, now_ms):
+        actions = []
+        while self._queue and self.running < self.announce.slots:
+            job = self._queue.popleft()
+            if job.until_ms <= now_ms:
+                actions += self._turn_away_late(job, now_ms)
+                continue
+            self.running += 1
+            actions.append(Run(job=job))
+        return actions
+
+    def _turn_away_late(self, job, now_ms):
+        del self._jobs[job.key]
+        log = self._log(job.key.flow_id)
+        if log is not None:
+            self._promise(job.key, log, now_ms)
+        return [self._shed(job.work, stream, "deadline") for stream in job.streams]
+
+    def _shed(self, work, stream, reason):
+        shed = WorkShed(
+            flow_id=work.flow_id,
+            owner_incarnation=work.owner_incarnation,
+            number=work.number,
+            reason=reason,
+            **self._load(),
+        )
+        return Reply(stream=stream, message=shed)
+
+    def _touch(self, message, stream, now_ms, *, opens=False):
+        flow = self.flows.pop(message.flow_id, None)
+        if flow is None:
+            log = self._ended.pop(message.flow_id)
+            if log is None:
+                forgot = not opens or self._ended.forgot(now_ms=now_ms)
+                log = FlowLog(forgot=forgot)
+            flow = HeldFlow(
+                caller_host="",
+                caller_port=0,
+                stream=stream,
+                pushed=0,
+                seen_ms=now_ms,
+                log=log,
+            )
+        self.flows[message.flow_id] = flow
+        flow.caller_host = message.caller_host
+        flow.caller_port = message.caller_port
+        flow.stream = stream
+        flow.seen_ms = now_ms
+        return flow
+
+    def _reason_to_shed(self):
+        if self.announce.state == LEAVING:
+            return "leaving"
+        if len(self.flows) >= self.announce.max_connections:
+            return "full"
+        return ""
+
+
+class UpstreamStream(Record):
+    """Hold what the shell needs to send on a stream and to break it."""
+
+    __slots__ = ("outbox", "task")
+
+
+class UpstreamServer:
+    """Run an upstream: announcements out, streams in, work by `application`."""
+
+    def __init__(self, *, announce, announce_to, application, clock_ms):
+        self.core = UpstreamCore(announce=announce)
+        self._announce_to = announce_to
+        self._application = application
+        self._clock_ms = clock_ms
+        self._streams = {}
+        self._tasks = curio.TaskGroup(wait=None)
+        self._sequence = 0
+
+    async def run(self):
+        """Serve until cancelled."""
+        announce = self.core.announce
+        async with self._tasks as tasks:
+            await tasks.spawn(serve, (announce.host, announce.port), self._take)
+            await tasks.spawn(self._tick)
+            await self._announce_for_ever()
+
+    async def push(self, flow_id, body):
+        """Push a body to a flow's caller."""
+        await self._perform_all(self.core.push(flow_id, body))
+
+    async def _announce_for_ever(self):
+        async with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as port:
+            while True:
+                self._sequence += 1
+                announce = self.core.announce.replace(sequence=self._sequence)
+                with contextlib.suppress(OSError):
+                    await port.sendto(encode(announce), self._announce_to)
+                await curio.sleep(ANNOUNCE_MS / 1000)
+
+    async def _tick(self):
+        while True:
+            await curio.sleep(TICK_MS / 1000)
+            self.core.tick(now_ms=self._clock_ms())
+
+    async def _take(self, stream):
+        outbox = Outbox()
+        key = id(outbox)
+        try:
+            if not await self._greet(stream):
+                return
+            task = await curio.current_task()
+            self._streams[key] = UpstreamStream(outbox=outbox, task=task)
+            await run_until_first(
+                self._receive(stream, key),
+                outbox.drain_to(stream),
+            )
+        except KnapweeddealError:
+            return
+        finally:
+            self._streams.pop(key, None)
+
+    async def _greet(self, stream):
+        announce = self.core.announce
+        hello = await stream.receive_within(STREAM_TIMEOUT_MS)
+        await stream.send(
+            StreamWelcome(
+                service=announce.service,
+                upstream_id=announce.upstream_id,
+                upstream_incarnation=announce.incarnation,
+            )
+        )
+        return type(hello) is StreamHello and (
+            hello.service == announce.service
+            and hello.upstream_id == announce.upstream_id
+            and hello.upstream_incarnation == announce.incarnation
+        )
+
+    async def _receive(self, stream, key):
+        while True:
+            message = await stream.receive_within(STREAM_TIMEOUT_MS)
+            if type(message) is Heartbeat:
+                await self._send(key, message)
+                continue
+            actions = self.core.receive(message, key, now_ms=self._clock_ms())
+            await self._perform_all(actions)
+
+    async def _perform_all(self, actions):
+        for action in actions:
+            await self._perform(action)
+
+    @singledispatchmethod
+    async def _perform(self, action):
+        raise TypeError(f"no such action: {action!r}")
+
+    @_perform.register
+    async def _(self, action: Run):
+        await self._tasks.spawn(self._run_job, action.job)
+
+    @_perform.register
+    async def _(self, action: Reply):
+        key = action.stream
+        if key not in self._streams and type(action.message) is UpstreamPush:
+            key = next(iter(self._streams), None)
+        await self._send(key, action.message)
+
+    async def _send(self, key, message):
+        """Send a message; a stream without room for it is broken."""
+        stream = self._streams.get(key)
+        if stream is not None and not await stream.outbox.offer(message):
+            del self._streams[key]
+            await stream.task.cancel(blocking=False)
+
+    async def _run_job(self, job):
+        body = await self._application(job.work)
+        await self._perform_all(self.core.finish(job, body, now_ms=self._clock_ms()))
+
+
+def _work_key(message):
+    return WorkKey(
+        flow_id=message.flow_id,
+        owner_incarnation=message.owner_incarnation,
+        number=message.number,
+    )
