--- a/tests/entries.py
+++ b/tests/entries.py
@@ -30,7 +30,7 @@
     Request,
 )
 from knapweeddeal.messages.control import Configuration, ServiceEntry
-from knapweeddeal.messages.peer import RefusalAck, RefusalBatch
+from knapweeddeal.messages.peer import HandOver, RefusalAck, RefusalBatch
 from knapweeddeal.messages.upstream import LEAVING, READY, Announce, UpstreamPush, Work
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstream import Reply, Run, UpstreamCore
@@ -96,8 +96,10 @@
         self.works = Counter()
         self.hold_work = False
         self.hold_records = False
+        self.hold_hand_overs = False
         self.held = []
         self.batches = []
+        self.hand_overs = []
         #: Pairs of names that can't reach each other.
         self.cut = set()
         self.dead = set()
@@ -252,7 +254,11 @@
             self.deliver()
 
     def release(self):
-        """Let the work and the records that were held go on."""
+        """Let the work, the records and the hand-overs that were held go on."""
+        self.hold_hand_overs = False
+        self._queue.extend(self.hand_overs)
+        self.hand_overs.clear()
+        self.deliver()
         held, self.held = self.held, []
         for upstream, job in held:
             self._finish(upstream, job)
@@ -348,6 +354,9 @@
 
     @_carry.register
     def _(self, action: ToPeer, name):
+        if self.hold_hand_overs and type(action.message) is HandOver:
+            self.hand_overs.append((name, action))
+            return
         core = self.entries[name]
         for other, target in self.entries.items():
             found = target.identity.address == action.address
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -7,6 +7,7 @@
 import testtools
 
 from knapweeddeal.actions import Address, ToControl
+from knapweeddeal.ledger import MAX_ENTRIES
 from knapweeddeal.messages import encode
 from knapweeddeal.messages.caller import (
     AnswerPart,
@@ -100,6 +101,17 @@
         joined.advance(100)
         self.assertEqual(0, joined.works[caller.flow_id, 2])
 
+    def test_number_that_a_full_ledger_forgot(self):
+        joined = Joined()
+        caller = joined.open("a")
+        for number in range(1, MAX_ENTRIES + 3):
+            joined.send("a", caller, caller.request(number))
+        joined.upstreams["u1"]._answers.clear()
+        caller.told.clear()
+        joined.send("a", caller, caller.request(1, attempt=1))
+        self.assertEqual(["unknown"], caller.outcomes(1))
+        self.assertEqual(1, joined.works[caller.flow_id, 1])
+
     def test_new_record_doesn_t_take_old_tickets(self):
         joined, caller = self.joined()
         old = caller.request(1, attempt=1)
@@ -475,6 +487,22 @@
         joined.advance(2_000)
         self.assertTrue(joined.entries["a"].stopped)
 
+    def test_flow_on_its_way_gets_silence(self):
+        joined = Joined()
+        joined.hold_hand_overs = True
+        caller = joined.open("a")
+        joined.stop("a")
+        joined.advance(200)
+        request = caller.request(1)
+        for entry in "abc":
+            joined.send(entry, caller, request)
+        self.assertEqual(0, joined.works[caller.flow_id, 1])
+        self.assertEqual([], caller.outcomes(1))
+        joined.release()
+        joined.advance(2_000)
+        joined.send("c", caller, request)
+        self.assertEqual(["answer"], caller.outcomes(1))
+
     def test_bounded_by_stop_ms(self):
         joined = Joined(stop_ms=1_000)
         joined.hold_work = True
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -129,6 +129,13 @@
         for owner in range(2 * MAX_OWNERS):
             self.assertFalse(self.stands(1, owner=100 + owner))
 
+    def test_under_an_owner_that_found_no_room(self):
+        for owner in range(MAX_OWNERS):
+            self.assertTrue(self.stands(1, owner=100 + owner))
+        self.run_work(1)
+        self.forget_answers()
+        self.assertFalse(self.stands(1))
+
     def test_bounded(self):
         kept = [self.stands(number) for number in range(1, 2 * MAX_CANCELLED + 1)]
         self.assertEqual([True] * MAX_CANCELLED, kept[:MAX_CANCELLED])
@@ -183,6 +190,7 @@
         self.end()
         self.run_work(1)
         self.assertEqual({}, self.core.flows)
+        self.assertFalse(self.stands(1, owner=OWNER + 1))
 
 
 class TooManyEnded(Case):
