Find refusals on every control replica

Cause: an entry hands a batch to one replica, so a replica alone knows a part; the tool asked only one. It now asks all and says which gave no answer. Shown by a drained service whose refused open is found with its reason.

--- a/knapweeddeal/cmdline.py
+++ b/knapweeddeal/cmdline.py
@@ -12,8 +12,9 @@
 
 from knapweeddeal import __version__
 from knapweeddeal.commands import COMMANDS
-from knapweeddeal.controlclient import ask, ask_one
+from knapweeddeal.controlclient import ask, ask_one, ask_refusals
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
+from knapweeddeal.messages.operator import RefusalsAnswer
 from knapweeddeal.operation import argument_address
 from knapweeddeal.options import peers_option
 from knapweeddeal.queries import QUERIES
@@ -102,9 +103,20 @@
     if not options.control:
         raise BadSettingError("must be given", field="--control")
     replicas = peers_option("--control", options.control, None)
+    if operation.asks_each:
+        return await _find_refusals(list(replicas.values()), message, options)
     return await ask(list(replicas.values()), message, timeout_ms=options.timeout_ms)
 
 
+async def _find_refusals(addresses, message, options):
+    found = await ask_refusals(addresses, message, timeout_ms=options.timeout_ms)
+    for host, port in found.silent:
+        print(
+            f"knapweeddeal: incomplete: {host}:{port} gave no answer", file=sys.stderr
+        )
+    return RefusalsAnswer(records=found.records)
+
+
 def _report(options, error):
     if options.json:
         failure = {
--- a/knapweeddeal/operation.py
+++ b/knapweeddeal/operation.py
@@ -25,6 +25,8 @@
     help = ""
     #: Arguments besides the common ones.
     arguments = ()
+    #: Whether every control replica is asked, since each knows a part only.
+    asks_each = False
     #: Whether one process is asked, named by --at, instead of the control replicas.
     asks_process = False
 
--- a/knapweeddeal/queries.py
+++ b/knapweeddeal/queries.py
@@ -62,6 +62,7 @@
 
     name = "refusals"
     help = "tell who was refused, when and why"
+    asks_each = True
     arguments = (
         Argument("--service", default="", help="only this service"),
         Argument("--caller", default="", help="only this caller, IP or IP:PORT"),
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import tempfile
+from datetime import UTC, datetime
 
 import curio
 import testtools
@@ -11,6 +12,7 @@
 from demo.__main__ import SERVICES, applied_everywhere, configure, start
 from demo.cluster import TICKET_KEYS, Cluster, wait_until
 from knapweeddeal.caller import open_flow
+from knapweeddeal.errors import UnreachableError
 
 FLOWS = 6
 SERVICE = "records"
@@ -116,3 +118,21 @@
         cluster.signal("control-1", signal.SIGHUP)
         wait_until(lambda: "Settings read again" in cluster.output("control-1"))
         self.json("status")
+
+    def test_refusals_are_found_wherever_they_are_held(self):
+        async def refused():
+            address = self.cluster.service_address(SERVICES["archive"])
+            return await open_flow("archive", address, rng=random.Random(1))
+
+        names = ("upstream-3", "upstream-4")
+        for name in names:
+            self.json("confirm", self.json("drain", "archive", name)["plan_id"])
+        wait_until(lambda: applied_everywhere(self.cluster))
+        since = datetime.now(UTC).isoformat()
+        self.assertRaises(UnreachableError, curio.run, refused)
+        found = self.json("refusals", "--service", "archive", "--since", since)
+        self.assertEqual({"no_upstream"}, {r["reason"] for r in found["records"]})
+        self.assertEqual([], self.json("refusals", "--until", "2020-01-01")["records"])
+        for name in names:
+            plan = self.json("drain", "archive", name, "--undo")
+            self.json("confirm", plan["plan_id"])
