Name whom a plan affects, measure, test the decisions of a replica

Cause: a plan said nothing of flows and zones. The leader asks the entries of all replicas and waits at most 300 ms; what came goes into the record, so that replicas stay equal. Entries that don't answer yet only cost that wait.

--- a/knapweeddeal/clock.py
+++ b/knapweeddeal/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["monotonic_ms", "wall_ms"]
+__all__ = ["monotonic_ms", "monotonic_us", "wall_ms"]
 
 
 def monotonic_ms():
@@ -10,6 +10,11 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def monotonic_us():
+    """Return the same clock in microseconds, for latencies."""
+    return time.monotonic_ns() // 1_000
+
+
 def wall_ms():
     """Return the time since the epoch, for records and tickets."""
     return time.time_ns() // 1_000_000
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -6,13 +6,14 @@
 
 import curio
 
-from knapweeddeal.clock import monotonic_ms, wall_ms
+from knapweeddeal.clock import monotonic_ms, monotonic_us, wall_ms
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import Node
 from knapweeddeal.consensuslog import unpack_membership
 from knapweeddeal.controlevents import (
     EntryAsk,
     EntryGone,
+    EntryImpact,
     OperatorAsk,
     PeerMessage,
     StopAsk,
@@ -51,6 +52,7 @@
         "_folder",
         "_formation",
         "_links",
+        "_metrics",
         "_next_ask",
         "_outboxes",
         "_own",
@@ -63,11 +65,12 @@
         "_told_leader",
     )
 
-    def __init__(self, *, settings, folder, events, links):
+    def __init__(self, *, settings, folder, events, links, metrics):
         self._settings = settings
         self._folder = folder
         self._events = events
         self._links = links
+        self._metrics = metrics
         host, port = settings.control.get(settings.name, settings.listen)
         self._own = Replica(
             name=settings.name, identity=folder.identity, host=host, port=port
@@ -175,26 +178,38 @@
                 break
             await self._send(ready.early)
             if ready.must_persist():
-                commit_index = replica.node.commit_index
-                await in_thread(_persist, self._folder, ready, commit_index)
-                replica.node.persisted(ready)
+                await self._persist(ready)
             await self._send(ready.late)
             replica.apply(ready)
+        await self._send(replica.take_envelopes())
         await self._answer()
         await self._push()
         await self._snapshot()
         await self._settle_cluster()
 
+    async def _persist(self, ready):
+        began_us = monotonic_us()
+        commit_index = self._replica.node.commit_index
+        await in_thread(_persist, self._folder, ready, commit_index)
+        self._replica.node.persisted(ready)
+        self._metrics.record_us("persist", monotonic_us() - began_us)
+        self._metrics.count("records", len(ready.records))
+
     async def _send(self, envelopes):
         for envelope in envelopes:
             outbox = self._outboxes.get(envelope.to)
+            if envelope.to in self._entries:
+                # An entry's outbox stands for the entry itself.
+                outbox = envelope.to
             if outbox is not None:
                 await outbox.offer(envelope.message)
 
     async def _answer(self):
         for answer in self._replica.take_answers():
-            reply = self._replies.pop(answer.ask_id, None)
-            if reply is not None:
+            waiting = self._replies.pop(answer.ask_id, None)
+            if waiting is not None:
+                reply, name, began_us = waiting
+                self._metrics.record_us(name, monotonic_us() - began_us)
                 await reply.put(answer.message)
 
     async def _push(self):
@@ -213,6 +228,7 @@
         node = self._replica.node
         after = node.log.slice(snapshot.last_index + 1, node.log.last_index)
         await in_thread(self._folder.set_snapshot, snapshot, after)
+        self._metrics.count("snapshots")
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
     async def _note_commit(self):
@@ -225,6 +241,7 @@
         node = self._replica.node
         if node.leader != self._told_leader:
             self._told_leader = node.leader
+            self._metrics.count("leader_changes")
             log.info("leader", leader=self._replica.leader_name(), term=node.term)
         report = self._replica.take_report()
         outbox = self._outboxes.get(node.leader)
@@ -330,14 +347,15 @@
         """Take an operator's ask."""
         ask_id = self._next_ask
         self._next_ask += 1
-        self._replies[ask_id] = event.reply
+        name = type(event.message).__name__
+        self._replies[ask_id] = (event.reply, name, monotonic_us())
         self._replica.ask(ask_id, event.message, monotonic_ms(), wall_ms())
 
     async def on_entry_ask(self, event):
         """Note what an entry applied, and push what is newer."""
         applied = event.message.applied_version
         self._entries[event.outbox] = applied
-        self._replica.entries.heard(event.message, monotonic_ms())
+        self._replica.entry_reported(event.outbox, event.message, monotonic_ms())
         configuration = self._replica.state.configuration
         if configuration.version > applied:
             await event.outbox.offer(ConfigurationPush(configuration=configuration))
@@ -345,6 +363,11 @@
     def on_entry_gone(self, event):
         """Stop pushing to an entry."""
         self._entries.pop(event.outbox, None)
+        self._replica.entry_gone(event.outbox)
+
+    def on_entry_impact(self, event):
+        """Take what an entry tells of a plan's effect."""
+        self._replica.take_impact(event.outbox, event.message)
 
     def on_stop(self):
         """Hand leadership over, and stop when that is done or takes too long."""
@@ -385,6 +408,11 @@
     await core.on_entry_ask(event)
 
 
+@_take.register
+async def _(event: EntryImpact, core):
+    core.on_entry_impact(event)
+
+
 @_take.register
 async def _(event: EntryGone, core):
     core.on_entry_gone(event)
--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -2,7 +2,14 @@
 
 from knapweeddeal.record import Record
 
-__all__ = ["EntryAsk", "EntryGone", "OperatorAsk", "PeerMessage", "StopAsk"]
+__all__ = [
+    "EntryAsk",
+    "EntryGone",
+    "EntryImpact",
+    "OperatorAsk",
+    "PeerMessage",
+    "StopAsk",
+]
 
 
 class PeerMessage(Record):
@@ -23,6 +30,12 @@
     __slots__ = ("message", "outbox")
 
 
+class EntryImpact(Record):
+    """Carry what an entry tells of a plan's effect."""
+
+    __slots__ = ("message", "outbox")
+
+
 class EntryGone(Record):
     """Tell that an entry's stream ended."""
 
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -13,6 +13,7 @@
 from knapweeddeal.journal import Journal
 from knapweeddeal.journaltask import JournalTask
 from knapweeddeal.logs import Log
+from knapweeddeal.metrics import Metrics
 from knapweeddeal.replicalink import LinkPool
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.storage import DataFolder
@@ -61,13 +62,17 @@
         heartbeat_ms=settings.heartbeat_ms,
         timeout_ms=settings.stream_timeout_ms,
     )
-    core = Core(settings=settings, folder=folder, events=events, links=links)
+    metrics = Metrics()
+    core = Core(
+        settings=settings, folder=folder, events=events, links=links, metrics=metrics
+    )
     links.hello = core.hello
-    keeper = JournalTask(journal=journal)
+    keeper = JournalTask(journal=journal, metrics=metrics)
     streams = ControlStreams(
         core=core,
         events=events,
         journal=keeper,
+        metrics=metrics,
         timeout_ms=settings.stream_timeout_ms,
     )
     try:
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -6,7 +6,7 @@
 import functools
 
 from knapweeddeal.configurationstate import failure_answer
-from knapweeddeal.consensus import LEADER
+from knapweeddeal.consensus import LEADER, Envelope
 from knapweeddeal.consensuslog import (
     is_command,
     unpack_command,
@@ -21,6 +21,7 @@
     NoQuorumError,
     NotLeaderError,
 )
+from knapweeddeal.impact import Impacts
 from knapweeddeal.inspection import dump_text
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.operator import (
@@ -39,6 +40,8 @@
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
     EntryReports,
+    ImpactAnswer,
+    ImpactAsk,
     MembershipRecord,
     PlanRecord,
     SnapshotFile,
@@ -46,7 +49,7 @@
 from knapweeddeal.record import Record
 from knapweeddeal.replicaswap import ReplicaSwap
 
-__all__ = ["Answer", "ControlReplica"]
+__all__ = ["Answer", "ControlReplica", "is_snapshot_turn"]
 
 #: An operator waits this many election timeouts for a quorum.
 PATIENCE_ELECTIONS = 2
@@ -56,6 +59,10 @@
 SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
 #: Records before a snapshot that stay in memory for followers that lag a little.
 KEEP_RECORDS = 500
+#: Longest wait for entries to tell whom a plan would affect.
+IMPACT_MS = 300
+#: The same for the entries of another replica, whose answer has a way to go.
+PEER_IMPACT_MS = 200
 #: Time between reports of a follower's entries to the leader.
 REPORT_MS = 1_000
 
@@ -83,6 +90,12 @@
         self.term = 0
 
 
+class PeerImpact(Record):
+    """Remember which replica asked whom a plan would affect."""
+
+    __slots__ = ("ask_id", "peer")
+
+
 class ControlReplica:
     """Decide what one control replica does.
 
@@ -92,6 +105,9 @@
 
     __slots__ = (
         "_answers",
+        "_envelopes",
+        "_impacts",
+        "_sources",
         "_election_ms",
         "_now_ms",
         "_plan_life_ms",
@@ -133,6 +149,9 @@
         self._proposed = {}
         self._reading = {}
         self._answers = []
+        self._envelopes = []
+        self._impacts = Impacts()
+        self._sources = set()
         self._swap = None
         if node.snapshot is not None:
             state.restore(node.snapshot.data)
@@ -154,10 +173,7 @@
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
         self._now_ms = max(now_ms, self._now_ms)
-        if isinstance(message, EntryReports):
-            self.entries.merge(message, now_ms)
-            return
-        self.node.receive(sender, message, now_ms)
+        _receive(message, self, sender)
 
     def tick(self, now_ms):
         """Let time pass."""
@@ -166,6 +182,7 @@
         self._wake_waiting()
         self._expire(self._proposed, UNSURE)
         self._expire(self._reading, UNHEARD)
+        self._finish_impacts()
         if self._swap is not None:
             self._go_on_with_swap()
 
@@ -176,6 +193,27 @@
     def peer_gone(self, identity):
         """Note that a replica can't be reached any more."""
         self.connected.pop(identity, None)
+        self._impacts.gone(identity)
+
+    def entry_reported(self, source, ask, now_ms):
+        """Note what an entry applied; `source` stands for its stream."""
+        self._sources.add(source)
+        self.entries.heard(ask, now_ms)
+
+    def entry_gone(self, source):
+        """Note that an entry's stream ended."""
+        self._sources.discard(source)
+        self._impacts.gone(source)
+
+    def take_impact(self, source, answer):
+        """Take what an entry or a replica tells of a plan's effect."""
+        self._impacts.add(source, answer)
+        self._finish_impacts()
+
+    def ask_impact(self, peer, ask):
+        """Ask the own entries on behalf of another replica."""
+        purpose = PeerImpact(peer=peer, ask_id=ask.ask_id)
+        self._start_impact(ask.services, self._sources, PEER_IMPACT_MS, purpose)
 
     def apply(self, ready):
         """Apply what a Ready brought, after it was persisted and sent."""
@@ -193,6 +231,11 @@
         answers, self._answers = self._answers, []
         return answers
 
+    def take_envelopes(self):
+        """Return messages to entries and replicas, and forget them."""
+        envelopes, self._envelopes = self._envelopes, []
+        return envelopes
+
     def take_snapshot(self, log_bytes):
         """Return a new snapshot if enough was applied since the last, else None."""
         node = self.node
@@ -219,10 +262,15 @@
 
     # Queries.
 
+    @property
+    def now_ms(self):
+        """Return the latest time that was given."""
+        return self._now_ms
+
     @property
     def next_ms(self):
         """Return when `tick` has to be called at the latest."""
-        times = [self.node.next_ms]
+        times = [self.node.next_ms, self._impacts.next_ms() or self.node.next_ms]
         for pendings in (
             self._waiting,
             self._proposed.values(),
@@ -290,7 +338,32 @@
         self._proposed[pending.ask_id] = pending
 
     def plan(self, pending):
-        """Replicate a plan."""
+        """Ask whom a plan would affect; then it is replicated."""
+        services = sorted({step.service for step in pending.message.steps})
+        peers = set(self.connected) & self.node.members
+        self._start_impact(services, self._sources | peers, IMPACT_MS, pending)
+
+    def _start_impact(self, services, sources, wait_ms, purpose):
+        until_ms = self._now_ms + wait_ms
+        ask = self._impacts.start(services, sources, until_ms, purpose)
+        for source in sources:
+            self._envelopes.append(Envelope(to=source, message=ask))
+        self._finish_impacts()
+
+    def _finish_impacts(self):
+        for impact in self._impacts.take_done(self._now_ms):
+            _use_impact(impact.purpose, self, impact)
+
+    def answer_impact(self, purpose, impact):
+        """Answer a replica with the sums of its entries."""
+        answer = impact.answer(purpose.ask_id)
+        self._envelopes.append(Envelope(to=purpose.peer, message=answer))
+
+    def propose_plan(self, pending, impact):
+        """Replicate a plan and whom it would affect."""
+        if self.node.leader != self.node.identity or self.node.transferring:
+            self._dispatch(pending)
+            return
         ask = pending.message
         self.propose(
             pending,
@@ -298,9 +371,9 @@
                 operator=ask.operator,
                 request_id=ask.request_id,
                 steps=ask.steps,
-                upstreams=[],
-                zones=[],
-                flows=0,
+                upstreams=sorted(impact.upstreams),
+                zones=sorted(impact.zones),
+                flows=impact.flows,
                 planned_ms=pending.wall_ms,
                 life_ms=self._plan_life_ms,
             ),
@@ -408,14 +481,19 @@
 
     def _snapshot_is_due(self, log_bytes):
         """Tell whether to write a snapshot; the members take turns."""
-        node, every = self.node, self._snapshot_records
+        node = self.node
         last = node.snapshot.last_index if node.snapshot else 0
         if node.applied_index == last:
             return False
         members = sorted(node.members)
         place = members.index(node.identity) if node.is_member else 0
-        shift = every * place // max(len(members), 1)
-        by_count = (node.applied_index + shift) // every > (last + shift) // every
+        by_count = is_snapshot_turn(
+            index=node.applied_index,
+            last_index=last,
+            every=self._snapshot_records,
+            place=place,
+            members=len(members),
+        )
         return by_count or log_bytes > SNAPSHOT_LOG_BYTES
 
     def _reply(self, pending, message):
@@ -434,6 +512,42 @@
         return self.connected.get(leader)
 
 
+def is_snapshot_turn(*, index, last_index, every, place, members):
+    """Tell whether a snapshot is due by count; members do it at different indices."""
+    shift = every * place // max(members, 1)
+    return (index + shift) // every > (last_index + shift) // every
+
+
+@functools.singledispatch
+def _receive(message, replica, sender):
+    replica.node.receive(sender, message, replica.now_ms)
+
+
+@_receive.register
+def _(message: EntryReports, replica, _sender):
+    replica.entries.merge(message, replica.now_ms)
+
+
+@_receive.register
+def _(message: ImpactAsk, replica, sender):
+    replica.ask_impact(sender, message)
+
+
+@_receive.register
+def _(message: ImpactAnswer, replica, sender):
+    replica.take_impact(sender, message)
+
+
+@functools.singledispatch
+def _use_impact(purpose, replica, impact):
+    replica.propose_plan(purpose, impact)
+
+
+@_use_impact.register
+def _(purpose: PeerImpact, replica, impact):
+    replica.answer_impact(purpose, impact)
+
+
 @functools.singledispatch
 def _ask(message, _replica, _pending):
     raise BadMessageError("not for a control replica", field="message", value=message)
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -2,11 +2,18 @@
 
 import contextlib
 import functools
+import json
 
 import curio
 
 from knapweeddeal.configurationstate import failure_answer
-from knapweeddeal.controlevents import EntryAsk, EntryGone, OperatorAsk, PeerMessage
+from knapweeddeal.controlevents import (
+    EntryAsk,
+    EntryGone,
+    EntryImpact,
+    OperatorAsk,
+    PeerMessage,
+)
 from knapweeddeal.errors import (
     BadMessageError,
     KnapweeddealError,
@@ -14,9 +21,9 @@
 )
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationAsk, ReplicaHello
-from knapweeddeal.messages.operator import RefusalsAsk
+from knapweeddeal.messages.operator import DumpAnswer, MetricsAsk, RefusalsAsk
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
-from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.messages.replication import ImpactAnswer, ReplicaState
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
 
@@ -28,12 +35,13 @@
 class ControlStreams:
     """Serve each stream as its first message asks: replica, entry or operator."""
 
-    __slots__ = ("_core", "_events", "_journal", "_timeout_ms")
+    __slots__ = ("_core", "_events", "_journal", "_metrics", "_timeout_ms")
 
-    def __init__(self, *, core, events, journal, timeout_ms):
+    def __init__(self, *, core, events, journal, metrics, timeout_ms):
         self._core = core
         self._events = events
         self._journal = journal
+        self._metrics = metrics
         self._timeout_ms = timeout_ms
 
     async def take(self, stream):
@@ -87,6 +95,10 @@
         """Give what an entry applied to the core."""
         await self._events.put(EntryAsk(message=message, outbox=outbox))
 
+    async def on_impact(self, message, outbox):
+        """Give what an entry tells of a plan's effect to the core."""
+        await self._events.put(EntryImpact(message=message, outbox=outbox))
+
     async def on_refusals(self, batch, outbox):
         """Give refusals to the journal."""
         await self._journal.hold(batch, outbox)
@@ -103,6 +115,10 @@
         await self._events.put(OperatorAsk(message=message, reply=reply))
         return await reply.get()
 
+    def metrics_answer(self):
+        """Return the counters and latencies of this process."""
+        return DumpAnswer(text=json.dumps(self._metrics.summary()))
+
     async def find_refusals(self, message):
         """Return the refusals that this replica holds."""
         return await self._journal.find(message)
@@ -178,6 +194,11 @@
     await streams.on_refusals(message, outbox)
 
 
+@_from_entry.register
+async def _(message: ImpactAnswer, streams, outbox):
+    await streams.on_impact(message, outbox)
+
+
 @functools.singledispatch
 async def _answer(message, streams):
     return await streams.ask_core(message)
@@ -186,3 +207,8 @@
 @_answer.register
 async def _(message: RefusalsAsk, streams):
     return await streams.find_refusals(message)
+
+
+@_answer.register
+async def _(_message: MetricsAsk, streams):
+    return streams.metrics_answer()
--- a/knapweeddeal/journaltask.py
+++ b/knapweeddeal/journaltask.py
@@ -26,9 +26,10 @@
 class JournalTask:
     """Sync batches of refusals together, then acknowledge each."""
 
-    __slots__ = ("_journal", "_queue")
+    __slots__ = ("_journal", "_metrics", "_queue")
 
-    def __init__(self, *, journal):
+    def __init__(self, *, journal, metrics):
+        self._metrics = metrics
         self._journal = journal
         self._queue = curio.Queue(MAX_WAITING_BATCHES)
 
@@ -41,7 +42,9 @@
         while True:
             asks = await self._take()
             records = [record for ask in asks for record in ask.batch.records]
-            await in_thread(self._journal.hold, records)
+            held = await in_thread(self._journal.hold, records)
+            self._metrics.count("refusals", held)
+            self._metrics.count("refusals_resent", len(records) - held)
             for ask in asks:
                 await ask.outbox.offer(RefusalAck(batch=ask.batch.batch))
 
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -10,6 +10,8 @@
     "EntryReports",
     "Founding",
     "HardState",
+    "ImpactAnswer",
+    "ImpactAsk",
     "IdentityFile",
     "LeadershipTransfer",
     "MembershipRecord",
@@ -170,3 +172,25 @@
         "data": Blob(max_bytes=MAX_SNAPSHOT_BYTES),
     }
     __slots__ = tuple(schema)
+
+
+class ImpactAsk(Message):
+    """Ask an entry, or a replica for its entries, whom a plan would affect."""
+
+    tag = 143
+    schema = {"ask_id": Whole(), "services": ListOf(NAME, max_items=256)}
+    __slots__ = tuple(schema)
+
+
+class ImpactAnswer(Message):
+    """Tell how many flows of some services entries hold, and where they lead."""
+
+    tag = 144
+    schema = {
+        "ask_id": Whole(),
+        "flows": Whole(),
+        "entries": Whole(),
+        "upstreams": ListOf(NAME, max_items=10_000),
+        "zones": ListOf(NAME, max_items=256),
+    }
+    __slots__ = tuple(schema)
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -1,5 +1,6 @@
 """tests.test_controlprocess: Tests of control replicas as real processes."""
 
+import json
 import signal
 import threading
 import time
@@ -20,6 +21,7 @@
     ConfirmAsk,
     DumpAsk,
     IntentStep,
+    MetricsAsk,
     PlanAsk,
     RefusalsAsk,
     ReplicasAsk,
@@ -33,6 +35,7 @@
     RefusalBatch,
     RefusalRecord,
 )
+from knapweeddeal.messages.replication import ImpactAnswer
 from knapweeddeal.stream import connect
 from tests.processes import WAIT_S, ControlGroup, wait_until
 
@@ -165,14 +168,36 @@
         self.assertEqual(1, status.version)
 
     async def enter_and_wait(self, address):
-        """Report as an entry, then confirm, and expect the push."""
+        """Report as an entry, tell of a plan's effect, and expect the push."""
         stream = await self.enter(address, 0)
-        version = await curio.run_in_thread(self.change, 1)
+        planning = await curio.spawn(
+            curio.run_in_thread, self.group.ask, plan_ask(1, "p1")
+        )
+        ask = await curio.timeout_after(WAIT_S, stream.receive)
+        self.assertEqual(["service-1"], ask.services)
+        answer = ImpactAnswer(
+            ask_id=ask.ask_id, flows=7, entries=1, upstreams=["u1"], zones=["z"]
+        )
+        await stream.send(answer)
+        plan = await planning.join()
+        self.assertEqual((7, ["u1"], ["z"]), (plan.flows, plan.upstreams, plan.zones))
+        asked = confirm_ask(plan.plan_id, "c1")
+        confirmed = await curio.run_in_thread(self.group.ask, asked)
         push = await curio.timeout_after(WAIT_S, stream.receive)
         self.assertIsInstance(push, ConfigurationPush)
-        self.assertEqual(version, push.configuration.version)
+        self.assertEqual(confirmed.version, push.configuration.version)
         await stream.close()
 
+    def test_dump_and_metrics(self):
+        group = self.start_group()
+        self.change(1)
+        leader = self.leader()
+        state = group.ask_one(leader, DumpAsk(max_bytes=1 << 16)).text
+        self.assertEqual(1, json.loads(state)["version"])
+        numbers = json.loads(group.ask_one(leader, MetricsAsk()).text)
+        self.assertEqual(1, numbers["us"]["ConfirmAsk"]["count"])
+        self.assertTrue(numbers["us"]["persist"]["count"] >= 3)
+
     def test_two_operators_race(self):
         group = self.start_group()
         for turn in range(3):
--- /dev/null
+++ b/tests/test_controlreplica.py
@@ -0,0 +1,366 @@
+"""tests.test_controlreplica: Tests of what a control replica decides."""
+
+import random
+
+import testscenarios
+import testtools
+
+from knapweeddeal.configurationstate import ConfigurationState
+from knapweeddeal.consensus import Node
+from knapweeddeal.controlreplica import (
+    IMPACT_MS,
+    PATIENCE_ELECTIONS,
+    ControlReplica,
+    is_snapshot_turn,
+)
+from knapweeddeal.messages.control import AppendAnswer, ConfigurationAsk, Replica
+from knapweeddeal.messages.operator import (
+    ConfirmAsk,
+    FailureAnswer,
+    IntentStep,
+    PlanAnswer,
+    PlanAsk,
+    ReplicasAsk,
+    ReplicaSwapAsk,
+    ServicesAsk,
+    StatusAsk,
+)
+from knapweeddeal.messages.replication import (
+    EntryReports,
+    HardState,
+    ImpactAnswer,
+    ImpactAsk,
+)
+
+ELECTION_MS = 100
+LIFE_MS = 1_000
+SNAPSHOT_RECORDS = 10
+
+
+def replica_of(identity):
+    """Return the replica of an identity."""
+    return Replica(name=f"r{identity}", identity=identity, host="127.0.0.1", port=1)
+
+
+def make_replica(*, members):
+    """Return replica 1 of a new group."""
+    node = Node(
+        identity=1,
+        state=HardState(term=0, voted_for=0),
+        snapshot=None,
+        records=[],
+        random=random.Random(1),
+        now_ms=0,
+        election_ms=ELECTION_MS,
+        heartbeat_ms=20,
+    )
+    node.found([replica_of(identity) for identity in members])
+    return ControlReplica(
+        own=replica_of(1),
+        node=node,
+        state=ConfigurationState(),
+        election_ms=ELECTION_MS,
+        plan_life_ms=LIFE_MS,
+        now_ms=0,
+        snapshot_records=SNAPSHOT_RECORDS,
+    )
+
+
+def flush(replica):
+    """Obey what the replica asks, on a disk that always works."""
+    while True:
+        ready = replica.node.take_ready()
+        if not ready:
+            return
+        replica.node.persisted(ready)
+        replica.apply(ready)
+
+
+def step(number):
+    """Return a step that creates a service."""
+    return IntentStep(
+        action="create-service",
+        service=f"s{number}",
+        host="127.0.0.1",
+        port=1 + number,
+        upstream_id="",
+    )
+
+
+def plan_ask(number=1):
+    """Return an ask for a plan."""
+    return PlanAsk(request_id=f"p{number}", operator="ana", steps=[step(number)])
+
+
+def entry_ask(name, version):
+    """Return what an entry reports."""
+    return ConfigurationAsk(name=name, incarnation=1, zone="z", applied_version=version)
+
+
+class ReplicaTest(testtools.TestCase):
+    """Give each test a replica that leads a group of its own."""
+
+    members = (1,)
+
+    def setUp(self):
+        super().setUp()
+        self.replica = make_replica(members=self.members)
+        self.now_ms = 0
+        flush(self.replica)
+        self.wait(3 * ELECTION_MS)
+
+    def wait(self, time_ms):
+        """Let time pass."""
+        self.now_ms += time_ms
+        self.replica.tick(self.now_ms)
+        flush(self.replica)
+
+    def ask(self, message, ask_id=7):
+        """Ask, and return the answers that are due."""
+        self.replica.ask(ask_id, message, self.now_ms, self.now_ms)
+        flush(self.replica)
+        return self.answers()
+
+    def answers(self):
+        """Return the answers that are due."""
+        return [answer.message for answer in self.replica.take_answers()]
+
+    def make(self, number):
+        """Plan and confirm a service."""
+        plan = self.ask(plan_ask(number))[0]
+        asked = ConfirmAsk(
+            request_id=f"c{number}", operator="ana", plan_id=plan.plan_id
+        )
+        return self.ask(asked)[0].version
+
+
+class Impact(ReplicaTest):
+    """A plan names whom it affects, as the entries tell."""
+
+    def start(self):
+        """Ask for a plan while two entries are connected."""
+        for source in ("e1", "e2"):
+            self.replica.entry_reported(source, entry_ask(source, 0), self.now_ms)
+        self.assertEqual([], self.ask(plan_ask()))
+        asks = self.replica.take_envelopes()
+        self.assertEqual({"e1", "e2"}, {envelope.to for envelope in asks})
+        self.assertEqual(["s1"], asks[0].message.services)
+        return asks[0].message.ask_id
+
+    def tell(self, source, ask_id, flows):
+        """Let an entry answer."""
+        answer = ImpactAnswer(
+            ask_id=ask_id, flows=flows, entries=1, upstreams=[source], zones=["z"]
+        )
+        self.replica.take_impact(source, answer)
+        flush(self.replica)
+
+    def test_all_answer(self):
+        ask_id = self.start()
+        self.tell("e1", ask_id, 4)
+        self.tell("e1", ask_id, 4)
+        self.assertEqual([], self.answers())
+        self.tell("e2", ask_id, 5)
+        plan = self.answers()[0]
+        self.assertEqual((9, ["e1", "e2"], ["z"]), self.affected(plan))
+
+    def affected(self, plan):
+        """Return who is affected."""
+        return (plan.flows, plan.upstreams, plan.zones)
+
+    def test_silent_entry_holds_up_no_longer(self):
+        self.tell("e1", self.start(), 4)
+        self.wait(IMPACT_MS - 1)
+        self.assertEqual([], self.answers())
+        self.wait(1)
+        self.assertEqual([4], [plan.flows for plan in self.answers()])
+
+    def test_entry_that_goes(self):
+        self.tell("e1", self.start(), 4)
+        self.replica.entry_gone("e2")
+        self.wait(1)
+        self.assertEqual([4], [plan.flows for plan in self.answers()])
+
+    def test_on_behalf_of_the_leader(self):
+        self.replica.entry_reported("e1", entry_ask("e1", 0), self.now_ms)
+        ask = ImpactAsk(ask_id=5, services=["s1"])
+        self.replica.receive(2, ask, self.now_ms)
+        inner = self.replica.take_envelopes()[0].message
+        self.tell("e1", inner.ask_id, 4)
+        answer = self.replica.take_envelopes()[0]
+        self.assertEqual(
+            (2, 5, 4), (answer.to, answer.message.ask_id, self.flows(answer))
+        )
+
+    def flows(self, envelope):
+        """Return the flows in an answer."""
+        return envelope.message.flows
+
+
+class Entries(ReplicaTest):
+    """The status names what each entry applied, wherever it is connected."""
+
+    def test_freshest_report_counts(self):
+        self.wait(1_000)
+        self.replica.entry_reported("x", entry_ask("e1", 5), self.now_ms)
+        older = entry_ask("e1", 4)
+        status = (
+            self.ask(StatusAsk())[0]
+            .entries[0]
+            .replace(applied_version=older.applied_version, age_ms=500)
+        )
+        self.replica.receive(2, EntryReports(entries=[status]), self.now_ms)
+        newer = status.replace(name="e2", applied_version=6, age_ms=0)
+        self.replica.receive(2, EntryReports(entries=[newer]), self.now_ms)
+        entries = self.ask(StatusAsk())[0].entries
+        found = [(entry.name, entry.applied_version) for entry in entries]
+        self.assertEqual([("e1", 5), ("e2", 6)], found)
+
+    def test_silent_entry_is_forgotten(self):
+        self.replica.entry_reported("x", entry_ask("e1", 5), self.now_ms)
+        self.wait(1_000)
+        self.assertEqual([1_000], [e.age_ms for e in self.ask(StatusAsk())[0].entries])
+        self.wait(1_000_000)
+        self.assertEqual([], self.ask(StatusAsk())[0].entries)
+
+
+class NoQuorum(testscenarios.TestWithScenarios, ReplicaTest):
+    """A leader that can't reach a majority refuses within the patience."""
+
+    members = (1, 2)
+    scenarios = [
+        ("status", {"message": StatusAsk()}),
+        ("services", {"message": ServicesAsk()}),
+        ("replicas", {"message": ReplicasAsk()}),
+        ("plan", {"message": plan_ask()}),
+    ]
+
+    def test_refused_in_time(self):
+        self.assertEqual([], self.ask(self.message))
+        patience_ms = PATIENCE_ELECTIONS * ELECTION_MS
+        self.wait(patience_ms - 1)
+        self.assertEqual([], self.answers())
+        self.wait(1)
+        answers = self.answers()
+        self.assertEqual(["no_quorum"], [answer.code for answer in answers])
+
+
+class Snapshots(ReplicaTest):
+    """A snapshot is due after enough records, or a log that is too large."""
+
+    def test_by_count(self):
+        for number in range(SNAPSHOT_RECORDS // 2):
+            self.make(number)
+        snapshot = self.replica.take_snapshot(0)
+        self.assertEqual(self.replica.node.applied_index, snapshot.last_index)
+        self.assertIsNone(self.replica.take_snapshot(0))
+        restored = ConfigurationState()
+        restored.restore(snapshot.data)
+        self.assertEqual(self.replica.state.image(), restored.image())
+
+    def test_by_size(self):
+        self.assertIsNone(self.replica.take_snapshot(0))
+        self.assertIsNotNone(self.replica.take_snapshot(1 << 30))
+
+    def test_members_take_turns(self):
+        turns = []
+        for place in range(3):
+            indices = range(1, 2 * SNAPSHOT_RECORDS)
+            due = [
+                index
+                for index in indices
+                if is_snapshot_turn(
+                    index=index,
+                    last_index=index - 1,
+                    every=SNAPSHOT_RECORDS,
+                    place=place,
+                    members=3,
+                )
+            ]
+            turns.append(due[0])
+        self.assertEqual([10, 7, 4], turns)
+
+
+class Swap(ReplicaTest):
+    """A replica is added after it caught up; then the other one is removed."""
+
+    def swap(self, request_id="s1", *, add="r2", remove=0):
+        """Ask for a swap."""
+        asked = ReplicaSwapAsk(
+            request_id=request_id,
+            operator="ana",
+            add=Replica(name=add, identity=0, host="", port=0),
+            remove=remove,
+        )
+        return self.ask(asked)
+
+    def catch_up(self, identity):
+        """Let a replica acknowledge all records."""
+        node = self.replica.node
+        answer = AppendAnswer(
+            term=node.term,
+            follower=identity,
+            success=True,
+            match_index=node.log.last_index,
+            round=1 << 30,
+        )
+        node.receive(identity, answer, self.now_ms)
+        flush(self.replica)
+
+    def names(self, answer):
+        """Return the names of the members."""
+        return [replica.name for replica in answer.members]
+
+    def test_waits_until_it_caught_up(self):
+        self.replica.peer_connected(replica_of(2))
+        self.assertEqual([], self.swap())
+        self.wait(10)
+        self.assertEqual({1}, self.replica.node.members)
+        self.catch_up(2)
+        self.wait(10)
+        self.assertEqual({1, 2}, self.replica.node.members)
+        self.assertEqual([], self.answers())
+        self.catch_up(2)
+        self.wait(0)
+        answer = self.answers()[0]
+        self.assertEqual(["r1", "r2"], self.names(answer))
+        self.assertEqual([answer], self.swap())
+
+    def test_unknown_candidate(self):
+        answer = self.swap()[0]
+        self.assertEqual(("invalid_intent", "add"), (answer.code, answer.field))
+
+    def test_last_member_stays(self):
+        answer = self.swap(add="", remove=1)[0]
+        self.assertEqual(("invalid_intent", "remove"), (answer.code, answer.field))
+
+    def test_one_at_a_time(self):
+        self.replica.peer_connected(replica_of(2))
+        self.swap()
+        self.assertEqual(["conflict"], [answer.code for answer in self.swap("s2")])
+
+    def test_gives_up(self):
+        self.replica.peer_connected(replica_of(2))
+        self.swap()
+        self.wait(60_000)
+        self.assertEqual(["no_quorum"], [answer.code for answer in self.answers()])
+        self.assertFalse(self.replica.node.is_learner(2))
+
+    def test_id_of_another_command(self):
+        self.ask(plan_ask())
+        answer = self.swap("p1")[0]
+        self.assertIsInstance(answer, FailureAnswer)
+        self.assertEqual("request_id", answer.field)
+
+
+class Asks(ReplicaTest):
+    """What isn't for a control replica is refused with a code."""
+
+    def test_unknown_message(self):
+        answer = self.ask(HardState(term=1, voted_for=1))[0]
+        self.assertEqual("bad_message", answer.code)
+
+    def test_plan(self):
+        plan = self.ask(plan_ask())[0]
+        self.assertIsInstance(plan, PlanAnswer)
+        self.assertEqual(self.now_ms + LIFE_MS, plan.expires_ms)
