--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -12,8 +12,8 @@
 from knapweeddeal.consensuslog import unpack_membership
 from knapweeddeal.controlevents import (
     EntryAsk,
+    EntryFlows,
     EntryGone,
-    EntryImpact,
     OperatorAsk,
     PeerMessage,
     StopAsk,
@@ -52,7 +52,6 @@
         "_folder",
         "_formation",
         "_links",
-        "_metrics",
         "_next_ask",
         "_outboxes",
         "_own",
@@ -65,12 +64,11 @@
         "_told_leader",
     )
 
-    def __init__(self, *, settings, folder, events, links, metrics):
+    def __init__(self, *, settings, folder, events, links):
         self._settings = settings
         self._folder = folder
         self._events = events
         self._links = links
-        self._metrics = metrics
         host, port = settings.control.get(settings.name, settings.listen)
         self._own = Replica(
             name=settings.name, identity=folder.identity, host=host, port=port
@@ -181,35 +179,29 @@
                 await self._persist(ready)
             await self._send(ready.late)
             replica.apply(ready)
-        await self._send(replica.take_envelopes())
         await self._answer()
         await self._push()
         await self._snapshot()
         await self._settle_cluster()
 
     async def _persist(self, ready):
+        replica = self._replica
         began_us = monotonic_us()
-        commit_index = self._replica.node.commit_index
+        commit_index = replica.node.commit_index
         await in_thread(_persist, self._folder, ready, commit_index)
-        self._replica.node.persisted(ready)
-        self._metrics.record_us("persist", monotonic_us() - began_us)
-        self._metrics.count("records", len(ready.records))
+        replica.node.persisted(ready)
+        replica.metrics.record_us("persist", monotonic_us() - began_us)
 
     async def _send(self, envelopes):
         for envelope in envelopes:
             outbox = self._outboxes.get(envelope.to)
-            if envelope.to in self._entries:
-                # An entry's outbox stands for the entry itself.
-                outbox = envelope.to
             if outbox is not None:
                 await outbox.offer(envelope.message)
 
     async def _answer(self):
         for answer in self._replica.take_answers():
-            waiting = self._replies.pop(answer.ask_id, None)
-            if waiting is not None:
-                reply, name, began_us = waiting
-                self._metrics.record_us(name, monotonic_us() - began_us)
+            reply = self._replies.pop(answer.ask_id, None)
+            if reply is not None:
                 await reply.put(answer.message)
 
     async def _push(self):
@@ -228,7 +220,7 @@
         node = self._replica.node
         after = node.log.slice(snapshot.last_index + 1, node.log.last_index)
         await in_thread(self._folder.set_snapshot, snapshot, after)
-        self._metrics.count("snapshots")
+        self._replica.metrics.count("snapshots")
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
     async def _note_commit(self):
@@ -241,7 +233,6 @@
         node = self._replica.node
         if node.leader != self._told_leader:
             self._told_leader = node.leader
-            self._metrics.count("leader_changes")
             log.info("leader", leader=self._replica.leader_name(), term=node.term)
         report = self._replica.take_report()
         outbox = self._outboxes.get(node.leader)
@@ -304,6 +295,8 @@
         self._states[identity] = state
         self._formation.heard(state)
         self._replica.peer_connected(state.replica)
+        for report in self._replica.flow_counts.own_reports():
+            await event.outbox.offer(report)
         await self._offer_founding(state)
 
     def on_link_down(self, event):
@@ -347,27 +340,29 @@
         """Take an operator's ask."""
         ask_id = self._next_ask
         self._next_ask += 1
-        name = type(event.message).__name__
-        self._replies[ask_id] = (event.reply, name, monotonic_us())
+        self._replies[ask_id] = event.reply
         self._replica.ask(ask_id, event.message, monotonic_ms(), wall_ms())
 
     async def on_entry_ask(self, event):
         """Note what an entry applied, and push what is newer."""
         applied = event.message.applied_version
         self._entries[event.outbox] = applied
-        self._replica.entry_reported(event.outbox, event.message, monotonic_ms())
+        self._replica.entries.heard(event.message, monotonic_ms())
+        self._replica.flow_counts.heard(event.message.name, now_ms=monotonic_ms())
         configuration = self._replica.state.configuration
         if configuration.version > applied:
             await event.outbox.offer(ConfigurationPush(configuration=configuration))
 
+    async def on_entry_flows(self, event):
+        """Take an entry's counted flows and pass them to every replica."""
+        report = event.message
+        self._replica.flow_counts.take(report, now_ms=monotonic_ms())
+        for outbox in self._outboxes.values():
+            await outbox.offer(report)
+
     def on_entry_gone(self, event):
         """Stop pushing to an entry."""
         self._entries.pop(event.outbox, None)
-        self._replica.entry_gone(event.outbox)
-
-    def on_entry_impact(self, event):
-        """Take what an entry tells of a plan's effect."""
-        self._replica.take_impact(event.outbox, event.message)
 
     def on_stop(self):
         """Hand leadership over, and stop when that is done or takes too long."""
@@ -409,8 +404,8 @@
 
 
 @_take.register
-async def _(event: EntryImpact, core):
-    core.on_entry_impact(event)
+async def _(event: EntryFlows, core):
+    await core.on_entry_flows(event)
 
 
 @_take.register
--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -4,8 +4,8 @@
 
 __all__ = [
     "EntryAsk",
+    "EntryFlows",
     "EntryGone",
-    "EntryImpact",
     "OperatorAsk",
     "PeerMessage",
     "StopAsk",
@@ -30,10 +30,10 @@
     __slots__ = ("message", "outbox")
 
 
-class EntryImpact(Record):
-    """Carry what an entry tells of a plan's effect."""
+class EntryFlows(Record):
+    """Carry an entry's report of the flows that it owns."""
 
-    __slots__ = ("message", "outbox")
+    __slots__ = ("message",)
 
 
 class EntryGone(Record):
--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -3,7 +3,7 @@
 import curio
 
 from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.events import ConfigurationCame, PeerMessage
+from knapweeddeal.events import ConfigurationCame, ControlUp, PeerMessage
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationAsk, ConfigurationPush
 from knapweeddeal.messages.peer import PeerHello
@@ -40,12 +40,15 @@
         addresses = list(self._settings.control.values())
         start = self._identity.incarnation % max(1, len(addresses))
         addresses = addresses[start:] + addresses[:start]
+        last = ""
         while True:
             for address in addresses:
                 try:
                     await self._carry(address)
                 except KnapweeddealError as error:
-                    LOG.info("Stream ended.", why=str(error))
+                    if str(error) != last:
+                        LOG.info("Stream ended.", why=str(error))
+                    last = str(error)
                 await curio.sleep(self._settings.heartbeat_ms / 1000)
 
     async def _carry(self, address):
@@ -59,6 +62,7 @@
                     zone=self._identity.zone,
                 )
             )
+            await self._inbox.put(ControlUp())
             await run_until_first(
                 self._receive(stream),
                 self._outbox.drain_to(stream),
@@ -89,5 +93,5 @@
             if type(message) is ConfigurationPush:
                 event = ConfigurationCame(configuration=message.configuration)
             else:
-                event = PeerMessage(message=message)
+                event = PeerMessage(message=message, peer=None)
             await self._inbox.put(event)
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -4,9 +4,10 @@
 """
 
 import functools
+import json
 
 from knapweeddeal.configurationstate import failure_answer
-from knapweeddeal.consensus import LEADER, Envelope
+from knapweeddeal.consensus import LEADER
 from knapweeddeal.consensuslog import (
     is_command,
     unpack_command,
@@ -21,13 +22,16 @@
     NoQuorumError,
     NotLeaderError,
 )
-from knapweeddeal.impact import Impacts
+from knapweeddeal.flowcounts import FlowCountTable
 from knapweeddeal.inspection import dump_text
 from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.messages.control import FlowCounts
 from knapweeddeal.messages.operator import (
     ConfirmAsk,
     DumpAnswer,
     DumpAsk,
+    FailureAnswer,
+    MetricsAsk,
     PlanAsk,
     ReplicasAnswer,
     ReplicasAsk,
@@ -40,12 +44,12 @@
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
     EntryReports,
-    ImpactAnswer,
-    ImpactAsk,
     MembershipRecord,
     PlanRecord,
     SnapshotFile,
 )
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.plans import apply_steps
 from knapweeddeal.record import Record
 from knapweeddeal.replicaswap import ReplicaSwap
 
@@ -59,12 +63,9 @@
 SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
 #: Records before a snapshot that stay in memory for followers that lag a little.
 KEEP_RECORDS = 500
-#: Longest wait for entries to tell whom a plan would affect.
-IMPACT_MS = 300
-#: The same for the entries of another replica, whose answer has a way to go.
-PEER_IMPACT_MS = 200
 #: Time between reports of a follower's entries to the leader.
 REPORT_MS = 1_000
+US_PER_MS = 1_000
 
 UNSURE = "no majority answered; it may still take effect, resend the same request id"
 UNHEARD = "no majority of the control replicas answered"
@@ -79,10 +80,19 @@
 class Pending:
     """Hold an ask that waits: for a leader, a commit or a quorum round."""
 
-    __slots__ = ("ask_id", "index", "message", "term", "until_ms", "wall_ms")
+    __slots__ = (
+        "ask_id",
+        "asked_ms",
+        "index",
+        "message",
+        "term",
+        "until_ms",
+        "wall_ms",
+    )
 
-    def __init__(self, *, ask_id, message, until_ms, wall_ms):
+    def __init__(self, *, ask_id, message, asked_ms, until_ms, wall_ms):
         self.ask_id = ask_id
+        self.asked_ms = asked_ms
         self.message = message
         self.until_ms = until_ms
         self.wall_ms = wall_ms
@@ -90,12 +100,6 @@
         self.term = 0
 
 
-class PeerImpact(Record):
-    """Remember which replica asked whom a plan would affect."""
-
-    __slots__ = ("ask_id", "peer")
-
-
 class ControlReplica:
     """Decide what one control replica does.
 
@@ -105,9 +109,6 @@
 
     __slots__ = (
         "_answers",
-        "_envelopes",
-        "_impacts",
-        "_sources",
         "_election_ms",
         "_now_ms",
         "_plan_life_ms",
@@ -119,6 +120,8 @@
         "_waiting",
         "connected",
         "entries",
+        "flow_counts",
+        "metrics",
         "node",
         "own",
         "state",
@@ -139,6 +142,8 @@
         self.node = node
         self.state = state
         self.entries = EntryTable()
+        self.flow_counts = FlowCountTable()
+        self.metrics = Metrics()
         self.connected = {}
         self._election_ms = election_ms
         self._plan_life_ms = plan_life_ms
@@ -149,9 +154,6 @@
         self._proposed = {}
         self._reading = {}
         self._answers = []
-        self._envelopes = []
-        self._impacts = Impacts()
-        self._sources = set()
         self._swap = None
         if node.snapshot is not None:
             state.restore(node.snapshot.data)
@@ -163,7 +165,13 @@
         self._now_ms = max(now_ms, self._now_ms)
         until_ms = self._now_ms + PATIENCE_ELECTIONS * self._election_ms
         self._dispatch(
-            Pending(ask_id=ask_id, message=message, until_ms=until_ms, wall_ms=wall_ms)
+            Pending(
+                ask_id=ask_id,
+                message=message,
+                asked_ms=self._now_ms,
+                until_ms=until_ms,
+                wall_ms=wall_ms,
+            )
         )
 
     def forget(self, ask_id):
@@ -175,6 +183,20 @@
         self._now_ms = max(now_ms, self._now_ms)
         _receive(message, self, sender)
 
+    def take_reports(self, reports):
+        """Take what entries told another replica."""
+        self.entries.merge(reports, self._now_ms)
+        for status in reports.entries:
+            self.flow_counts.heard(status.name, now_ms=self._now_ms)
+
+    def take_flow_counts(self, counts):
+        """Take the flows that an entry counted for another replica."""
+        self.flow_counts.apply(counts, now_ms=self._now_ms)
+
+    def take_consensus(self, sender, message):
+        """Take a message of the replicated log."""
+        self.node.receive(sender, message, self._now_ms)
+
     def tick(self, now_ms):
         """Let time pass."""
         self._now_ms = max(now_ms, self._now_ms)
@@ -182,7 +204,6 @@
         self._wake_waiting()
         self._expire(self._proposed, UNSURE)
         self._expire(self._reading, UNHEARD)
-        self._finish_impacts()
         if self._swap is not None:
             self._go_on_with_swap()
 
@@ -193,27 +214,6 @@
     def peer_gone(self, identity):
         """Note that a replica can't be reached any more."""
         self.connected.pop(identity, None)
-        self._impacts.gone(identity)
-
-    def entry_reported(self, source, ask, now_ms):
-        """Note what an entry applied; `source` stands for its stream."""
-        self._sources.add(source)
-        self.entries.heard(ask, now_ms)
-
-    def entry_gone(self, source):
-        """Note that an entry's stream ended."""
-        self._sources.discard(source)
-        self._impacts.gone(source)
-
-    def take_impact(self, source, answer):
-        """Take what an entry or a replica tells of a plan's effect."""
-        self._impacts.add(source, answer)
-        self._finish_impacts()
-
-    def ask_impact(self, peer, ask):
-        """Ask the own entries on behalf of another replica."""
-        purpose = PeerImpact(peer=peer, ask_id=ask.ask_id)
-        self._start_impact(ask.services, self._sources, PEER_IMPACT_MS, purpose)
 
     def apply(self, ready):
         """Apply what a Ready brought, after it was persisted and sent."""
@@ -231,11 +231,6 @@
         answers, self._answers = self._answers, []
         return answers
 
-    def take_envelopes(self):
-        """Return messages to entries and replicas, and forget them."""
-        envelopes, self._envelopes = self._envelopes, []
-        return envelopes
-
     def take_snapshot(self, log_bytes):
         """Return a new snapshot if enough was applied since the last, else None."""
         node = self.node
@@ -262,15 +257,10 @@
 
     # Queries.
 
-    @property
-    def now_ms(self):
-        """Return the latest time that was given."""
-        return self._now_ms
-
     @property
     def next_ms(self):
         """Return when `tick` has to be called at the latest."""
-        times = [self.node.next_ms, self._impacts.next_ms() or self.node.next_ms]
+        times = [self.node.next_ms]
         for pendings in (
             self._waiting,
             self._proposed.values(),
@@ -318,8 +308,9 @@
     # Asks.
 
     def _dispatch(self, pending):
-        if isinstance(pending.message, DumpAsk):
-            self._reply(pending, _dump_answer(self.dump(), pending.message.max_bytes))
+        answer = _local_answer(pending.message, self)
+        if answer is not None:
+            self._reply(pending, answer)
             return
         leader = self.node.leader
         if not leader or self.node.transferring:
@@ -338,47 +329,32 @@
         self._proposed[pending.ask_id] = pending
 
     def plan(self, pending):
-        """Ask whom a plan would affect; then it is replicated."""
-        services = sorted({step.service for step in pending.message.steps})
-        peers = set(self.connected) & self.node.members
-        self._start_impact(services, self._sources | peers, IMPACT_MS, pending)
-
-    def _start_impact(self, services, sources, wait_ms, purpose):
-        until_ms = self._now_ms + wait_ms
-        ask = self._impacts.start(services, sources, until_ms, purpose)
-        for source in sources:
-            self._envelopes.append(Envelope(to=source, message=ask))
-        self._finish_impacts()
-
-    def _finish_impacts(self):
-        for impact in self._impacts.take_done(self._now_ms):
-            _use_impact(impact.purpose, self, impact)
-
-    def answer_impact(self, purpose, impact):
-        """Answer a replica with the sums of its entries."""
-        answer = impact.answer(purpose.ask_id)
-        self._envelopes.append(Envelope(to=purpose.peer, message=answer))
-
-    def propose_plan(self, pending, impact):
-        """Replicate a plan and whom it would affect."""
-        if self.node.leader != self.node.identity or self.node.transferring:
-            self._dispatch(pending)
-            return
+        """Replicate a plan, with whom it affects as far as is known here."""
         ask = pending.message
+        affected = self._affected(ask.steps)
         self.propose(
             pending,
             PlanRecord(
                 operator=ask.operator,
                 request_id=ask.request_id,
                 steps=ask.steps,
-                upstreams=sorted(impact.upstreams),
-                zones=sorted(impact.zones),
-                flows=impact.flows,
+                upstreams=affected.upstreams,
+                zones=affected.zones,
+                flows=affected.flows,
                 planned_ms=pending.wall_ms,
                 life_ms=self._plan_life_ms,
             ),
         )
 
+    def _affected(self, steps):
+        old = self.state.configuration
+        try:
+            new = apply_steps(old, steps).configuration
+        except InvalidIntentError:
+            # The state machine refuses it, in the same way on every replica.
+            new = old
+        return self.flow_counts.affected(old, new, now_ms=self._now_ms)
+
     def read(self, pending):
         """Start the quorum round of a query."""
         self._reading[pending.ask_id] = pending
@@ -497,8 +473,18 @@
         return by_count or log_bytes > SNAPSHOT_LOG_BYTES
 
     def _reply(self, pending, message):
+        self._measure(pending, message)
         self._answers.append(Answer(ask_id=pending.ask_id, message=message))
 
+    def _measure(self, pending, message):
+        kind = type(pending.message).__name__
+        if isinstance(message, FailureAnswer):
+            self.metrics.count(f"{kind}_{message.code}")
+            return
+        self.metrics.count(kind)
+        wait_ms = self._now_ms - pending.asked_ms
+        self.metrics.record_us(kind, wait_ms * US_PER_MS)
+
     def _not_leader(self):
         replica = self._leader_replica()
         address = f"{replica.host}:{replica.port}" if replica else ""
@@ -519,33 +505,34 @@
 
 
 @functools.singledispatch
-def _receive(message, replica, sender):
-    replica.node.receive(sender, message, replica.now_ms)
+def _local_answer(_message, _replica):
+    """Return the answer that needs no leader, or None."""
+    return
 
 
-@_receive.register
-def _(message: EntryReports, replica, _sender):
-    replica.entries.merge(message, replica.now_ms)
+@_local_answer.register
+def _(message: DumpAsk, replica):
+    return DumpAnswer(text=dump_text(replica.dump(), max_bytes=message.max_bytes))
 
 
-@_receive.register
-def _(message: ImpactAsk, replica, sender):
-    replica.ask_impact(sender, message)
+@_local_answer.register
+def _(_message: MetricsAsk, replica):
+    return DumpAnswer(text=json.dumps(replica.metrics.summary()))
 
 
-@_receive.register
-def _(message: ImpactAnswer, replica, sender):
-    replica.take_impact(sender, message)
+@functools.singledispatch
+def _receive(message, replica, sender):
+    replica.take_consensus(sender, message)
 
 
-@functools.singledispatch
-def _use_impact(purpose, replica, impact):
-    replica.propose_plan(purpose, impact)
+@_receive.register
+def _(message: EntryReports, replica, _sender):
+    replica.take_reports(message)
 
 
-@_use_impact.register
-def _(purpose: PeerImpact, replica, impact):
-    replica.answer_impact(purpose, impact)
+@_receive.register
+def _(message: FlowCounts, replica, _sender):
+    replica.take_flow_counts(message)
 
 
 @functools.singledispatch
@@ -603,7 +590,3 @@
 
 def _named(replica):
     return f"{replica.name}={replica.host}:{replica.port} {replica.identity:016x}"
-
-
-def _dump_answer(values, max_bytes):
-    return DumpAnswer(text=dump_text(values, max_bytes=max_bytes))
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -2,15 +2,14 @@
 
 import contextlib
 import functools
-import json
 
 import curio
 
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.controlevents import (
     EntryAsk,
+    EntryFlows,
     EntryGone,
-    EntryImpact,
     OperatorAsk,
     PeerMessage,
 )
@@ -20,10 +19,10 @@
     StreamClosedError,
 )
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.control import ConfigurationAsk, ReplicaHello
-from knapweeddeal.messages.operator import DumpAnswer, MetricsAsk, RefusalsAsk
+from knapweeddeal.messages.control import ConfigurationAsk, FlowCounts, ReplicaHello
+from knapweeddeal.messages.operator import RefusalsAsk
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
-from knapweeddeal.messages.replication import ImpactAnswer, ReplicaState
+from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
 
@@ -35,13 +34,12 @@
 class ControlStreams:
     """Serve each stream as its first message asks: replica, entry or operator."""
 
-    __slots__ = ("_core", "_events", "_journal", "_metrics", "_timeout_ms")
+    __slots__ = ("_core", "_events", "_journal", "_timeout_ms")
 
-    def __init__(self, *, core, events, journal, metrics, timeout_ms):
+    def __init__(self, *, core, events, journal, timeout_ms):
         self._core = core
         self._events = events
         self._journal = journal
-        self._metrics = metrics
         self._timeout_ms = timeout_ms
 
     async def take(self, stream):
@@ -95,9 +93,9 @@
         """Give what an entry applied to the core."""
         await self._events.put(EntryAsk(message=message, outbox=outbox))
 
-    async def on_impact(self, message, outbox):
-        """Give what an entry tells of a plan's effect to the core."""
-        await self._events.put(EntryImpact(message=message, outbox=outbox))
+    async def on_entry_flows(self, message):
+        """Give an entry's counted flows to the core."""
+        await self._events.put(EntryFlows(message=message))
 
     async def on_refusals(self, batch, outbox):
         """Give refusals to the journal."""
@@ -115,10 +113,6 @@
         await self._events.put(OperatorAsk(message=message, reply=reply))
         return await reply.get()
 
-    def metrics_answer(self):
-        """Return the counters and latencies of this process."""
-        return DumpAnswer(text=json.dumps(self._metrics.summary()))
-
     async def find_refusals(self, message):
         """Return the refusals that this replica holds."""
         return await self._journal.find(message)
@@ -190,13 +184,13 @@
 
 
 @_from_entry.register
-async def _(message: RefusalBatch, streams, outbox):
-    await streams.on_refusals(message, outbox)
+async def _(message: FlowCounts, streams, _outbox):
+    await streams.on_entry_flows(message)
 
 
 @_from_entry.register
-async def _(message: ImpactAnswer, streams, outbox):
-    await streams.on_impact(message, outbox)
+async def _(message: RefusalBatch, streams, outbox):
+    await streams.on_refusals(message, outbox)
 
 
 @functools.singledispatch
@@ -207,8 +201,3 @@
 @_answer.register
 async def _(message: RefusalsAsk, streams):
     return await streams.find_refusals(message)
-
-
-@_answer.register
-async def _(_message: MetricsAsk, streams):
-    return streams.metrics_answer()
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -3,10 +3,22 @@
 from knapweeddeal.record import Record
 
 __all__ = [
+    "DirectoryCame",
+    "MemberDatagram",
+    "MemberLost",
+    "MembersCame",
+    "NoteTaken",
+    "VersionApplied",
+    "VersionCame",
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlUp",
+    "Peer",
+    "PeerDown",
     "PeerMessage",
+    "ReloadAsked",
+    "StopAsked",
     "Tick",
     "Undeliverable",
     "UpstreamDown",
@@ -39,22 +51,91 @@
     __slots__ = ("key", "message")
 
 
+class Peer(Record):
+    """Name the process that sent a message, and the stream for an answer."""
+
+    __slots__ = ("name", "incarnation", "stream")
+
+
 class PeerMessage(Record):
-    """Tell of a message of another entry or a control replica."""
+    """Tell of a message of another entry or a control replica.
 
-    __slots__ = ("message",)
+    `peer` is None where the sender is known by the stream that was dialled.
+    """
+
+    __slots__ = ("message", "peer")
 
 
 class Undeliverable(Record):
     """Tell that a message didn't reach another entry."""
 
-    __slots__ = ("message",)
+    __slots__ = ("address", "message")
+
+
+class PeerDown(Record):
+    """Tell that another entry couldn't be reached or fell silent."""
+
+    __slots__ = ("address",)
+
+
+class ReloadAsked(Record):
+    """Tell that the settings are to be read again."""
+
+    __slots__ = ()
+
+
+class StopAsked(Record):
+    """Tell that the process is to stop as planned."""
+
+    __slots__ = ()
 
 
 class AnnounceCame(Record):
-    """Tell of an announcement; `direct` if the upstream itself sent it here."""
+    """Tell of an announcement that an upstream sent here."""
+
+    __slots__ = ("announce",)
+
+
+class MemberDatagram(Record):
+    """Tell of a datagram of another entry."""
+
+    __slots__ = ("source", "data")
+
 
-    __slots__ = ("announce", "direct")
+class MembersCame(Record):
+    """Tell which entries live, by zone, and their addresses."""
+
+    __slots__ = ("addresses", "names_by_zone")
+
+
+class MemberLost(Record):
+    """Tell that another entry left as planned, or died."""
+
+    __slots__ = ("incarnation", "name", "planned")
+
+
+class DirectoryCame(Record):
+    """Tell of a registrar's lease or changes."""
+
+    __slots__ = ("message", "name")
+
+
+class NoteTaken(Record):
+    """Tell of an item that another entry passes to all."""
+
+    __slots__ = ("body", "topic")
+
+
+class VersionCame(Record):
+    """Tell which version another entry has in force."""
+
+    __slots__ = ("address", "name", "version")
+
+
+class VersionApplied(Record):
+    """Tell that a version is in force here."""
+
+    __slots__ = ("version",)
 
 
 class ConfigurationCame(Record):
@@ -63,6 +144,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlUp(Record):
+    """Tell that a stream to a control replica stands."""
+
+    __slots__ = ()
+
+
 class Tick(Record):
     """Tell that time passed."""
 
--- a/knapweeddeal/outbox.py
+++ b/knapweeddeal/outbox.py
@@ -1,5 +1,7 @@
 """knapweeddeal.outbox: A bounded queue of messages and the task that sends them."""
 
+from collections import deque
+
 import curio
 
 from knapweeddeal.messages.upstream import Heartbeat
@@ -8,37 +10,76 @@
 
 #: Messages that may wait for one stream.
 MAX_WAITING = 2_000
+#: Messages of one write.
+MAX_WRITE = 256
 
 
 class Outbox:
     """Queue messages for one stream; the sending tasks own the stream's sending."""
 
-    __slots__ = ("_queue",)
+    __slots__ = ("_event", "_queue", "_sending", "offered")
 
     def __init__(self):
-        self._queue = curio.Queue(maxsize=MAX_WAITING)
+        self._event = curio.Event()
+        self._queue = deque()
+        self._sending = []
+        #: Messages ever taken, without heartbeats.
+        self.offered = 0
 
-    async def offer(self, message):
-        """Queue a message and return True, or return False if there is no room."""
-        if self._queue.full():
+    def put(self, message):
+        """Queue a message and return True, or return False if there is no room.
+
+        The sending task goes on at the next `wake`.
+        """
+        if len(self._queue) >= MAX_WAITING:
             return False
-        await self._queue.put(message)
+        self._queue.append(message)
+        self.offered += 1
         return True
 
+    async def wake(self):
+        """Let the sending task go on."""
+        if self._queue and not self._event.is_set():
+            await self._event.set()
+
+    async def offer(self, message):
+        """Queue a message and return True, or return False if there is no room."""
+        taken = self.put(message)
+        await self.wake()
+        return taken
+
     async def drain_to(self, stream):
         """Send what is queued, for ever; raise StreamClosedError."""
         while True:
-            messages = [await self._queue.get()]
-            while not self._queue.empty():
-                messages.append(await self._queue.get())
-            await stream.send_all(messages)
+            await self._event.wait()
+            self._event.clear()
+            while self._queue:
+                count = min(len(self._queue), MAX_WRITE)
+                self._sending = [self._queue.popleft() for _ in range(count)]
+                await stream.send_all(self._sending)
+                self._sending = []
 
     async def beat(self, heartbeat_ms):
         """Queue heartbeats, for ever."""
         while True:
-            await self.offer(Heartbeat())
+            if await self.offer(Heartbeat()):
+                self.offered -= 1
             await curio.sleep(heartbeat_ms / 1000)
 
+    async def beat_until_idle(self, heartbeat_ms, *, idle_ms):
+        """Queue heartbeats until nothing else was offered for some time."""
+        offered, quiet_ms = self.offered, 0
+        while quiet_ms < idle_ms:
+            if await self.offer(Heartbeat()):
+                self.offered -= 1
+            await curio.sleep(heartbeat_ms / 1000)
+            quiet_ms = quiet_ms + heartbeat_ms if offered == self.offered else 0
+            offered = self.offered
+
+    def unsent(self):
+        """Return what no byte was sent of."""
+        return list(self._queue)
+
     def left(self):
-        """Return what was never taken from the queue."""
-        return list(self._queue._queue)
+        """Return what can't be known to have been sent as a whole."""
+        return [*self._sending, *self._queue]
--- a/knapweeddeal/peerlink.py
+++ b/knapweeddeal/peerlink.py
@@ -1,57 +1,64 @@
 """knapweeddeal.peerlink: The stream of an entry to another entry, opened on demand."""
 
 from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.events import Undeliverable
+from knapweeddeal.events import PeerDown, PeerMessage, Undeliverable
 from knapweeddeal.messages.peer import PeerHello
+from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
 from knapweeddeal.stream import connect
 from knapweeddeal.tasks import run_until_first
 
 __all__ = ["PeerLink"]
 
+#: Time without a message after which a stream is closed.
+IDLE_MS = 10_000
+
 
 class PeerLink:
-    """Own the stream to one other entry; it only sends."""
+    """Own the stream to one other entry, until it breaks or has long been idle."""
 
-    __slots__ = ("_address", "_hello", "_inbox", "_outbox", "_settings")
+    __slots__ = ("_address", "_hello", "_inbox", "_settings", "outbox")
 
     def __init__(self, *, address, identity, settings, inbox):
         self._address = address
         self._settings = settings
         self._inbox = inbox
-        self._outbox = Outbox()
+        self.outbox = Outbox()
         self._hello = PeerHello(
             name=identity.entry_id,
             incarnation=identity.incarnation,
             zone=identity.zone,
         )
 
-    async def offer(self, message):
-        """Queue a message; return False if there is no room."""
-        return await self._outbox.offer(message)
-
     async def run(self):
-        """Open the stream, carry messages until it breaks, and report the rest."""
+        """Open the stream, carry messages until it ends, and report the rest."""
         try:
             await self._carry()
         except KnapweeddealError:
-            for message in self._outbox.left():
-                await self._inbox.put(Undeliverable(message=message))
+            await self._inbox.put_at_once(PeerDown(address=self._address))
+
+    async def report_left(self):
+        """Report the messages that may not have been sent."""
+        for message in self.outbox.left():
+            event = Undeliverable(address=self._address, message=message)
+            await self._inbox.put_at_once(event)
 
     async def _carry(self):
         address = (self._address.host, self._address.port)
-        timeout_ms = self._settings.stream_timeout_ms
-        stream = await connect(address, timeout_ms=timeout_ms)
+        settings = self._settings
+        stream = await connect(address, timeout_ms=settings.stream_timeout_ms)
         try:
             await stream.send(self._hello)
             await run_until_first(
-                self._watch(stream),
-                self._outbox.drain_to(stream),
-                self._outbox.beat(self._settings.heartbeat_ms),
+                self._receive(stream),
+                self.outbox.drain_to(stream),
+                self.outbox.beat_until_idle(settings.heartbeat_ms, idle_ms=IDLE_MS),
             )
         finally:
             await stream.close()
 
-    async def _watch(self, stream):
+    async def _receive(self, stream):
         while True:
-            await stream.receive_within(self._settings.stream_timeout_ms)
+            message = await stream.receive_within(self._settings.stream_timeout_ms)
+            if type(message) is not Heartbeat:
+                await self._inbox.put(PeerMessage(message=message, peer=None))
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,62 @@
+"""tests.test_docs: The pages and the code say the same."""
+
+import re
+from pathlib import Path
+
+import testscenarios
+import testtools
+
+from knapweeddeal import errors
+from knapweeddeal.settings import OPTIONS
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+
+
+def settings_table():
+    """Return the table of settings in Markdown."""
+    rows = [
+        "| section | key | unit, range | default | roles | reload | meaning |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for option in OPTIONS:
+        limits = f"{option.minimum} to {option.maximum} {option.unit}"
+        cells = (
+            option.section,
+            f"`{option.key}`",
+            limits if option.unit else "",
+            "must be given" if option.default is None else option.default,
+            " ".join(option.roles),
+            " ".join(option.reload_roles),
+            option.text,
+        )
+        rows.append(f"| {' | '.join(cells)} |")
+    return "\n".join(rows)
+
+
+class SettingsTable(testtools.TestCase):
+    """The operator's guide lists every setting as it is."""
+
+    def test_table(self):
+        page = (DOCS / "OPERATORS.md").read_text(encoding="utf-8")
+        self.assertIn(settings_table(), page)
+
+
+class ErrorCodes(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The operator's guide lists every code with its exit status."""
+
+    scenarios = [(code, {"cls": cls}) for code, cls in errors.BY_CODE.items()]
+
+    def test_listed(self):
+        page = (DOCS / "OPERATORS.md").read_text(encoding="utf-8")
+        self.assertIn(f"| `{self.cls.code}` | {self.cls.exit_status} |", page)
+
+
+class Examples(testtools.TestCase):
+    """The examples of the embedders' page run as they stand."""
+
+    def test_examples(self):
+        page = (DOCS / "LIBRARY.md").read_text(encoding="utf-8")
+        examples = re.findall(r"^```python\n(.*?)^```", page, re.DOTALL | re.MULTILINE)
+        self.assertEqual(3, len(examples))
+        for example in examples:
+            exec(compile(example, "LIBRARY.md", "exec"), {})
