--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from knapweeddeal.clock import monotonic_ms, wall_ms
+from knapweeddeal.clock import monotonic_ms, monotonic_us, wall_ms
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import Node
 from knapweeddeal.consensuslog import unpack_membership
@@ -176,9 +176,7 @@
                 break
             await self._send(ready.early)
             if ready.must_persist():
-                commit_index = replica.node.commit_index
-                await in_thread(_persist, self._folder, ready, commit_index)
-                replica.node.persisted(ready)
+                await self._persist(ready)
             await self._send(ready.late)
             replica.apply(ready)
         await self._answer()
@@ -186,6 +184,14 @@
         await self._snapshot()
         await self._settle_cluster()
 
+    async def _persist(self, ready):
+        replica = self._replica
+        began_us = monotonic_us()
+        commit_index = replica.node.commit_index
+        await in_thread(_persist, self._folder, ready, commit_index)
+        replica.node.persisted(ready)
+        replica.metrics.record_us("persist", monotonic_us() - began_us)
+
     async def _send(self, envelopes):
         for envelope in envelopes:
             outbox = self._outboxes.get(envelope.to)
@@ -214,6 +220,7 @@
         node = self._replica.node
         after = node.log.slice(snapshot.last_index + 1, node.log.last_index)
         await in_thread(self._folder.set_snapshot, snapshot, after)
+        self._replica.metrics.count("snapshots")
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
     async def _note_commit(self):
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -1,5 +1,6 @@
 """tests.test_controlprocess: Tests of control replicas as real processes."""
 
+import json
 import signal
 import threading
 import time
@@ -20,6 +21,7 @@
     ConfirmAsk,
     DumpAsk,
     IntentStep,
+    MetricsAsk,
     PlanAsk,
     RefusalsAsk,
     ReplicasAsk,
@@ -173,6 +175,16 @@
         self.assertEqual(version, push.configuration.version)
         await stream.close()
 
+    def test_dump_and_metrics(self):
+        group = self.start_group()
+        self.change(1)
+        leader = self.leader()
+        state = group.ask_one(leader, DumpAsk(max_bytes=1 << 16)).text
+        self.assertEqual(1, json.loads(state)["version"])
+        numbers = json.loads(group.ask_one(leader, MetricsAsk()).text)
+        self.assertEqual(1, numbers["us"]["ConfirmAsk"]["count"])
+        self.assertTrue(numbers["us"]["persist"]["count"] >= 3)
+
     def test_two_operators_race(self):
         group = self.start_group()
         for turn in range(3):
