Hand steady announcements on by digest; measure directory and membership

Now a registrar that knows the content gets a digest and a sequence (15 bytes) and asks back for what it doesn't know. Checks seen failing with broken mechanisms: strangers taken, members not told, digest taken unseen, digest of outdated content kept, versions not told.

--- /dev/null
+++ b/bench/directory.py
@@ -0,0 +1,352 @@
+"""bench.directory: What knowing who is there costs, and how fast news spread.
+
+Run as `python -m bench.directory [PART ...]`; without names all parts run. Bytes
+count 28 for the headers of each datagram. `real` starts processes on loopback.
+"""
+
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+
+import curio
+
+from bench.tables import print_head, print_table, spread
+from demo.cluster import Cluster, wait_until
+from knapweeddeal import controlclient
+from knapweeddeal.directory import Directory
+from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages.operator import MetricsAsk
+from knapweeddeal.messages.peer import LeaseAnswer, LeaseAsk
+from knapweeddeal.placement import Placement
+from knapweeddeal.registrar import Registrar
+from tests.directoryfakes import announce
+from tests.memberfakes import HEADER_BYTES, PROBE_MS, MemberNet
+
+__all__ = ["main"]
+
+SEEDS = (1, 2, 3)
+ZONES = {f"zone-{z}": [f"entry-{z}-{n}" for n in range(4)] for z in "abcd"}
+UPSTREAMS = (10, 100, 1_000, 5_000)
+MEMBERS = (16, 64, 256, 1_000)
+ENTRIES = (4, 16)
+CHANGES_PER_S = (0, 1, 10)
+SECONDS = 20
+TICK_MS = 50
+REPEATS = 5
+LOOPS = 2_000
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Asker:
+    """Run one entry's directory against registrars; count bytes and time of it."""
+
+    def __init__(self, *, upstreams, seed):
+
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.bytes = 0
+        self.spent_s = 0.0
+        self.placement = Placement(names_by_zone=ZONES, per_zone=2)
+        self.registrars = {
+            name: Registrar(
+                epoch=self.rng.getrandbits(32), silence_ms=10**9, now_ms=-(10**9)
+            )
+            for names in self.placement.registrars.values()
+            for name in names
+        }
+        self.entry = Directory(lease_ms=2_000, name="asker")
+        self.entry.set_members(ZONES)
+        self.announces = []
+        for number in range(upstreams):
+            self._announce(announce(number, zone=f"zone-{'abcd'[number % 4]}"))
+        for upstream in self.entry.all():
+            upstream.ready = True
+
+    def _announce(self, message):
+        self.announces.append(message)
+        for name in self.placement.of_upstream(message):
+            self.registrars[name].hear(message, now_ms=self.now_ms)
+
+    def change(self):
+        """Let one upstream say something else about itself."""
+        index = self.rng.randrange(len(self.announces))
+        message = self.announces.pop(index)
+        slots = 1 + message.slots % 9
+        self._announce(message.replace(sequence=message.sequence + 1, slots=slots))
+
+    def run(self, seconds, changes_per_s):
+        """Let time pass."""
+        due_ms = self.now_ms
+        end_ms = self.now_ms + 1_000 * seconds
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            while changes_per_s and due_ms <= self.now_ms:
+                self.change()
+                due_ms += 1_000 / changes_per_s
+            self._carry(self._timed(self.entry.tick, now_ms=self.now_ms))
+
+    def settle(self):
+        """Let the entry learn of all upstreams; return the bytes that it took."""
+        self.run(5, 0)
+        for upstream in self.entry.all():
+            upstream.ready = True
+        taken, self.bytes, self.spent_s = self.bytes, 0, 0.0
+        return taken
+
+    def _timed(self, call, *arguments, **named):
+        start_s = time.perf_counter()
+        result = call(*arguments, **named)
+        self.spent_s += time.perf_counter() - start_s
+        return result
+
+    def _carry(self, actions):
+        for action in actions:
+            message = getattr(action, "message", None)
+            if type(message) is not LeaseAsk:
+                continue
+            data = self._timed(encode, message)
+            answer = self.registrars[action.name].answer(message, now_ms=self.now_ms)
+            reply = encode(answer)
+            self.bytes += len(data) + len(reply) + 2 * HEADER_BYTES
+            self._carry(self._timed(self._take, reply, action.name))
+
+    def _take(self, data, name):
+        return self.entry.take(decode(data), name, now_ms=self.now_ms)
+
+
+def entry_part():
+    """Measure an entry's directory against upstreams and changes."""
+    rows = []
+    for upstreams in UPSTREAMS:
+        for changes in CHANGES_PER_S:
+            rows.append(_entry_row(upstreams, changes))
+    columns = ("upstreams", "changes/s", "first sync KB", "bytes/s both ways", "CPU %")
+    print_table("Directory of an entry, 4 zones x 2 registrars", columns, rows)
+
+
+def _entry_row(upstreams, changes):
+    synced, rates, shares = [], [], []
+    for seed in SEEDS:
+        asker = Asker(upstreams=upstreams, seed=seed)
+        synced.append(asker.settle() / 1_000)
+        asker.run(SECONDS, changes)
+        rates.append(asker.bytes / SECONDS)
+        shares.append(100 * asker.spent_s / SECONDS)
+    return (upstreams, changes, spread(synced), spread(rates), spread(shares))
+
+
+def registrar_part():
+    """Measure a registrar's work for each announcement and each ask."""
+    rows = []
+    for upstreams in UPSTREAMS:
+        hears, asks = [], []
+        for _ in range(REPEATS):
+            held = Registrar(epoch=1, silence_ms=10**9, now_ms=0)
+            messages = [announce(number) for number in range(upstreams)]
+            for message in messages:
+                held.hear(message, now_ms=0)
+            hears.append(_hear_us(held, messages))
+            asks.append(_ask_us(held))
+        rows.append((upstreams, spread(hears), spread(asks)))
+    columns = ("upstreams", "us an announcement", "us an ask")
+    print_table("Registrar, with the codec", columns, rows)
+
+
+def _hear_us(held, messages):
+    data = [encode(messages[n % len(messages)]) for n in range(LOOPS)]
+    start_s = time.perf_counter()
+    for number, item in enumerate(data):
+        message = decode(item)
+        message.sequence = number + 2
+        held.hear(message, now_ms=number)
+    return 1e6 * (time.perf_counter() - start_s) / LOOPS
+
+
+def _ask_us(held):
+    ask = encode(LeaseAsk(asked_ms=10**9, epoch=1, version=held.version))
+    start_s = time.perf_counter()
+    for number in range(LOOPS):
+        answer = held.answer(decode(ask), now_ms=LOOPS + number)
+        encode(answer)
+    assert type(answer) is LeaseAnswer
+    return 1e6 * (time.perf_counter() - start_s) / LOOPS
+
+
+def members_part():
+    """Measure membership against members, and the spread of a version."""
+    rows = []
+    for count in MEMBERS:
+        found = [_member_figures(count, seed) for seed in SEEDS]
+        rows.append((count, *(spread(column) for column in zip(*found, strict=True))))
+    columns = (
+        "members",
+        "sent bytes/s",
+        "CPU % a member",
+        "false deaths",
+        "all know a death s",
+        "version at 50 % ms",
+        "version at all ms",
+    )
+    print_table("Membership, 1 s a probe, no loss, delay 1 to 3 ms", columns, rows)
+
+
+def _member_figures(count, seed):
+    net = _known_members(count, seed)
+    before, start_s = net.bytes.total(), time.process_time()
+    net.run(SECONDS * PROBE_MS)
+    rate = (net.bytes.total() - before) / count / SECONDS
+    share = 100 * (time.process_time() - start_s) / count / SECONDS
+    false_deaths = len(net.gone)
+    half_ms, all_ms = _version_times(net)
+    victim = "entry-9"
+    net.kill(victim)
+
+    def known():
+        return all(victim not in _live(member) for member in net.members.values())
+
+    death_s = net.run(120 * PROBE_MS, until=known) / 1_000
+    return rate, share, false_deaths, death_s, half_ms, all_ms
+
+
+def _known_members(count, seed):
+    """Return members that know each other already."""
+    net = MemberNet(rng=random.Random(seed), count=count)
+    for member in net.members.values():
+        for other in net.members.values():
+            if other is not member:
+                member.records.put(other.record, now_ms=0)
+        member._rumours.take(1, members=1)
+        member._told_members = 64
+    net.run(12 * PROBE_MS)
+    return net
+
+
+def _live(member):
+    return {record.name for record in member.records.live()}
+
+
+def _version_times(net):
+    start_ms = net.now_ms
+    net.set_version("entry-5", 7)
+    half_ms = None
+    while True:
+        net._run_to(net.now_ms + 5)
+        reached = sum(version == 7 for version in net.versions.values())
+        if half_ms is None and reached >= len(net.versions) / 2:
+            half_ms = net.now_ms - start_ms
+        if reached == len(net.versions):
+            return half_ms, net.now_ms - start_ms
+
+
+def real_part():
+    """Measure real entries: control bytes, processor time, configuration spread."""
+    rows = []
+    for entries in ENTRIES:
+        with tempfile.TemporaryDirectory() as folder:
+            cluster = Cluster(folder=folder, entries=entries)
+            try:
+                rows.append((entries, *_real_figures(cluster)))
+            finally:
+                cluster.close()
+    columns = (
+        "entries",
+        "sent bytes/s an entry",
+        "CPU % an entry, no callers",
+        "confirm asked to applied everywhere ms",
+    )
+    print_table("Real processes, 11 upstreams, 3 control replicas", columns, rows)
+
+
+def _real_figures(cluster):
+    for name in cluster.replicas:
+        cluster.start_replica(name)
+    for name in cluster.entries:
+        cluster.start_entry(name)
+    cluster.start_fabric([7001])
+    for number in range(1, 12):
+        cluster.start_upstream(f"upstream-{number}", number, "service-0")
+    applied = [_create_service(cluster, number) for number in range(REPEATS)]
+    time.sleep(5)
+    before = {name: _usage(cluster, name) for name in cluster.entries}
+    time.sleep(SECONDS)
+    after = {name: _usage(cluster, name) for name in cluster.entries}
+    rates = [(after[n][0] - before[n][0]) / SECONDS for n in after]
+    shares = [100 * (after[n][1] - before[n][1]) / SECONDS for n in after]
+    return spread(rates), spread(shares), spread(applied)
+
+
+def _create_service(cluster, number):
+    address = f"{cluster.host(9, 1)}:{7100 + number}"
+
+    def plan():
+        arguments = ("--json", "plan", "create-service", f"service-{number}", address)
+        done = cluster.operate(*arguments)
+        return json.loads(done.stdout) if done.returncode == 0 else None
+
+    planned = wait_until(plan)
+    began_s = time.time()
+    done = json.loads(cluster.operate("--json", "confirm", planned["plan_id"]).stdout)
+    times = [_applied_s(cluster, name, done["version"]) for name in cluster.entries]
+    return 1_000 * (max(times) - began_s)
+
+
+def _applied_s(cluster, name, version):
+    """Return when an entry logged that a version is in force there."""
+
+    def logged():
+        path = cluster.folder / f"{name}.out"
+        for line in path.read_text(encoding="utf-8").splitlines():
+            if "Configuration applied." in line:
+                entry = json.loads(line)
+                if entry["version"] == version:
+                    return entry["timestamp"]
+        return None
+
+    return wait_until(logged)
+
+
+def _usage(cluster, name):
+    counters = _ask(cluster, name, MetricsAsk())["counters"]
+    with open(f"/proc/{cluster.processes[name].pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    sent = counters["presence_bytes_sent"]
+    return sent + HEADER_BYTES * counters[
+        "presence_datagrams_sent"
+    ], ticks / CLOCK_TICKS
+
+
+def _ask(cluster, name, message):
+    host, _, port = cluster.entry_address(name).rpartition(":")
+
+    async def ask():
+        return await controlclient.ask_one((host, int(port)), message, timeout_ms=5_000)
+
+    try:
+        return json.loads(curio.run(ask).text)
+    except KnapweeddealError:
+        return {"version": 0, "counters": {}}
+
+
+PARTS = {
+    "entry": entry_part,
+    "registrar": registrar_part,
+    "members": members_part,
+    "real": real_part,
+}
+
+
+def main(names):
+    """Run the parts; return the exit status."""
+    print_head(f"python -m bench.directory {' '.join(names)}".strip())
+    for name in names or PARTS:
+        PARTS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -20,6 +20,8 @@
 )
 
 __all__ = [
+    "AnnounceSeen",
+    "AnnounceWanted",
     "Announced",
     "DirectoryDelta",
     "FlowRecord",
@@ -167,6 +169,22 @@
     __slots__ = tuple(schema)
 
 
+class AnnounceSeen(Message):
+    """Hand on an announcement by a digest of all but its sequence."""
+
+    tag = 55
+    schema = {"digest": Whole(), "sequence": Whole()}
+    __slots__ = tuple(schema)
+
+
+class AnnounceWanted(Message):
+    """Ask for the announcement behind a digest."""
+
+    tag = 56
+    schema = {"digest": Whole()}
+    __slots__ = tuple(schema)
+
+
 class LeaseAsk(Message):
     """Ask a registrar for its bulk lease and for what changed since `version`.
 
--- a/knapweeddeal/presence.py
+++ b/knapweeddeal/presence.py
@@ -19,14 +19,20 @@
 )
 from knapweeddeal.messages.peer import (
     Announced,
+    AnnounceSeen,
+    AnnounceWanted,
     DirectoryDelta,
     LeaseAnswer,
     LeaseAsk,
 )
 from knapweeddeal.placement import Placement
+from knapweeddeal.registrar import announce_digest
 
 __all__ = ["Presence"]
 
+#: Announcements that are kept until a registrar asked for them.
+MAX_RECENT = 1_000
+
 
 class Presence:
     """Decide on the datagrams between entries; return datagrams and events.
@@ -40,6 +46,8 @@
         self._per_zone = per_zone
         self._count = counters
         self._placement = None
+        #: Announcements that came lately, by digest.
+        self._recent = {}
         self._place()
 
     @property
@@ -70,13 +78,23 @@
     def announce(self, announce, *, now_ms):
         """Hand an upstream's announcement to its registrars, and to this entry."""
         actions = [AnnounceCame(announce=announce)]
+        digest = self._keep(announce)
+        seen = AnnounceSeen(digest=digest, sequence=announce.sequence)
         for name in self._placement.of_upstream(announce):
             if name == self._name:
                 self.registrar.hear(announce, now_ms=now_ms)
             else:
-                actions += self._to(name, Announced(announce=announce))
+                actions += self._to(name, seen)
         return actions
 
+    def _keep(self, announce):
+        digest = announce_digest(announce)
+        self._recent.pop(digest, None)
+        self._recent[digest] = announce
+        if len(self._recent) > MAX_RECENT:
+            del self._recent[next(iter(self._recent))]
+        return digest
+
     def ask(self, name, ask, *, now_ms):
         """Ask a registrar for its lease."""
         if name != self._name:
@@ -103,6 +121,21 @@
         self.registrar.hear(message.announce, now_ms=now_ms)
         return []
 
+    @receive.register
+    def _(self, message: AnnounceSeen, source, *, now_ms):
+        if self.registrar.see(message.digest, message.sequence, now_ms=now_ms):
+            return []
+        wanted = AnnounceWanted(digest=message.digest)
+        return [SendDatagram(address=source, message=wanted)]
+
+    @receive.register
+    def _(self, message: AnnounceWanted, source, *, now_ms):
+        announce = self._recent.get(message.digest)
+        if announce is None:
+            return []
+        announced = Announced(announce=announce)
+        return [SendDatagram(address=source, message=announced)]
+
     @receive.register
     def _(self, message: LeaseAsk, source, *, now_ms):
         answer = self.registrar.answer(message, now_ms=now_ms)
--- a/knapweeddeal/registrar.py
+++ b/knapweeddeal/registrar.py
@@ -1,5 +1,6 @@
 """knapweeddeal.registrar: Upstreams of a zone as announced, for entries to lease."""
 
+import hashlib
 import operator
 from bisect import bisect_right
 
@@ -7,7 +8,7 @@
 from knapweeddeal.messages.upstream import Announce
 from knapweeddeal.record import Record
 
-__all__ = ["FORGET_MS", "MAX_DELTA_CHANGES", "Registrar"]
+__all__ = ["FORGET_MS", "MAX_DELTA_CHANGES", "Registrar", "announce_digest"]
 
 #: Changes in one delta, so that it fits a datagram.
 MAX_DELTA_CHANGES = 8
@@ -29,7 +30,7 @@
 class Heard(Record):
     """Hold the last announcement of one incarnation, and when it was heard."""
 
-    __slots__ = ("announce", "first_ms", "last_ms", "times")
+    __slots__ = ("announce", "digest", "first_ms", "last_ms", "times")
 
 
 class Listing(Record):
@@ -57,6 +58,7 @@
     """
 
     __slots__ = (
+        "_by_digest",
         "_changes",
         "_gone",
         "_listings",
@@ -73,6 +75,8 @@
         self._silence_ms = silence_ms
         self._started_ms = now_ms
         self._listings = {}
+        #: What was heard, by the digest of its content.
+        self._by_digest = {}
         #: Listed upstreams by name, the one heard longest ago first.
         self._present = {}
         #: Upstreams no longer listed by name, the one gone longest ago first.
@@ -88,23 +92,33 @@
         if heard is not None and announce.sequence <= heard.announce.sequence:
             return
         if heard is None:
-            heard = _first_heard(listing, announce, now_ms)
+            heard = self._first_heard(listing, announce, now_ms)
         elif self._is_silent(heard, now_ms):
             heard.times = 0
-        before = heard.announce
+        is_changed = CONTENT(heard.announce) != CONTENT(announce)
         heard.announce = announce
+        if is_changed:
+            self._set_digest(heard, announce_digest(announce))
         heard.last_ms = now_ms
         heard.times += 1
         if listing.listed != announce.incarnation:
             if self._takes_place(listing, heard, now_ms):
                 listing.listed = announce.incarnation
                 self._change(listing)
-        elif CONTENT(before) != CONTENT(announce):
+        elif is_changed:
             self._change(listing)
         if listing.listed == announce.incarnation:
             self._present.pop(listing.name, None)
             self._present[listing.name] = listing
 
+    def see(self, digest, sequence, *, now_ms):
+        """Take an announcement by its digest; return whether it is known here."""
+        heard = self._by_digest.get(digest)
+        if heard is None:
+            return False
+        self.hear(heard.announce.replace(sequence=sequence), now_ms=now_ms)
+        return True
+
     def sweep(self, *, now_ms):
         """Drop the upstreams that fell silent."""
         while self._present:
@@ -209,13 +223,32 @@
             if now_ms - gone_ms <= FORGET_MS:
                 return
             del self._gone[name]
-            self._listings.pop(name).version = 0
+            listing = self._listings.pop(name)
+            listing.version = 0
+            for heard in listing.heard.values():
+                self._by_digest.pop(heard.digest, None)
+
+    # What was heard
+
+    def _first_heard(self, listing, announce, now_ms):
+        while len(listing.heard) >= MAX_INCARNATIONS:
+            spare = [i for i in listing.heard if i != listing.listed]
+            oldest = min(spare, key=lambda i: listing.heard[i].last_ms)
+            self._by_digest.pop(listing.heard.pop(oldest).digest, None)
+        heard = Heard(
+            announce=announce, digest=0, first_ms=now_ms, last_ms=now_ms, times=0
+        )
+        self._set_digest(heard, announce_digest(announce))
+        listing.heard[announce.incarnation] = heard
+        return heard
+
+    def _set_digest(self, heard, digest):
+        self._by_digest.pop(heard.digest, None)
+        heard.digest = digest
+        self._by_digest[digest] = heard
 
 
-def _first_heard(listing, announce, now_ms):
-    while len(listing.heard) >= MAX_INCARNATIONS:
-        spare = [i for i in listing.heard if i != listing.listed]
-        del listing.heard[min(spare, key=lambda i: listing.heard[i].last_ms)]
-    heard = Heard(announce=announce, first_ms=now_ms, last_ms=now_ms, times=0)
-    listing.heard[announce.incarnation] = heard
-    return heard
+def announce_digest(announce):
+    """Return a whole number that stands for all of it but its sequence."""
+    text = repr(CONTENT(announce)).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
--- /dev/null
+++ b/tests/test_presence.py
@@ -0,0 +1,224 @@
+"""tests.test_presence: Tests of members and registrars together, over datagrams."""
+
+import random
+
+import testtools
+
+from knapweeddeal.actions import Address
+from knapweeddeal.directory import AskRegistrar, Directory
+from knapweeddeal.events import DirectoryCame, MemberLost, MembersCame, VersionCame
+from knapweeddeal.membership import Membership, SendDatagram
+from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages.member import ALIVE, MemberRecord
+from knapweeddeal.messages.peer import AnnounceSeen, LeaseAnswer
+from knapweeddeal.presence import Presence
+from knapweeddeal.registrar import Registrar, announce_digest
+from tests.directoryfakes import LEASE_MS, SILENCE_MS, announce
+
+STRANGER = Address(host="10.9.9.9", port=1)
+STEP_MS = 50
+
+
+class Entries:
+    """Run entries over datagrams that arrive at once, unless cut."""
+
+    def __init__(self, *, zones, seed=1):
+        self.now_ms = 0
+        self.rng = random.Random(seed)
+        self.entries = {}
+        self.directories = {}
+        self.addresses = {}
+        self.side = {}
+        self.events = []
+        self.sent = []
+        names = [name for names in zones.values() for name in names]
+        for number, name in enumerate(names):
+            self.addresses[name] = Address(host=f"10.0.0.{number + 1}", port=7000)
+        for zone, members in zones.items():
+            for name in members:
+                self._add(name, zone)
+
+    def _add(self, name, zone):
+        address = self.addresses[name]
+        record = MemberRecord(
+            name=name,
+            incarnation=self.rng.getrandbits(64),
+            counter=0,
+            zone=zone,
+            host=address.host,
+            port=address.port,
+            state=ALIVE,
+        )
+        seeds = {n: a for n, a in self.addresses.items() if n != name}
+        membership = Membership(
+            record=record, seeds=seeds, rng=self.rng, probe_ms=1_000, now_ms=0
+        )
+        registrar = Registrar(
+            epoch=self.rng.getrandbits(32), silence_ms=SILENCE_MS, now_ms=0
+        )
+        self.entries[name] = Presence(
+            membership=membership, registrar=registrar, per_zone=2, counters=str
+        )
+        self.directories[name] = Directory(lease_ms=LEASE_MS, name=name)
+        self._perform(name, [self.entries[name].members()])
+
+    def announce(self, name, message):
+        """Let an upstream's announcement come to an entry."""
+        actions = self.entries[name].announce(message, now_ms=self.now_ms)
+        self._perform(name, [a for a in actions if type(a) is SendDatagram])
+
+    def run(self, for_ms, each_step=None):
+        """Let time pass."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            for name, entry in self.entries.items():
+                self._perform(name, entry.tick(now_ms=self.now_ms))
+                actions = self.directories[name].tick(now_ms=self.now_ms)
+                self._perform(name, actions)
+            if each_step:
+                each_step()
+
+    def fresh(self, name):
+        """Return the ids of the upstreams that an entry may use."""
+        fresh = self.directories[name].fresh("records", now_ms=self.now_ms)
+        return sorted(upstream.key.upstream_id for upstream in fresh)
+
+    def _perform(self, name, actions):
+        for action in actions:
+            if type(action) is SendDatagram:
+                self._send(name, action)
+            elif type(action) is AskRegistrar:
+                entry = self.entries[name]
+                asked = entry.ask(action.name, action.message, now_ms=self.now_ms)
+                self._perform(name, asked)
+            elif type(action) is DirectoryCame:
+                directory = self.directories[name]
+                taken = directory.take(action.message, action.name, now_ms=self.now_ms)
+                self._perform(name, taken)
+            elif type(action) is MembersCame:
+                self.directories[name].set_members(action.names_by_zone)
+            else:
+                self.events.append((name, action))
+            if type(action) is VersionCame:
+                self._perform(name, self.entries[name].set_version(action.version))
+
+    def _send(self, name, action):
+        self.sent.append((name, action))
+        for target, address in self.addresses.items():
+            if address == action.address and self.side.get(name) == self.side.get(
+                target
+            ):
+                message = decode(encode(action.message))
+                source = self.addresses[name]
+                actions = self.entries[target].receive(
+                    message, source, now_ms=self.now_ms
+                )
+                self._perform(target, actions)
+
+
+ZONES = {
+    "zone-a": ["entry-1", "entry-2", "entry-3"],
+    "zone-b": ["entry-4", "entry-5", "entry-6"],
+}
+
+
+class Announcing:
+    """Announce one upstream of each zone, to any entry that it reaches."""
+
+    def __init__(self, run):
+        self.run = run
+        self.sequence = 0
+        self.alive = {"zone-a": 1, "zone-b": 2}
+
+    def __call__(self):
+        if self.run.now_ms % 300:
+            return
+        self.sequence += 1
+        for zone, number in self.alive.items():
+            names = [
+                name
+                for name in self.run.entries
+                if self.run.side.get(name) in (None, zone)
+            ]
+            message = announce(number, zone=zone, sequence=self.sequence)
+            self.run.announce(self.run.rng.choice(names), message)
+
+
+class Zones(testtools.TestCase):
+    """Upstreams announced to any entry are leased by all, across a cut too."""
+
+    def setUp(self):
+        super().setUp()
+        self.net = Entries(zones=ZONES)
+        self.announcing = Announcing(self.net)
+        self.net.run(8_000, self.announcing)
+
+    def assert_fresh(self, expected):
+        found = {name: self.net.fresh(name) for name in self.net.entries}
+        self.assertEqual(expected, found)
+
+    def test_all_know_all(self):
+        both = ["upstream-1", "upstream-2"]
+        self.assert_fresh(dict.fromkeys(self.net.entries, both))
+
+    def test_cut_zones_go_on_alone_and_heal(self):
+        self.net.side = {n: zone for zone, names in ZONES.items() for n in names}
+        expected = {n: ["upstream-1"] for n in ZONES["zone-a"]}
+        expected |= {n: ["upstream-2"] for n in ZONES["zone-b"]}
+
+        def step():
+            self.announcing()
+            if self.net.now_ms > 8_000 + SILENCE_MS + LEASE_MS:
+                self.assert_fresh(expected)
+
+        self.net.run(40_000, step)
+        self.net.side = {}
+        self.net.run(20_000, self.announcing)
+        self.test_all_know_all()
+
+    def test_steady_announcements_go_by_digest(self):
+        self.net.sent.clear()
+        self.net.run(3_000, self.announcing)
+        kinds = [type(action.message).__name__ for _, action in self.net.sent]
+        self.assertIn("AnnounceSeen", kinds)
+        self.assertNotIn("Announced", kinds)
+
+    def test_events(self):
+        self.net.side = {"entry-6": "alone"}
+        self.net.run(20_000)
+        lost = {
+            (name, event.name, event.planned)
+            for name, event in self.net.events
+            if type(event) is MemberLost and name != "entry-6"
+        }
+        self.assertEqual({(f"entry-{n}", "entry-6", False) for n in range(1, 6)}, lost)
+
+    def test_version(self):
+        for entry in self.net.entries.values():
+            entry.set_version(2)
+        self.net.events.clear()
+        entry = self.net.entries["entry-1"]
+        self.net._perform("entry-1", entry.set_version(3))
+        self.net.run(4_000)
+        seen = {n for n, e in self.net.events if type(e) is VersionCame}
+        self.assertEqual(set(self.net.entries) - {"entry-1"}, seen)
+
+
+class Strangers(testtools.TestCase):
+    """What comes from nobody known, or asks for what isn't known, does no harm."""
+
+    def setUp(self):
+        super().setUp()
+        self.entry = Entries(zones={"zone-a": ["entry-1"]}).entries["entry-1"]
+
+    def test_lease_of_a_stranger(self):
+        message = LeaseAnswer(asked_ms=1, epoch=1, version=1)
+        self.assertEqual([], self.entry.receive(message, STRANGER, now_ms=1))
+
+    def test_unknown_digest_is_asked_for(self):
+        digest = announce_digest(announce())
+        message = AnnounceSeen(digest=digest, sequence=1)
+        (wanted,) = self.entry.receive(message, STRANGER, now_ms=1)
+        self.assertEqual((STRANGER, digest), (wanted.address, wanted.message.digest))
+        self.assertEqual([], self.entry.receive(wanted.message, STRANGER, now_ms=1))
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -7,7 +7,12 @@
 
 from knapweeddeal.messages.peer import DirectoryDelta, LeaseAnswer, LeaseAsk
 from knapweeddeal.messages.upstream import LEAVING
-from knapweeddeal.registrar import FORGET_MS, MAX_DELTA_CHANGES, Registrar
+from knapweeddeal.registrar import (
+    FORGET_MS,
+    MAX_DELTA_CHANGES,
+    Registrar,
+    announce_digest,
+)
 from tests.directoryfakes import SILENCE_MS, announce
 
 
@@ -75,6 +80,25 @@
         self.assertLess(len(held._changes), 2 * kept + 1_100)
 
 
+class Digests(testtools.TestCase):
+    """A digest stands for what was announced last, and renews it."""
+
+    def test_renews(self):
+        held = registrar()
+        held.hear(announce(), now_ms=0)
+        digest = announce_digest(announce(sequence=2))
+        self.assertTrue(held.see(digest, 2, now_ms=1_500))
+        held.sweep(now_ms=SILENCE_MS + 1_000)
+        self.assertEqual([2], [message.sequence for message in held.listed()])
+
+    def test_stands_for_the_latest(self):
+        held = registrar()
+        held.hear(announce(), now_ms=0)
+        held.hear(announce(sequence=2, state=LEAVING), now_ms=1)
+        self.assertFalse(held.see(announce_digest(announce()), 3, now_ms=2))
+        self.assertEqual([LEAVING], [message.state for message in held.listed()])
+
+
 class Incarnations(testscenarios.TestWithScenarios, testtools.TestCase):
     """A late announcement never brings an old incarnation back.
 
