--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -132,6 +132,7 @@
         "_lease_ms",
         "_name",
         "_per_zone",
+        "_streams",
         "_swept_ms",
         "_upstreams",
         "_views",
@@ -146,6 +147,8 @@
         self._swept_ms = NEVER_MS
         self._dials_ms = NEVER_MS
         self._upstreams = {}
+        #: Upstreams whose streams stand, also those that nobody announced here yet.
+        self._streams = set()
         self._by_service = {}
         #: Views by the name of the registrar.
         self._views = {}
@@ -255,8 +258,27 @@
             if last_ms + FORGET_MS < now_ms:
                 self._forget(upstream)
 
+    def stream_up(self, key):
+        """Note that the stream to an upstream stands."""
+        self._streams.add(key)
+        upstream = self._upstreams.get(key)
+        if upstream is not None:
+            upstream.ready = True
+
+    def stream_down(self, key):
+        """Note that the stream to an upstream broke, with all that was under way."""
+        self._streams.discard(key)
+        upstream = self._upstreams.get(key)
+        if upstream is not None:
+            upstream.ready = False
+            upstream.outstanding = 0
+
     # Queries
 
+    def has_stream(self, key):
+        """Tell whether the stream to an upstream stands."""
+        return key in self._streams
+
     def dials(self, *, now_ms):
         """Return the dials of upstreams under lease whose streams don't stand."""
         return [
@@ -341,6 +363,7 @@
         if held is not None:
             return held
         new.cold_since_ms = joined_ms
+        new.ready = new.key in self._streams
         self._upstreams[new.key] = new
         self._by_service.setdefault(new.key.service, {})[new.key] = new
         return new
