Hold a refusal's record at another entry while no control replica answers

Cause: records went to control replicas only, so a side without one fell silent on every refusal. `knapweeddeal refusals --at` shows what an entry still holds.

--- a/knapweeddeal/cmdline.py
+++ b/knapweeddeal/cmdline.py
@@ -97,7 +97,7 @@
 async def _run(options):
     operation = OPERATIONS[options.operation]
     message = operation.message(options)
-    if operation.asks_process:
+    if getattr(options, "at", ""):
         address = argument_address("--at", options.at)
         return await ask_one(address, message, timeout_ms=options.timeout_ms)
     if not options.control:
--- a/knapweeddeal/controllink.py
+++ b/knapweeddeal/controllink.py
@@ -3,7 +3,7 @@
 import curio
 
 from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.events import ConfigurationCame, ControlUp, PeerMessage
+from knapweeddeal.events import ConfigurationCame, ControlMessage, ControlUp
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationAsk, ConfigurationPush
 from knapweeddeal.messages.peer import PeerHello
@@ -93,5 +93,5 @@
             if type(message) is ConfigurationPush:
                 event = ConfigurationCame(configuration=message.configuration)
             else:
-                event = PeerMessage(message=message, peer=None)
+                event = ControlMessage(message=message)
             await self._inbox.put(event)
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -7,7 +7,7 @@
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.record import Record
-from knapweeddeal.refusals import RefusalQueue
+from knapweeddeal.refusalholding import RefusalHolding
 
 __all__ = [
     "EntryContext",
@@ -34,6 +34,7 @@
         "draining",
         "identity",
         "limits",
+        "holding",
         "refusals",
         "rng",
         "sealer",
@@ -55,7 +56,9 @@
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
-        self.refusals = RefusalQueue()
+        self.holding = RefusalHolding(counters=counters)
+        #: Refusals that wait until a second process holds their record.
+        self.refusals = self.holding.queue
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -13,6 +13,7 @@
     HandOverAsk,
     HandOverOffer,
     RefusalAck,
+    RefusalBatch,
     Relay,
     Succession,
     Successions,
@@ -216,8 +217,13 @@
 
     @from_peer.register
     def _(self, message: RefusalAck, peer=None, *, now_ms):
-        released = self.refusals.release(message.batch)
-        return [self.owner.recorded(refusal) for refusal in released]
+        return self._records_held(message, by_control=False)
+
+    @from_peer.register
+    def _(self, message: RefusalBatch, peer=None, *, now_ms):
+        if peer is None:
+            return self.context.drop("unexpected")
+        return self.context.holding.hold(message, peer)
 
     @from_peer.register
     def _(self, message: HandOverAsk, peer=None, *, now_ms):
@@ -247,6 +253,19 @@
     def _(self, message: HandOverAck, peer=None, *, now_ms):
         return self.handing.acknowledged(message, now_ms=now_ms)
 
+    @singledispatchmethod
+    def from_control(self, message):
+        """Decide on a message of a control replica."""
+        return self.context.drop("unexpected")
+
+    @from_control.register
+    def _(self, message: RefusalAck):
+        return self._records_held(message, by_control=True)
+
+    def _records_held(self, ack, *, by_control):
+        released = self.context.holding.acknowledged(ack.batch, by_control=by_control)
+        return [self.owner.recorded(refusal) for refusal in released]
+
     def peer_down(self, address, *, now_ms):
         """Note that another entry couldn't be reached."""
         self.router.unreachable(address, now_ms=now_ms)
@@ -282,10 +301,7 @@
         return [
             *self.moves.tick(now_ms=now_ms),
             *self.handing.tick(now_ms=now_ms),
-            *(
-                ToControl(message=batch)
-                for batch in self.refusals.batches(now_ms=now_ms)
-            ),
+            *self.context.holding.tick(now_ms=now_ms),
             *self._report_flows(now_ms),
         ]
 
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -30,6 +30,7 @@
     AnnounceCame,
     CallerDatagram,
     ConfigurationCame,
+    ControlMessage,
     ControlUp,
     DirectoryCame,
     MemberLost,
@@ -364,8 +365,16 @@
     async def _(self, event: MembersCame):
         self._members = event.addresses
         self._core.directory.set_members(event.names_by_zone)
+        self._core.context.holding.set_neighbours(self._neighbours(event))
         return self._core.directory.tick(now_ms=monotonic_ms())
 
+    def _neighbours(self, members):
+        """Return the addresses of the zone's other entries, or of any if alone."""
+        own = self._identity
+        near = members.names_by_zone.get(own.zone, ())
+        names = set(near) - {own.entry_id} or set(members.addresses) - {own.entry_id}
+        return [members.addresses[name] for name in sorted(names)]
+
     @_handle.register
     async def _(self, event: MemberLost):
         LOG.info("Entry is gone.", entry=event.name, planned=event.planned)
@@ -394,6 +403,10 @@
     async def _(self, _event: NoteTaken):
         return []
 
+    @_handle.register
+    async def _(self, event: ControlMessage):
+        return self._core.from_control(event.message)
+
     @_handle.register
     async def _(self, _event: ControlUp):
         self._core.control_up()
--- a/knapweeddeal/entryqueries.py
+++ b/knapweeddeal/entryqueries.py
@@ -9,9 +9,12 @@
     DumpAsk,
     FailureAnswer,
     MetricsAsk,
+    RefusalsAnswer,
+    RefusalsAsk,
     UpstreamsAnswer,
     UpstreamsAsk,
 )
+from knapweeddeal.refusals import is_wanted
 
 __all__ = ["EntryQueries"]
 
@@ -57,6 +60,12 @@
     def _(self, message: MetricsAsk):
         return DumpAnswer(text=json.dumps(self._metrics.summary()))
 
+    @answer.register
+    def _(self, message: RefusalsAsk):
+        held = self._core.context.holding.held()
+        found = [record for record in held if is_wanted(record, message)]
+        return RefusalsAnswer(records=found[: message.limit])
+
     @answer.register
     def _(self, message: UpstreamsAsk):
         lines = [
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -13,6 +13,7 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlMessage",
     "ControlUp",
     "Peer",
     "PeerDown",
@@ -144,6 +145,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlMessage(Record):
+    """Tell of a message of a control replica."""
+
+    __slots__ = ("message",)
+
+
 class ControlUp(Record):
     """Tell that a stream to a control replica stands."""
 
--- a/knapweeddeal/journal.py
+++ b/knapweeddeal/journal.py
@@ -17,6 +17,7 @@
 from knapweeddeal.manifest import Manifest
 from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.peer import RefusalRecord
+from knapweeddeal.refusals import is_wanted
 
 __all__ = ["Journal"]
 
@@ -120,7 +121,7 @@
         wanted = [segment for segment in self._segments if segment.may_match(ask)]
         for segment in wanted:
             for record in self._records(segment.number):
-                if _is_wanted(record, ask):
+                if is_wanted(record, ask):
                     yield record
 
     def _records(self, number):
@@ -214,19 +215,3 @@
 #: Places of fields in the wire form, for reading ids without the whole decoding.
 RECORD_ID_PLACE = 1 + list(RefusalRecord.schema).index("record_id")
 REFUSED_MS_PLACE = 1 + list(RefusalRecord.schema).index("refused_ms")
-
-
-def _is_wanted(record, ask):
-    if ask.service and record.service != ask.service:
-        return False
-    if ask.caller and ask.caller not in (record.caller, _host(record.caller)):
-        return False
-    if ask.reason and record.reason != ask.reason:
-        return False
-    if record.refused_ms < ask.since_ms:
-        return False
-    return not ask.until_ms or record.refused_ms <= ask.until_ms
-
-
-def _host(caller):
-    return caller.rpartition(":")[0]
--- a/knapweeddeal/queries.py
+++ b/knapweeddeal/queries.py
@@ -70,6 +70,12 @@
         Argument("--since", default="", metavar="TIME", help="ISO 8601 time"),
         Argument("--until", default="", metavar="TIME", help="ISO 8601 time"),
         Argument("--limit", type=int, default=100, help="most records to list"),
+        Argument(
+            "--at",
+            default="",
+            metavar="IP:PORT",
+            help="an entry, for what no control replica holds yet",
+        ),
     )
 
     @staticmethod
--- a/knapweeddeal/refusals.py
+++ b/knapweeddeal/refusals.py
@@ -1,8 +1,10 @@
 """knapweeddeal.refusals: Refusals that wait until a second process holds them."""
 
+import itertools
+
 from knapweeddeal.messages.peer import RefusalBatch
 
-__all__ = ["RefusalQueue"]
+__all__ = ["RefusalQueue", "is_wanted"]
 
 #: Refusals that may wait; one more gets silence and is counted.
 MAX_WAITING = 10_000
@@ -15,14 +17,24 @@
 class RefusalQueue:
     """Hold each refusal back until its record is acknowledged."""
 
-    __slots__ = ("_batch", "_held", "_records", "_sent_ms", "_waiting", "dropped")
+    __slots__ = (
+        "_held",
+        "_late",
+        "_numbers",
+        "_records",
+        "_sent_ms",
+        "_waiting",
+        "dropped",
+    )
 
-    def __init__(self):
-        self._batch = 0
+    def __init__(self, *, numbers=None):
+        #: Numbers for batches, unique among the queues that share a stream.
+        self._numbers = numbers or itertools.count(1)
         self._held = 0
         self._records = []
         self._waiting = {}
         self._sent_ms = {}
+        self._late = set()
         #: Refusals that found no room.
         self.dropped = 0
 
@@ -39,12 +51,29 @@
         self._records.append((record, then))
         return True
 
+    def room(self):
+        """Return how many more refusals find room."""
+        return MAX_WAITING - self._held
+
+    def is_late(self, batch):
+        """Tell whether a batch was sent before and isn't acknowledged."""
+        return batch in self._late
+
+    def records(self, batch):
+        """Return the records of a batch that waits."""
+        return [record for record, _ in self._waiting.get(batch, ())]
+
+    def all_records(self):
+        """Return every record that waits."""
+        waiting = [pair for pairs in self._waiting.values() for pair in pairs]
+        return [record for record, _ in [*waiting, *self._records]]
+
     def batches(self, *, now_ms):
         """Return the batches to send now."""
         while self._records:
-            self._batch += 1
-            self._waiting[self._batch] = self._records[:MAX_BATCH]
-            self._sent_ms[self._batch] = None
+            batch = next(self._numbers)
+            self._waiting[batch] = self._records[:MAX_BATCH]
+            self._sent_ms[batch] = None
             del self._records[:MAX_BATCH]
         due = [
             batch
@@ -52,16 +81,35 @@
             if sent_ms is None or now_ms - sent_ms >= RESEND_MS
         ]
         for batch in due:
+            if self._sent_ms[batch] is not None:
+                self._late.add(batch)
             self._sent_ms[batch] = now_ms
         return [self._message(batch) for batch in due]
 
     def release(self, batch):
         """Return what comes after the records of a batch that are held."""
         self._sent_ms.pop(batch, None)
+        self._late.discard(batch)
         released = [then for _, then in self._waiting.pop(batch, ())]
         self._held -= len(released)
         return released
 
     def _message(self, batch):
-        records = [record for record, _ in self._waiting[batch]]
-        return RefusalBatch(batch=batch, records=records)
+        return RefusalBatch(batch=batch, records=self.records(batch))
+
+
+def is_wanted(record, ask):
+    """Tell whether a record matches what an operator asks for."""
+    if ask.service and record.service != ask.service:
+        return False
+    if ask.caller and ask.caller not in (record.caller, _host(record.caller)):
+        return False
+    if ask.reason and record.reason != ask.reason:
+        return False
+    if record.refused_ms < ask.since_ms:
+        return False
+    return not ask.until_ms or record.refused_ms <= ask.until_ms
+
+
+def _host(caller):
+    return caller.rpartition(":")[0]
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -395,4 +395,4 @@
     def _acknowledge(self, name, batch):
         ack = RefusalAck(batch=batch)
         core = self.entries[name]
-        self._push(name, core.from_peer(ack, None, now_ms=self.now_ms))
+        self._push(name, core.from_control(ack))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -16,10 +16,11 @@
 
 FLOWS = 6
 SERVICE = "records"
+ARCHIVE_UPSTREAMS = ("upstream-3", "upstream-4")
 
 
-class Operations(testtools.TestCase):
-    """One system serves every check: each leaves it as it was."""
+class OnOneSystem(testtools.TestCase):
+    """One system serves every check of a class."""
 
     @classmethod
     def setUpClass(cls):
@@ -38,6 +39,25 @@
         self.assertEqual(status, done.returncode, done.stdout + done.stderr)
         return json.loads(done.stdout)
 
+    def drain_archive(self):
+        """Drain every upstream of the archive, everywhere."""
+        for name in ARCHIVE_UPSTREAMS:
+            self.json("confirm", self.json("drain", "archive", name)["plan_id"])
+        wait_until(lambda: applied_everywhere(self.cluster))
+
+    def open_archive(self):
+        """Open a flow of the archive; raise UnreachableError if it is refused."""
+
+        async def opened():
+            address = self.cluster.service_address(SERVICES["archive"])
+            return await open_flow("archive", address, rng=random.Random(1))
+
+        return curio.run(opened)
+
+
+class Operations(OnOneSystem):
+    """Each check leaves the system as it was."""
+
     def drain(self):
         """Return plans that drain each upstream of the service."""
         return [
@@ -120,19 +140,36 @@
         self.json("status")
 
     def test_refusals_are_found_wherever_they_are_held(self):
-        async def refused():
-            address = self.cluster.service_address(SERVICES["archive"])
-            return await open_flow("archive", address, rng=random.Random(1))
-
-        names = ("upstream-3", "upstream-4")
-        for name in names:
-            self.json("confirm", self.json("drain", "archive", name)["plan_id"])
-        wait_until(lambda: applied_everywhere(self.cluster))
+        self.drain_archive()
         since = datetime.now(UTC).isoformat()
-        self.assertRaises(UnreachableError, curio.run, refused)
+        self.assertRaises(UnreachableError, self.open_archive)
         found = self.json("refusals", "--service", "archive", "--since", since)
         self.assertEqual({"no_upstream"}, {r["reason"] for r in found["records"]})
         self.assertEqual([], self.json("refusals", "--until", "2020-01-01")["records"])
-        for name in names:
+        for name in ARCHIVE_UPSTREAMS:
             plan = self.json("drain", "archive", name, "--undo")
             self.json("confirm", plan["plan_id"])
+
+
+class ControlAway(OnOneSystem):
+    """Without a control replica another entry holds the record of a refusal."""
+
+    def test_refusal_is_told_and_comes_to_the_journal(self):
+        self.drain_archive()
+        for name in self.cluster.replicas:
+            self.cluster.kill(name)
+        error = self.assertRaises(UnreachableError, self.open_archive)
+        self.assertEqual("no_upstream", error.text)
+        held = [
+            self.json("refusals", "--at", self.cluster.entry_address(name))["records"]
+            for name in self.cluster.entries
+        ]
+        self.assertTrue(sum(map(bool, held)) >= 2, held)
+        for name in self.cluster.replicas:
+            self.cluster.start_replica(name)
+        wait_until(self.journal)
+
+    def journal(self):
+        """Return whether the journal holds a record."""
+        done = self.cluster.operate("--json", "refusals", "--service", "archive")
+        return done.returncode == 0 and json.loads(done.stdout)["records"]
--- /dev/null
+++ b/tests/test_refusalholding.py
@@ -0,0 +1,106 @@
+"""tests.test_refusalholding: Tests of who holds the record of a refusal."""
+
+import itertools
+from collections import Counter
+
+import testtools
+
+from knapweeddeal import refusals
+from knapweeddeal.actions import Address, ToControl, ToPeer, ToStream
+from knapweeddeal.events import Peer
+from knapweeddeal.messages.peer import RefusalAck, RefusalBatch, RefusalRecord
+from knapweeddeal.refusalholding import RefusalHolding
+from knapweeddeal.refusals import RESEND_MS
+
+NEIGHBOUR = Address(host="127.0.0.2", port=1)
+PEER = Peer(name="e2", incarnation=1, stream=7)
+NUMBERS = itertools.count(1)
+
+
+def record():
+    """Return a record of its own."""
+    return RefusalRecord(
+        record_id=next(NUMBERS),
+        caller="127.0.0.9:1",
+        service="a",
+        flow_id=1,
+        number=1,
+        refused_ms=1,
+        entry_id="e1",
+        reason="shed",
+    )
+
+
+class Holding(testtools.TestCase):
+    """A refusal leaves once a second process holds its record, and not before."""
+
+    def setUp(self):
+        super().setUp()
+        self.counters = Counter()
+
+        def count(name, number=1):
+            self.counters[name] += number
+
+        self.holding = RefusalHolding(counters=count)
+        self.holding.set_neighbours([NEIGHBOUR])
+        self.record = record()
+        self.holding.queue.add(self.record, "told")
+
+    def sent(self, now_ms):
+        """Return classes and batches of what is sent at a time."""
+        actions = self.holding.tick(now_ms=now_ms)
+        return [(type(action), action.message.batch) for action in actions]
+
+    def test_control_first(self):
+        self.assertEqual([(ToControl, 1)], self.sent(0))
+        self.assertEqual([], self.sent(RESEND_MS - 1))
+        self.assertEqual(["told"], self.holding.acknowledged(1, by_control=True))
+        self.assertEqual([], self.holding.held())
+        self.assertEqual([], self.sent(10 * RESEND_MS))
+
+    def test_neighbour_when_control_is_silent(self):
+        self.sent(0)
+        self.assertEqual([(ToControl, 1), (ToPeer, 1)], self.sent(RESEND_MS))
+        self.assertEqual(["told"], self.holding.acknowledged(1, by_control=False))
+        self.assertEqual([self.record], self.holding.held())
+        self.assertEqual([(ToControl, 2)], self.sent(2 * RESEND_MS))
+        self.assertEqual([], self.holding.acknowledged(2, by_control=True))
+        self.assertEqual([], self.holding.held())
+
+    def test_both_acknowledge(self):
+        self.sent(0)
+        self.sent(RESEND_MS)
+        self.assertEqual(["told"], self.holding.acknowledged(1, by_control=True))
+        self.assertEqual([], self.holding.acknowledged(1, by_control=False))
+        self.assertEqual([], self.holding.held())
+
+    def test_alone_nothing_is_told(self):
+        self.holding.set_neighbours([])
+        for turn in range(5):
+            self.assertEqual([(ToControl, 1)], self.sent(turn * RESEND_MS))
+        self.assertEqual([self.record], self.holding.held())
+
+
+class ForAnother(testtools.TestCase):
+    """An entry holds another's records and offers them to control replicas."""
+
+    def test_held_and_offered(self):
+        counters = Counter()
+        holding = RefusalHolding(counters=counters.update)
+        batch = RefusalBatch(batch=9, records=[record()])
+        ack = ToStream(stream=PEER.stream, message=RefusalAck(batch=9))
+        self.assertEqual([ack], holding.hold(batch, PEER))
+        self.assertEqual(batch.records, holding.held())
+        (offered,) = holding.tick(now_ms=0)
+        self.assertEqual(batch.records, offered.message.records)
+        self.assertEqual([], holding.acknowledged(offered.message.batch, by_control=1))
+        self.assertEqual([], holding.held())
+
+    def test_no_room_no_word(self):
+        counted = Counter()
+        holding = RefusalHolding(counters=lambda name: counted.update([name]))
+        self.patch(refusals, "MAX_WAITING", 1)
+        first, second = (RefusalBatch(batch=n, records=[record()]) for n in (1, 2))
+        self.assertEqual(1, len(holding.hold(first, PEER)))
+        self.assertEqual([], holding.hold(second, PEER))
+        self.assertEqual({"refusals_not_held": 1}, counted)
