--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -13,13 +13,14 @@
     pack_leader_start,
     pack_membership,
 )
+from knapweeddeal.consensusready import Envelope, ReadReady, Ready
 from knapweeddeal.errors import (
     BadMessageError,
     CorruptStorageError,
     InvalidIntentError,
-    NoQuorumError,
     NotLeaderError,
 )
+from knapweeddeal.leadership import Leadership
 from knapweeddeal.messages.control import (
     AppendAnswer,
     AppendAsk,
@@ -34,7 +35,6 @@
     MembershipRecord,
     SnapshotFile,
 )
-from knapweeddeal.record import Record
 
 __all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "Envelope", "Node", "ReadReady", "Ready"]
 
@@ -43,80 +43,6 @@
 CANDIDATE = "candidate"
 LEADER = "leader"
 
-#: Most bytes of commands in one append.
-MAX_APPEND_BYTES = 1 << 20
-#: Bytes of one part of a snapshot.
-SNAPSHOT_PART_BYTES = 256 * 1024
-
-
-class Envelope(Record):
-    """Address a message to a replica by its identity."""
-
-    __slots__ = ("message", "to")
-
-
-class ReadReady(Record):
-    """Tell that a read may be answered, or, with `index` 0, that it failed."""
-
-    __slots__ = ("index", "read_id")
-
-
-class Ready:
-    """Hold what the embedder has to do after a step.
-
-    `records` and `state` and `snapshot` are to be synced before `late` is sent and
-    before `committed` is applied; `early` may be sent at once. A snapshot was received
-    from the leader and replaces the whole replicated state.
-    """
-
-    __slots__ = ("committed", "early", "late", "reads", "records", "snapshot", "state")
-
-    def __init__(self):
-        self.state = None
-        self.snapshot = None
-        self.records = []
-        self.early = []
-        self.late = []
-        self.committed = []
-        self.reads = []
-
-    def __bool__(self):
-        """Tell whether there is anything to do."""
-        return any(getattr(self, name) for name in self.__slots__)
-
-    def must_persist(self):
-        """Tell whether there is anything to sync."""
-        return bool(self.state or self.snapshot or self.records)
-
-
-class Progress:
-    """Track what the leader knows of one other replica."""
-
-    __slots__ = (
-        "answered_ms",
-        "match_index",
-        "next_index",
-        "offset_bytes",
-        "probing",
-        "round",
-        "snapshot_index",
-    )
-
-    def __init__(self, *, next_index, now_ms):
-        self.match_index = 0
-        self.next_index = next_index
-        self.round = 0
-        self.answered_ms = now_ms
-        self.probing = True
-        self.snapshot_index = 0
-        self.offset_bytes = 0
-
-
-class Read(Record):
-    """Hold a read that waits for its quorum round."""
-
-    __slots__ = ("index", "read_id", "round")
-
 
 class Node:
     """Decide for one replica; `identity` belongs to its data folder.
@@ -127,32 +53,26 @@
     """
 
     __slots__ = (
-        "_election_ms",
         "_election_until_ms",
         "_heard_ms",
         "_heartbeat_ms",
-        "_heartbeat_until_ms",
         "_incoming",
         "_incoming_source",
-        "_learners",
-        "_now_ms",
+        "_leadership",
         "_pre",
-        "_progress",
         "_random",
-        "_reads",
         "_ready",
-        "_round",
-        "_self_match",
-        "_transfer_to",
-        "_transfer_until_ms",
         "_votes",
         "applied_index",
         "commit_index",
+        "election_ms",
         "identity",
         "leader",
         "log",
+        "now_ms",
         "role",
         "snapshot",
+        "synced_index",
         "term",
         "voted_for",
     )
@@ -181,20 +101,14 @@
         self.role = FOLLOWER
         self.leader = 0
         self._random = random
-        self._election_ms = election_ms
+        self.election_ms = election_ms
         self._heartbeat_ms = heartbeat_ms
-        self._now_ms = now_ms
+        self.now_ms = now_ms
         self._heard_ms = now_ms - election_ms
-        self._heartbeat_until_ms = 0
-        self._learners = {}
-        self._progress = {}
-        self._reads = []
+        self._leadership = None
         self._votes = set()
         self._pre = False
-        self._round = 0
-        self._self_match = self.log.last_index
-        self._transfer_to = 0
-        self._transfer_until_ms = 0
+        self.synced_index = self.log.last_index
         self._incoming = bytearray()
         self._incoming_source = None
         self._ready = Ready()
@@ -215,31 +129,33 @@
     @property
     def next_ms(self):
         """Return when `tick` has to be called at the latest."""
-        if self.role == LEADER:
-            return self._heartbeat_until_ms
+        if self._leadership is not None:
+            return self._leadership.heartbeat_until_ms
         return self._election_until_ms
 
     @property
     def transferring(self):
         """Tell whether leadership is being handed over."""
-        return bool(self._transfer_to)
+        return self._leadership is not None and self._leadership.transferring
 
     def members_settled(self):
         """Tell whether the latest membership is committed, and this term began."""
-        if self.role == LEADER and not self._term_settled():
+        if self._leadership is not None and not self._leadership.term_settled():
             return False
         return self.log.membership_index <= self.commit_index
 
     def is_learner(self, identity):
         """Tell whether a replica is replicated to but doesn't count."""
-        return identity in self._learners and identity not in self.members
+        return self._leadership is not None and self._leadership.is_learner(identity)
 
     def caught_up(self, identity):
         """Tell whether a replica holds all committed records and answers."""
-        progress = self._progress.get(identity)
-        if progress is None or not self._is_fresh(progress):
-            return False
-        return progress.match_index >= self.commit_index
+        return self._leadership is not None and self._leadership.caught_up(identity)
+
+    def is_quorum(self, identities):
+        """Tell whether identities hold a majority of the latest membership."""
+        members = self.members
+        return len(identities & members) * 2 > len(members)
 
     # Commands of the embedder.
 
@@ -255,54 +171,27 @@
 
     def propose(self, command):
         """Append a command and return its index and term; raise NotLeaderError."""
-        return self._propose(pack_command(command))
+        return self._lead().propose(pack_command(command))
 
     def propose_membership(self, record):
         """Append a membership that differs in one replica; return index and term."""
-        self._must_lead()
-        changed = self.members ^ {replica.identity for replica in record.replicas}
-        if len(changed) != 1:
-            raise InvalidIntentError("not a change of one replica", field="replicas")
-        if not self.members_settled():
-            raise NoQuorumError("the last change isn't committed yet")
-        result = self._propose(pack_membership(record))
-        self._adopt_members()
-        return result
+        return self._lead().propose_membership(record)
 
     def add_learner(self, identity):
         """Replicate to a replica that doesn't count yet."""
-        self._must_lead()
-        self._learners[identity] = True
-        self._adopt_members()
+        self._lead().add_learner(identity)
 
     def drop_learner(self, identity):
         """Stop replicating to a replica that doesn't count."""
-        self._learners.pop(identity, None)
-        self._adopt_members()
+        self._lead().drop_learner(identity)
 
     def read(self, read_id):
         """Ask for a quorum round; a ReadReady with its index comes after it."""
-        self._must_lead()
-        self._round += 1
-        self._reads.append(Read(read_id=read_id, index=0, round=self._round))
-        self._broadcast()
-        self._finish_reads()
+        self._lead().read(read_id)
 
     def transfer(self):
         """Hand leadership to the fullest member; return whether there is one."""
-        if self.role != LEADER or self._transfer_to:
-            return False
-        others = [
-            (progress.match_index, identity)
-            for identity, progress in self._progress.items()
-            if identity in self.members and self._is_fresh(progress)
-        ]
-        if not others:
-            return False
-        self._transfer_to = max(others)[1]
-        self._transfer_until_ms = self._now_ms + self._election_ms
-        self._try_transfer()
-        return True
+        return self._leadership is not None and self._leadership.transfer()
 
     def compact(self, snapshot, keep_records):
         """Drop records that a snapshot of this replica's own state replaces."""
@@ -311,21 +200,22 @@
 
     def tick(self, now_ms):
         """Let time pass."""
-        self._now_ms = max(now_ms, self._now_ms)
-        if self.role == LEADER:
-            self._tick_leader()
-        elif self._now_ms >= self._election_until_ms:
+        self.now_ms = max(now_ms, self.now_ms)
+        if self._leadership is not None:
+            if not self._leadership.tick():
+                self._become(FOLLOWER)
+        elif self.now_ms >= self._election_until_ms:
             self._campaign(pre=True)
 
     def persisted(self, ready):
         """Learn that the snapshot and the records of a Ready are synced here."""
         last = ready.records[-1] if ready.records else None
         if last is not None and self.log.term_at(last.index) == last.term:
-            self._self_match = max(self._self_match, last.index)
+            self.synced_index = max(self.synced_index, last.index)
         elif ready.snapshot is not None:
-            self._self_match = max(self._self_match, ready.snapshot.last_index)
-        if self.role == LEADER:
-            self._advance_commit()
+            self.synced_index = max(self.synced_index, ready.snapshot.last_index)
+        if self._leadership is not None:
+            self._leadership.advance_commit()
 
     def take_ready(self):
         """Return what is to be done, and forget it."""
@@ -341,7 +231,7 @@
 
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
-        self._now_ms = max(now_ms, self._now_ms)
+        self.now_ms = max(now_ms, self.now_ms)
         _receive(message, self, sender)
 
     # Elections.
@@ -364,23 +254,23 @@
             pre=pre,
         )
         for identity in self._others():
-            self._send(identity, ask)
+            self.send(identity, ask)
         self._count_votes()
 
     def _count_votes(self):
-        if not self._is_quorum(self._votes):
+        if not self.is_quorum(self._votes):
             return
         if self._pre:
             self._campaign(pre=False)
         else:
-            self._lead()
+            self._start_leading()
 
-    def _lead(self):
+    def _start_leading(self):
         self._become(LEADER)
         self.leader = self.identity
-        self._adopt_members()
-        self._propose(pack_leader_start())
-        self._broadcast()
+        self._leadership = Leadership(node=self, heartbeat_ms=self._heartbeat_ms)
+        self._leadership.propose(pack_leader_start())
+        self._leadership.broadcast()
 
     def on_vote_ask(self, sender, ask):
         """Give a vote, or tell whether it would be given.
@@ -401,7 +291,7 @@
             self._set_term(self.term, voted_for=ask.candidate)
             self._reset_election()
         term = ask.term if granted else self.term
-        self._send(
+        self.send(
             sender,
             VoteAnswer(term=term, voter=self.identity, granted=granted, pre=ask.pre),
         )
@@ -440,7 +330,7 @@
             return
         self._add_records(ask.records)
         match = ask.previous_index + len(ask.records)
-        self._commit_to(min(ask.commit_index, match))
+        self.commit_to(min(ask.commit_index, match))
         self._answer_append(sender, ask, success=True, match=match)
 
     def _add_records(self, records):
@@ -459,7 +349,7 @@
                 "the leader contradicts a committed record", field="index", value=index
             )
         self.log.cut(index)
-        self._self_match = min(self._self_match, index - 1)
+        self.synced_index = min(self.synced_index, index - 1)
 
     def _hint(self, previous_index):
         """Return an index up to which the logs may agree."""
@@ -475,7 +365,7 @@
             match_index=match,
             round=ask.round,
         )
-        self._send(sender, answer)
+        self.send(sender, answer)
 
     def on_snapshot(self, sender, ask):
         """Take a part of a snapshot."""
@@ -507,6 +397,7 @@
         self._incoming = bytearray()
         self._incoming_source = None
         self.log.reset(self.snapshot)
+        self.synced_index = min(self.synced_index, ask.last_index)
         self.commit_index = self.applied_index = ask.last_index
         self._ready.snapshot = self.snapshot
         self._ready.records = []
@@ -519,7 +410,7 @@
             offset_bytes=offset_bytes,
             round=ask.round,
         )
-        self._send(sender, answer)
+        self.send(sender, answer)
 
     def _follow(self, term, leader):
         """Recognise the leader of a term; return whether it is current."""
@@ -529,206 +420,15 @@
         if self.role != FOLLOWER:
             self._become(FOLLOWER)
         self.leader = leader
-        self._heard_ms = self._now_ms
+        self._heard_ms = self.now_ms
         self._reset_election()
         return True
 
-    # The leader.
-
-    def _propose(self, command):
-        self._must_lead()
-        if self._transfer_to:
-            raise NoQuorumError("leadership is being handed over")
-        record = self.log.add(self.term, command)
-        self._ready.records.append(record)
-        for identity in list(self._progress):
-            self._replicate(identity)
-        return record.index, record.term
-
-    def _broadcast(self):
-        self._heartbeat_until_ms = self._now_ms + self._heartbeat_ms
-        for identity in list(self._progress):
-            self._replicate(identity, always=True)
-
-    def _replicate(self, identity, *, always=False):
-        """Send what a replica lacks, or, with `always`, at least a heartbeat."""
-        progress = self._progress[identity]
-        previous = progress.next_index - 1
-        if previous < self.log.base_index:
-            self._send_part(identity, progress, always=always)
-            return
-        if progress.probing and not always:
-            return
-        records = self.log.slice(
-            progress.next_index, self.log.last_index, max_bytes=MAX_APPEND_BYTES
-        )
-        if not records and not always:
-            return
-        if not progress.probing:
-            progress.next_index += len(records)
-        ask = AppendAsk(
-            term=self.term,
-            leader=self.identity,
-            previous_index=previous,
-            previous_term=self.log.term_at(previous),
-            records=records,
-            commit_index=self.commit_index,
-            round=self._round,
-        )
-        self._ready.early.append(Envelope(to=identity, message=ask))
-
-    def _send_part(self, identity, progress, *, always):
-        """Send the snapshot's next part; one is under way at a time."""
-        snapshot = self.snapshot
-        if progress.snapshot_index != snapshot.last_index:
-            progress.snapshot_index = snapshot.last_index
-            progress.offset_bytes = 0
-        elif not always:
-            return
-        end = progress.offset_bytes + SNAPSHOT_PART_BYTES
-        ask = SnapshotAsk(
-            term=self.term,
-            leader=self.identity,
-            last_index=snapshot.last_index,
-            last_term=snapshot.last_term,
-            replicas=snapshot.replicas,
-            offset_bytes=progress.offset_bytes,
-            data=snapshot.data[progress.offset_bytes : end],
-            done=end >= len(snapshot.data),
-            round=self._round,
-        )
-        self._ready.early.append(Envelope(to=identity, message=ask))
-
-    def on_append_answer(self, sender, answer):
-        """Learn what a replica holds."""
-        progress = self._heard(sender, answer)
-        if progress is None:
-            return
-        progress.probing = not answer.success
-        if answer.success:
-            progress.match_index = max(progress.match_index, answer.match_index)
-            progress.next_index = max(progress.next_index, progress.match_index + 1)
-            self._advance_commit()
-        else:
-            hint = min(answer.match_index, progress.next_index - 2)
-            progress.next_index = max(hint, progress.match_index) + 1
-        self._replicate(sender, always=not answer.success)
-        self._finish_reads()
-        self._try_transfer()
-
-    def on_snapshot_answer(self, sender, answer):
-        """Go on with a snapshot where the replica stands."""
-        progress = self._heard(sender, answer)
-        if progress is None:
-            return
-        self._finish_reads()
-        if progress.snapshot_index != answer.last_index:
-            return
-        if progress.next_index > self.log.base_index:
-            return
-        if answer.offset_bytes != progress.offset_bytes:
-            progress.offset_bytes = answer.offset_bytes
-            self._send_part(sender, progress, always=True)
-
-    def _heard(self, sender, answer):
-        """Return the sender's progress if the answer belongs to this leadership."""
+    def on_answer(self, sender, answer):
+        """Take a follower's answer if this replica still leads."""
         self._see_term(answer.term)
-        if self.role != LEADER or answer.term != self.term:
-            return None
-        progress = self._progress.get(sender)
-        if progress is None:
-            return None
-        progress.answered_ms = self._now_ms
-        progress.round = max(progress.round, answer.round)
-        return progress
-
-    def _advance_commit(self):
-        matches = sorted(
-            (self._match_of(identity) for identity in self.members), reverse=True
-        )
-        index = matches[len(matches) // 2]
-        if index > self.commit_index and self.log.term_at(index) == self.term:
-            self._commit_to(index)
-            self._finish_reads()
-            self._broadcast()
-
-    def _commit_to(self, index):
-        if index <= self.commit_index:
-            return
-        self.commit_index = index
-        if self.role == LEADER and self.members_settled() and not self.is_member:
-            self.transfer()
-
-    def _match_of(self, identity):
-        if identity == self.identity:
-            return self._self_match
-        progress = self._progress.get(identity)
-        return progress.match_index if progress else 0
-
-    def _finish_reads(self):
-        if self.role != LEADER or not self._reads or not self._term_settled():
-            return
-        waiting = []
-        for read in self._reads:
-            read.index = read.index or self.commit_index
-            if self._is_quorum(self._answered(read.round)):
-                self._ready.reads.append(
-                    ReadReady(read_id=read.read_id, index=read.index)
-                )
-            else:
-                waiting.append(read)
-        self._reads = waiting
-
-    def _answered(self, round):
-        answered = {
-            identity
-            for identity, progress in self._progress.items()
-            if progress.round >= round
-        }
-        return answered | {self.identity}
-
-    def _tick_leader(self):
-        fresh = {
-            identity
-            for identity, progress in self._progress.items()
-            if self._is_fresh(progress)
-        }
-        if not self._is_quorum(fresh | {self.identity}):
-            self._become(FOLLOWER)
-            return
-        if self._transfer_to and self._now_ms >= self._transfer_until_ms:
-            self._transfer_to = 0
-        if self.members_settled() and not self.is_member and not self._transfer_to:
-            self.transfer()
-        if self._now_ms >= self._heartbeat_until_ms:
-            self._broadcast()
-
-    def _is_fresh(self, progress):
-        return self._now_ms - progress.answered_ms < self._election_ms
-
-    def _try_transfer(self):
-        progress = self._progress.get(self._transfer_to)
-        if progress and progress.match_index == self.log.last_index:
-            message = LeadershipTransfer(term=self.term, leader=self.identity)
-            self._send(self._transfer_to, message)
-
-    def _adopt_members(self):
-        if self.role != LEADER:
-            return
-        wanted = (self.members | set(self._learners)) - {self.identity}
-        for identity in set(self._progress) - wanted:
-            del self._progress[identity]
-        for identity in sorted(wanted - set(self._progress)):
-            self._progress[identity] = Progress(
-                next_index=self.log.last_index + 1, now_ms=self._now_ms
-            )
-
-    def _term_settled(self):
-        return self.log.term_at(self.commit_index) == self.term
-
-    def _must_lead(self):
-        if self.role != LEADER:
-            raise NotLeaderError("another replica leads", field="leader")
+        if self._leadership is not None:
+            self._leadership.on_answer(sender, answer)
 
     # Terms and roles.
 
@@ -747,34 +447,54 @@
         self.leader = 0
         self._pre = False
         self._votes = set()
-        self._progress = {}
-        self._learners = {}
-        self._transfer_to = 0
-        for read in self._reads:
-            self._ready.reads.append(ReadReady(read_id=read.read_id, index=0))
-        self._reads = []
+        if self._leadership is not None:
+            for read_id in self._leadership.unfinished_reads():
+                self.answer_read(read_id, 0)
+        self._leadership = None
         if role != LEADER:
             self._reset_election()
 
+    def _lead(self):
+        if self._leadership is None:
+            raise NotLeaderError("another replica leads", field="leader")
+        return self._leadership
+
     def _hears_leader(self):
-        if self.role == LEADER:
+        if self._leadership is not None:
             return True
-        return bool(self.leader) and self._now_ms - self._heard_ms < self._election_ms
+        return bool(self.leader) and self.now_ms - self._heard_ms < self.election_ms
 
     def _reset_election(self):
-        spread = int(self._random.random() * self._election_ms)
-        self._election_until_ms = self._now_ms + self._election_ms + spread
+        spread = int(self._random.random() * self.election_ms)
+        self._election_until_ms = self.now_ms + self.election_ms + spread
 
     def _others(self):
         return sorted(self.members - {self.identity})
 
-    def _is_quorum(self, identities):
-        members = self.members
-        return len(identities & members) * 2 > len(members)
+    # Parts of a node.
 
-    def _send(self, to, message):
+    def append_own(self, command):
+        """Append a record of this term."""
+        record = self.log.add(self.term, command)
+        self._ready.records.append(record)
+        return record
+
+    def commit_to(self, index):
+        """Learn that all records up to an index are committed."""
+        self.commit_index = max(index, self.commit_index)
+
+    def answer_read(self, read_id, index):
+        """Tell the embedder that a read is confirmed, or, with index 0, failed."""
+        self._ready.reads.append(ReadReady(read_id=read_id, index=index))
+
+    def send(self, to, message):
+        """Send a message once this step is persisted."""
         self._ready.late.append(Envelope(to=to, message=message))
 
+    def send_early(self, to, message):
+        """Send a message that claims nothing of this replica's own disk."""
+        self._ready.early.append(Envelope(to=to, message=message))
+
 
 def _log_from(snapshot, records):
     if snapshot is None:
@@ -816,7 +536,7 @@
 
 @_receive.register
 def _(message: AppendAnswer, node, sender):
-    node.on_append_answer(sender, message)
+    node.on_answer(sender, message)
 
 
 @_receive.register
@@ -826,7 +546,7 @@
 
 @_receive.register
 def _(message: SnapshotAnswer, node, sender):
-    node.on_snapshot_answer(sender, message)
+    node.on_answer(sender, message)
 
 
 @_receive.register
--- /dev/null
+++ b/knapweeddeal/leadership.py
@@ -0,0 +1,343 @@
+"""knapweeddeal.leadership: What a consensus node does while it leads."""
+
+import functools
+
+from knapweeddeal.consensuslog import pack_membership
+from knapweeddeal.errors import InvalidIntentError, NoQuorumError
+from knapweeddeal.messages.control import (
+    AppendAnswer,
+    AppendAsk,
+    SnapshotAnswer,
+    SnapshotAsk,
+)
+from knapweeddeal.messages.replication import LeadershipTransfer
+from knapweeddeal.record import Record
+
+__all__ = ["Leadership"]
+
+#: Most bytes of commands in one append.
+MAX_APPEND_BYTES = 1 << 20
+#: Bytes of one part of a snapshot.
+SNAPSHOT_PART_BYTES = 256 * 1024
+
+
+class Progress:
+    """Track what the leader knows of one other replica."""
+
+    __slots__ = (
+        "answered_ms",
+        "match_index",
+        "next_index",
+        "offset_bytes",
+        "probing",
+        "round",
+        "snapshot_index",
+    )
+
+    def __init__(self, *, next_index, now_ms):
+        self.match_index = 0
+        self.next_index = next_index
+        self.round = 0
+        self.answered_ms = now_ms
+        self.probing = True
+        self.snapshot_index = 0
+        self.offset_bytes = 0
+
+
+class Read(Record):
+    """Hold a read that waits for its quorum round."""
+
+    __slots__ = ("index", "read_id", "round")
+
+
+class Leadership:
+    """Replicate, commit, confirm reads and hand over, for one node in one term.
+
+    The node owns log, term and membership; this part only tells it how far to commit.
+    """
+
+    __slots__ = (
+        "_heartbeat_ms",
+        "_learners",
+        "_node",
+        "_progress",
+        "_reads",
+        "_round",
+        "_transfer_to",
+        "_transfer_until_ms",
+        "heartbeat_until_ms",
+    )
+
+    def __init__(self, *, node, heartbeat_ms):
+        self._node = node
+        self._heartbeat_ms = heartbeat_ms
+        self._learners = set()
+        self._progress = {}
+        self._reads = []
+        self._round = 0
+        self._transfer_to = 0
+        self._transfer_until_ms = 0
+        self.heartbeat_until_ms = 0
+        self._adopt_members()
+
+    # Queries.
+
+    @property
+    def transferring(self):
+        """Tell whether leadership is being handed over."""
+        return bool(self._transfer_to)
+
+    def term_settled(self):
+        """Tell whether a record of this term is committed."""
+        node = self._node
+        return node.log.term_at(node.commit_index) == node.term
+
+    def is_learner(self, identity):
+        """Tell whether a replica is replicated to but doesn't count."""
+        return identity in self._learners and identity not in self._node.members
+
+    def caught_up(self, identity):
+        """Tell whether a replica holds all committed records and answers."""
+        progress = self._progress.get(identity)
+        if progress is None or not self._is_fresh(progress):
+            return False
+        return progress.match_index >= self._node.commit_index
+
+    def unfinished_reads(self):
+        """Return the ids of reads that wait for their round."""
+        return [read.read_id for read in self._reads]
+
+    # Commands.
+
+    def propose(self, command):
+        """Append a record and return its index and term."""
+        if self._transfer_to:
+            raise NoQuorumError("leadership is being handed over")
+        record = self._node.append_own(command)
+        for identity in list(self._progress):
+            self._replicate(identity)
+        return record.index, record.term
+
+    def propose_membership(self, record):
+        """Append a membership that differs in one replica; return index and term."""
+        wanted = {replica.identity for replica in record.replicas}
+        if len(self._node.members ^ wanted) != 1:
+            raise InvalidIntentError("not a change of one replica", field="replicas")
+        if not self._node.members_settled():
+            raise NoQuorumError("the last change isn't committed yet")
+        result = self.propose(pack_membership(record))
+        self._adopt_members()
+        return result
+
+    def add_learner(self, identity):
+        """Replicate to a replica that doesn't count yet."""
+        self._learners.add(identity)
+        self._adopt_members()
+
+    def drop_learner(self, identity):
+        """Stop replicating to a replica that doesn't count."""
+        self._learners.discard(identity)
+        self._adopt_members()
+
+    def read(self, read_id):
+        """Start a quorum round for a read."""
+        self._round += 1
+        self._reads.append(Read(read_id=read_id, index=0, round=self._round))
+        self.broadcast()
+        self._finish_reads()
+
+    def transfer(self):
+        """Hand leadership to the fullest member; return whether there is one."""
+        if self._transfer_to:
+            return False
+        others = [
+            (progress.match_index, identity)
+            for identity, progress in self._progress.items()
+            if identity in self._node.members and self._is_fresh(progress)
+        ]
+        if not others:
+            return False
+        self._transfer_to = max(others)[1]
+        self._transfer_until_ms = self._node.now_ms + self._node.election_ms
+        self._try_transfer()
+        return True
+
+    def tick(self):
+        """Let time pass; return whether a majority still answers."""
+        now_ms = self._node.now_ms
+        fresh = {
+            identity
+            for identity, progress in self._progress.items()
+            if self._is_fresh(progress)
+        }
+        if not self._node.is_quorum(fresh | {self._node.identity}):
+            return False
+        if self._transfer_to and now_ms >= self._transfer_until_ms:
+            self._transfer_to = 0
+        self.leave_if_removed()
+        if now_ms >= self.heartbeat_until_ms:
+            self.broadcast()
+        return True
+
+    def leave_if_removed(self):
+        """Hand over once the committed membership lacks this node."""
+        if self._node.members_settled() and not self._node.is_member:
+            self.transfer()
+
+    def broadcast(self):
+        """Send every replica what it lacks, or a heartbeat."""
+        self.heartbeat_until_ms = self._node.now_ms + self._heartbeat_ms
+        for identity in list(self._progress):
+            self._replicate(identity, always=True)
+
+    def _replicate(self, identity, *, always=False):
+        """Send what a replica lacks, or, with `always`, at least a heartbeat."""
+        progress = self._progress[identity]
+        previous = progress.next_index - 1
+        if previous < self._node.log.base_index:
+            self._send_part(identity, progress, always=always)
+            return
+        if progress.probing and not always:
+            return
+        records = self._node.log.slice(
+            progress.next_index, self._node.log.last_index, max_bytes=MAX_APPEND_BYTES
+        )
+        if not records and not always:
+            return
+        if not progress.probing:
+            progress.next_index += len(records)
+        ask = AppendAsk(
+            term=self._node.term,
+            leader=self._node.identity,
+            previous_index=previous,
+            previous_term=self._node.log.term_at(previous),
+            records=records,
+            commit_index=self._node.commit_index,
+            round=self._round,
+        )
+        self._node.send_early(identity, ask)
+
+    def _send_part(self, identity, progress, *, always):
+        """Send the snapshot's next part; one is under way at a time."""
+        snapshot = self._node.snapshot
+        if progress.snapshot_index != snapshot.last_index:
+            progress.snapshot_index = snapshot.last_index
+            progress.offset_bytes = 0
+        elif not always:
+            return
+        end = progress.offset_bytes + SNAPSHOT_PART_BYTES
+        ask = SnapshotAsk(
+            term=self._node.term,
+            leader=self._node.identity,
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            replicas=snapshot.replicas,
+            offset_bytes=progress.offset_bytes,
+            data=snapshot.data[progress.offset_bytes : end],
+            done=end >= len(snapshot.data),
+            round=self._round,
+        )
+        self._node.send_early(identity, ask)
+
+    def on_answer(self, sender, answer):
+        """Take a follower's answer."""
+        progress = self._heard(sender, answer)
+        if progress is not None:
+            self._learn(answer, sender, progress)
+            self._finish_reads()
+
+    @functools.singledispatchmethod
+    def _learn(self, answer, sender, progress):
+        """Learn from an answer what a replica holds."""
+
+    @_learn.register
+    def _(self, answer: AppendAnswer, sender, progress):
+        progress.probing = not answer.success
+        if answer.success:
+            progress.match_index = max(progress.match_index, answer.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            self.advance_commit()
+        else:
+            hint = min(answer.match_index, progress.next_index - 2)
+            progress.next_index = max(hint, progress.match_index) + 1
+        self._replicate(sender, always=not answer.success)
+        self._try_transfer()
+
+    @_learn.register
+    def _(self, answer: SnapshotAnswer, sender, progress):
+        if progress.snapshot_index != answer.last_index:
+            return
+        if progress.next_index > self._node.log.base_index:
+            return
+        if answer.offset_bytes != progress.offset_bytes:
+            progress.offset_bytes = answer.offset_bytes
+            self._send_part(sender, progress, always=True)
+
+    def _heard(self, sender, answer):
+        """Return the sender's progress if the answer belongs to this leadership."""
+        if answer.term != self._node.term:
+            return None
+        progress = self._progress.get(sender)
+        if progress is None:
+            return None
+        progress.answered_ms = self._node.now_ms
+        progress.round = max(progress.round, answer.round)
+        return progress
+
+    def advance_commit(self):
+        """Commit what a majority synced, if it is of this term."""
+        matches = sorted(
+            (self._match_of(identity) for identity in self._node.members), reverse=True
+        )
+        index = matches[len(matches) // 2]
+        node = self._node
+        if index > node.commit_index and node.log.term_at(index) == node.term:
+            node.commit_to(index)
+            self.leave_if_removed()
+            self._finish_reads()
+            self.broadcast()
+
+    def _match_of(self, identity):
+        if identity == self._node.identity:
+            return self._node.synced_index
+        progress = self._progress.get(identity)
+        return progress.match_index if progress else 0
+
+    def _finish_reads(self):
+        if not self._reads or not self.term_settled():
+            return
+        waiting = []
+        for read in self._reads:
+            read.index = read.index or self._node.commit_index
+            if self._node.is_quorum(self._answered(read.round)):
+                self._node.answer_read(read.read_id, read.index)
+            else:
+                waiting.append(read)
+        self._reads = waiting
+
+    def _answered(self, round):
+        answered = {
+            identity
+            for identity, progress in self._progress.items()
+            if progress.round >= round
+        }
+        return answered | {self._node.identity}
+
+    def _is_fresh(self, progress):
+        return self._node.now_ms - progress.answered_ms < self._node.election_ms
+
+    def _try_transfer(self):
+        progress = self._progress.get(self._transfer_to)
+        if progress and progress.match_index == self._node.log.last_index:
+            node = self._node
+            message = LeadershipTransfer(term=node.term, leader=node.identity)
+            node.send(self._transfer_to, message)
+
+    def _adopt_members(self):
+        wanted = (self._node.members | self._learners) - {self._node.identity}
+        for identity in set(self._progress) - wanted:
+            del self._progress[identity]
+        for identity in sorted(wanted - set(self._progress)):
+            self._progress[identity] = Progress(
+                next_index=self._node.log.last_index + 1, now_ms=self._node.now_ms
+            )
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -5,6 +5,7 @@
 import testscenarios
 import testtools
 
+from knapweeddeal import leadership
 from knapweeddeal.consensus import LEADER, Node
 from knapweeddeal.consensuslog import pack_command, pack_membership
 from knapweeddeal.errors import (
@@ -17,6 +18,7 @@
     AppendAnswer,
     AppendAsk,
     LogRecord,
+    SnapshotAsk,
     VoteAnswer,
     VoteAsk,
 )
@@ -25,6 +27,8 @@
 
 #: Steps of one schedule.
 STEPS = 1_500
+#: Snapshots travel in several parts.
+PART_BYTES = 16
 SEEDS = range(12)
 
 
@@ -66,6 +70,7 @@
     ]
 
     def test_promises(self):
+        self.patch(leadership, "SNAPSHOT_PART_BYTES", PART_BYTES)
         world = World(seed=self.seed)
         weights = [weight for weight, _ in self.steps]
         actions = [action for _, action in self.steps]
@@ -96,6 +101,22 @@
 )
 
 
+def snapshot_part(last_index, data, **changes):
+    """Return the last part of a snapshot from replica 2."""
+    ask = SnapshotAsk(
+        term=2,
+        leader=2,
+        last_index=last_index,
+        last_term=2,
+        replicas=[replica(1), replica(2), replica(3)],
+        offset_bytes=0,
+        data=data,
+        done=True,
+        round=0,
+    )
+    return ask.replace(**changes)
+
+
 def make_node(records):
     """Return replica 1 of three, after a restart with these records."""
     return Node(
@@ -153,6 +174,41 @@
         self.assertEqual(before, world.truth)
         self.assertEqual([], world.believers())
 
+    def test_learner_catches_up_when_it_answered(self):
+        world, leader = elected()
+        leader.add_learner(4)
+        self.assertFalse(leader.caught_up(4))
+        for _ in range(5):
+            world.pass_time(HEARTBEAT_MS)
+            while world.network:
+                world.deliver()
+        self.assertTrue(leader.caught_up(4))
+
+    def test_snapshot_in_parts_after_losses(self):
+        self.patch(leadership, "SNAPSHOT_PART_BYTES", PART_BYTES)
+        world, leader = elected()
+        for _ in range(50):
+            world.propose()
+        world.settle()
+        while leader.log.base_index == 0:
+            world.compact_any()
+        leader.add_learner(4)
+        for _ in range(400):
+            world.pass_time(HEARTBEAT_MS)
+            for _ in range(10):
+                world.deliver(loss=0.2, duplicate=0.2)
+        self.assertTrue(world.nodes[4].log.base_index > 0)
+        self.assertEqual(world.applied[leader.identity], world.applied[4])
+
+    def test_parts_of_two_snapshots_do_not_mix(self):
+        node = make_node([FOUNDING])
+        node.receive(2, snapshot_part(2, b"aa", done=False), 0)
+        node.receive(2, snapshot_part(3, b"bb", offset_bytes=2), 0)
+        self.assertIsNone(node.snapshot)
+        node.receive(2, snapshot_part(3, b"bb", done=False), 0)
+        node.receive(2, snapshot_part(3, b"cc", offset_bytes=2), 0)
+        self.assertEqual(b"bbcc", node.snapshot.data)
+
     def test_learner_does_not_count(self):
         world, leader = elected()
         leader.add_learner(4)
@@ -193,12 +249,16 @@
     def lead(self, records):
         """Return a node that was elected in term 3 with these records."""
         node = make_node(records)
+        self.elect(node)
+        return node
+
+    def elect(self, node):
+        """Let replica 2 elect a node of term 2."""
         node.tick(10 * ELECTION_MS)
         for pre in (True, False):
             answer = VoteAnswer(term=3, voter=2, granted=True, pre=pre)
             node.receive(2, answer, 10 * ELECTION_MS)
         self.assertEqual((LEADER, 3), (node.role, node.term))
-        return node
 
     def answer(self, node, match_index):
         """Let replica 2 acknowledge records."""
@@ -223,6 +283,37 @@
         node.persisted(ready)
         self.assertEqual(2, node.commit_index)
 
+    def test_not_before_own_sync_after_a_snapshot(self):
+        node = make_node([FOUNDING, *(command(index, 1) for index in range(2, 6))])
+        node.receive(2, snapshot_part(2, b""), 0)
+        node.persisted(node.take_ready())
+        self.check_own_sync_counts(node)
+
+    def test_not_before_own_sync_after_records_were_replaced(self):
+        node = make_node([FOUNDING, *(command(index, 1) for index in range(2, 6))])
+        ask = AppendAsk(
+            term=2,
+            leader=2,
+            previous_index=1,
+            previous_term=1,
+            records=[command(2, 2)],
+            commit_index=2,
+            round=0,
+        )
+        node.receive(2, ask, 0)
+        node.persisted(node.take_ready())
+        self.check_own_sync_counts(node)
+
+    def check_own_sync_counts(self, node):
+        """Let a node whose log ends at 2 lead, and sync after replica 2 did."""
+        self.elect(node)
+        node.propose(b"0")
+        ready = node.take_ready()
+        self.answer(node, 4)
+        self.assertEqual(2, node.commit_index)
+        node.persisted(ready)
+        self.assertEqual(4, node.commit_index)
+
     def test_follower_trusts_only_what_matched(self):
         node = make_node([FOUNDING, command(2, 1), command(3, 1)])
         ask = AppendAsk(
@@ -241,6 +332,15 @@
 class Leadership(testtools.TestCase):
     """A leader that can't reach a majority says so soon."""
 
+    def test_handed_over_without_a_timeout(self):
+        world, leader = elected()
+        self.assertTrue(leader.transfer())
+        world.flush(leader.identity)
+        while world.network:
+            world.deliver()
+        self.assertNotEqual(LEADER, leader.role)
+        self.assertEqual(1, len(world.believers()))
+
     def test_silent_leader_steps_down(self):
         world, leader = elected()
         world.cut = {leader.identity}
