--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatchmethod
 
-from knapweeddeal.actions import Address, Dial, ToCaller, ToControl
+from knapweeddeal.actions import Address, ToCaller, ToControl
 from knapweeddeal.entrycontext import EntryContext, Identity
 from knapweeddeal.flowcounts import FlowCountReporter
 from knapweeddeal.handover import Candidate, HandingOver, TakingOver
@@ -111,28 +111,19 @@
     def apply_announce(self, announce, *, now_ms):
         """Take an upstream's announcement and see that its stream stands."""
         self.directory.apply(announce, now_ms=now_ms)
-        return [
-            Dial(key=upstream.key, address=upstream.address)
-            for upstream in self.directory.all()
-            if not upstream.ready and upstream.lease_until_ms > now_ms
-        ]
+        return self.directory.dials_of([announce], now_ms=now_ms)
 
     # Streams of upstreams
 
     def stream_up(self, key):
         """Note that the stream to an upstream stands."""
         self.moves.stream_up(key)
-        upstream = self.directory.get(key)
-        if upstream is not None:
-            upstream.ready = True
+        self.directory.stream_up(key)
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
         self.moves.stream_down(key, now_ms=now_ms)
-        upstream = self.directory.get(key)
-        if upstream is not None:
-            upstream.ready = False
-            upstream.outstanding = 0
+        self.directory.stream_down(key)
         return [
             *self.owner.stream_down(key),
             *self.opening.stream_down(key, now_ms=now_ms),
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -30,7 +30,7 @@
     Request,
 )
 from knapweeddeal.messages.control import Configuration, ServiceEntry
-from knapweeddeal.messages.peer import RefusalAck, RefusalBatch
+from knapweeddeal.messages.peer import HandOver, RefusalAck, RefusalBatch
 from knapweeddeal.messages.upstream import LEAVING, READY, Announce, UpstreamPush, Work
 from knapweeddeal.ticket import TicketSealer
 from knapweeddeal.upstream import Reply, Run, UpstreamCore
@@ -96,12 +96,17 @@
         self.works = Counter()
         self.hold_work = False
         self.hold_records = False
+        self.hold_hand_overs = False
         self.held = []
         self.batches = []
+        self.hand_overs = []
         #: Pairs of names that can't reach each other.
         self.cut = set()
         self.dead = set()
+        #: Upstreams whose announcements are lost.
+        self.silent = set()
         self.callers = {}
+        self._links = set()
         self._queue = deque()
         self._limits = limits
         self._sequence = 0
@@ -119,6 +124,7 @@
     def add_entry(self, name):
         """Start an entry; one of the same name has another incarnation."""
         number = ord(name[0])
+        self._links = {link for link in self._links if link[0] != name}
         core = EntryCore(
             identity=Identity(
                 entry_id=name,
@@ -169,7 +175,7 @@
         for name, upstream in self.upstreams.items():
             upstream.announce = upstream.announce.replace(sequence=self._sequence)
             for entry_name, core in self.entries.items():
-                if self.reach(name, entry_name):
+                if self.reach(name, entry_name) and name not in self.silent:
                     self._push(
                         entry_name,
                         core.apply_announce(upstream.announce, now_ms=self.now_ms),
@@ -200,6 +206,7 @@
     def down(self, entry, upstream):
         """Break the stream between an entry and an upstream."""
         core = self.entries[entry]
+        self._links.discard((entry, self.key(upstream)))
         self._push(entry, core.stream_down(self.key(upstream), now_ms=self.now_ms))
         self.deliver()
 
@@ -252,7 +259,11 @@
             self.deliver()
 
     def release(self):
-        """Let the work and the records that were held go on."""
+        """Let the work, the records and the hand-overs that were held go on."""
+        self.hold_hand_overs = False
+        self._queue.extend(self.hand_overs)
+        self.hand_overs.clear()
+        self.deliver()
         held, self.held = self.held, []
         for upstream, job in held:
             self._finish(upstream, job)
@@ -286,9 +297,10 @@
     def _(self, action: Dial, name):
         key = action.key
         core = self.entries[name]
-        if core.context.ready(key):
+        if (name, key) in self._links:
             return
         if self.reach(name, key.upstream_id):
+            self._links.add((name, key))
             core.stream_up(key)
         else:
             self._push(name, core.stream_down(key, now_ms=self.now_ms))
@@ -348,6 +360,9 @@
 
     @_carry.register
     def _(self, action: ToPeer, name):
+        if self.hold_hand_overs and type(action.message) is HandOver:
+            self.hand_overs.append((name, action))
+            return
         core = self.entries[name]
         for other, target in self.entries.items():
             found = target.identity.address == action.address
