Use a stream that stands before the directory knows its upstream

Ruled out: dialling again (the link stands); ignoring tickets of upstreams that the directory doesn't know (flows must go on before it does). StreamFirst fails without the change. Also: a timeout of the load fails its test instead of ending the test run.

--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -38,6 +38,7 @@
         "rng",
         "sealer",
         "services",
+        "streams",
         "wall_clock_ms",
     )
 
@@ -53,6 +54,8 @@
         self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
+        #: Keys of upstreams whose streams stand, whether the directory knows them.
+        self.streams = set()
         #: Ids of upstreams that an operator takes out, by service.
         self.draining = {}
 
@@ -77,15 +80,21 @@
 
     def ready(self, key):
         """Tell whether the stream to an upstream stands."""
-        upstream = self.directory.get(key)
-        return upstream is not None and upstream.ready
+        return key in self.streams
+
+    def mark_streams(self):
+        """Tell the directory which streams stand; it may have learnt of upstreams."""
+        for key in self.streams:
+            upstream = self.directory.get(key)
+            if upstream is not None:
+                upstream.ready = True
 
     def pick(self, service, tried, *, now_ms):
         """Return an upstream for a flow, or None; never one of those tried."""
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready
+            if self.ready(upstream.key)
             and upstream.key not in tried
             and not self.leaving(upstream.key)
         ]
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -111,6 +111,7 @@
     def apply_announce(self, announce, *, now_ms):
         """Take an upstream's announcement and see that its stream stands."""
         self.directory.apply(announce, now_ms=now_ms)
+        self.context.mark_streams()
         return [
             Dial(key=upstream.key, address=upstream.address)
             for upstream in self.directory.all()
@@ -122,13 +123,13 @@
     def stream_up(self, key):
         """Note that the stream to an upstream stands."""
         self.moves.stream_up(key)
-        upstream = self.directory.get(key)
-        if upstream is not None:
-            upstream.ready = True
+        self.context.streams.add(key)
+        self.context.mark_streams()
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
         self.moves.stream_down(key, now_ms=now_ms)
+        self.context.streams.discard(key)
         upstream = self.directory.get(key)
         if upstream is not None:
             upstream.ready = False
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -252,7 +252,9 @@
 
     def _send(self, message, flow, key):
         flow.ledger.forward(message.number, idempotent=message.idempotent, upstream=key)
-        self._context.directory.get(key).outstanding += 1
+        upstream = self._context.directory.get(key)
+        if upstream is not None:
+            upstream.outstanding += 1
         numbers = self._under_way.setdefault(key, {}).setdefault(flow, set())
         numbers.add(message.number)
         work = Work(
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -97,6 +97,7 @@
         self.hold_work = False
         self.hold_records = False
         self.hold_hand_overs = False
+        self.hold_announces = False
         self.held = []
         self.batches = []
         self.hand_overs = []
@@ -167,6 +168,8 @@
 
     def announce_all(self):
         """Announce every upstream to every entry that it reaches."""
+        if self.hold_announces:
+            return
         self._sequence += 1
         for name, upstream in self.upstreams.items():
             upstream.announce = upstream.announce.replace(sequence=self._sequence)
--- a/tests/load.py
+++ b/tests/load.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -177,9 +178,11 @@
 
     async def until(self, condition):
         """Wait for a condition; raise TimeoutError."""
-        async with curio.timeout_after(WAIT_S):
-            while not condition():
-                await curio.sleep(0.02)
+        end_s = time.monotonic() + WAIT_S
+        while not condition():
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"not within {WAIT_S} s: {self.others()}")
+            await curio.sleep(0.02)
 
     # What became of it
 
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -25,6 +25,26 @@
 from tests.entries import CALLER, SERVICE, Caller, Joined
 
 
+class StreamFirst(testtools.TestCase):
+    """A stream may stand before the directory knows its upstream."""
+
+    def test_stream_is_used(self):
+        joined = Joined(entries=("a",))
+        caller = joined.open("a")
+        joined.hold_announces = True
+        joined.add_entry("b")
+        joined.renew("b", caller)
+        joined.keep_alive("b", caller)
+        joined.send("b", caller, caller.request(1))
+        joined.hold_announces = False
+        joined.announce_all()
+        self.assertEqual(["answer"], caller.outcomes(1))
+        other = joined.open("b", Address(host="127.0.0.8", port=1))
+        self.assertNotEqual(b"", other.ticket)
+        upstream = joined.entries["b"].directory.get(joined.key("u1"))
+        self.assertTrue(upstream.ready)
+
+
 class AtMostOnce(testtools.TestCase):
     """A request runs once, however often and wherever it comes."""
 
