--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -38,7 +38,6 @@
         "rng",
         "sealer",
         "services",
-        "streams",
         "wall_clock_ms",
     )
 
@@ -50,12 +49,15 @@
         self.wall_clock_ms = wall_clock_ms
         #: Counts an event by its name.
         self.count = counters
-        self.directory = Directory(lease_ms=limits.lease_ms)
+        self.directory = Directory(
+            lease_ms=limits.lease_ms,
+            name=identity.entry_id,
+            ask_ms=limits.lease_ask_ms,
+            per_zone=limits.registrars_per_zone,
+        )
         self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
-        #: Keys of upstreams whose streams stand, whether the directory knows them.
-        self.streams = set()
         #: Ids of upstreams that an operator takes out, by service.
         self.draining = {}
 
@@ -80,14 +82,7 @@
 
     def ready(self, key):
         """Tell whether the stream to an upstream stands."""
-        return key in self.streams
-
-    def mark_streams(self):
-        """Tell the directory which streams stand; it may have learnt of upstreams."""
-        for key in self.streams:
-            upstream = self.directory.get(key)
-            if upstream is not None:
-                upstream.ready = True
+        return self.directory.has_stream(key)
 
     def pick(self, service, tried, *, now_ms):
         """Return an upstream for a flow, or None; never one of those tried."""
