--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -53,7 +53,7 @@
 from knapweeddeal.record import Record
 from knapweeddeal.replicaswap import ReplicaSwap
 
-__all__ = ["Answer", "ControlReplica"]
+__all__ = ["Answer", "ControlReplica", "is_snapshot_turn"]
 
 #: An operator waits this many election timeouts for a quorum.
 PATIENCE_ELECTIONS = 2
@@ -181,15 +181,21 @@
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
         self._now_ms = max(now_ms, self._now_ms)
-        if isinstance(message, EntryReports):
-            self.entries.merge(message, now_ms)
-            for status in message.entries:
-                self.flow_counts.heard(status.name, now_ms=now_ms)
-            return
-        if isinstance(message, FlowCounts):
-            self.flow_counts.apply(message, now_ms=now_ms)
-            return
-        self.node.receive(sender, message, now_ms)
+        _receive(message, self, sender)
+
+    def take_reports(self, reports):
+        """Take what entries told another replica."""
+        self.entries.merge(reports, self._now_ms)
+        for status in reports.entries:
+            self.flow_counts.heard(status.name, now_ms=self._now_ms)
+
+    def take_flow_counts(self, counts):
+        """Take the flows that an entry counted for another replica."""
+        self.flow_counts.apply(counts, now_ms=self._now_ms)
+
+    def take_consensus(self, sender, message):
+        """Take a message of the replicated log."""
+        self.node.receive(sender, message, self._now_ms)
 
     def tick(self, now_ms):
         """Let time pass."""
@@ -451,14 +457,19 @@
 
     def _snapshot_is_due(self, log_bytes):
         """Tell whether to write a snapshot; the members take turns."""
-        node, every = self.node, self._snapshot_records
+        node = self.node
         last = node.snapshot.last_index if node.snapshot else 0
         if node.applied_index == last:
             return False
         members = sorted(node.members)
         place = members.index(node.identity) if node.is_member else 0
-        shift = every * place // max(len(members), 1)
-        by_count = (node.applied_index + shift) // every > (last + shift) // every
+        by_count = is_snapshot_turn(
+            index=node.applied_index,
+            last_index=last,
+            every=self._snapshot_records,
+            place=place,
+            members=len(members),
+        )
         return by_count or log_bytes > SNAPSHOT_LOG_BYTES
 
     def _reply(self, pending, message):
@@ -487,6 +498,12 @@
         return self.connected.get(leader)
 
 
+def is_snapshot_turn(*, index, last_index, every, place, members):
+    """Tell whether a snapshot is due by count; members do it at different indices."""
+    shift = every * place // max(members, 1)
+    return (index + shift) // every > (last_index + shift) // every
+
+
 @functools.singledispatch
 def _local_answer(_message, _replica):
     """Return the answer that needs no leader, or None."""
@@ -503,6 +520,21 @@
     return DumpAnswer(text=json.dumps(replica.metrics.summary()))
 
 
+@functools.singledispatch
+def _receive(message, replica, sender):
+    replica.take_consensus(sender, message)
+
+
+@_receive.register
+def _(message: EntryReports, replica, _sender):
+    replica.take_reports(message)
+
+
+@_receive.register
+def _(message: FlowCounts, replica, _sender):
+    replica.take_flow_counts(message)
+
+
 @functools.singledispatch
 def _ask(message, _replica, _pending):
     raise BadMessageError("not for a control replica", field="message", value=message)
