--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -92,7 +92,7 @@
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready
+            if self.ready(upstream.key)
             and upstream.key not in tried
             and not self.leaving(upstream.key)
         ]
