Poll health as a hint; eject what fails, within a share of the pool

Cause: nothing took note of upstreams that hold a stream but don't answer, and the health address of the announcement was unused. Registrars poll it over h11 (bounded starts, back-off), pass moved figures on to the entries of their zone, a dozen at a time; figures carry an age and stand in only where the data path is silent. Ejection counts broken streams and opens without answer in a row; at most max_ejected_percent of a pool is out, lying polls included; ejections end by themselves and get longer. Ruled out: figures on every lease answer (bytes grow with upstreams). Hosts of polls must be IP numbers, else a name in an announcement is looked up.

--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -1,12 +1,14 @@
 """demo.upstream: A stand-in upstream that answers, pushes and notes what it ran."""
 
 import argparse
+import json
 import secrets
 import signal
 
 import curio
 
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.healthserver import serve_health
 from knapweeddeal.messages.upstream import LEAVING, READY, Announce
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.upstream import UpstreamServer
@@ -43,6 +45,21 @@
             await server.push(flow_id, server.core.announce.service.encode())
 
 
+def health_look(options, server):
+    """Return what the health address answers: the truth, or what was asked for."""
+
+    def look():
+        if options.health:
+            return json.loads(options.health)
+        figures = {
+            "outstanding": server.core.outstanding,
+            "connections": len(server.core.flows),
+        }
+        return 200, figures
+
+    return look
+
+
 async def run(options):
     """Serve until SIGTERM, then leave, then end."""
     host, _, port = options.listen.rpartition(":")
@@ -54,7 +71,7 @@
         service=options.service,
         host=host,
         port=int(port),
-        health_port=0,
+        health_port=options.health_port,
         slots=options.slots,
         max_connections=options.connections,
         state=READY,
@@ -76,6 +93,9 @@
     signals = SignalReader(numbers=[signal.SIGTERM])
     serving = await curio.spawn(server.run)
     pushing = await curio.spawn(push_for_ever, server)
+    if options.health_port:
+        address = (host, options.health_port)
+        await curio.spawn(serve_health, address, health_look(options, server))
     await signals.next()
     server.core.announce = announce.replace(state=LEAVING)
     await curio.sleep(options.drain_ms / 1000)
@@ -91,6 +111,8 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--listen", required=True)
     parser.add_argument("--announce", required=True)
+    parser.add_argument("--health-port", type=int, default=0)
+    parser.add_argument("--health", default="", help="status and figures as JSON")
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--connections", type=int, default=4000)
     parser.add_argument("--work-ms", type=int, default=5)
--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -7,6 +7,8 @@
     DirectoryDelta,
     LeaseAnswer,
     LeaseAsk,
+    LoadAsk,
+    LoadReport,
     UpstreamName,
 )
 from knapweeddeal.messages.upstream import READY
@@ -22,6 +24,11 @@
 DIAL_MS = 500
 #: Time between sweeps over all upstreams.
 SWEEP_MS = 1_000
+#: Time between asks for load figures, and time for which such a figure counts.
+LOAD_ASK_MS = 1_000
+HINT_LIFE_MS = 10_000
+#: Silence of the data path after which a polled figure stands in.
+SILENT_MS = 2_000
 #: Start of a time that never was.
 NEVER_MS = -(10**15)
 
@@ -41,6 +48,7 @@
         "heard_ms",
         "keys",
         "leased_ms",
+        "load_version",
         "name",
         "version",
     )
@@ -49,6 +57,8 @@
         self.name = name
         self.epoch = 0
         self.version = 0
+        #: Version of the load figures that came last.
+        self.load_version = 0
         #: Listed incarnations by the upstream's name.
         self.keys = {}
         #: When the last ask was sent.
@@ -66,13 +76,13 @@
         "announce",
         "cold_since_ms",
         "connections",
-        "ejected",
         "heard_ms",
         "key",
         "lease_ms",
         "listed_ms",
         "outstanding",
         "polled_connections",
+        "polled_healthy",
         "polled_ms",
         "polled_outstanding",
         "ready",
@@ -96,6 +106,7 @@
         self.connections = 0
         self.reported_ms = NEVER_MS
         #: Load as its health address last gave it, and when it was asked.
+        self.polled_healthy = True
         self.polled_outstanding = 0
         self.polled_connections = 0
         self.polled_ms = NEVER_MS
@@ -103,14 +114,37 @@
         self.cold_since_ms = NEVER_MS
         #: Whether the stream to it stands.
         self.ready = False
-        #: Whether it is kept from new flows for its failures.
-        self.ejected = False
 
     @property
     def address(self):
         """Return where its stream is opened."""
         return Address(host=self.announce.host, port=self.announce.port)
 
+    def report(self, connections, *, now_ms):
+        """Take the load that it reported on the data path."""
+        self.connections = connections
+        self.reported_ms = now_ms
+
+    def take_polled(self, figure, *, now_ms):
+        """Take polled figures; they stand in where the data path is silent."""
+        polled_ms = now_ms - figure.age_ms
+        if polled_ms <= self.polled_ms:
+            return
+        self.polled_ms = polled_ms
+        self.polled_healthy = figure.healthy
+        self.polled_outstanding = figure.outstanding
+        self.polled_connections = figure.connections
+        if polled_ms - self.reported_ms > SILENT_MS:
+            self.connections = figure.connections
+
+    def is_doubtful(self, *, now_ms):
+        """Tell whether a late poll speaks against it and the data path is silent."""
+        return (
+            not self.polled_healthy
+            and now_ms - self.polled_ms < HINT_LIFE_MS
+            and self.polled_ms > self.reported_ms
+        )
+
     @property
     def lease_until_ms(self):
         """Return until when it may get new flows."""
@@ -130,22 +164,26 @@
         "_by_service",
         "_dials_ms",
         "_lease_ms",
+        "_loads_ms",
         "_name",
         "_per_zone",
         "_streams",
         "_swept_ms",
         "_upstreams",
         "_views",
+        "_zone",
         "_zones",
     )
 
-    def __init__(self, *, lease_ms, name="", ask_ms=500, per_zone=COPIES):
+    def __init__(self, *, lease_ms, name="", zone="", ask_ms=500, per_zone=COPIES):
         self._lease_ms = lease_ms
         self._name = name
         self._ask_ms = ask_ms
         self._per_zone = per_zone
         self._swept_ms = NEVER_MS
         self._dials_ms = NEVER_MS
+        self._loads_ms = NEVER_MS
+        self._zone = zone
         self._upstreams = {}
         #: Upstreams whose streams stand, also those that nobody announced here yet.
         self._streams = set()
@@ -177,6 +215,9 @@
         if now_ms - self._dials_ms >= DIAL_MS:
             self._dials_ms = now_ms
             actions += self.dials(now_ms=now_ms)
+        if now_ms - self._loads_ms >= LOAD_ASK_MS:
+            self._loads_ms = now_ms
+            actions += self._load_asks(now_ms)
         return actions
 
     @singledispatchmethod
@@ -196,6 +237,18 @@
         asks = self.take_delta(name, message, now_ms=now_ms)
         return [*asks, *self.dials_of(message.changed, now_ms=now_ms)]
 
+    @take.register
+    def _(self, message: LoadReport, name, *, now_ms):
+        view = self._views.get(name)
+        if view is None or message.asked_ms > now_ms:
+            return []
+        view.load_version = message.version
+        for figure in message.figures:
+            upstream = self._upstreams.get(view.keys.get(figure.name))
+            if upstream is not None:
+                upstream.take_polled(figure, now_ms=message.asked_ms)
+        return []
+
     def asks(self, *, now_ms):
         """Return the lease asks that are due."""
         due = []
@@ -331,6 +384,19 @@
         ask = LeaseAsk(asked_ms=now_ms, epoch=view.epoch, version=view.version)
         return AskRegistrar(name=name, message=ask)
 
+    def _load_asks(self, now_ms):
+        names = self._zones.get(self._zone, [])
+        asked = names if len(names) > COPIES else names[:1]
+        return [
+            AskRegistrar(
+                name=name,
+                message=LoadAsk(
+                    asked_ms=now_ms, version=self._views[name].load_version
+                ),
+            )
+            for name in asked
+        ]
+
     # What registrars list
 
     def _list(self, view, announce, joined_ms):
--- /dev/null
+++ b/knapweeddeal/ejection.py
@@ -0,0 +1,86 @@
+"""knapweeddeal.ejection: Upstreams kept from new flows for their failures."""
+
+from knapweeddeal.record import Record
+
+__all__ = ["Ejection"]
+
+#: Failures in a row that eject an upstream.
+MAX_FAILURES = 3
+#: Time of the first ejection; each one that follows soon takes twice as long.
+FIRST_MS = 5_000
+MAX_MS = 60_000
+#: Time without an ejection after which the next one is a first one.
+FORGIVE_MS = 300_000
+
+
+class Trouble(Record):
+    """Hold the failures of an upstream and its last ejection."""
+
+    __slots__ = ("failures", "key", "times", "until_ms")
+
+
+class Ejection:
+    """Judge upstreams by what the data path shows of them.
+
+    At most `share` of a pool is ejected at a time, so that failures that hit all
+    alike take nobody out. A turned away flow is no failure. Upstreams come back by
+    themselves; each ejection soon after another one takes longer.
+    """
+
+    __slots__ = ("_share", "_troubles")
+
+    def __init__(self, *, share):
+        self._share = share
+        self._troubles = {}
+
+    # Commands
+
+    def succeed(self, key):
+        """Note that an upstream did what it was asked for."""
+        trouble = self._troubles.get(key)
+        if trouble is not None:
+            trouble.failures = 0
+
+    def fail(self, key, *, now_ms):
+        """Note that an upstream's stream broke or that it didn't answer."""
+        trouble = self._troubles.get(key)
+        if trouble is None:
+            trouble = Trouble(key=key, failures=0, times=0, until_ms=now_ms)
+            self._troubles[key] = trouble
+        if trouble.until_ms > now_ms:
+            return
+        trouble.failures += 1
+        if trouble.failures >= MAX_FAILURES:
+            trouble.failures = 0
+            trouble.until_ms = now_ms + min(MAX_MS, FIRST_MS << trouble.times)
+            trouble.times += 1
+
+    def sweep(self, *, now_ms):
+        """Forget what is long past."""
+        for key, trouble in list(self._troubles.items()):
+            if trouble.until_ms + FORGIVE_MS <= now_ms:
+                del self._troubles[key]
+
+    # Queries
+
+    def usable(self, upstreams, doubtful=(), *, now_ms):
+        """Return a pool without those that are ejected, then those that are doubtful.
+
+        If the share doesn't allow for all, those whose ejection ends first stay in.
+        """
+        ejected = [
+            trouble
+            for trouble in map(self._troubles.get, (u.key for u in upstreams))
+            if trouble is not None and trouble.until_ms > now_ms
+        ]
+        if not ejected and not doubtful:
+            return upstreams
+        ejected.sort(key=lambda trouble: trouble.until_ms, reverse=True)
+        worst_first = [*(trouble.key for trouble in ejected), *doubtful]
+        worst_first = list(dict.fromkeys(worst_first))
+        out = set(worst_first[: int(len(upstreams) * self._share)])
+        return [upstream for upstream in upstreams if upstream.key not in out]
+
+    def ejected(self, *, now_ms):
+        """Return the keys of the upstreams under ejection."""
+        return [t.key for t in self._troubles.values() if t.until_ms > now_ms]
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -3,6 +3,7 @@
 from knapweeddeal.actions import Address, ToCaller, UpstreamKey
 from knapweeddeal.balance import choose
 from knapweeddeal.directory import Directory
+from knapweeddeal.ejection import Ejection
 from knapweeddeal.messages.caller import MAX_BODY_BYTES, AnswerPart, Outcome
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
@@ -32,6 +33,7 @@
         "count",
         "directory",
         "draining",
+        "ejection",
         "identity",
         "limits",
         "refusals",
@@ -52,9 +54,11 @@
         self.directory = Directory(
             lease_ms=limits.lease_ms,
             name=identity.entry_id,
+            zone=identity.zone,
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
+        self.ejection = Ejection(share=limits.max_ejected_percent / 100)
         self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
@@ -89,17 +93,19 @@
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready
-            and upstream.key not in tried
-            and not self.leaving(upstream.key)
+            if upstream.ready and not self.leaving(upstream.key)
         ]
+        doubtful = [u.key for u in usable if u.is_doubtful(now_ms=now_ms)]
+        usable = self.ejection.usable(usable, doubtful, now_ms=now_ms)
+        usable = [u for u in usable if u.key not in tried]
         return choose(usable, zone=self.identity.zone, rng=self.rng)
 
-    def note_load(self, key, message):
-        """Take the load that an upstream reports."""
+    def note_load(self, key, message, *, now_ms):
+        """Take the load that an upstream reports on the data path."""
+        self.ejection.succeed(key)
         upstream = self.directory.get(key)
         if upstream is not None:
-            upstream.connections = message.connections
+            upstream.report(message.connections, now_ms=now_ms)
 
     def refuse(self, refusal, flow_id, number, reason):
         """Hold a refusal back until its record is held; return whether it fits."""
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -122,6 +122,7 @@
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
+        self.context.ejection.fail(key, now_ms=now_ms)
         self.moves.stream_down(key, now_ms=now_ms)
         self.directory.stream_down(key)
         return [
@@ -155,7 +156,7 @@
 
     @from_upstream.register
     def _(self, message: FlowAccepted, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         actions = self.moves.accepted(message, key, now_ms=now_ms)
         if actions is None:
             return self.opening.accepted(message, key, now_ms=now_ms)
@@ -163,7 +164,7 @@
 
     @from_upstream.register
     def _(self, message: FlowShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return self._shed(message, key, now_ms)
 
     def _shed(self, message, key, now_ms):
@@ -174,7 +175,7 @@
 
     @from_upstream.register
     def _(self, message: WorkAnswer, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return [
             *self.owner.answered(message, key),
             *self.resolution.answered(message, key),
@@ -182,7 +183,7 @@
 
     @from_upstream.register
     def _(self, message: WorkShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return self.owner.shed(message, key)
 
     @from_upstream.register
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -48,6 +48,7 @@
     VersionApplied,
     VersionCame,
 )
+from knapweeddeal.healthpoll import HealthPoll
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.limits import Limits
 from knapweeddeal.logs import Log
@@ -116,6 +117,7 @@
             limits=Limits(
                 lease_ms=settings.lease_ms,
                 lease_ask_ms=settings.lease_ask_ms,
+                max_ejected_percent=settings.max_ejected_percent,
                 registrars_per_zone=settings.registrars_per_zone,
                 stop_ms=settings.stop_ms,
             ),
@@ -174,6 +176,7 @@
         return Presence(
             membership=membership,
             registrar=registrar,
+            health=HealthPoll(poll_ms=settings.poll_ms),
             per_zone=settings.registrars_per_zone,
             counters=self._count,
         )
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "DirectoryCame",
+    "HealthCame",
     "MemberDatagram",
     "MemberLost",
     "MembersCame",
@@ -96,6 +97,12 @@
     __slots__ = ("announce",)
 
 
+class HealthCame(Record):
+    """Tell what a poll of an upstream gave: its health, or None."""
+
+    __slots__ = ("health", "name")
+
+
 class MemberDatagram(Record):
     """Tell of a datagram of another entry."""
 
--- /dev/null
+++ b/knapweeddeal/healthpoll.py
@@ -0,0 +1,157 @@
+"""knapweeddeal.healthpoll: Which upstreams to poll, and what their polls gave."""
+
+import heapq
+import operator
+
+from knapweeddeal.messages.peer import LoadFigure, LoadReport, UpstreamName
+from knapweeddeal.record import Record
+
+__all__ = ["HealthPoll", "Poll"]
+
+#: Polls that one call may start, whatever the number of upstreams.
+MAX_STARTS = 4
+#: Longest time between polls of an upstream that doesn't answer, in poll times.
+MAX_BACKOFF = 16
+#: Figures in one report.
+MAX_FIGURES = 12
+#: Part of a capacity by which a figure must move to be passed on at once.
+STEPS = 8
+#: Time after which figures that didn't move are passed on again.
+REPEAT_MS = 4_000
+
+VERSION = operator.attrgetter("version")
+
+
+class Poll(Record):
+    """Ask the shell to read an upstream's health."""
+
+    __slots__ = ("host", "name", "port")
+
+
+class Polled(Record):
+    """Hold the polls of one upstream."""
+
+    __slots__ = (
+        "announce",
+        "due_ms",
+        "failures",
+        "health",
+        "steps",
+        "taken_ms",
+        "told_ms",
+        "version",
+    )
+
+
+class HealthPoll:
+    """Plan the polls of the upstreams that a registrar lists.
+
+    Figures are hints: they age, and they are passed on a few at a time, those
+    first that moved by an eighth of the upstream's capacity.
+    """
+
+    __slots__ = ("_poll_ms", "_polled", "_queue", "version")
+
+    def __init__(self, *, poll_ms):
+        self._poll_ms = poll_ms
+        #: Upstreams by name.
+        self._polled = {}
+        #: Times and names of the polls to come; some are outdated.
+        self._queue = []
+        self.version = 0
+
+    # Commands
+
+    def follow(self, announces, *, now_ms):
+        """Poll exactly these upstreams, where they have a health port."""
+        wanted = {_name(a): a for a in announces if a.health_port}
+        self._polled = {n: p for n, p in self._polled.items() if n in wanted}
+        for name, announce in wanted.items():
+            polled = self._polled.get(name)
+            if polled is not None:
+                polled.announce = announce
+                continue
+            self._polled[name] = Polled(
+                announce=announce,
+                due_ms=now_ms,
+                failures=0,
+                health=None,
+                steps=None,
+                taken_ms=now_ms,
+                told_ms=now_ms,
+                version=0,
+            )
+            self._push(now_ms, name)
+
+    def due(self, *, now_ms):
+        """Return the polls to start now."""
+        polls = []
+        while self._queue and self._queue[0][0] <= now_ms and len(polls) < MAX_STARTS:
+            due_ms, *_, name = heapq.heappop(self._queue)
+            polled = self._polled.get(name)
+            if polled is None or polled.due_ms != due_ms:
+                continue
+            polled.due_ms = now_ms + self._wait_ms(polled)
+            self._push(polled.due_ms, name)
+            announce = polled.announce
+            poll = Poll(name=name, host=announce.host, port=announce.health_port)
+            polls.append(poll)
+        return polls
+
+    def take(self, name, health, *, now_ms):
+        """Take what a poll gave: the health, or None."""
+        polled = self._polled.get(name)
+        if polled is None:
+            return
+        if health is None:
+            polled.failures += 1
+            return
+        polled.failures = 0
+        polled.health = health
+        polled.taken_ms = now_ms
+        steps = _steps(polled.announce, health)
+        if steps != polled.steps or now_ms - polled.told_ms >= REPEAT_MS:
+            polled.steps = steps
+            polled.told_ms = now_ms
+            self.version += 1
+            polled.version = self.version
+
+    # Queries
+
+    def report(self, ask, *, now_ms):
+        """Return the next figures to tell since the asker's version."""
+        since = ask.version if ask.version <= self.version else 0
+        moved = [p for p in self._polled.values() if p.version > since]
+        told = heapq.nsmallest(MAX_FIGURES, moved, key=VERSION)
+        version = told[-1].version if len(moved) > len(told) else self.version
+        figures = [_figure(polled, now_ms) for polled in told]
+        return LoadReport(asked_ms=ask.asked_ms, version=version, figures=figures)
+
+    def _push(self, due_ms, name):
+        item = (due_ms, name.service, name.upstream_id, name)
+        heapq.heappush(self._queue, item)
+
+    def _wait_ms(self, polled):
+        return self._poll_ms * min(MAX_BACKOFF, 1 << polled.failures)
+
+
+def _name(announce):
+    return UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
+
+
+def _steps(announce, health):
+    return (
+        health.healthy,
+        STEPS * health.outstanding // announce.slots,
+        STEPS * health.connections // announce.max_connections,
+    )
+
+
+def _figure(polled, now_ms):
+    return LoadFigure(
+        name=_name(polled.announce),
+        healthy=polled.health.healthy,
+        outstanding=polled.health.outstanding,
+        connections=polled.health.connections,
+        age_ms=now_ms - polled.taken_ms,
+    )
--- /dev/null
+++ b/knapweeddeal/healthreader.py
@@ -0,0 +1,87 @@
+"""knapweeddeal.healthreader: An upstream's health and load, read from HTTP."""
+
+import json
+
+import h11
+
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.record import Record
+
+__all__ = ["Health", "HealthReader", "health_request"]
+
+PATH = "/health"
+#: Longest body that is read.
+MAX_BODY_BYTES = 4_096
+MAX_COUNT = 1_000_000
+STATUS_OK = 200
+
+
+class Health(Record):
+    """Hold what an upstream says of itself."""
+
+    __slots__ = ("connections", "healthy", "outstanding")
+
+
+def health_request(host):
+    """Return a connection state and the bytes that ask for health."""
+    connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_BODY_BYTES)
+    request = h11.Request(
+        method="GET",
+        target=PATH,
+        headers=[("Host", host), ("Connection", "close")],
+    )
+    data = connection.send(request) + connection.send(h11.EndOfMessage())
+    return connection, data
+
+
+class HealthReader:
+    """Take the bytes of an answer as they come; raise BadMessageError on nonsense."""
+
+    __slots__ = ("_body", "_connection", "_status")
+
+    def __init__(self, *, connection):
+        self._connection = connection
+        self._status = 0
+        self._body = b""
+
+    def feed(self, data):
+        """Take bytes, none at the end; return the health once it is whole, or None."""
+        try:
+            self._connection.receive_data(data)
+            while True:
+                event = self._connection.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return None
+                if type(event) in (h11.EndOfMessage, h11.ConnectionClosed):
+                    return self._health()
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            raise BadMessageError("not HTTP", field="health", value=error) from None
+
+    def _take(self, event):
+        if type(event) is h11.Response:
+            self._status = event.status_code
+        elif type(event) is h11.Data:
+            self._body += event.data
+        if len(self._body) > MAX_BODY_BYTES:
+            raise BadMessageError("too long", field="health", value=len(self._body))
+
+    def _health(self):
+        try:
+            figures = json.loads(self._body)
+        except (ValueError, RecursionError):
+            raise BadMessageError("not JSON", field="health") from None
+        if type(figures) is not dict:
+            raise BadMessageError("not an object", field="health")
+        return Health(
+            healthy=self._status == STATUS_OK,
+            outstanding=_count(figures, "outstanding"),
+            connections=_count(figures, "connections"),
+        )
+
+
+def _count(figures, name):
+    value = figures.get(name)
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise BadMessageError("not a count", field=name, value=value)
+    return value
--- /dev/null
+++ b/knapweeddeal/healthtask.py
@@ -0,0 +1,65 @@
+"""knapweeddeal.healthtask: The tasks that read upstreams' health over HTTP."""
+
+import curio
+
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.events import HealthCame
+from knapweeddeal.healthreader import HealthReader, health_request
+from knapweeddeal.ipnumbers import checked_ip
+
+__all__ = ["HealthTask"]
+
+#: Polls under way at a time, and polls that may wait.
+WORKERS = 4
+MAX_WAITING = 64
+#: Longest time that one poll may take.
+TIMEOUT_S = 1.0
+READ_BYTES = 4_096
+
+
+class HealthTask:
+    """Poll upstreams; put what came into an inbox."""
+
+    __slots__ = ("_count", "_inbox", "_queue")
+
+    def __init__(self, *, inbox, counters):
+        self._inbox = inbox
+        self._count = counters
+        self._queue = curio.Queue(maxsize=MAX_WAITING)
+
+    async def offer(self, poll):
+        """Queue a poll, unless too many wait."""
+        if not self._queue.full():
+            await self._queue.put(poll)
+
+    async def run(self):
+        """Poll until cancelled."""
+        async with curio.TaskGroup() as group:
+            for _ in range(WORKERS):
+                await group.spawn(self._work)
+
+    async def _work(self):
+        while True:
+            poll = await self._queue.get()
+            health = None
+            try:
+                health = await curio.timeout_after(TIMEOUT_S, self._read, poll)
+            except BadMessageError:
+                self._count("health_nonsense")
+            except (OSError, OverflowError, ValueError, curio.TaskTimeout):
+                self._count("health_unreachable")
+            await self._inbox.put(HealthCame(name=poll.name, health=health))
+
+    async def _read(self, poll):
+        state, data = health_request(poll.host)
+        reader = HealthReader(connection=state)
+        connection = await curio.open_connection(checked_ip(poll.host), poll.port)
+        async with connection:
+            await connection.sendall(data)
+            while True:
+                data = await connection.recv(READ_BYTES)
+                health = reader.feed(data)
+                if health is not None:
+                    return health
+                if not data:
+                    raise BadMessageError("ends early", field="health")
--- a/knapweeddeal/limits.py
+++ b/knapweeddeal/limits.py
@@ -12,6 +12,7 @@
         "lease_ms",
         "max_answer_bytes",
         "max_answers",
+        "max_ejected_percent",
         "max_flows",
         "max_opens",
         "registrars_per_zone",
@@ -29,6 +30,7 @@
         max_opens=20_000,
         max_answers=200_000,
         max_answer_bytes=48 * 1024 * 1024,
+        max_ejected_percent=34,
         stop_ms=10_000,
     ):
         #: Life of an upstream's lease, and time between asks for it.
@@ -46,6 +48,8 @@
         self.max_answers = max_answers
         #: Bytes of the answers kept over all flows.
         self.max_answer_bytes = max_answer_bytes
+        #: Share of a pool that may be kept from new flows for failures.
+        self.max_ejected_percent = max_ejected_percent
         #: Longest time that a planned stop waits for requests in progress.
         self.stop_ms = stop_ms
 
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -32,6 +32,9 @@
     "LeaseAnswer",
     "LeaseAsk",
     "LedgerRecord",
+    "LoadAsk",
+    "LoadFigure",
+    "LoadReport",
     "PeerHello",
     "RefusalAck",
     "RefusalBatch",
@@ -231,6 +234,40 @@
     __slots__ = tuple(schema)
 
 
+class LoadAsk(Message):
+    """Ask a registrar for what polls gave since `version`."""
+
+    tag = 57
+    schema = {"asked_ms": Whole(), "version": Whole()}
+    __slots__ = tuple(schema)
+
+
+class LoadFigure(Message):
+    """Tell what an upstream said of itself `age_ms` ago."""
+
+    tag = 58
+    schema = {
+        "name": Nested(UpstreamName),
+        "healthy": Flag(),
+        "outstanding": Whole(maximum=1_000_000),
+        "connections": Whole(maximum=1_000_000),
+        "age_ms": Whole(),
+    }
+    __slots__ = tuple(schema)
+
+
+class LoadReport(Message):
+    """Answer a load ask; `asked_ms` is the asker's and comes back as it was."""
+
+    tag = 59
+    schema = {
+        "asked_ms": Whole(),
+        "version": Whole(),
+        "figures": ListOf(Nested(LoadFigure), max_items=64),
+    }
+    __slots__ = tuple(schema)
+
+
 class RefusalRecord(Message):
     """Account for one refusal."""
 
--- a/knapweeddeal/opening.py
+++ b/knapweeddeal/opening.py
@@ -117,6 +117,8 @@
             if pending.until_ms > now_ms:
                 return
             self._context.count("opens_expired")
+            if pending.tried:
+                self._context.ejection.fail(pending.tried[-1], now_ms=now_ms)
             self._end(pending)
 
     def clear(self):
--- a/knapweeddeal/presence.py
+++ b/knapweeddeal/presence.py
@@ -24,6 +24,8 @@
     DirectoryDelta,
     LeaseAnswer,
     LeaseAsk,
+    LoadAsk,
+    LoadReport,
 )
 from knapweeddeal.placement import Placement
 from knapweeddeal.registrar import announce_digest
@@ -40,9 +42,12 @@
     The events are for the deciding task of the entry. `counters` counts by name.
     """
 
-    def __init__(self, *, membership, registrar, per_zone, counters):
+    def __init__(self, *, membership, registrar, health, per_zone, counters):
         self.membership = membership
         self.registrar = registrar
+        self.health = health
+        #: Version of the registrar whose upstreams are polled.
+        self._followed = 0
         self._per_zone = per_zone
         self._count = counters
         self._placement = None
@@ -63,7 +68,14 @@
 
     def tick(self, *, now_ms):
         """Do what time asks for."""
-        return self._translate(self.membership.tick(now_ms=now_ms))
+        self.registrar.sweep(now_ms=now_ms)
+        if self.registrar.version != self._followed:
+            self._followed = self.registrar.version
+            self.health.follow(self.registrar.listed(), now_ms=now_ms)
+        return [
+            *self._translate(self.membership.tick(now_ms=now_ms)),
+            *self.health.due(now_ms=now_ms),
+        ]
 
     def members(self):
         """Return the event that tells the entry of the live members."""
@@ -99,7 +111,7 @@
         """Ask a registrar for its lease."""
         if name != self._name:
             return self._to(name, ask)
-        answer = self.registrar.answer(ask, now_ms=now_ms)
+        answer = self._answer(ask, now_ms=now_ms)
         return [DirectoryCame(name=name, message=answer)]
 
     def set_version(self, version):
@@ -136,13 +148,20 @@
         announced = Announced(announce=announce)
         return [SendDatagram(address=source, message=announced)]
 
-    @receive.register
-    def _(self, message: LeaseAsk, source, *, now_ms):
-        answer = self.registrar.answer(message, now_ms=now_ms)
+    @receive.register(LeaseAsk)
+    @receive.register(LoadAsk)
+    def _(self, message, source, *, now_ms):
+        answer = self._answer(message, now_ms=now_ms)
         return [SendDatagram(address=source, message=answer)]
 
+    def _answer(self, ask, *, now_ms):
+        if type(ask) is LoadAsk:
+            return self.health.report(ask, now_ms=now_ms)
+        return self.registrar.answer(ask, now_ms=now_ms)
+
     @receive.register(LeaseAnswer)
     @receive.register(DirectoryDelta)
+    @receive.register(LoadReport)
     def _(self, message, source, *, now_ms):
         name = self.membership.records.at(source)
         if name is None:
--- a/knapweeddeal/presenceport.py
+++ b/knapweeddeal/presenceport.py
@@ -1,8 +1,7 @@
 """knapweeddeal.presenceport: The task and the socket of an entry's presence."""
 
-import ipaddress
 import traceback
-from functools import lru_cache, singledispatchmethod
+from functools import singledispatchmethod
 
 import curio
 
@@ -12,11 +11,15 @@
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.events import (
     AnnounceCame,
+    HealthCame,
     MemberDatagram,
     Tick,
     VersionApplied,
 )
+from knapweeddeal.healthpoll import Poll
+from knapweeddeal.healthtask import HealthTask
 from knapweeddeal.inbox import Inbox
+from knapweeddeal.ipnumbers import checked_ip
 from knapweeddeal.logs import Log
 from knapweeddeal.membership import SendDatagram
 from knapweeddeal.messages import decode, encode
@@ -38,7 +41,7 @@
 class PresencePort:
     """Own the presence and its socket; tell the entry's inbox what concerns it."""
 
-    __slots__ = ("_count", "_entry", "_presence", "_socket", "inbox")
+    __slots__ = ("_count", "_entry", "_health", "_presence", "_socket", "inbox")
 
     def __init__(self, *, presence, address, entry, counters):
         self._presence = presence
@@ -46,12 +49,15 @@
         self._count = counters
         self._socket = udp_socket(address)
         self.inbox = Inbox(max_events=MAX_EVENTS)
+        self._health = HealthTask(inbox=self.inbox, counters=counters)
 
     async def run(self):
         """Carry datagrams until cancelled."""
         await self._entry.put_at_once(self._presence.members())
         async with self._socket:
-            await run_until_first(self._receive(), self._tick(), self._decide())
+            await run_until_first(
+                self._receive(), self._tick(), self._decide(), self._health.run()
+            )
 
     async def leave(self):
         """Tell others that this entry leaves."""
@@ -107,6 +113,11 @@
     def _(self, event: AnnounceCame, now_ms):
         return self._presence.announce(event.announce, now_ms=now_ms)
 
+    @_handle.register
+    def _(self, event: HealthCame, now_ms):
+        self._presence.health.take(event.name, event.health, now_ms=now_ms)
+        return []
+
     @_handle.register
     def _(self, event: AskRegistrar, now_ms):
         return self._presence.ask(event.name, event.message, now_ms=now_ms)
@@ -123,6 +134,8 @@
         for action in actions:
             if type(action) is SendDatagram:
                 await self._send(action)
+            elif type(action) is Poll:
+                await self._health.offer(action)
             else:
                 await self._entry.put_at_once(action)
 
@@ -132,12 +145,6 @@
         self._count("presence_datagrams_sent")
         self._count("presence_bytes_sent", len(data))
         try:
-            await self._socket.sendto(data, (_checked_ip(host), port))
+            await self._socket.sendto(data, (checked_ip(host), port))
         except (OSError, OverflowError, ValueError):
             self._count("dropped_send_error")
-
-
-@lru_cache(maxsize=10_000)
-def _checked_ip(host):
-    """Return an IP number, or raise ValueError: names are never looked up."""
-    return str(ipaddress.ip_address(host))
--- /dev/null
+++ b/tests/test_healthpoll.py
@@ -0,0 +1,256 @@
+"""tests.test_healthpoll: Tests of health polls, and of nonsense in their answers."""
+
+import json
+
+import curio
+import testscenarios
+import testtools
+
+from knapweeddeal.directory import Upstream
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.healthpoll import MAX_FIGURES, MAX_STARTS, REPEAT_MS, HealthPoll, Poll
+from knapweeddeal.healthreader import Health, HealthReader, health_request
+from knapweeddeal.healthserver import serve_health
+from knapweeddeal.healthtask import HealthTask
+from knapweeddeal.inbox import Inbox
+from knapweeddeal.messages.peer import LoadAsk, LoadFigure, UpstreamName
+from tests.directoryfakes import announce
+from tests.processes import free_port
+
+POLL_MS = 1_000
+FIGURES = b'{"outstanding": 3, "connections": 40}'
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def answer(body, status=b"200 OK"):
+    """Return an answer of HTTP."""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+def read(data, size):
+    """Return what a reader makes of bytes that come in pieces."""
+    state, _ = health_request("127.0.0.1")
+    reader = HealthReader(connection=state)
+    pieces = [data[start : start + size] for start in range(0, len(data), size)]
+    for piece in [*pieces, b""]:
+        health = reader.feed(piece)
+        if health is not None:
+            return health
+    return None
+
+
+class Good(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Answers of several forms are read, in pieces of any size."""
+
+    chunked = (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n25\r\n" + FIGURES + b"\r\n0\r\n\r\n"
+    )
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("whole", {"data": answer(FIGURES), "healthy": True}),
+            ("unhealthy", {"data": answer(FIGURES, b"503 No"), "healthy": False}),
+            ("chunked", {"data": chunked, "healthy": True}),
+            ("until the end", {"data": HEAD + b"\r\n" + FIGURES, "healthy": True}),
+        ],
+        [(f"{size} bytes", {"size": size}) for size in (1, 7, 4096)],
+    )
+
+    def test_read(self):
+        expected = Health(healthy=self.healthy, outstanding=3, connections=40)
+        self.assertEqual(expected, read(self.data, self.size))
+
+
+class Nonsense(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Every kind of nonsense raises BadMessageError."""
+
+    scenarios = [
+        ("nothing", {"data": b""}),
+        ("garbage", {"data": b"\x00\xff" * 50 + b"\r\n\r\n"}),
+        ("endless head", {"data": HEAD + b"A: b\r\n" * 10_000}),
+        ("cut short", {"data": answer(FIGURES)[:-3]}),
+        ("too long", {"data": answer(b" " * 5_000 + FIGURES)}),
+        ("no JSON", {"data": answer(b"fine")}),
+        ("deep JSON", {"data": answer(b"[" * 4_000)}),
+        ("list", {"data": answer(b"[3, 40]")}),
+        ("lacks a count", {"data": answer(b'{"outstanding": 3}')}),
+        ("text", {"data": answer(b'{"outstanding": "3", "connections": 40}')}),
+        ("negative", {"data": answer(b'{"outstanding": -3, "connections": 40}')}),
+        ("fraction", {"data": answer(b'{"outstanding": 0.5, "connections": 40}')}),
+        ("truth", {"data": answer(b'{"outstanding": true, "connections": 40}')}),
+        ("huge", {"data": answer(b'{"outstanding": 3, "connections": 4000000}')}),
+        ("not finite", {"data": answer(b'{"outstanding": NaN, "connections": 4}')}),
+    ]
+
+    def test_raises(self):
+        self.assertRaises(BadMessageError, read, self.data, 4096)
+
+
+def health(outstanding=0, connections=0):
+    """Return a health."""
+    return Health(healthy=True, outstanding=outstanding, connections=connections)
+
+
+def polled(count):
+    """Return the polls of some upstreams, and their names."""
+    poll = HealthPoll(poll_ms=POLL_MS)
+    announces = [announce(number, health_port=80) for number in range(count)]
+    poll.follow(announces, now_ms=0)
+    return poll, [
+        UpstreamName(service=a.service, upstream_id=a.upstream_id) for a in announces
+    ]
+
+
+class Plan(testtools.TestCase):
+    """Polls start at a bounded rate, less often where nothing answers."""
+
+    def test_rate_and_turns(self):
+        poll, names = polled(20)
+        seen = []
+        for now_ms in range(0, POLL_MS, 100):
+            started = poll.due(now_ms=now_ms)
+            self.assertLessEqual(len(started), MAX_STARTS)
+            seen += [item.name for item in started]
+        self.assertEqual(sorted(map(str, names)), sorted(map(str, seen)))
+
+    def test_backoff(self):
+        poll, (name,) = polled(1)
+        starts = []
+        for now_ms in range(0, 60_000, 100):
+            if poll.due(now_ms=now_ms):
+                poll.take(name, None, now_ms=now_ms)
+                starts.append(now_ms // 1_000)
+        self.assertEqual([0, 1, 3, 7, 15, 31, 47], starts)
+
+    def test_without_port(self):
+        poll = HealthPoll(poll_ms=POLL_MS)
+        poll.follow([announce()], now_ms=0)
+        self.assertEqual([], poll.due(now_ms=0))
+
+    def test_gone(self):
+        poll, (name,) = polled(1)
+        poll.follow([], now_ms=1)
+        poll.take(name, health(), now_ms=2)
+        self.assertEqual([], poll.due(now_ms=10_000))
+
+
+class Report(testtools.TestCase):
+    """Figures are told when they moved much, or after a while, a few at a time."""
+
+    def figures(self, poll, version, now_ms):
+        ask = LoadAsk(asked_ms=5, version=version)
+        report = poll.report(ask, now_ms=now_ms)
+        return report.version, [figure.connections for figure in report.figures]
+
+    def test_moved(self):
+        poll, (name,) = polled(1)
+        poll.take(name, health(connections=10), now_ms=0)
+        version, figures = self.figures(poll, 0, 0)
+        self.assertEqual([10], figures)
+        poll.take(name, health(connections=11), now_ms=1_000)
+        self.assertEqual((version, []), self.figures(poll, version, 1_000))
+        poll.take(name, health(connections=1_011), now_ms=2_000)
+        version, figures = self.figures(poll, version, 2_000)
+        self.assertEqual([1_011], figures)
+        poll.take(name, health(connections=1_012), now_ms=2_000 + REPEAT_MS)
+        self.assertEqual([1_012], self.figures(poll, version, 7_000)[1])
+
+    def test_parts(self):
+        poll, names = polled(2 * MAX_FIGURES + 1)
+        for number, name in enumerate(names):
+            poll.take(name, health(connections=number), now_ms=0)
+        version, told = 0, []
+        for _ in range(3):
+            version, figures = self.figures(poll, version, 0)
+            told += figures
+        self.assertEqual(list(range(2 * MAX_FIGURES + 1)), told)
+
+    def test_age(self):
+        poll, (name,) = polled(1)
+        poll.take(name, health(), now_ms=100)
+        report = poll.report(LoadAsk(asked_ms=5, version=99), now_ms=350)
+        self.assertEqual([250], [figure.age_ms for figure in report.figures])
+
+
+class Rank(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The data path's word goes before a poll's; a poll's fades.
+
+    `reported` and `polled` are (time, connections); the time now is 20,000 ms.
+    """
+
+    scenarios = [
+        ("poll alone", {"reported": None, "polled": (19_000, 7), "want": 7}),
+        (
+            "report just now",
+            {"reported": (18_500, 5), "polled": (19_000, 7), "want": 5},
+        ),
+        ("report long ago", {"reported": (9_000, 5), "polled": (19_000, 7), "want": 7}),
+        ("poll older", {"reported": (19_500, 5), "polled": (19_000, 7), "want": 5}),
+        (
+            "poll very old",
+            {"reported": None, "polled": (2_000, 7), "want": 7, "fades": True},
+        ),
+    ]
+    fades = False
+
+    def test_rank(self):
+        upstream = Upstream(announce=announce(), lease_ms=1)
+        if self.reported:
+            upstream.report(self.reported[1], now_ms=self.reported[0])
+        polled_ms, connections = self.polled
+        figure = LoadFigure(
+            name=UpstreamName(service="records", upstream_id="upstream-1"),
+            healthy=False,
+            outstanding=0,
+            connections=connections,
+            age_ms=20_000 - polled_ms,
+        )
+        upstream.take_polled(figure, now_ms=20_000)
+        self.assertEqual(self.want, upstream.connections)
+        newer_report = self.reported and self.reported[0] > polled_ms
+        doubtful = not newer_report and not self.fades
+        self.assertEqual(doubtful, upstream.is_doubtful(now_ms=20_000))
+
+
+class OverSockets(testtools.TestCase):
+    """The tasks read the reference side, and survive what isn't one."""
+
+    def poll(self, serve, *, host="127.0.0.1", count=8):
+        port = free_port()
+
+        async def main():
+            inbox = Inbox(max_events=100)
+            counted = []
+            task = HealthTask(inbox=inbox, counters=counted.append)
+            server = await curio.spawn(serve, ("127.0.0.1", port))
+            runner = await curio.spawn(task.run)
+            events = []
+            while len(events) < count:
+                await task.offer(Poll(name="u", host=host, port=port))
+                events += await inbox.take(1)
+            await runner.cancel()
+            await server.cancel()
+            return [event.health for event in events], counted
+
+        return curio.run(main)
+
+    async def serve(self, address):
+        await serve_health(address, lambda: (200, json.loads(FIGURES)))
+
+    def test_reference_side(self):
+        self.assertEqual(health(3, 40), self.poll(self.serve)[0][-1])
+
+    def test_nonsense(self):
+        async def take(connection, _address):
+            await connection.sendall(b"\xff" * 100 + b"\r\n\r\n")
+            await connection.close()
+
+        async def serve(address):
+            await curio.tcp_server(*address, take, reuse_address=True)
+
+        healths, counted = self.poll(serve)
+        self.assertEqual([None] * 8, healths)
+        self.assertIn("health_nonsense", counted)
+
+    def test_host_that_is_a_name(self):
+        healths, _ = self.poll(self.serve, host="localhost")
+        self.assertEqual([None] * 8, healths)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -4,13 +4,15 @@
 
 import testtools
 
-from knapweeddeal.actions import Address
+from knapweeddeal.actions import Address, Dial
 from knapweeddeal.directory import AskRegistrar, Directory
 from knapweeddeal.events import DirectoryCame, MemberLost, MembersCame, VersionCame
+from knapweeddeal.healthpoll import HealthPoll, Poll
+from knapweeddeal.healthreader import Health
 from knapweeddeal.membership import Membership, SendDatagram
 from knapweeddeal.messages import decode, encode
 from knapweeddeal.messages.member import ALIVE, MemberRecord
-from knapweeddeal.messages.peer import AnnounceSeen, LeaseAnswer
+from knapweeddeal.messages.peer import AnnounceSeen, LeaseAnswer, UpstreamName
 from knapweeddeal.presence import Presence
 from knapweeddeal.registrar import Registrar, announce_digest
 from tests.directoryfakes import LEASE_MS, SILENCE_MS, announce
@@ -57,9 +59,13 @@
             epoch=self.rng.getrandbits(32), silence_ms=SILENCE_MS, now_ms=0
         )
         self.entries[name] = Presence(
-            membership=membership, registrar=registrar, per_zone=2, counters=str
+            membership=membership,
+            registrar=registrar,
+            health=HealthPoll(poll_ms=1_000),
+            per_zone=2,
+            counters=str,
         )
-        self.directories[name] = Directory(lease_ms=LEASE_MS, name=name)
+        self.directories[name] = Directory(lease_ms=LEASE_MS, name=name, zone=zone)
         self._perform(name, [self.entries[name].members()])
 
     def announce(self, name, message):
@@ -96,6 +102,8 @@
                 directory = self.directories[name]
                 taken = directory.take(action.message, action.name, now_ms=self.now_ms)
                 self._perform(name, taken)
+            elif type(action) in (Dial, Poll):
+                continue
             elif type(action) is MembersCame:
                 self.directories[name].set_members(action.names_by_zone)
             else:
@@ -129,6 +137,7 @@
     def __init__(self, run):
         self.run = run
         self.sequence = 0
+        self.health_port = 0
         self.alive = {"zone-a": 1, "zone-b": 2}
 
     def __call__(self):
@@ -141,7 +150,12 @@
                 for name in self.run.entries
                 if self.run.side.get(name) in (None, zone)
             ]
-            message = announce(number, zone=zone, sequence=self.sequence)
+            message = announce(
+                number,
+                zone=zone,
+                sequence=self.sequence,
+                health_port=self.health_port,
+            )
             self.run.announce(self.run.rng.choice(names), message)
 
 
@@ -184,6 +198,28 @@
         self.assertIn("AnnounceSeen", kinds)
         self.assertNotIn("Announced", kinds)
 
+    def test_polls_reach_the_zone(self):
+        listed = UpstreamName(service="records", upstream_id="upstream-1")
+        health = Health(healthy=True, outstanding=1, connections=77)
+
+        def step():
+            self.announcing()
+            for name in ZONES["zone-a"]:
+                entry = self.net.entries[name]
+                entry.health.take(listed, health, now_ms=self.net.now_ms)
+
+        self.announcing.health_port = 80
+        self.net.run(4_000, step)
+        known = {
+            name: {
+                upstream.key.upstream_id: upstream.connections
+                for upstream in directory.all()
+            }["upstream-1"]
+            for name, directory in self.net.directories.items()
+        }
+        expected = dict.fromkeys(ZONES["zone-a"], 77)
+        self.assertEqual({**dict.fromkeys(ZONES["zone-b"], 0), **expected}, known)
+
     def test_events(self):
         self.net.side = {"entry-6": "alone"}
         self.net.run(20_000)
