--- a/bench/choosers.py
+++ b/bench/choosers.py
@@ -1,5 +1,7 @@
 """bench.choosers: Ways of choosing an upstream that the policy is measured against."""
 
+import zlib
+
 from knapweeddeal.balance import Balancer, choose
 
 __all__ = ["CHOOSERS", "Chooser"]
@@ -16,14 +18,17 @@
         """Return one of the upstreams at random."""
         return rng.choice(upstreams) if upstreams else None
 
-    def reported(self, key, outstanding, connections, *, now_ms):
+    def reported(self, key, *, outstanding, connections, now_ms):
         """Take a reported load."""
 
-    def opened(self, key, *, now_ms):
+    def asked(self, key, *, now_ms):
         """Note a flow that is asked for."""
 
-    def owned(self, key, change, *, now_ms):
-        """Note that the flows owned here grew or shrank."""
+    def own(self, key, *, now_ms):
+        """Note one own flow more."""
+
+    def disown(self, key):
+        """Note one own flow less."""
 
     def shed(self, key, *, now_ms):
         """Note that a flow was turned away."""
@@ -49,7 +54,11 @@
         """Return the upstream with the highest hash."""
         if not upstreams:
             return None
-        return max(upstreams, key=lambda u: hash((flow_id, u.key.upstream_id)))
+        return max(upstreams, key=lambda upstream: _score(flow_id, upstream))
+
+
+def _score(flow_id, upstream):
+    return zlib.crc32(f"{flow_id} {upstream.key.upstream_id}".encode())
 
 
 class Earlier(Chooser):
@@ -99,8 +108,9 @@
         super().__init__(**parts)
         self._balancer = Balancer(zone=self.zone, **self.options)
         self.reported = self._balancer.reported
-        self.opened = self._balancer.opened
-        self.owned = self._balancer.owned
+        self.asked = self._balancer.asked
+        self.own = self._balancer.own
+        self.disown = self._balancer.disown
         self.shed = self._balancer.shed
 
     def choose(self, upstreams, *, rng, now_ms, flow_id):
@@ -123,4 +133,4 @@
     "perfect, requests": PerfectRequests,
     "perfect, both": PerfectBoth,
 }
-CHOOSERS["policy"] = policy(weight=0.02)
+CHOOSERS["policy"] = Policy
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -39,8 +39,6 @@
         "asked_ms",
         "flow",
         "owner",
-        "queue",
-        "sent_ms",
         "service_ms",
         "tries",
         "until_ms",
@@ -53,8 +51,6 @@
         self.service_ms = service_ms
         self.tries = tries
         self.owner = None
-        self.sent_ms = 0.0
-        self.queue = 0
 
 
 class FakeUpstream:
@@ -95,7 +91,8 @@
         self.cold_ms = 1.0
         self.cold_factor = 1.0
         self.lag_ms = 0.0
-        self.lies = False
+        #: Share of its true load that it reports.
+        self.honesty = 1.0
         self._heap = heap
         self._history = deque()
 
@@ -113,8 +110,9 @@
 
     def report(self):
         """Return outstanding and connections as the upstream gives them."""
-        if self.lies:
-            return 0, 0
+        if self.honesty < 1.0:
+            outstanding = int(self.outstanding * self.honesty)
+            return outstanding, int(self.connections * self.honesty)
         if not self.lag_ms:
             return self.outstanding, self.connections
         now_ms = self._heap.now_ms
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -16,7 +16,14 @@
 def _lag_and_lie(world):
     for fake in world.upstreams:
         fake.lag_ms = 5_000.0
-    world.upstreams[1].lies = True
+    world.upstreams[1].honesty = 0.0
+
+
+def _lie(number, honesty):
+    def begin(world):
+        world.upstreams[number].honesty = honesty
+
+    return begin
 
 
 def _join_cold(world):
@@ -37,6 +44,11 @@
     world.upstreams[2].shed_requests = 0.0
 
 
+def _shed_all(world):
+    for fake in world.upstreams:
+        fake.shed_opens = 0.7
+
+
 def _leave(world):
     world.drain_upstream(0, 20_000.0)
 
@@ -57,6 +69,18 @@
         text="reported loads 5 s old, one upstream reports 0 always",
         events=((0.0, _lag_and_lie),),
     ),
+    "lie": Scenario(
+        text="the only upstream of its zone reports 0 always",
+        events=((0.0, _lie(3, 0.0)),),
+    ),
+    "half": Scenario(
+        text="one upstream reports half of its load",
+        events=((0.0, _lie(1, 0.5)),),
+    ),
+    "half alone": Scenario(
+        text="the only upstream of its zone reports half of its load",
+        events=((0.0, _lie(3, 0.5)),),
+    ),
     "cold": Scenario(
         text="an upstream joins empty and four times slower, warm after 20 s",
         events=((20.0, _join_cold),),
@@ -66,6 +90,11 @@
         events=((20.0, _shed), (40.0, _shed_no_more)),
         load=0.6,
     ),
+    "shed by all": Scenario(
+        text="every upstream sheds 70 % of the opens",
+        events=((20.0, _shed_all),),
+        load=0.6,
+    ),
     "cut": Scenario(
         text="a zone is cut off for 15 s",
         events=(
--- a/bench/world.py
+++ b/bench/world.py
@@ -9,7 +9,6 @@
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.refusals import RefusalQueue
-from knapweeddeal.retrybudget import RetryBudget
 
 __all__ = ["Setup", "Size", "World"]
 
@@ -62,7 +61,6 @@
 
     __slots__ = (
         "admission",
-        "budget",
         "chooser",
         "deadline_ms",
         "events",
@@ -83,7 +81,6 @@
         self.seed = seed
         #: Options of admission, None for none.
         self.admission = {}
-        self.budget = True
         #: Work offered, as a share of what the slots can do.
         self.load = 0.7
         #: Share of connection limits in use.
@@ -125,7 +122,6 @@
         self.directory = Directory(lease_ms=LEASE_MS)
         self.chooser = chooser
         self.admission = Admission(**admission)
-        self.budget = RetryBudget()
         self.refusals = RefusalQueue()
 
 
@@ -350,14 +346,11 @@
         living = [entry for entry in self.entries if entry.alive]
         entry = self.rng.choice(living)
         self.figures.opens += 1
-        entry.budget.earn()
         self._try_open(entry, [], tries, service_ms)
 
     def _try_open(self, entry, tried, tries, service_ms):
         held = self._choose(entry, tried)
         spent = len(tried) >= MAX_OPEN_TRIES
-        if held is not None and tried and not spent and self.setup.budget:
-            spent = not entry.budget.spend()
         if held is None or spent:
             reason = "shed" if tried else "no_upstream"
             self._refuse(entry, reason, lambda: self._reopen(tries))
@@ -366,7 +359,7 @@
         fake = self._fake(held)
         fake.coming += 1
         tried.append(held.key)
-        entry.chooser.opened(held.key, now_ms=self.heap.now_ms)
+        entry.chooser.asked(held.key, now_ms=self.heap.now_ms)
         delay_ms = self._way_ms(entry.zone, fake.zone)
         self.heap.after(
             delay_ms, self._decide_open, entry, fake, tried, tries, service_ms
@@ -423,12 +416,12 @@
         flow.upstream = fake
         fake.connections += 1
         key = self._key(entry, fake)
-        entry.chooser.owned(key, 1, now_ms=self.heap.now_ms)
+        entry.chooser.own(key, now_ms=self.heap.now_ms)
 
     def _detach(self, flow):
         flow.upstream.connections -= 1
         key = self._key(flow.entry, flow.upstream)
-        flow.entry.chooser.owned(key, -1, now_ms=self.heap.now_ms)
+        flow.entry.chooser.disown(key)
 
     def _drop_flow(self, flow):
         flow.opened = False
@@ -458,7 +451,7 @@
             self.figures.delayed_moves += 1
             self.heap.after(RETRY_MS, self._move, flow, left, tries + 1)
             return
-        entry.chooser.opened(held.key, now_ms=self.heap.now_ms)
+        entry.chooser.asked(held.key, now_ms=self.heap.now_ms)
         self._detach(flow)
         flow.entry = entry
         self._attach(flow, entry, target)
@@ -513,10 +506,10 @@
 
     def _renew(self, flow, entry):
         key = self._key(flow.entry, flow.upstream)
-        flow.entry.chooser.owned(key, -1, now_ms=self.heap.now_ms)
+        flow.entry.chooser.disown(key)
         flow.entry = entry
         key = self._key(entry, flow.upstream)
-        entry.chooser.owned(key, 1, now_ms=self.heap.now_ms)
+        entry.chooser.own(key, now_ms=self.heap.now_ms)
 
     def _living(self):
         return self.rng.choice([entry for entry in self.entries if entry.alive])
@@ -526,17 +519,15 @@
         entry, fake = flow.entry, flow.upstream
         job.owner = entry
         now_ms = self.heap.now_ms
-        key = self._key(entry, fake)
+        held = self._held(entry, fake)
         left_ms = job.until_ms - now_ms
         if self.setup.admission is not None and not entry.admission.admits(
-            key, slots=fake.slots, deadline_ms=left_ms, now_ms=now_ms
+            held, deadline_ms=left_ms, now_ms=now_ms
         ):
             self._refuse(entry, "deadline", lambda: self._ask_again(job))
             return
         self.figures.sent(now_ms)
-        job.sent_ms = now_ms
-        job.queue = entry.admission.forwarded(key, slots=fake.slots, now_ms=now_ms)
-        held = self._held(entry, fake)
+        entry.admission.sent(held, job, now_ms=now_ms)
         held.outstanding += 1
         way_ms = self._way_ms(entry.zone, fake.zone)
         self.heap.after(way_ms, self._take, job, fake)
@@ -590,15 +581,13 @@
     def _come_back(self, job, fake, report, answered):
         entry = job.owner
         held = self._held(entry, fake)
-        if held is not None and held.outstanding:
+        if held.outstanding:
             held.outstanding -= 1
-        key = self._key(entry, fake)
         if answered:
-            spent_ms = self.heap.now_ms - job.sent_ms
-            entry.admission.answered(
-                key, spent_ms=spent_ms, queue=job.queue, slots=fake.slots
-            )
-        entry.admission.reported(key, report[0], now_ms=self.heap.now_ms)
+            entry.admission.answered(held, job, now_ms=self.heap.now_ms)
+        else:
+            entry.admission.dropped(held, job)
+        entry.admission.reported(held, report[0], now_ms=self.heap.now_ms)
         self._report(entry, fake, report)
 
     def _report(self, entry, fake, report):
@@ -606,7 +595,10 @@
         outstanding, connections = report
         held.connections = connections
         entry.chooser.reported(
-            held.key, outstanding, connections, now_ms=self.heap.now_ms
+            held.key,
+            outstanding=outstanding,
+            connections=connections,
+            now_ms=self.heap.now_ms,
         )
 
     # Refusals
--- a/knapweeddeal/admission.py
+++ b/knapweeddeal/admission.py
@@ -1,93 +1,122 @@
 """knapweeddeal.admission: Whether a request can still be answered in time."""
 
+from knapweeddeal.record import Record
+
 __all__ = ["Admission"]
 
+#: Share of a deadline that the expected time to an answer may take.
+DEADLINE_SHARE = 0.5
 #: Answers over which times are averaged.
 ANSWERS = 32
 
 
+class Sent(Record):
+    """Hold when a request went out, and the queue that it was expected to meet."""
+
+    __slots__ = ("sent_ms", "queue")
+
+
 class Pace:
     """Hold what an entry knows of one upstream's pace and queue."""
 
-    __slots__ = ("answers", "outstanding", "reported_ms", "rounds", "sent", "spent_ms")
-
-    def __init__(self):
+    __slots__ = (
+        "answers",
+        "outstanding",
+        "reported_ms",
+        "sent",
+        "sent_since",
+        "slots",
+        "spent_ms",
+        "turns",
+    )
+
+    def __init__(self, *, slots):
+        self.slots = slots
         self.answers = 0
         #: Mean time from a request to its answer.
         self.spent_ms = 0.0
-        #: Mean of how often each slot turned over in that time.
-        self.rounds = 1.0
+        #: Mean of how often a slot turned over in that time.
+        self.turns = 1.0
         #: Requests at the upstream, as it last reported, and sent there since.
         self.outstanding = 0
         self.reported_ms = 0
-        self.sent = 0
-
-    @property
-    def slot_ms(self):
-        """Return the time of one request in a slot."""
-        return self.spent_ms / self.rounds
+        self.sent_since = 0
+        #: Requests without an answer by name.
+        self.sent = {}
 
-    def queue(self, slots, now_ms):
+    def queue(self, now_ms):
         """Return how many requests the upstream probably holds now."""
-        held = self.outstanding + self.sent
+        held = self.outstanding + self.sent_since
         if not self.answers:
             return held
-        drained = (now_ms - self.reported_ms) * slots / max(1.0, self.slot_ms)
+        slot_ms = max(1.0, self.spent_ms / self.turns)
+        drained = (now_ms - self.reported_ms) * self.slots / slot_ms
         return max(0.0, held - drained)
 
+    def expected_ms(self, now_ms):
+        """Return the expected time to the answer to one request more."""
+        return self.spent_ms / self.turns * self.turns_behind(self.queue(now_ms))
+
+    def turns_behind(self, queue):
+        """Return how often a slot turns over for a request behind a queue."""
+        return max(1.0, (queue + 1) / self.slots)
+
 
 class Admission:
     """Estimate the time to an answer from earlier answers and reported queues."""
 
     __slots__ = ("_deadline_share", "_paces")
 
-    def __init__(self, *, deadline_share=0.5):
-        #: Share of a deadline that the expected time may take.
+    def __init__(self, *, deadline_share=DEADLINE_SHARE):
         self._deadline_share = deadline_share
         self._paces = {}
 
     # Commands
 
-    def forwarded(self, key, *, slots, now_ms):
-        """Note that a request goes out; return the queue that it probably meets."""
-        pace = self._paces.setdefault(key, Pace())
-        queue = pace.queue(slots, now_ms)
-        pace.sent += 1
-        return queue
-
-    def answered(self, key, *, spent_ms, queue, slots):
-        """Note how long an answer took behind the queue that was expected."""
-        pace = self._paces.setdefault(key, Pace())
+    def sent(self, upstream, name, *, now_ms):
+        """Note that a request goes out; `name` is any name that comes only once."""
+        pace = self._pace(upstream)
+        pace.sent[name] = Sent(sent_ms=now_ms, queue=pace.queue(now_ms))
+        pace.sent_since += 1
+
+    def answered(self, upstream, name, *, now_ms):
+        """Note the answer to a request."""
+        pace = self._pace(upstream)
+        sent = pace.sent.pop(name, None)
+        if sent is None:
+            return
         pace.answers += 1
         weight = 1.0 / min(pace.answers, ANSWERS)
-        pace.spent_ms += weight * (spent_ms - pace.spent_ms)
-        pace.rounds += weight * (_rounds(queue, slots) - pace.rounds)
+        pace.spent_ms += weight * (now_ms - sent.sent_ms - pace.spent_ms)
+        pace.turns += weight * (pace.turns_behind(sent.queue) - pace.turns)
+
+    def dropped(self, upstream, name):
+        """Note that a request was sent and never ran."""
+        self._pace(upstream).sent.pop(name, None)
 
-    def reported(self, key, outstanding, *, now_ms):
+    def reported(self, upstream, outstanding, *, now_ms):
         """Note how many requests an upstream says that it holds."""
-        pace = self._paces.setdefault(key, Pace())
+        pace = self._pace(upstream)
         pace.outstanding = outstanding
         pace.reported_ms = now_ms
-        pace.sent = 0
+        pace.sent_since = 0
 
     def forget(self, key):
-        """Drop what is known of an upstream."""
+        """Drop what is known of an upstream, as when its stream broke."""
         self._paces.pop(key, None)
 
     # Queries
 
-    def expected_ms(self, key, *, slots, now_ms):
-        """Return the expected time to an answer, 0 if nothing is known."""
-        pace = self._paces.get(key)
-        if pace is None:
-            return 0.0
-        return pace.slot_ms * _rounds(pace.queue(slots, now_ms), slots)
-
-    def admits(self, key, *, slots, deadline_ms, now_ms):
+    def admits(self, upstream, *, deadline_ms, now_ms):
         """Tell whether an answer can be expected well within a deadline."""
-        limit_ms = deadline_ms * self._deadline_share
-        return self.expected_ms(key, slots=slots, now_ms=now_ms) <= limit_ms
-
+        pace = self._paces.get(upstream.key)
+        if pace is None:
+            return True
+        return pace.expected_ms(now_ms) <= deadline_ms * self._deadline_share
 
-def _rounds(queue, slots):
-    return max(1.0, (queue + 1) / slots)
+    def _pace(self, upstream):
+        pace = self._paces.get(upstream.key)
+        if pace is None:
+            pace = Pace(slots=upstream.announce.slots)
+            self._paces[upstream.key] = pace
+        return pace
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,87 @@
+"""tests.test_admission: Tests of the estimate of a request's time."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal.admission import ANSWERS, Admission
+from tests.test_balance import upstreams
+
+SLOT_MS = 100
+DEADLINE_MS = 2_000
+
+
+def taught():
+    """Return an admission that knows the pace of an upstream, and the upstream."""
+    admission = Admission()
+    upstream = upstreams("n")[0]
+    for number in range(2 * ANSWERS):
+        now_ms = number * 1_000
+        admission.sent(upstream, number, now_ms=now_ms)
+        admission.answered(upstream, number, now_ms=now_ms + SLOT_MS)
+        admission.reported(upstream, 0, now_ms=now_ms + SLOT_MS)
+    return admission, upstream
+
+
+class Admitted(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A request is admitted if an answer fits into half of its deadline."""
+
+    scenarios = [
+        ("idle", {"queue": 0, "admitted": True}),
+        ("fits", {"queue": 19, "admitted": True}),
+        ("too long", {"queue": 21, "admitted": False}),
+        ("drains", {"queue": 21, "after_ms": 200, "admitted": True}),
+        ("drains too slowly", {"queue": 41, "after_ms": 200, "admitted": False}),
+        ("short deadline", {"queue": 0, "deadline_ms": 150, "admitted": False}),
+        ("sent since", {"queue": 10, "sent": 11, "admitted": False}),
+    ]
+    after_ms = 0
+    deadline_ms = DEADLINE_MS
+    sent = 0
+
+    def test_admits(self):
+        admission, upstream = taught()
+        now_ms = 10**6
+        admission.reported(upstream, self.queue, now_ms=now_ms)
+        for number in range(self.sent):
+            admission.sent(upstream, ("more", number), now_ms=now_ms)
+        admitted = admission.admits(
+            upstream, deadline_ms=self.deadline_ms, now_ms=now_ms + self.after_ms
+        )
+        self.assertEqual(self.admitted, admitted)
+
+
+class Learning(testtools.TestCase):
+    """The pace comes from answers, whatever the queue was."""
+
+    def test_unknown_is_admitted(self):
+        upstream = upstreams("n")[0]
+        admission = Admission()
+        self.assertTrue(admission.admits(upstream, deadline_ms=1, now_ms=0))
+
+    def test_queue_does_not_count_as_slowness(self):
+        admission, upstream = taught()
+        for number in range(4 * ANSWERS):
+            now_ms = 10**6 + number * 10_000
+            admission.reported(upstream, 9, now_ms=now_ms)
+            admission.sent(upstream, ("q", number), now_ms=now_ms)
+            admission.answered(upstream, ("q", number), now_ms=now_ms + 5 * SLOT_MS)
+        admission.reported(upstream, 17, now_ms=now_ms)
+        self.assertTrue(
+            admission.admits(upstream, deadline_ms=DEADLINE_MS, now_ms=now_ms)
+        )
+
+    def test_unknown_answer_is_ignored(self):
+        admission, upstream = taught()
+        admission.sent(upstream, "shed", now_ms=0)
+        admission.dropped(upstream, "shed")
+        admission.answered(upstream, "shed", now_ms=10**9)
+        admission.reported(upstream, 0, now_ms=10**9)
+        self.assertTrue(
+            admission.admits(upstream, deadline_ms=DEADLINE_MS, now_ms=10**9)
+        )
+
+    def test_forget(self):
+        admission, upstream = taught()
+        admission.reported(upstream, 1_000, now_ms=10**6)
+        admission.forget(upstream.key)
+        self.assertTrue(admission.admits(upstream, deadline_ms=1, now_ms=10**6))
