--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -6,12 +6,13 @@
 
 import curio
 
-from knapweeddeal.clock import monotonic_ms, wall_ms
+from knapweeddeal.clock import monotonic_ms, monotonic_us, wall_ms
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import Node
 from knapweeddeal.consensuslog import unpack_membership
 from knapweeddeal.controlevents import (
     EntryAsk,
+    EntryFlows,
     EntryGone,
     OperatorAsk,
     PeerMessage,
@@ -40,8 +41,6 @@
 HEARTBEATS_PER_ELECTION = 5
 #: Events that one step takes before it writes and sends.
 MAX_EVENTS = 256
-#: Time between notes of what is committed, when no record is written.
-NOTE_COMMIT_MS = 1_000
 
 
 class Core:
@@ -54,7 +53,6 @@
         "_formation",
         "_links",
         "_next_ask",
-        "_note_ms",
         "_outboxes",
         "_own",
         "_pushed_version",
@@ -84,7 +82,6 @@
         self._next_ask = 1
         self._pushed_version = 0
         self._stop_ms = 0
-        self._note_ms = 0
         self._told_leader = None
 
     def _make_replica(self):
@@ -179,9 +176,7 @@
                 break
             await self._send(ready.early)
             if ready.must_persist():
-                commit_index = replica.node.commit_index
-                await in_thread(_persist, self._folder, ready, commit_index)
-                replica.node.persisted(ready)
+                await self._persist(ready)
             await self._send(ready.late)
             replica.apply(ready)
         await self._answer()
@@ -189,6 +184,14 @@
         await self._snapshot()
         await self._settle_cluster()
 
+    async def _persist(self, ready):
+        replica = self._replica
+        began_us = monotonic_us()
+        commit_index = replica.node.commit_index
+        await in_thread(_persist, self._folder, ready, commit_index)
+        replica.node.persisted(ready)
+        replica.metrics.record_us("persist", monotonic_us() - began_us)
+
     async def _send(self, envelopes):
         for envelope in envelopes:
             outbox = self._outboxes.get(envelope.to)
@@ -217,16 +220,14 @@
         node = self._replica.node
         after = node.log.slice(snapshot.last_index + 1, node.log.last_index)
         await in_thread(self._folder.set_snapshot, snapshot, after)
+        self._replica.metrics.count("snapshots")
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
     async def _note_commit(self):
-        """Keep what is committed, for a restart without a quorum."""
+        """Keep what is committed, for a restart without a quorum, when idle."""
         commit_index = self._replica.node.commit_index
-        now_ms = monotonic_ms()
-        if commit_index == self._folder.commit_index or now_ms < self._note_ms:
-            return
-        self._note_ms = now_ms + NOTE_COMMIT_MS
-        await in_thread(self._folder.note_commit, commit_index)
+        if commit_index > self._folder.commit_index and self._events.empty():
+            await in_thread(self._folder.note_commit, commit_index)
 
     async def _report(self):
         node = self._replica.node
@@ -294,6 +295,8 @@
         self._states[identity] = state
         self._formation.heard(state)
         self._replica.peer_connected(state.replica)
+        for report in self._replica.flow_counts.own_reports():
+            await event.outbox.offer(report)
         await self._offer_founding(state)
 
     def on_link_down(self, event):
@@ -345,10 +348,18 @@
         applied = event.message.applied_version
         self._entries[event.outbox] = applied
         self._replica.entries.heard(event.message, monotonic_ms())
+        self._replica.flow_counts.heard(event.message.name, now_ms=monotonic_ms())
         configuration = self._replica.state.configuration
         if configuration.version > applied:
             await event.outbox.offer(ConfigurationPush(configuration=configuration))
 
+    async def on_entry_flows(self, event):
+        """Take an entry's counted flows and pass them to every replica."""
+        report = event.message
+        self._replica.flow_counts.take(report, now_ms=monotonic_ms())
+        for outbox in self._outboxes.values():
+            await outbox.offer(report)
+
     def on_entry_gone(self, event):
         """Stop pushing to an entry."""
         self._entries.pop(event.outbox, None)
@@ -392,6 +403,11 @@
     await core.on_entry_ask(event)
 
 
+@_take.register
+async def _(event: EntryFlows, core):
+    await core.on_entry_flows(event)
+
+
 @_take.register
 async def _(event: EntryGone, core):
     core.on_entry_gone(event)
--- a/knapweeddeal/upstreamlink.py
+++ b/knapweeddeal/upstreamlink.py
@@ -18,7 +18,15 @@
 class UpstreamLink:
     """Own the stream to one incarnation of an upstream."""
 
-    __slots__ = ("_address", "_identity", "_inbox", "_outbox", "_settings", "key")
+    __slots__ = (
+        "_address",
+        "_identity",
+        "_inbox",
+        "_settings",
+        "key",
+        "outbox",
+        "task",
+    )
 
     def __init__(self, *, key, address, identity, settings, inbox):
         self.key = key
@@ -26,11 +34,8 @@
         self._identity = identity
         self._settings = settings
         self._inbox = inbox
-        self._outbox = Outbox()
-
-    async def offer(self, message):
-        """Queue a message; return False if there is no room."""
-        return await self._outbox.offer(message)
+        self.outbox = Outbox()
+        self.task = None
 
     async def run(self):
         """Open the stream, carry messages until it breaks, and tell so."""
@@ -40,7 +45,7 @@
             LOG.info("Stream ended.", upstream=self.key.upstream_id, why=str(error))
         finally:
             async with curio.disable_cancellation():
-                await self._inbox.put(UpstreamDown(key=self.key))
+                await self._inbox.put_at_once(UpstreamDown(key=self.key))
 
     async def _carry(self):
         address = (self._address.host, self._address.port)
@@ -51,8 +56,8 @@
             await self._inbox.put(UpstreamUp(key=self.key))
             await run_until_first(
                 self._receive(stream),
-                self._outbox.drain_to(stream),
-                self._outbox.beat(self._settings.heartbeat_ms),
+                self.outbox.drain_to(stream),
+                self.outbox.beat(self._settings.heartbeat_ms),
             )
         finally:
             await stream.close()
--- a/tests/test_entryqueries.py
+++ b/tests/test_entryqueries.py
@@ -36,7 +36,7 @@
 
 def queries():
     """Return the queries of an entry that knows one upstream."""
-    upstream = Upstream(announce=ANNOUNCE, lease_until_ms=5)
+    upstream = Upstream(announce=ANNOUNCE, lease_ms=5)
     core = types.SimpleNamespace(
         identity="e1",
         services={},
