--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -39,6 +39,7 @@
         "asked_ms",
         "flow",
         "owner",
+        "sent",
         "service_ms",
         "tries",
         "until_ms",
@@ -51,6 +52,7 @@
         self.service_ms = service_ms
         self.tries = tries
         self.owner = None
+        self.sent = None
 
 
 class FakeUpstream:
--- a/knapweeddeal/admission.py
+++ b/knapweeddeal/admission.py
@@ -23,7 +23,6 @@
         "answers",
         "outstanding",
         "reported_ms",
-        "sent",
         "sent_since",
         "slots",
         "spent_ms",
@@ -41,8 +40,6 @@
         self.outstanding = 0
         self.reported_ms = 0
         self.sent_since = 0
-        #: Requests without an answer by name.
-        self.sent = {}
 
     def queue(self, now_ms):
         """Return how many requests the upstream probably holds now."""
@@ -73,27 +70,21 @@
 
     # Commands
 
-    def sent(self, upstream, name, *, now_ms):
-        """Note that a request goes out; `name` is any name that comes only once."""
+    def sent(self, upstream, *, now_ms):
+        """Note that a request goes out; return what its answer is measured by."""
         pace = self._pace(upstream)
-        pace.sent[name] = Sent(sent_ms=now_ms, queue=pace.queue(now_ms))
+        sent = Sent(sent_ms=now_ms, queue=pace.queue(now_ms))
         pace.sent_since += 1
+        return sent
 
-    def answered(self, upstream, name, *, now_ms):
+    def answered(self, upstream, sent, *, now_ms):
         """Note the answer to a request."""
         pace = self._pace(upstream)
-        sent = pace.sent.pop(name, None)
-        if sent is None:
-            return
         pace.answers += 1
         weight = 1.0 / min(pace.answers, ANSWERS)
         pace.spent_ms += weight * (now_ms - sent.sent_ms - pace.spent_ms)
         pace.turns += weight * (pace.turns_behind(sent.queue) - pace.turns)
 
-    def dropped(self, upstream, name):
-        """Note that a request was sent and never ran."""
-        self._pace(upstream).sent.pop(name, None)
-
     def reported(self, upstream, outstanding, *, now_ms):
         """Note how many requests an upstream says that it holds."""
         pace = self._pace(upstream)
