Choose and admit by the measured policy in entries

test_moves_are_paced opened 300 flows and counted on the first choice putting them all on one upstream; now half of 600 stand there: as strict, seen failing without the pace.

--- a/knapweeddeal/balance.py
+++ b/knapweeddeal/balance.py
@@ -60,6 +60,7 @@
         "_sample_size",
         "_shed_pause_ms",
         "_slow_start_ms",
+        "_swept_ms",
         "_zone",
     )
 
@@ -85,6 +86,7 @@
         #: Whether own flows bound from below what upstreams report.
         self._guarded = guarded
         self._loads = {}
+        self._swept_ms = 0
 
     # Commands
 
@@ -103,7 +105,10 @@
         self._load(key, now_ms).shed_until_ms = now_ms + self._shed_pause_ms
 
     def sweep(self, *, now_ms):
-        """Forget the upstreams that weren't seen for long."""
+        """Forget the upstreams that weren't seen for long, if it is time again."""
+        if now_ms < self._swept_ms + FORGET_MS:
+            return
+        self._swept_ms = now_ms
         for key, load in list(self._loads.items()):
             if load.seen_ms + FORGET_MS < now_ms:
                 del self._loads[key]
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -1,8 +1,10 @@
 """knapweeddeal.entrycontext: What the parts of an entry's decisions share."""
 
 from knapweeddeal.actions import Address, ToCaller, UpstreamKey
-from knapweeddeal.balance import choose
+from knapweeddeal.admission import Admission
+from knapweeddeal.balance import Balancer
 from knapweeddeal.directory import Directory
+from knapweeddeal.flowtable import FlowTable
 from knapweeddeal.messages.caller import MAX_BODY_BYTES, AnswerPart, Outcome
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
@@ -29,9 +31,12 @@
     """Hold the identity, the directory, the services and the refusals."""
 
     __slots__ = (
+        "admission",
+        "balancer",
         "count",
         "directory",
         "draining",
+        "flows",
         "identity",
         "limits",
         "refusals",
@@ -55,6 +60,10 @@
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
+        #: Flows that this entry owns.
+        self.flows = FlowTable(idle_ms=limits.flow_idle_ms)
+        self.balancer = Balancer(zone=identity.zone, own_flows=self.flows.count)
+        self.admission = Admission()
         self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
@@ -85,7 +94,7 @@
         return self.directory.has_stream(key)
 
     def pick(self, service, tried, *, now_ms):
-        """Return an upstream for a flow, or None; never one of those tried."""
+        """Return an upstream to ask for a flow, or None; none of those tried."""
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
@@ -93,13 +102,25 @@
             and upstream.key not in tried
             and not self.leaving(upstream.key)
         ]
-        return choose(usable, zone=self.identity.zone, rng=self.rng)
+        chosen = self.balancer.choose(usable, rng=self.rng, now_ms=now_ms)
+        if chosen is not None:
+            self.balancer.asked(chosen.key, now_ms=now_ms)
+        return chosen
 
-    def note_load(self, key, message):
-        """Take the load that an upstream reports."""
+    def note_load(self, key, message, *, now_ms):
+        """Take the load that an upstream reports on the data path."""
         upstream = self.directory.get(key)
         if upstream is not None:
             upstream.connections = message.connections
+            self.balancer.reported(key, message.outstanding, now_ms=now_ms)
+            self.admission.reported(upstream, message.outstanding, now_ms=now_ms)
+
+    def admits(self, key, deadline_ms, *, now_ms):
+        """Tell whether an upstream can be expected to answer within a deadline."""
+        upstream = self.directory.get(key)
+        return upstream is None or self.admission.admits(
+            upstream, deadline_ms=deadline_ms, now_ms=now_ms
+        )
 
     def refuse(self, refusal, flow_id, number, reason):
         """Hold a refusal back until its record is held; return whether it fits."""
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -122,6 +122,7 @@
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
+        self.context.admission.forget(key)
         self.moves.stream_down(key, now_ms=now_ms)
         self.directory.stream_down(key)
         return [
@@ -155,7 +156,7 @@
 
     @from_upstream.register
     def _(self, message: FlowAccepted, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         actions = self.moves.accepted(message, key, now_ms=now_ms)
         if actions is None:
             return self.opening.accepted(message, key, now_ms=now_ms)
@@ -163,7 +164,8 @@
 
     @from_upstream.register
     def _(self, message: FlowShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
+        self.context.balancer.shed(key, now_ms=now_ms)
         return self._shed(message, key, now_ms)
 
     def _shed(self, message, key, now_ms):
@@ -174,15 +176,15 @@
 
     @from_upstream.register
     def _(self, message: WorkAnswer, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return [
-            *self.owner.answered(message, key),
+            *self.owner.answered(message, key, now_ms=now_ms),
             *self.resolution.answered(message, key),
         ]
 
     @from_upstream.register
     def _(self, message: WorkShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return self.owner.shed(message, key)
 
     @from_upstream.register
@@ -279,6 +281,7 @@
         self.owner.expire(now_ms=now_ms)
         self.resolution.expire(now_ms=now_ms)
         self.successions.expire(now_ms=now_ms)
+        self.context.balancer.sweep(now_ms=now_ms)
         return [
             *self.moves.tick(now_ms=now_ms),
             *self.handing.tick(now_ms=now_ms),
--- a/knapweeddeal/flowtable.py
+++ b/knapweeddeal/flowtable.py
@@ -78,6 +78,10 @@
         """Return how many flows are held, by upstream."""
         return dict(self._counts)
 
+    def count(self, key):
+        """Return how many flows are held at one upstream."""
+        return self._counts[key]
+
     def _count_off(self, key):
         self._counts[key] -= 1
         if not self._counts[key]:
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -9,7 +9,7 @@
     ticket_address,
     ticket_upstream,
 )
-from knapweeddeal.flowtable import Flow, FlowTable
+from knapweeddeal.flowtable import Flow
 from knapweeddeal.ledger import (
     ANSWERED,
     FORWARDED,
@@ -55,7 +55,7 @@
         self._settle = settle
         self._lost = lost
         self._identity = context.identity
-        self.flows = FlowTable(idle_ms=context.limits.flow_idle_ms)
+        self.flows = context.flows
         self.kept = KeptAnswers(
             max_answers=context.limits.max_answers,
             max_bytes=context.limits.max_answer_bytes,
@@ -237,7 +237,9 @@
             key = flow.upstream
         if not self._context.ready(key):
             return self._cannot_forward(message, ticket, flow, key, now_ms)
-        return self._send(message, flow, key)
+        if not self._context.admits(key, message.deadline_ms, now_ms=now_ms):
+            return self._refuse(flow, message.number, "overloaded")
+        return self._send(message, flow, key, now_ms)
 
     def _cannot_forward(self, message, ticket, flow, key, now_ms):
         # Only the upstream that the ticket names may get this request: another
@@ -250,13 +252,15 @@
             self._outcome(flow, message.number, RESEND, "upstream_unreachable"),
         ]
 
-    def _send(self, message, flow, key):
+    def _send(self, message, flow, key, now_ms):
         flow.ledger.forward(message.number, idempotent=message.idempotent, upstream=key)
         upstream = self._context.directory.get(key)
+        sent = None
         if upstream is not None:
             upstream.outstanding += 1
-        numbers = self._under_way.setdefault(key, {}).setdefault(flow, set())
-        numbers.add(message.number)
+            sent = self._context.admission.sent(upstream, now_ms=now_ms)
+        numbers = self._under_way.setdefault(key, {}).setdefault(flow, {})
+        numbers[message.number] = sent
         work = Work(
             flow_id=flow.flow_id,
             owner_incarnation=flow.owner_incarnation,
@@ -309,11 +313,15 @@
 
     # Messages of upstreams
 
-    def answered(self, message, key):
+    def answered(self, message, key, *, now_ms):
         """Keep an answer and send it to the caller."""
+        sent = self._sent(message, key)
         flow = self._take_off(message, key)
         if flow is None:
             return []
+        upstream = self._context.directory.get(key)
+        if upstream is not None and sent is not None:
+            self._context.admission.answered(upstream, sent, now_ms=now_ms)
         flow.ledger.answer(message.number, message.body)
         return self._parts(flow, message.number, message.body)
 
@@ -360,6 +368,11 @@
         flow.ledger.lose(number, "stream_broke")
         return [self._outcome(flow, number, UNKNOWN, "stream_broke")]
 
+    def _sent(self, message, key):
+        """Return what the answer to a request is measured by, or None."""
+        flow = self.flows.get(message.owner_incarnation, message.flow_id)
+        return self._under_way.get(key, {}).get(flow, {}).get(message.number)
+
     def _take_off(self, message, key):
         flow = self.flows.get(message.owner_incarnation, message.flow_id)
         numbers = self._under_way.get(key, {}).get(flow, ())
@@ -370,8 +383,8 @@
 
     def _finish(self, key, flow, number):
         flows = self._under_way.get(key, {})
-        numbers = flows.get(flow, set())
-        numbers.discard(number)
+        numbers = flows.get(flow, {})
+        numbers.pop(number, None)
         if not numbers:
             flows.pop(flow, None)
         if not flows:
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -411,7 +411,7 @@
         joined, _ = self.joined()
         callers = [
             joined.open("a", Address(host="127.0.0.8", port=port))
-            for port in range(300)
+            for port in range(600)
         ]
         joined.leave("u2")
         for caller in callers:
