--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -9,7 +9,7 @@
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.record import Record
-from knapweeddeal.refusals import RefusalQueue
+from knapweeddeal.refusalholding import RefusalHolding
 
 __all__ = [
     "EntryContext",
@@ -39,6 +39,7 @@
         "flows",
         "identity",
         "limits",
+        "holding",
         "refusals",
         "rng",
         "sealer",
@@ -64,7 +65,9 @@
         self.flows = FlowTable(idle_ms=limits.flow_idle_ms)
         self.balancer = Balancer(zone=identity.zone, own_flows=self.flows.count)
         self.admission = Admission()
-        self.refusals = RefusalQueue()
+        self.holding = RefusalHolding(counters=counters)
+        #: Refusals that wait until a second process holds their record.
+        self.refusals = self.holding.queue
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
@@ -98,7 +101,7 @@
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready
+            if self.ready(upstream.key)
             and upstream.key not in tried
             and not self.leaving(upstream.key)
         ]
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -1,8 +1,7 @@
 """knapweeddeal.entrycore: The decisions of an entry, message in and actions out."""
 
-from functools import singledispatchmethod
-
 from knapweeddeal.actions import Address, ToCaller, ToControl
+from knapweeddeal.dispatch import methoddispatch
 from knapweeddeal.entrycontext import EntryContext, Identity
 from knapweeddeal.flowcounts import FlowCountReporter
 from knapweeddeal.handover import Candidate, HandingOver, TakingOver
@@ -13,6 +12,7 @@
     HandOverAsk,
     HandOverOffer,
     RefusalAck,
+    RefusalBatch,
     Relay,
     Succession,
     Successions,
@@ -113,6 +113,10 @@
         self.directory.apply(announce, now_ms=now_ms)
         return self.directory.dials_of([announce], now_ms=now_ms)
 
+    def set_neighbours(self, addresses):
+        """Take the addresses of the entries that may hold records of refusals."""
+        self.context.holding.set_neighbours(addresses)
+
     # Streams of upstreams
 
     def stream_up(self, key):
@@ -130,7 +134,7 @@
             *self.opening.stream_down(key, now_ms=now_ms),
         ]
 
-    @singledispatchmethod
+    @methoddispatch
     def unsent(self, message, key, *, now_ms):
         """Decide on a message to an upstream that never left this process."""
         return []
@@ -149,7 +153,7 @@
         """Decide on a datagram that came to a service's address."""
         return self.router.from_caller(service, caller, data, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def from_upstream(self, message, key, *, now_ms):
         """Decide on a message that came on an upstream's stream."""
         return self.context.drop("unexpected")
@@ -207,7 +211,7 @@
 
     # Messages of peers and replicas
 
-    @singledispatchmethod
+    @methoddispatch
     def from_peer(self, message, peer=None, *, now_ms):
         """Decide on a message of another entry or a control replica."""
         return self.context.drop("unexpected")
@@ -218,8 +222,13 @@
 
     @from_peer.register
     def _(self, message: RefusalAck, peer=None, *, now_ms):
-        released = self.refusals.release(message.batch)
-        return [self.owner.recorded(refusal) for refusal in released]
+        return self._records_held(message, by_control=False)
+
+    @from_peer.register
+    def _(self, message: RefusalBatch, peer=None, *, now_ms):
+        if peer is None:
+            return self.context.drop("unexpected")
+        return self.context.holding.hold(message, peer)
 
     @from_peer.register
     def _(self, message: HandOverAsk, peer=None, *, now_ms):
@@ -249,12 +258,25 @@
     def _(self, message: HandOverAck, peer=None, *, now_ms):
         return self.handing.acknowledged(message, now_ms=now_ms)
 
+    @methoddispatch
+    def from_control(self, message):
+        """Decide on a message of a control replica."""
+        return self.context.drop("unexpected")
+
+    @from_control.register
+    def _(self, message: RefusalAck):
+        return self._records_held(message, by_control=True)
+
+    def _records_held(self, ack, *, by_control):
+        released = self.context.holding.acknowledged(ack.batch, by_control=by_control)
+        return [self.owner.recorded(refusal) for refusal in released]
+
     def peer_down(self, address, *, now_ms):
         """Note that another entry couldn't be reached."""
         self.router.unreachable(address, now_ms=now_ms)
         return self.handing.undeliverable(address, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def undeliverable(self, message, *, now_ms):
         """Decide on a message that didn't reach another entry."""
         return []
@@ -285,10 +307,7 @@
         return [
             *self.moves.tick(now_ms=now_ms),
             *self.handing.tick(now_ms=now_ms),
-            *(
-                ToControl(message=batch)
-                for batch in self.refusals.batches(now_ms=now_ms)
-            ),
+            *self.context.holding.tick(now_ms=now_ms),
             *self._report_flows(now_ms),
         ]
 
