--- a/tests/processes.py
+++ b/tests/processes.py
@@ -20,12 +20,6 @@
 #: Longest wait for a condition.
 WAIT_S = 20.0
 POLL_S = 0.02
-#: What starts a daemon; it stands in for the entry point of each role.
-START = (
-    "import sys, curio; from knapweeddeal import logs, settings, {module};"
-    " chosen = settings.read_settings(sys.argv[1]); logs.open_log(chosen.log_file);"
-    " curio.run({module}.run, chosen)"
-)
 
 
 def free_port(host="127.0.0.1"):
@@ -50,14 +44,13 @@
 class Daemon:
     """Start, stop and end one daemon; `sections` are its settings."""
 
-    def __init__(self, *, folder, name, module, sections):
+    def __init__(self, *, folder, name, sections):
         self.name = name
         self.settings_path = Path(folder) / f"{name}.ini"
         self.log_path = Path(folder) / f"{name}.log"
         self.error_path = Path(folder) / f"{name}.err"
         self.sections = sections
         self.sections["daemon"]["log_file"] = self.log_path
-        self._module = module
         self.process = None
 
     def start(self):
@@ -67,10 +60,9 @@
             lines.append(f"[{section}]")
             lines.extend(f"{key} = {value}" for key, value in values.items())
         self.settings_path.write_text("\n".join(lines) + "\n", encoding="utf-8")
-        code = START.format(module=self._module)
         with open(self.error_path, "ab") as error:
             self.process = subprocess.Popen(
-                [sys.executable, "-c", code, str(self.settings_path)],
+                [sys.executable, "-m", "knapweeddeal.daemon", self.settings_path],
                 cwd=ROOT,
                 stderr=error,
             )
@@ -127,9 +119,7 @@
             "control": {"data_folder": self.data_folder(name)},
             "timing": self.timing,
         }
-        return Daemon(
-            folder=self.folder, name=name, module="controlprocess", sections=sections
-        )
+        return Daemon(folder=self.folder, name=name, sections=sections)
 
     def data_folder(self, name):
         """Return the data folder of a replica."""
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -12,6 +12,7 @@
 from knapweeddeal.controlclient import ask, ask_refusals
 from knapweeddeal.errors import (
     ConflictError,
+    CorruptStorageError,
     InvalidIntentError,
     KnapweeddealError,
     NoQuorumError,
@@ -352,6 +353,26 @@
         except KnapweeddealError as error:
             self.assertIn(error.code, ("no_quorum", "not_leader"))
 
+    def test_leader_of_nobody(self):
+        group = self.start_group()
+        self.change(1)
+        made = group.ask(plan_ask(2, "p2"))
+        leader = self.leader()
+        others = [name for name in group.daemons if name != leader]
+        for name in others:
+            group.daemons[name].signal(signal.SIGSTOP)
+            self.addCleanup(group.daemons[name].signal, signal.SIGCONT)
+        for asked in (StatusAsk(), ServicesAsk(), confirm_ask(made.plan_id, "c2")):
+            began_s = time.monotonic()
+            self.assertRaises(NoQuorumError, group.ask_one, leader, asked)
+            spent_ms = (time.monotonic() - began_s) * 1000
+            self.assertTrue(spent_ms < 3 * group.timing["election_ms"], spent_ms)
+        for name in others:
+            group.daemons[name].signal(signal.SIGCONT)
+        group.wait_for_leader()
+        self.assertEqual(2, group.ask(confirm_ask(made.plan_id, "c2")).version)
+        self.assertEqual(["service-1", "service-2"], self.services())
+
 
 class LostDisk(GroupTest):
     """A replica with an empty folder counts again only after it was swapped in."""
@@ -446,7 +467,9 @@
         data[20] ^= 1
         path.write_bytes(data)
         daemon.start()
-        self.assertNotEqual(0, daemon.process.wait(WAIT_S))
+        exit_status = daemon.process.wait(WAIT_S)
+        self.assertEqual(CorruptStorageError.exit_status, exit_status)
+        self.assertNotIn("Traceback", daemon.errors())
         self.assertIn("corrupt_storage", daemon.errors())
         self.assertIn(str(path), daemon.errors())
         self.assertEqual(2, self.change(2))
--- /dev/null
+++ b/tests/test_disk.py
@@ -0,0 +1,24 @@
+"""tests.test_disk: Tests of blocking work on files."""
+
+import curio
+import testtools
+
+from knapweeddeal.disk import in_thread
+from knapweeddeal.errors import DiskFailedError
+
+
+def fail():
+    """Fail as a full disk does."""
+    raise OSError(28, "No space left on device", "log-1")
+
+
+class InThread(testtools.TestCase):
+    """What fails on the disk has a code and names the file."""
+
+    def test_result(self):
+        self.assertEqual(3, curio.run(in_thread, max, 1, 3))
+
+    def test_failure(self):
+        error = self.assertRaises(DiskFailedError, curio.run, in_thread, fail)
+        self.assertEqual(("file", "log-1"), (error.field, error.value))
+        self.assertIn("No space left", error.text)
