Play the specs' traces into the real decisions of entries and upstreams

Each counterexample of specs/flows.maude (without upstream restarts), and sampled sound traces from seven starts, step by step: what runs and what is told not_run must be as in the spec; nothing is forwarded twice.

Not shown: an upstream that doesn't let a cancellation stand (stands=false) never answers so in these traces.

--- a/tests/specs.py
+++ b/tests/specs.py
@@ -2,11 +2,12 @@
 
 import functools
 import re
+from collections import Counter
 from pathlib import Path
 
 import maude
 
-__all__ = ["Found", "explore", "guards", "loaded", "rule_labels", "written"]
+__all__ = ["Found", "explore", "guards", "loaded", "rule_labels", "traces", "written"]
 
 SPECS = Path(__file__).resolve().parent.parent / "specs"
 
@@ -83,3 +84,53 @@
         if until in found.traces or found.states == max_states:
             break
     return found
+
+
+class Step:
+    """Hold one step of a trace: its rule, what it took away, what it added."""
+
+    __slots__ = ("added", "rule", "taken")
+
+    def __init__(self, *, rule, before, after):
+        self.rule = rule
+        self.taken = before - after
+        self.added = after - before
+
+    def arguments(self, symbol, side="added"):
+        """Return the arguments of one changed item, as texts; or None."""
+        for item in getattr(self, side):
+            if str(item.symbol()) == symbol:
+                return [str(argument) for argument in item.arguments()]
+        return None
+
+
+def items(state):
+    """Return the items of a state."""
+    if str(state.symbol()) == "wrong":
+        return Counter()
+    _, content = state.arguments()
+    if str(content.symbol()) != "__":
+        return Counter([content])
+    return Counter(content.arguments())
+
+
+def _steps(path):
+    states = [items(state) for state in path[::2]]
+    return [
+        Step(rule=rule.getLabel(), before=before, after=after)
+        for rule, before, after in zip(path[1::2], states, states[1:], strict=False)
+    ]
+
+
+def traces(name, start, *, until="", every=1):
+    """Yield the trace to a fault, or to every so many states, and its last items."""
+    module = _module(name)
+    term = module.parseTerm(start)
+    search = term.search(maude.ANY_STEPS, module.parseTerm("S:State"))
+    for place, (state, _, path, _) in enumerate(search):
+        wrong = str(state.symbol()) == "wrong"
+        if until and wrong and str(next(state.arguments())) == until:
+            yield _steps(path()), items(state)
+            return
+        if not until and not wrong and place % every == every - 1:
+            yield _steps(path()), items(state)
--- /dev/null
+++ b/tests/test_conformance.py
@@ -0,0 +1,153 @@
+"""tests.test_conformance: The specs' traces, played into the real decisions."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal.actions import Address
+from knapweeddeal.messages.caller import NOT_RUN, UNKNOWN, Cancel
+from tests.entries import Joined
+from tests.played import Played
+from tests.specs import traces
+from tests.test_specs import MUTATIONS
+
+#: Rules that the real entries can't be made to take.
+NOT_PLAYED = {"restart"}
+
+#: Starts of sound traces: name, start, one of so many states, outcomes alike.
+SAMPLES = [
+    ("owner crashes", "once, crash cut", 2),
+    ("flow is forgotten", "once, crash cut evict renew", 17),
+    ("planned stop", "once, crash cut stop", 9),
+    ("forced stop", "once, cut stop forced", 5),
+    ("cancelled", "once, cut break abort", 4),
+    ("two requests", "(once, once), cut", 41),
+    ("renewed", "(once, once), cut renew", 199),
+]
+
+
+class Counterexamples(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What shows a fault without a guard shows none in the real decisions."""
+
+    scenarios = [
+        (f"without {guard}", {"guard": guard, "start": start, "fault": fault})
+        for spec, guard, start, fault in MUTATIONS
+        if spec == "flows" and "restart" not in start
+    ]
+
+    def test_no_fault(self):
+        start = f"start(all without {self.guard}, {self.start})"
+        ((steps, _),) = traces("flows", start, until=self.fault)
+        played = Played()
+        played.play(steps)
+        check(self, played)
+        if self.fault == "cut-off":
+            self.assertEqual(set(), played.told(UNKNOWN))
+
+
+class Samples(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The real decisions run and refuse what the spec does."""
+
+    scenarios = [
+        (name, {"start": start, "every": every}) for name, start, every in SAMPLES
+    ]
+
+    def test_alike(self):
+        count = 0
+        for steps, last in traces(
+            "flows", f"start(all, {self.start})", every=self.every
+        ):
+            rules = [step.rule for step in steps]
+            played = Played()
+            played.play(steps)
+            check(self, played)
+            self.assertEqual(ran(last), set(played.ran()), rules)
+            self.assertEqual(refused(last), played.told(NOT_RUN), rules)
+            count += 1
+        self.assertGreater(count, 20)
+
+
+def check(test, played):
+    """Check what must always hold of entries that took a trace.
+
+    The upstream of the trace doesn't run a request twice either, so what counts
+    is how often it was forwarded.
+    """
+    repeated = {n for n, count in played.forwards.items() if count > 1}
+    test.assertEqual(set(), repeated)
+    test.assertEqual(set(), played.told(NOT_RUN) & set(played.ran()))
+    test.assertEqual([], played.crossed())
+
+
+def ran(items):
+    """Return the numbers of requests that ran in a state of the spec."""
+    return {_number(item, 1) for item in items if str(item.symbol()) == "ran"}
+
+
+def refused(items):
+    """Return the numbers of requests that were said not to run."""
+    said = [list(item.arguments()) for item in items if str(item.symbol()) == "said"]
+    return {int(str(number)) for number, result in said if str(result) == "notrun"}
+
+
+def _number(item, place):
+    key = list(item.arguments())[place]
+    return int(str(list(key.arguments())[1]))
+
+
+class Idempotent(testscenarios.TestWithScenarios, testtools.TestCase):
+    """No request that ran is said not to have run, also if it may be repeated."""
+
+    scenarios = [
+        ("cancelled after a break", {"faults": "break", "late": "cancel"}),
+        ("out of time after a break", {"faults": "break", "late": "deadline"}),
+        ("cancelled under the old ticket", {"faults": "renew", "late": "cancel"}),
+        ("out of time under the old ticket", {"faults": "renew", "late": "deadline"}),
+    ]
+
+    def test_true(self):
+        joined = Joined()
+        joined.hold_work = True
+        caller = joined.open("a")
+        first = caller.request(1, idempotent=True)
+        getattr(self, f"run_{self.faults}")(joined, caller, first)
+        self.assertEqual({(caller.flow_id, 1): 1}, dict(joined.runs))
+        joined.send("a", caller, getattr(self, f"late_{self.late}")(first))
+        joined.advance(200)
+        self.assertNotIn(NOT_RUN, caller.outcomes(1))
+
+    def run_break(self, joined, caller, first):
+        joined.send("a", caller, first)
+        joined.down("a", "u1")
+
+    def run_renew(self, joined, caller, first):
+        joined.renew("b", caller)
+        joined.send("b", caller, first.replace(ticket=caller.ticket))
+
+    def late_cancel(self, first):
+        return Cancel(
+            service=first.service,
+            flow_id=first.flow_id,
+            ticket=first.ticket,
+            number=first.number,
+        )
+
+    def late_deadline(self, first):
+        return first.replace(deadline_ms=0, attempt=1)
+
+
+class HalfHandedOver(testtools.TestCase):
+    """A successor that dies half-way through, and no other is left."""
+
+    def test_datagram_of_a_flow_that_was_handed_over(self):
+        joined = Joined(entries=("a", "b"))
+        joined.hold_work = True
+        handed = joined.open("a")
+        busy = joined.open("a", Address(host="127.0.0.8", port=1))
+        joined.send("a", busy, busy.request(1))
+        joined.stop("a")
+        joined.advance(200)
+        joined.kill("b")
+        joined.release()
+        joined.advance(200)
+        joined.send("a", handed, handed.request(1))
+        self.assertNotIn("answer", handed.outcomes(1))
