Play the log's and the plans' traces into the real replicas

Each counterexample of specs/log.maude runs on consensus nodes, each of specs/plans.maude and four sets of sound traces on the replicated state, whose answers must be the spec's word for word.

Not shown by these traces: commit of an older term's record and a read before the term's first commit, as a leader's start record goes along in each append; votes of non-members, as none is asked.

--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -7,6 +7,7 @@
 from knapweeddeal.messages.caller import NOT_RUN, UNKNOWN, Cancel
 from tests.entries import Joined
 from tests.played import Played
+from tests.playedcontrol import PlayedLog, PlayedPlans
 from tests.specs import traces
 from tests.test_specs import MUTATIONS
 
@@ -66,6 +67,89 @@
         self.assertGreater(count, 20)
 
 
+class LogTraces(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What loses a record without a guard loses none in the real replicas.
+
+    PlayedLog checks after each step that no committed record is replaced, that
+    a term has one leader and that no read is stale.
+    """
+
+    scenarios = [
+        (f"without {guard}", {"guard": guard, "start": start, "fault": fault})
+        for spec, guard, start, fault in MUTATIONS
+        if spec == "log"
+    ]
+
+    def test_no_fault(self):
+        start = f"start(all without {self.guard}, {self.start})"
+        ((steps, _),) = traces("log", start, until=self.fault)
+        played = PlayedLog(start=self.start)
+        played.play(steps)
+        played.close()
+        self.assertNotEqual({}, played.truth)
+
+
+class PlanCounterexamples(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What gives a request id two results without a guard gives it one in reality."""
+
+    scenarios = [
+        (f"without {guard}", {"guard": guard, "start": start, "fault": fault})
+        for spec, guard, start, fault in MUTATIONS
+        if spec == "plans"
+    ]
+
+    def test_no_fault(self):
+        start = f"start(all without {self.guard}, {self.start})"
+        ((steps, _),) = traces("plans", start, until=self.fault)
+        played = PlayedPlans()
+        played.play(steps)
+        told = played.told().values()
+        self.assertEqual([], [results for results in told if len(results) > 1])
+        won = {result for results in told for result in results}
+        versions = [text.split()[-1] for text in won if text.startswith("confirmed")]
+        self.assertEqual(sorted(set(versions)), sorted(versions))
+
+
+class PlanTraces(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The replicated state answers what the spec says, resent and restarted."""
+
+    scenarios = [
+        ("race", {"start": "race", "every": 1}),
+        ("leader deposed", {"start": "race depose", "every": 13}),
+        ("restarted", {"start": "race restart", "every": 1}),
+        ("confirmed twice", {"start": "race approve(a, 3)", "every": 3}),
+    ]
+
+    def test_alike(self):
+        for steps, last in traces(
+            "plans", f"start(all, {self.start})", every=self.every
+        ):
+            played = PlayedPlans()
+            played.play(steps)
+            rules = [step.rule for step in steps]
+            self.assertEqual(said(last), played.told(), rules)
+
+
+def said(items):
+    """Return what a state of the spec says, by operator and request id."""
+    found = {}
+    for item in items:
+        if str(item.symbol()) == "said":
+            operator, request_id, _, result = item.arguments()
+            name = (str(operator), int(str(request_id)))
+            found.setdefault(name, set()).add(_written(result))
+    return found
+
+
+def _written(result):
+    first, *rest = (str(argument) for argument in result.arguments())
+    return {
+        "planned": lambda: f"planned {rest[0]} {rest[1]}",
+        "confirmed": lambda: f"confirmed {first} {rest[1]}",
+        "conflict": lambda: "conflict",
+    }[str(result.symbol())]()
+
+
 def check(test, played):
     """Check what must always hold of entries that took a trace.
 
