--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -1,8 +1,7 @@
 """knapweeddeal.entrycore: The decisions of an entry, message in and actions out."""
 
-from functools import singledispatchmethod
-
 from knapweeddeal.actions import Address, ToCaller, ToControl
+from knapweeddeal.dispatch import methoddispatch
 from knapweeddeal.entrycontext import EntryContext, Identity
 from knapweeddeal.flowcounts import FlowCountReporter
 from knapweeddeal.handover import Candidate, HandingOver, TakingOver
@@ -114,6 +113,10 @@
         self.directory.apply(announce, now_ms=now_ms)
         return self.directory.dials_of([announce], now_ms=now_ms)
 
+    def set_neighbours(self, addresses):
+        """Take the addresses of the entries that may hold records of refusals."""
+        self.context.holding.set_neighbours(addresses)
+
     # Streams of upstreams
 
     def stream_up(self, key):
@@ -123,6 +126,7 @@
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
+        self.context.ejection.fail(key, now_ms=now_ms)
         self.moves.stream_down(key, now_ms=now_ms)
         self.directory.stream_down(key)
         return [
@@ -130,7 +134,7 @@
             *self.opening.stream_down(key, now_ms=now_ms),
         ]
 
-    @singledispatchmethod
+    @methoddispatch
     def unsent(self, message, key, *, now_ms):
         """Decide on a message to an upstream that never left this process."""
         return []
@@ -149,14 +153,14 @@
         """Decide on a datagram that came to a service's address."""
         return self.router.from_caller(service, caller, data, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def from_upstream(self, message, key, *, now_ms):
         """Decide on a message that came on an upstream's stream."""
         return self.context.drop("unexpected")
 
     @from_upstream.register
     def _(self, message: FlowAccepted, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         actions = self.moves.accepted(message, key, now_ms=now_ms)
         if actions is None:
             return self.opening.accepted(message, key, now_ms=now_ms)
@@ -164,7 +168,7 @@
 
     @from_upstream.register
     def _(self, message: FlowShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return self._shed(message, key, now_ms)
 
     def _shed(self, message, key, now_ms):
@@ -175,7 +179,7 @@
 
     @from_upstream.register
     def _(self, message: WorkAnswer, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return [
             *self.owner.answered(message, key),
             *self.resolution.answered(message, key),
@@ -183,7 +187,7 @@
 
     @from_upstream.register
     def _(self, message: WorkShed, key, *, now_ms):
-        self.context.note_load(key, message)
+        self.context.note_load(key, message, now_ms=now_ms)
         return self.owner.shed(message, key)
 
     @from_upstream.register
@@ -206,7 +210,7 @@
 
     # Messages of peers and replicas
 
-    @singledispatchmethod
+    @methoddispatch
     def from_peer(self, message, peer=None, *, now_ms):
         """Decide on a message of another entry or a control replica."""
         return self.context.drop("unexpected")
@@ -253,7 +257,7 @@
     def _(self, message: HandOverAck, peer=None, *, now_ms):
         return self.handing.acknowledged(message, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def from_control(self, message):
         """Decide on a message of a control replica."""
         return self.context.drop("unexpected")
@@ -271,7 +275,7 @@
         self.router.unreachable(address, now_ms=now_ms)
         return self.handing.undeliverable(address, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def undeliverable(self, message, *, now_ms):
         """Decide on a message that didn't reach another entry."""
         return []
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -7,7 +7,6 @@
 
 from knapweeddeal.actions import (
     Address,
-    CloseStream,
     Dial,
     ToCaller,
     ToControl,
@@ -97,6 +96,7 @@
         self.hold_work = False
         self.hold_records = False
         self.hold_hand_overs = False
+        self.hold_announces = False
         self.held = []
         self.batches = []
         self.hand_overs = []
@@ -136,7 +136,7 @@
             limits=Limits(**self._limits),
             rng=random.Random(number),
             wall_clock_ms=lambda: WALL_MS + self.now_ms,
-            counters=lambda name: self.counters.update([name]),
+            counters=lambda name, number=1: self.counters.update({name: number}),
         )
         self.entries[name] = core
         self.dead.discard(name)
@@ -171,6 +171,8 @@
 
     def announce_all(self):
         """Announce every upstream to every entry that it reaches."""
+        if self.hold_announces:
+            return
         self._sequence += 1
         for name, upstream in self.upstreams.items():
             upstream.announce = upstream.announce.replace(sequence=self._sequence)
@@ -305,10 +307,6 @@
         else:
             self._push(name, core.stream_down(key, now_ms=self.now_ms))
 
-    @_carry.register
-    def _(self, action: CloseStream, name):
-        return
-
     @_carry.register
     def _(self, action: ToUpstream, name):
         core, upstream_name = self.entries[name], action.key.upstream_id
