Fuzz what outsiders send, and every message's way

Any bytes into decode, stream receive, settings, tickets and datagrams; any message of a family into entry, upstream and replicated state.

--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,296 @@
+"""tests.test_fuzz: Whatever outsiders send gets a value or a typed error."""
+
+import configparser
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import testscenarios
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweeddeal.actions import UpstreamKey
+from knapweeddeal.configurationstate import ConfigurationState
+from knapweeddeal.errors import (
+    BadMessageError,
+    BadSettingError,
+    BadTicketError,
+    KnapweeddealError,
+    StreamClosedError,
+)
+from knapweeddeal.messages import (
+    REGISTRY,
+    Message,
+    caller,
+    decode,
+    encode,
+    peer,
+    upstream,
+)
+from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
+from knapweeddeal.settings import OPTIONS, read_settings
+from knapweeddeal.stream import Stream
+from knapweeddeal.ticket import TicketSealer
+from knapweeddeal.upstream import UpstreamCore
+from tests.directoryfakes import announce
+from tests.entries import CALLER, SERVICE, Joined
+from tests.test_settings import CONTROL, ENTRY
+from tests.wire import any_message, broken_wire, message_of
+
+QUICK = settings(derandomize=True, deadline=None, max_examples=300)
+ODD = st.sampled_from(["", "-1", "1.5", "entry", "a=1.2.3.4:5", "9" * 40, "1:zz"])
+FEW = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+class Pieces:
+    """Stand in for a socket that receives given pieces."""
+
+    def __init__(self, pieces):
+        self._pieces = list(pieces)
+
+    async def recv(self, _max_bytes):
+        """Return the next piece, or nothing at the end."""
+        return self._pieces.pop(0) if self._pieces else b""
+
+
+def run(coroutine):
+    """Return what a coroutine that never waits returns."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("waits")
+
+
+class Codec(testtools.TestCase):
+    """Bytes become a message or BadMessageError."""
+
+    @QUICK
+    @given(broken_wire())
+    def test_decode(self, data):
+        try:
+            message = decode(data)
+        except BadMessageError:
+            return
+        self.assertIsInstance(message, Message)
+        decode(encode(message))
+
+    @QUICK
+    @given(st.lists(broken_wire(), max_size=4), st.integers(1, 40))
+    def test_stream(self, parts, size):
+        data = b"".join(parts)
+        pieces = [data[at : at + size] for at in range(0, len(data), size)]
+        stream = Stream(socket=Pieces(pieces))
+        try:
+            while True:
+                self.assertIsInstance(run(stream.receive()), Message)
+        except (BadMessageError, StreamClosedError):
+            return
+
+
+class RoundTrip(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Every message is the same after its way."""
+
+    scenarios = [(cls.__name__, {"cls": cls}) for _, cls in sorted(REGISTRY.items())]
+
+    def test_equal(self):
+        @settings(derandomize=True, deadline=None, max_examples=10)
+        @given(message_of(self.cls))
+        def check(message):
+            self.assertEqual(message, decode(encode(message)))
+
+        check()
+
+
+class Tickets(testtools.TestCase):
+    """Bytes that no key sealed are a BadTicketError."""
+
+    @QUICK
+    @given(st.binary(max_size=80), st.integers(0, 200), st.integers(1, 255))
+    def test_open(self, data, place, change):
+        sealer = TicketSealer(keys={1: bytes(16)}, life_ms=1_000)
+        joined_ticket = Joined(entries=("a",)).open("a").ticket
+        flipped = bytearray(joined_ticket)
+        flipped[place % len(flipped)] ^= change
+        for ticket in (data, bytes(flipped)):
+            self.assertRaises(BadTicketError, sealer.open, ticket, now_ms=0)
+
+
+class Entry(testtools.TestCase):
+    """An entry takes any datagram and any message, and goes on serving."""
+
+    def setUp(self):
+        super().setUp()
+        self.joined = Joined(entries=("a", "b"))
+        self.known = self.joined.open("a")
+
+    def serves(self):
+        """Tell whether a flow still opens."""
+        return bool(self.joined.open("a").ticket)
+
+    def test_datagrams(self):
+        @QUICK
+        @given(broken_wire())
+        def check(data):
+            core = self.joined.entries["a"]
+            for service in (SERVICE, "other", ""):
+                actions = core.from_caller(service, CALLER, data, now_ms=1_000)
+                self.assertIsInstance(actions, list)
+
+        check()
+        self.assertTrue(self.serves())
+
+    def test_callers_with_a_ticket(self):
+        @QUICK
+        @given(any_message(caller))
+        def check(message):
+            fields = {"service": SERVICE}
+            for name in ("flow_id", "ticket"):
+                if name in message.schema:
+                    fields[name] = getattr(self.known, name)
+            sent = message.replace(
+                **{k: v for k, v in fields.items() if k in sent_by(message)}
+            )
+            self.joined.send("a", self.known, sent)
+            self.joined.send("b", self.known, sent)
+
+        check()
+        self.joined.advance(5_000)
+        self.joined.announce_all()
+        self.assertTrue(self.serves())
+
+    def test_upstreams(self):
+        @QUICK
+        @given(any_message(upstream))
+        def check(message):
+            core = self.joined.entries["a"]
+            for key in (
+                self.joined.key("u1"),
+                UpstreamKey(service="x", upstream_id="y", incarnation=2),
+            ):
+                self.assertIsInstance(
+                    core.from_upstream(message, key, now_ms=1_000), list
+                )
+
+        check()
+        self.assertTrue(self.serves())
+
+    def test_peers(self):
+        @QUICK
+        @given(any_message(peer))
+        def check(message):
+            core = self.joined.entries["a"]
+            self.assertIsInstance(core.from_peer(message, None, now_ms=1_000), list)
+
+        check()
+        self.assertTrue(self.serves())
+
+    def test_announcements(self):
+        @QUICK
+        @given(message_of(upstream.Announce))
+        def check(message):
+            core = self.joined.entries["a"]
+            core.apply_announce(message, now_ms=1_000)
+            core.apply_announce(message.replace(service=SERVICE), now_ms=1_000)
+
+        check()
+        self.joined.advance(3_000)
+
+
+def sent_by(message):
+    """Return the fields of a message."""
+    return set(message.schema)
+
+
+class Upstream(testtools.TestCase):
+    """An upstream takes any message of an entry."""
+
+    def test_receive(self):
+        core = UpstreamCore(announce=announce())
+
+        @QUICK
+        @given(any_message())
+        def check(message):
+            self.assertIsInstance(core.receive(message, "a", now_ms=1), list)
+
+        check()
+        core.tick(now_ms=10**9)
+
+
+class Control(testtools.TestCase):
+    """A replicated state answers any record, and its image restores it."""
+
+    def test_apply(self):
+        state = ConfigurationState()
+        index = Counter()
+
+        @QUICK
+        @given(message_of(PlanRecord) | message_of(ConfirmRecord))
+        def check(record):
+            index["next"] += 1
+            self.assertIsInstance(state.apply(index["next"], record), Message)
+            other = ConfigurationState()
+            other.restore(state.image())
+            self.assertEqual(state.image(), other.image())
+
+        check()
+
+
+class Settings(testtools.TestCase):
+    """Any settings file is read, or named with BadSettingError."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.ini"
+
+    def read(self, data):
+        """Read settings from bytes."""
+        self.path.write_bytes(data)
+        try:
+            read_settings(str(self.path))
+        except BadSettingError as error:
+            self.assertEqual("bad_setting", error.code)
+
+    def test_bytes(self):
+        @QUICK
+        @given(st.binary(max_size=80) | st.text(max_size=80).map(str.encode))
+        def check(data):
+            self.read(data)
+
+        check()
+
+    def test_values(self):
+        names = sorted({(option.section, option.key) for option in OPTIONS})
+        text = st.text(max_size=12)
+        part = st.text(st.sampled_from("0129af:.,=-² "), max_size=12)
+
+        @QUICK
+        @given(
+            st.sampled_from((ENTRY, CONTROL)), st.sampled_from(names), text | part | ODD
+        )
+        def check(valid, name, value):
+            parser = configparser.ConfigParser(interpolation=None)
+            parser.read_string(valid)
+            section, key = name
+            lines = {s: dict(parser[s]) for s in parser.sections()}
+            lines.setdefault(section, {})[key] = value
+            written = "".join(
+                f"[{section}]\n" + "".join(f"{k} = {v}\n" for k, v in keys.items())
+                for section, keys in lines.items()
+            )
+            self.read(written.encode("utf-8", "surrogatepass"))
+
+        check()
+
+
+class Errors(testtools.TestCase):
+    """Every error describes itself on one line, whatever its value."""
+
+    @FEW
+    @given(st.text(max_size=300))
+    def test_describe(self, value):
+        error = KnapweeddealError("text", field="field", value=value)
+        self.assertNotIn("\n", error.describe())
--- /dev/null
+++ b/tests/wire.py
@@ -0,0 +1,110 @@
+"""tests.wire: Hypothesis strategies for messages and for what looks like them."""
+
+from functools import singledispatch
+
+import msgpack
+from hypothesis import strategies as st
+
+from knapweeddeal.messages import REGISTRY, base
+
+__all__ = ["any_message", "broken_wire", "message_of"]
+
+
+@singledispatch
+def value_of(kind):
+    """Return a strategy for the values that a field check lets pass."""
+    raise TypeError(kind)
+
+
+@value_of.register
+def _(kind: base.Text):
+    return st.text(max_size=min(kind.max_chars, 8))
+
+
+@value_of.register
+def _(kind: base.Whole):
+    edges = st.sampled_from((kind.minimum, kind.maximum))
+    small = st.integers(kind.minimum, min(kind.maximum, kind.minimum + 3))
+    return edges | small | st.integers(kind.minimum, kind.maximum)
+
+
+@value_of.register
+def _(kind: base.Flag):
+    return st.booleans()
+
+
+@value_of.register
+def _(kind: base.Blob):
+    return st.binary(max_size=min(kind.max_bytes, 16))
+
+
+@value_of.register
+def _(kind: base.OneOf):
+    return st.sampled_from(sorted(kind.choices))
+
+
+@value_of.register
+def _(kind: base.Nested):
+    return message_of(kind.cls) if kind.cls.tag else any_message()
+
+
+@value_of.register
+def _(kind: base.ListOf):
+    return st.lists(value_of(kind.item), max_size=min(kind.max_items, 3))
+
+
+def message_of(cls):
+    """Return a strategy for the messages of one class."""
+    fields = {name: value_of(kind) for name, kind in cls.schema.items()}
+    return st.builds(cls, **fields)
+
+
+def any_message(family=None):
+    """Return a strategy for all messages, or for those of one family."""
+    classes = [
+        cls
+        for _, cls in sorted(REGISTRY.items())
+        if family is None or cls.__module__ == family.__name__
+    ]
+    return st.sampled_from(classes).flatmap(message_of)
+
+
+def scalars():
+    """Return a strategy for what msgpack carries besides lists and maps."""
+    return st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(-(2**63), 2**64 - 1),
+        st.floats(),
+        st.text(max_size=4),
+        st.binary(max_size=4),
+        st.builds(msgpack.ExtType, st.integers(0, 127), st.binary(max_size=4)),
+        st.builds(msgpack.Timestamp, st.integers(0, 2**33)),
+    )
+
+
+def broken_wire():
+    """Return a strategy for bytes that are a message, almost one, or nothing."""
+    value = st.recursive(
+        scalars(),
+        lambda inner: (
+            st.lists(inner, max_size=4)
+            | st.dictionaries(st.text(max_size=2), inner, max_size=2)
+        ),
+        max_leaves=12,
+    )
+    tagged = st.builds(
+        lambda tag, rest: [tag, *rest],
+        st.sampled_from(sorted(REGISTRY)),
+        st.lists(value, max_size=12),
+    )
+    swapped = st.builds(_swapped, any_message(), st.integers(0, 11), value)
+    whole = st.one_of(value, tagged, swapped).map(msgpack.packb)
+    cut = st.builds(lambda data, end: data[:end], whole, st.integers(0, 64))
+    return st.one_of(st.binary(max_size=64), whole, cut)
+
+
+def _swapped(message, place, value):
+    wire = message.to_wire()
+    wire[place % len(wire)] = value
+    return wire
