--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -8,7 +8,7 @@
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.record import Record
-from knapweeddeal.refusals import RefusalQueue
+from knapweeddeal.refusalholding import RefusalHolding
 
 __all__ = [
     "EntryContext",
@@ -36,6 +36,7 @@
         "ejection",
         "identity",
         "limits",
+        "holding",
         "refusals",
         "rng",
         "sealer",
@@ -58,8 +59,10 @@
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
+        self.holding = RefusalHolding(counters=counters)
+        #: Refusals that wait until a second process holds their record.
+        self.refusals = self.holding.queue
         self.ejection = Ejection(share=limits.max_ejected_percent / 100)
-        self.refusals = RefusalQueue()
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
@@ -93,7 +96,7 @@
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready and not self.leaving(upstream.key)
+            if self.ready(upstream.key) and not self.leaving(upstream.key)
         ]
         doubtful = [u.key for u in usable if u.is_doubtful(now_ms=now_ms)]
         usable = self.ejection.usable(usable, doubtful, now_ms=now_ms)
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -14,6 +14,7 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlMessage",
     "ControlUp",
     "Peer",
     "PeerDown",
@@ -151,6 +152,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlMessage(Record):
+    """Tell of a message of a control replica."""
+
+    __slots__ = ("message",)
+
+
 class ControlUp(Record):
     """Tell that a stream to a control replica stands."""
 
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -25,6 +25,26 @@
 from tests.entries import CALLER, SERVICE, Caller, Joined
 
 
+class StreamFirst(testtools.TestCase):
+    """A stream may stand before the directory knows its upstream."""
+
+    def test_stream_is_used(self):
+        joined = Joined(entries=("a",))
+        caller = joined.open("a")
+        joined.hold_announces = True
+        joined.add_entry("b")
+        joined.renew("b", caller)
+        joined.keep_alive("b", caller)
+        joined.send("b", caller, caller.request(1))
+        joined.hold_announces = False
+        joined.announce_all()
+        self.assertEqual(["answer"], caller.outcomes(1))
+        other = joined.open("b", Address(host="127.0.0.8", port=1))
+        self.assertNotEqual(b"", other.ticket)
+        upstream = joined.entries["b"].directory.get(joined.key("u1"))
+        self.assertTrue(upstream.ready)
+
+
 class AtMostOnce(testtools.TestCase):
     """A request runs once, however often and wherever it comes."""
 
@@ -171,6 +191,27 @@
         self.assertEqual(["not_run"], caller.outcomes(1))
         self.assertEqual({}, dict(joined.works))
 
+    def test_without_control_another_entry_of_the_zone(self):
+        joined = Joined()
+        joined.hold_records = True
+        caller = joined.open("a")
+        core = joined.entries["a"]
+        core.set_neighbours([joined.entries["b"].identity.address])
+        joined.cut.add(frozenset("ab"))
+        joined.send("a", caller, caller.on_flow(Cancel, number=1))
+        joined.advance(2_500)
+        self.assertEqual([], caller.outcomes(1))
+        joined.cut.clear()
+        joined.advance(1_000)
+        self.assertEqual(["not_run"], caller.outcomes(1))
+        holdings = [joined.entries[name].context.holding for name in "ab"]
+        self.assertEqual([1, 1], [len(holding.held()) for holding in holdings])
+        joined.hold_records = False
+        joined.release()
+        joined.advance(1_000)
+        self.assertEqual([0, 0], [len(holding.held()) for holding in holdings])
+        self.assertEqual(["not_run"], caller.outcomes(1))
+
     def test_deadline_passed(self):
         joined = Joined()
         caller = joined.open("a")
