--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -94,6 +94,7 @@
             "per_s": round(rate),
             "busy": round(busy_s / window_s, 2),
             "us": round(1e6 * busy_s / window_s / rate, 1) if rate else None,
+            "refused": sum(item["refused"] for item in done),
             "stalls": sum(item["stalls"] for item in done),
         }
 
--- a/bench/loader.py
+++ b/bench/loader.py
@@ -14,6 +14,7 @@
     KeptAlive,
     Open,
     Opened,
+    OpenRefused,
     Request,
 )
 
@@ -31,6 +32,8 @@
         self._size = size
         self._rng = rng
         self.tickets = {}
+        #: Opens that were refused; their slots go on.
+        self.refused = 0
         self._numbers = {}
 
     def first(self):
@@ -48,7 +51,8 @@
         if self._kind == "relay":
             return True, None
         message = decode(data)
-        if type(message) is Opened:
+        if type(message) in (Opened, OpenRefused):
+            self.refused += type(message) is OpenRefused
             return self._kind == "open", None
         counts = type(message) in (AnswerPart, KeptAlive)
         return counts, getattr(message, "flow_id", None)
@@ -107,7 +111,12 @@
         if counts:
             count += 1
             port.send(window.next(slot))
-    return {"count": count, "stalls": lost, "seconds": time.monotonic() - began_s}
+    return {
+        "count": count - window.refused,
+        "refused": window.refused,
+        "stalls": lost,
+        "seconds": time.monotonic() - began_s,
+    }
 
 
 def main():
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,259 @@
+"""tests.test_links: Tests of streams to upstreams and peers, and of their queues."""
+
+import curio
+import testscenarios
+import testtools
+
+from knapweeddeal import outbox
+from knapweeddeal.actions import Address, UpstreamKey
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.entrycore import Identity
+from knapweeddeal.errors import KnapweeddealError, UnreachableError
+from knapweeddeal.events import PeerDown, Undeliverable, UpstreamDown, UpstreamUp
+from knapweeddeal.inbox import Inbox
+from knapweeddeal.messages.peer import PeerHello, Relay
+from knapweeddeal.messages.upstream import (
+    READY,
+    Announce,
+    FlowClose,
+    FlowOpen,
+    Heartbeat,
+    StreamHello,
+    StreamWelcome,
+)
+from knapweeddeal.peerlink import PeerLink
+from knapweeddeal.settings import Settings
+from knapweeddeal.stream import connect, serve
+from knapweeddeal.upstream import UpstreamServer
+from knapweeddeal.upstreamlink import UpstreamLink
+from tests.processes import free_port
+
+HOST = "127.0.0.1"
+SETTINGS = Settings(path="", values={"stream_timeout_ms": 300, "heartbeat_ms": 50})
+KEY = UpstreamKey(service="s", upstream_id="u", incarnation=1)
+IDENTITY = Identity(
+    entry_id="e", incarnation=2, zone="z", address=Address(host=HOST, port=1)
+)
+WELCOME = StreamWelcome(service="s", upstream_id="u", upstream_incarnation=1)
+HELLO = StreamHello(
+    service="s",
+    upstream_id="u",
+    upstream_incarnation=1,
+    entry_id="e",
+    entry_incarnation=2,
+)
+RELAY = Relay(caller_host="h", caller_port=1, datagram=b"x")
+
+
+class Other:
+    """Take one kind of stream and keep what came; answer heartbeats or not."""
+
+    def __init__(self, *, first, answers_heartbeats=True):
+        self.came = []
+        self.address = Address(host=HOST, port=free_port())
+        self._first = first
+        self._answers = answers_heartbeats
+
+    async def run(self):
+        """Serve until cancelled."""
+        await serve((self.address.host, self.address.port), self._take)
+
+    async def _take(self, stream):
+        await stream.receive()
+        if self._first is not None:
+            await stream.send(self._first)
+        while True:
+            try:
+                message = await stream.receive()
+            except KnapweeddealError:
+                return
+            if type(message) is not Heartbeat:
+                self.came.append(message)
+            elif self._answers:
+                await stream.send(message)
+
+
+async def with_server(other, action):
+    """Run an action beside a server that takes streams."""
+    task = await curio.spawn(other.run)
+    await curio.sleep(0)
+    try:
+        return await curio.timeout_after(5, action)
+    except curio.TaskTimeout:
+        raise AssertionError("not within 5 s") from None
+    finally:
+        await task.cancel()
+
+
+async def connected(address):
+    """Return a stream to an address as soon as something listens there."""
+    while True:
+        try:
+            return await connect(address, timeout_ms=1_000)
+        except UnreachableError:
+            await curio.sleep(0.01)
+
+
+def upstream_link(address, inbox):
+    """Return a link to an upstream."""
+    return UpstreamLink(
+        key=KEY, address=address, identity=IDENTITY, settings=SETTINGS, inbox=inbox
+    )
+
+
+class UpstreamIdentity(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A stream to anyone but the named upstream carries nothing."""
+
+    scenarios = [
+        ("service", {"welcome": WELCOME.replace(service="t")}),
+        ("id", {"welcome": WELCOME.replace(upstream_id="v")}),
+        ("incarnation", {"welcome": WELCOME.replace(upstream_incarnation=9)}),
+        ("no welcome", {"welcome": FlowClose(flow_id=1)}),
+        ("silence", {"welcome": None}),
+    ]
+
+    def test_entry_sends_nothing(self):
+        other = Other(first=self.welcome, answers_heartbeats=False)
+        inbox = Inbox(max_events=10)
+        link = upstream_link(other.address, inbox)
+        link.outbox.put(FlowClose(flow_id=7))
+        curio.run(with_server, other, link.run)
+        self.assertEqual([], other.came)
+        self.assertEqual([UpstreamDown(key=KEY)], curio.run(inbox.take, 9))
+        self.assertEqual([FlowClose(flow_id=7)], link.outbox.unsent())
+
+
+class UpstreamRefuses(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An upstream takes nothing on a stream that is meant for another."""
+
+    scenarios = [
+        ("service", {"hello": HELLO.replace(service="t"), "flows": 0}),
+        ("id", {"hello": HELLO.replace(upstream_id="v"), "flows": 0}),
+        ("incarnation", {"hello": HELLO.replace(upstream_incarnation=9), "flows": 0}),
+        ("no hello", {"hello": FlowClose(flow_id=1), "flows": 0}),
+        ("its own", {"hello": HELLO, "flows": 1}),
+    ]
+
+    def test_flows(self):
+        port = free_port()
+        announce = Announce(
+            upstream_id="u",
+            incarnation=1,
+            sequence=1,
+            zone="z",
+            service="s",
+            host=HOST,
+            port=port,
+            health_port=0,
+            slots=1,
+            max_connections=9,
+            state=READY,
+            drain_ms=0,
+        )
+        server = UpstreamServer(
+            announce=announce,
+            announce_to=(HOST, 9),
+            application=None,
+            clock_ms=monotonic_ms,
+        )
+
+        async def send():
+            stream = await connected((HOST, port))
+            ask = FlowOpen(flow_id=1, caller_host="h", caller_port=1)
+            try:
+                await stream.send_all([self.hello, ask])
+                while True:
+                    await stream.receive_within(300)
+            except KnapweeddealError:
+                await stream.close()
+
+        curio.run(with_server, server, send)
+        self.assertEqual(self.flows, len(server.core.flows))
+
+
+class SilentUpstream(testtools.TestCase):
+    """A stream that falls silent is cut, and its end is told once."""
+
+    def test_cut(self):
+        other = Other(first=WELCOME, answers_heartbeats=False)
+        inbox = Inbox(max_events=10)
+        curio.run(with_server, other, upstream_link(other.address, inbox).run)
+        events = curio.run(inbox.take, 9)
+        self.assertEqual([UpstreamUp(key=KEY), UpstreamDown(key=KEY)], events)
+
+
+class PeerLost(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What couldn't be sent to a peer is reported, after the link is gone."""
+
+    scenarios = [("refused", {"listens": False}), ("silent", {"listens": True})]
+
+    def test_reported(self):
+        other = Other(first=None, answers_heartbeats=False)
+        inbox = Inbox(max_events=10)
+        ended = []
+        link = PeerLink(
+            address=other.address,
+            identity=IDENTITY,
+            settings=SETTINGS,
+            inbox=inbox,
+            ended=ended.append,
+        )
+        if self.listens:
+            curio.run(with_server, other, link.run)
+            expected = [PeerDown(address=other.address)]
+        else:
+            link.outbox.put(RELAY)
+            curio.run(link.run)
+            expected = [
+                PeerDown(address=other.address),
+                Undeliverable(address=other.address, message=RELAY),
+            ]
+        self.assertEqual(expected, curio.run(inbox.take, 9))
+        self.assertEqual([other.address], ended)
+
+
+class Queues(testtools.TestCase):
+    """Queues are bounded: datagrams are shed, streams wait, outboxes refuse."""
+
+    def test_inbox(self):
+        inbox = Inbox(max_events=2)
+        self.assertEqual([False, False, True], [inbox.shed(n) for n in range(3)])
+
+        async def put_and_take():
+            task = await curio.spawn(inbox.put, "last")
+            await inbox.wake()
+            taken = await inbox.take(1)
+            await task.join()
+            return [*taken, *await inbox.take(9)]
+
+        self.assertEqual([0, 1, "last"], curio.run(put_and_take))
+
+    def test_what_must_not_get_lost_goes_over_the_bound(self):
+        inbox = Inbox(max_events=1)
+        inbox.shed(0)
+        curio.run(inbox.put_at_once, 1)
+        self.assertEqual(2, inbox.qsize())
+
+    def test_outbox(self):
+        self.patch(outbox, "MAX_WAITING", 2)
+        box = outbox.Outbox()
+        self.assertEqual([True, True, False], [box.put(n) for n in range(3)])
+        self.assertEqual([0, 1], box.unsent())
+
+    def test_what_waited_is_sent_by_the_next_stream(self):
+        box = outbox.Outbox()
+        hello = PeerHello(name="n", incarnation=1, zone="z")
+        box.put(FlowClose(flow_id=3))
+        other = Other(first=None)
+
+        async def send():
+            stream = await connected((other.address.host, other.address.port))
+            await stream.send(hello)
+            sender = await curio.spawn(box.drain_to, stream)
+            while not other.came:
+                await curio.sleep(0.01)
+            await sender.cancel()
+            await stream.close()
+
+        curio.run(with_server, other, send)
+        self.assertEqual([FlowClose(flow_id=3)], other.came)
