--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -39,7 +39,6 @@
         "sealer",
         "services",
         "wall_clock_ms",
-        "zone_peers",
     )
 
     def __init__(self, *, identity, sealer, limits, rng, wall_clock_ms, counters):
@@ -57,8 +56,6 @@
             per_zone=limits.registrars_per_zone,
         )
         self.refusals = RefusalQueue()
-        #: Addresses of the other live entries of this zone.
-        self.zone_peers = []
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -1,6 +1,6 @@
 """knapweeddeal.entrycore: The decisions of an entry, message in and actions out."""
 
-from knapweeddeal.actions import Address, ToCaller, ToControl, ToPeer, ToStream
+from knapweeddeal.actions import Address, ToCaller, ToControl
 from knapweeddeal.dispatch import methoddispatch
 from knapweeddeal.entrycontext import EntryContext, Identity
 from knapweeddeal.flowcounts import FlowCountReporter
@@ -12,7 +12,6 @@
     HandOverAsk,
     HandOverOffer,
     RefusalAck,
-    RefusalBatch,
     Relay,
     Succession,
     Successions,
@@ -113,10 +112,6 @@
         self.directory.apply(announce, now_ms=now_ms)
         return self.directory.dials_of([announce], now_ms=now_ms)
 
-    def set_zone_peers(self, addresses):
-        """Take the addresses of the other live entries of this zone."""
-        self.context.zone_peers = addresses
-
     # Streams of upstreams
 
     def stream_up(self, key):
@@ -223,15 +218,6 @@
         released = self.refusals.release(message.batch)
         return [self.owner.recorded(refusal) for refusal in released]
 
-    @from_peer.register
-    def _(self, message: RefusalBatch, peer=None, *, now_ms):
-        if peer is None or self.refusals.room() < len(message.records):
-            return self.context.drop("refusal_batch")
-        for record in message.records:
-            self.refusals.add(record, None)
-        ack = RefusalAck(batch=message.batch)
-        return [ToStream(stream=peer.stream, message=ack)]
-
     @from_peer.register
     def _(self, message: HandOverAsk, peer=None, *, now_ms):
         if peer is None:
@@ -295,18 +281,13 @@
         return [
             *self.moves.tick(now_ms=now_ms),
             *self.handing.tick(now_ms=now_ms),
-            *self._send_refusals(now_ms),
+            *(
+                ToControl(message=batch)
+                for batch in self.refusals.batches(now_ms=now_ms)
+            ),
             *self._report_flows(now_ms),
         ]
 
-    def _send_refusals(self, now_ms):
-        peers = self.context.zone_peers
-        spares = self.refusals.spare_batches(len(peers), now_ms=now_ms)
-        return [
-            *(ToControl(message=m) for m in self.refusals.batches(now_ms=now_ms)),
-            *(ToPeer(address=peers[index], message=m) for index, m in spares),
-        ]
-
     def control_up(self):
         """Note that another control replica listens from now on."""
         self._flow_reports.start_over()
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -366,14 +366,6 @@
     @_handle.register
     async def _(self, event: MembersCame):
         self._members = event.addresses
-        near = event.names_by_zone.get(self._settings.zone, ())
-        self._core.set_zone_peers(
-            [
-                event.addresses[name]
-                for name in sorted(near)
-                if name != self._settings.name and name in event.addresses
-            ]
-        )
         self._core.directory.set_members(event.names_by_zone)
         return self._core.directory.tick(now_ms=monotonic_ms())
 
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -191,26 +191,6 @@
         self.assertEqual(["not_run"], caller.outcomes(1))
         self.assertEqual({}, dict(joined.works))
 
-    def test_without_control_another_entry_of_the_zone(self):
-        joined = Joined()
-        joined.hold_records = True
-        caller = joined.open("a")
-        core = joined.entries["a"]
-        core.set_zone_peers([joined.entries["b"].identity.address])
-        joined.cut.add(frozenset("ab"))
-        joined.send("a", caller, caller.on_flow(Cancel, number=1))
-        joined.advance(2_500)
-        self.assertEqual([], caller.outcomes(1))
-        joined.cut.clear()
-        joined.advance(1_000)
-        self.assertEqual(["not_run"], caller.outcomes(1))
-        self.assertEqual(1, len(core.refusals))
-        self.assertEqual(1, len(joined.entries["b"].refusals))
-        joined.release()
-        self.assertEqual(0, len(core.refusals))
-        self.assertEqual(0, len(joined.entries["b"].refusals))
-        self.assertEqual(["not_run"], caller.outcomes(1))
-
     def test_deadline_passed(self):
         joined = Joined()
         caller = joined.open("a")
