--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -252,7 +252,7 @@
     def _(self, message: HandOverAck, peer=None, *, now_ms):
         return self.handing.acknowledged(message, now_ms=now_ms)
 
-    @singledispatchmethod
+    @methoddispatch
     def from_control(self, message):
         """Decide on a message of a control replica."""
         return self.context.drop("unexpected")
