--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -48,6 +48,7 @@
     VersionApplied,
     VersionCame,
 )
+from knapweeddeal.healthpoll import HealthPoll
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.limits import Limits
 from knapweeddeal.logs import Log
@@ -119,6 +120,7 @@
             limits=Limits(
                 lease_ms=settings.lease_ms,
                 lease_ask_ms=settings.lease_ask_ms,
+                max_ejected_percent=settings.max_ejected_percent,
                 registrars_per_zone=settings.registrars_per_zone,
                 stop_ms=settings.stop_ms,
             ),
@@ -177,6 +179,7 @@
         return Presence(
             membership=membership,
             registrar=registrar,
+            health=HealthPoll(poll_ms=settings.poll_ms),
             per_zone=settings.registrars_per_zone,
             counters=self._count,
         )
@@ -377,7 +380,7 @@
     async def _(self, event: MembersCame):
         self._members = event.addresses
         self._core.directory.set_members(event.names_by_zone)
-        self._core.context.holding.set_neighbours(self._neighbours(event))
+        self._core.set_neighbours(self._neighbours(event))
         asks = [] if self._ask_successions_ms else self._ask_successions()
         return [*self._core.directory.tick(now_ms=monotonic_ms()), *asks]
 
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -136,7 +136,7 @@
             limits=Limits(**self._limits),
             rng=random.Random(number),
             wall_clock_ms=lambda: WALL_MS + self.now_ms,
-            counters=lambda name: self.counters.update([name]),
+            counters=lambda name, number=1: self.counters.update({name: number}),
         )
         self.entries[name] = core
         self.dead.discard(name)
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -191,6 +191,27 @@
         self.assertEqual(["not_run"], caller.outcomes(1))
         self.assertEqual({}, dict(joined.works))
 
+    def test_without_control_another_entry_of_the_zone(self):
+        joined = Joined()
+        joined.hold_records = True
+        caller = joined.open("a")
+        core = joined.entries["a"]
+        core.set_neighbours([joined.entries["b"].identity.address])
+        joined.cut.add(frozenset("ab"))
+        joined.send("a", caller, caller.on_flow(Cancel, number=1))
+        joined.advance(2_500)
+        self.assertEqual([], caller.outcomes(1))
+        joined.cut.clear()
+        joined.advance(1_000)
+        self.assertEqual(["not_run"], caller.outcomes(1))
+        holdings = [joined.entries[name].context.holding for name in "ab"]
+        self.assertEqual([1, 1], [len(holding.held()) for holding in holdings])
+        joined.hold_records = False
+        joined.release()
+        joined.advance(1_000)
+        self.assertEqual([0, 0], [len(holding.held()) for holding in holdings])
+        self.assertEqual(["not_run"], caller.outcomes(1))
+
     def test_deadline_passed(self):
         joined = Joined()
         caller = joined.open("a")
