--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -11,10 +11,17 @@
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 TICKET_KEYS = f"1:{bytes(range(32)).hex()}"
+#: Environment variable that gives the second number of all addresses.
+BASE_VARIABLE = "KNAPWEEDDEAL_LOOPBACK"
 #: Time that a planned stop may take before the process is killed.
 STOP_S = 15
 
 
+def default_base():
+    """Return a number for addresses that few processes at a time share."""
+    return 100 + os.getpid() % 150
+
+
 class Cluster:
     """Start and end daemons and stand-ins, each with a file for its output.
 
@@ -23,7 +30,7 @@
 
     def __init__(self, *, folder, base=None, zones=ZONES, entries=4, replicas=3):
         self.folder = Path(folder)
-        self.base = base or 1 + os.getpid() % 250
+        self.base = base or int(os.environ.get(BASE_VARIABLE, 0)) or default_base()
         self.zones = zones
         self.processes = {}
         self._entries = [f"entry-{n}" for n in range(1, entries + 1)]
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -272,9 +272,13 @@
         released = self.context.holding.acknowledged(ack.batch, by_control=by_control)
         return [self.owner.recorded(refusal) for refusal in released]
 
+    def peer_up(self, address):
+        """Note that another entry answered on a new stream."""
+        self.router.peer_up(address)
+
     def peer_down(self, address, *, now_ms):
         """Note that another entry couldn't be reached."""
-        self.router.unreachable(address, now_ms=now_ms)
+        self.router.peer_down(address, now_ms=now_ms)
         return self.handing.undeliverable(address, now_ms=now_ms)
 
     @methoddispatch
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -38,6 +38,7 @@
     Peer,
     PeerDown,
     PeerMessage,
+    PeerUp,
     ReloadAsked,
     StopAsked,
     Tick,
@@ -360,6 +361,11 @@
     async def _(self, event: Undeliverable):
         return self._core.undeliverable(event.message, now_ms=monotonic_ms())
 
+    @_handle.register
+    async def _(self, event: PeerUp):
+        self._core.peer_up(event.address)
+        return []
+
     @_handle.register
     async def _(self, event: PeerDown):
         # It may have stopped as planned, and its word on that may be lost.
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -19,6 +19,7 @@
     "Peer",
     "PeerDown",
     "PeerMessage",
+    "PeerUp",
     "ReloadAsked",
     "StopAsked",
     "Tick",
@@ -74,6 +75,12 @@
     __slots__ = ("address", "message")
 
 
+class PeerUp(Record):
+    """Tell that another entry answered on a new stream."""
+
+    __slots__ = ("address",)
+
+
 class PeerDown(Record):
     """Tell that another entry couldn't be reached or fell silent."""
 
--- a/knapweeddeal/peerlink.py
+++ b/knapweeddeal/peerlink.py
@@ -1,7 +1,7 @@
 """knapweeddeal.peerlink: The stream of an entry to another entry, opened on demand."""
 
 from knapweeddeal.errors import KnapweeddealError
-from knapweeddeal.events import PeerDown, PeerMessage, Undeliverable
+from knapweeddeal.events import PeerDown, PeerMessage, PeerUp, Undeliverable
 from knapweeddeal.messages.peer import PeerHello
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
@@ -59,7 +59,12 @@
             await stream.close()
 
     async def _receive(self, stream):
+        message = await stream.receive_within(self._settings.stream_timeout_ms)
+        await self._inbox.put(PeerUp(address=self._address))
         while True:
+            await self._take(message)
             message = await stream.receive_within(self._settings.stream_timeout_ms)
-            if type(message) is not Heartbeat:
-                await self._inbox.put(PeerMessage(message=message, peer=None))
+
+    async def _take(self, message):
+        if type(message) is not Heartbeat:
+            await self._inbox.put(PeerMessage(message=message, peer=None))
--- a/knapweeddeal/router.py
+++ b/knapweeddeal/router.py
@@ -15,16 +15,12 @@
     Request,
 )
 from knapweeddeal.messages.peer import Relay
-from knapweeddeal.messages.upstream import FlowClose, FlowTouch
+from knapweeddeal.messages.upstream import FlowClose, FlowTouch, Heartbeat
+from knapweeddeal.reachability import Reachability
 from knapweeddeal.successions import successor_address
 
 __all__ = ["Router"]
 
-#: Time in which an owner that couldn't be reached isn't tried again.
-UNREACHABLE_MS = 1_000
-#: Owners that are remembered as unreachable.
-MAX_UNREACHABLE = 10_000
-
 
 class Router:
     """Check each datagram and hand it to the part, or the entry, that decides."""
@@ -37,7 +33,7 @@
         self._resolution = resolution
         self._handing = handing
         self._successions = handing.successions
-        self._unreachable = {}
+        self._reachability = Reachability()
 
     def from_caller(self, service, caller, data, *, now_ms):
         """Decide on a datagram that came to a service's address."""
@@ -139,18 +135,29 @@
 
     def _to_owner(self, message, ticket, caller, data, now_ms):
         _, address = self._owner_of(ticket)
-        until_ms = self._unreachable.get(address, 0)
-        if now_ms < until_ms or address == self._context.identity.address:
-            return self._resolution.unreachable(message, ticket, caller, now_ms=now_ms)
-        relay = Relay(caller_host=caller.host, caller_port=caller.port, datagram=data)
-        return [ToPeer(address=address, message=relay)]
+        reached = self._reachability.reaches(address, now_ms=now_ms)
+        if reached and address != self._context.identity.address:
+            relay = Relay(
+                caller_host=caller.host, caller_port=caller.port, datagram=data
+            )
+            return [ToPeer(address=address, message=relay)]
+        return [
+            *self._probe(address, now_ms),
+            *self._resolution.unreachable(message, ticket, caller, now_ms=now_ms),
+        ]
 
-    def unreachable(self, address, *, now_ms):
+    def _probe(self, address, now_ms):
+        if not self._reachability.take_probe(address, now_ms=now_ms):
+            return []
+        return [ToPeer(address=address, message=Heartbeat())]
+
+    def peer_down(self, address, *, now_ms):
         """Note that a peer couldn't be reached."""
-        self._unreachable.pop(address, None)
-        self._unreachable[address] = now_ms + UNREACHABLE_MS
-        while len(self._unreachable) > MAX_UNREACHABLE:
-            del self._unreachable[next(iter(self._unreachable))]
+        self._reachability.failed(address, now_ms=now_ms)
+
+    def peer_up(self, address):
+        """Note that a peer answered."""
+        self._reachability.answered(address)
 
     @methoddispatch
     def _at_owner(self, message, ticket, caller, now_ms):
