--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -47,7 +47,7 @@
         lease_ms=2_000,
         rng=random.Random(1),
         wall_clock_ms=lambda: samples.NOW_MS,
-        counters=lambda name: None,
+        counters=lambda name, number=1: None,
     )
     core.apply_configuration(samples.configuration(11))
     for number in range(upstreams):
--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -1,12 +1,14 @@
 """demo.upstream: A stand-in upstream that answers, pushes and notes what it ran."""
 
 import argparse
+import json
 import secrets
 import signal
 
 import curio
 
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.healthserver import serve_health
 from knapweeddeal.messages.upstream import LEAVING, READY, Announce
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.upstream import UpstreamServer
@@ -35,14 +37,29 @@
         return head + self._name.encode()
 
 
-async def push_for_ever(server):
-    """Push to every flow."""
-    while True:
-        await curio.sleep(PUSH_MS / 1000)
+async def push_for_ever(server, push_ms):
+    """Push to every flow, unless the time between pushes is 0."""
+    while push_ms:
+        await curio.sleep(push_ms / 1000)
         for flow_id in list(server.core.flows):
             await server.push(flow_id, server.core.announce.service.encode())
 
 
+def health_look(options, server):
+    """Return what the health address answers: the truth, or what was asked for."""
+
+    def look():
+        if options.health:
+            return json.loads(options.health)
+        figures = {
+            "outstanding": server.core.outstanding,
+            "connections": len(server.core.flows),
+        }
+        return 200, figures
+
+    return look
+
+
 async def run(options):
     """Serve until SIGTERM, then leave, then end."""
     host, _, port = options.listen.rpartition(":")
@@ -54,7 +71,7 @@
         service=options.service,
         host=host,
         port=int(port),
-        health_port=0,
+        health_port=options.health_port,
         slots=options.slots,
         max_connections=options.connections,
         state=READY,
@@ -75,7 +92,10 @@
     )
     signals = SignalReader(numbers=[signal.SIGTERM])
     serving = await curio.spawn(server.run)
-    pushing = await curio.spawn(push_for_ever, server)
+    pushing = await curio.spawn(push_for_ever, server, options.push_ms)
+    if options.health_port:
+        address = (host, options.health_port)
+        await curio.spawn(serve_health, address, health_look(options, server))
     await signals.next()
     server.core.announce = announce.replace(state=LEAVING)
     await curio.sleep(options.drain_ms / 1000)
@@ -91,11 +111,14 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--listen", required=True)
     parser.add_argument("--announce", required=True)
+    parser.add_argument("--health-port", type=int, default=0)
+    parser.add_argument("--health", default="", help="status and figures as JSON")
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--connections", type=int, default=4000)
     parser.add_argument("--work-ms", type=int, default=5)
     parser.add_argument("--drain-ms", type=int, default=5_000)
     parser.add_argument("--runs", default="")
+    parser.add_argument("--push-ms", type=int, default=PUSH_MS)
     curio.run(run, parser.parse_args())
 
 
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -1,13 +1,16 @@
 """knapweeddeal.entrycontext: What the parts of an entry's decisions share."""
 
 from knapweeddeal.actions import Address, ToCaller, UpstreamKey
-from knapweeddeal.balance import choose
+from knapweeddeal.admission import Admission
+from knapweeddeal.balance import Balancer
 from knapweeddeal.directory import Directory
+from knapweeddeal.ejection import Ejection
+from knapweeddeal.flowtable import FlowTable
 from knapweeddeal.messages.caller import MAX_BODY_BYTES, AnswerPart, Outcome
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.record import Record
-from knapweeddeal.refusals import RefusalQueue
+from knapweeddeal.refusalholding import RefusalHolding
 
 __all__ = [
     "EntryContext",
@@ -29,11 +32,16 @@
     """Hold the identity, the directory, the services and the refusals."""
 
     __slots__ = (
+        "admission",
+        "balancer",
         "count",
         "directory",
         "draining",
+        "ejection",
+        "flows",
         "identity",
         "limits",
+        "holding",
         "refusals",
         "rng",
         "sealer",
@@ -52,10 +60,18 @@
         self.directory = Directory(
             lease_ms=limits.lease_ms,
             name=identity.entry_id,
+            zone=identity.zone,
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
-        self.refusals = RefusalQueue()
+        #: Flows that this entry owns.
+        self.flows = FlowTable(idle_ms=limits.flow_idle_ms)
+        self.balancer = Balancer(zone=identity.zone, own_flows=self.flows.count)
+        self.admission = Admission()
+        self.holding = RefusalHolding(counters=counters)
+        #: Refusals that wait until a second process holds their record.
+        self.refusals = self.holding.queue
+        self.ejection = Ejection(share=limits.max_ejected_percent / 100)
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
@@ -85,21 +101,35 @@
         return self.directory.has_stream(key)
 
     def pick(self, service, tried, *, now_ms):
-        """Return an upstream for a flow, or None; never one of those tried."""
+        """Return an upstream to ask for a flow, or None; none of those tried."""
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if upstream.ready
-            and upstream.key not in tried
-            and not self.leaving(upstream.key)
+            if self.ready(upstream.key) and not self.leaving(upstream.key)
         ]
-        return choose(usable, zone=self.identity.zone, rng=self.rng)
-
-    def note_load(self, key, message):
-        """Take the load that an upstream reports."""
+        doubtful = [u.key for u in usable if u.is_doubtful(now_ms=now_ms)]
+        usable = self.ejection.usable(usable, doubtful, now_ms=now_ms)
+        usable = [u for u in usable if u.key not in tried]
+        chosen = self.balancer.choose(usable, rng=self.rng, now_ms=now_ms)
+        if chosen is not None:
+            self.balancer.asked(chosen.key, now_ms=now_ms)
+        return chosen
+
+    def note_load(self, key, message, *, now_ms):
+        """Take the load that an upstream reports on the data path."""
+        self.ejection.succeed(key)
         upstream = self.directory.get(key)
         if upstream is not None:
-            upstream.connections = message.connections
+            upstream.report(message.connections, now_ms=now_ms)
+            self.balancer.reported(key, message.outstanding, now_ms=now_ms)
+            self.admission.reported(upstream, message.outstanding, now_ms=now_ms)
+
+    def admits(self, key, deadline_ms, *, now_ms):
+        """Tell whether an upstream can be expected to answer within a deadline."""
+        upstream = self.directory.get(key)
+        return upstream is None or self.admission.admits(
+            upstream, deadline_ms=deadline_ms, now_ms=now_ms
+        )
 
     def refuse(self, refusal, flow_id, number, reason):
         """Hold a refusal back until its record is held; return whether it fits."""
--- a/knapweeddeal/events.py
+++ b/knapweeddeal/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "DirectoryCame",
+    "HealthCame",
     "MemberDatagram",
     "MemberLost",
     "MembersCame",
@@ -13,6 +14,7 @@
     "AnnounceCame",
     "CallerDatagram",
     "ConfigurationCame",
+    "ControlMessage",
     "ControlUp",
     "Peer",
     "PeerDown",
@@ -96,6 +98,12 @@
     __slots__ = ("announce",)
 
 
+class HealthCame(Record):
+    """Tell what a poll of an upstream gave: its health, or None."""
+
+    __slots__ = ("health", "name")
+
+
 class MemberDatagram(Record):
     """Tell of a datagram of another entry."""
 
@@ -144,6 +152,12 @@
     __slots__ = ("configuration",)
 
 
+class ControlMessage(Record):
+    """Tell of a message of a control replica."""
+
+    __slots__ = ("message",)
+
+
 class ControlUp(Record):
     """Tell that a stream to a control replica stands."""
 
--- a/knapweeddeal/upstream.py
+++ b/knapweeddeal/upstream.py
@@ -2,11 +2,11 @@
 
 import contextlib
 from collections import Counter, deque
-from functools import singledispatchmethod
 
 import curio
 from curio import socket
 
+from knapweeddeal.dispatch import methoddispatch
 from knapweeddeal.errors import KnapweeddealError
 from knapweeddeal.messages import encode
 from knapweeddeal.messages.upstream import (
@@ -113,7 +113,7 @@
             "connections": len(self.flows),
         }
 
-    @singledispatchmethod
+    @methoddispatch
     def receive(self, message, stream, *, now_ms):
         """Decide on a message that came on a stream; return replies and runs."""
         self.counters["dropped_unexpected"] += 1
@@ -374,8 +374,14 @@
             await self._announce_for_ever()
 
     async def push(self, flow_id, body):
-        """Push a body to a flow's caller."""
-        await self._perform_all(self.core.push(flow_id, body))
+        """Push a body to a flow's caller; wait while its stream is busy."""
+        for reply in self.core.push(flow_id, body):
+            key = reply.stream
+            if key not in self._streams:
+                key = next(iter(self._streams), None)
+            stream = self._streams.get(key)
+            if stream is not None:
+                await stream.outbox.offer_patiently(reply.message)
 
     async def _announce_for_ever(self):
         async with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as port:
@@ -407,6 +413,8 @@
             return
         finally:
             self._streams.pop(key, None)
+            async with curio.disable_cancellation():
+                await outbox.close()
 
     async def _greet(self, stream):
         announce = self.core.announce
@@ -437,20 +445,17 @@
         for action in actions:
             await self._perform(action)
 
-    @singledispatchmethod
+    @methoddispatch
     async def _perform(self, action):
         raise TypeError(f"no such action: {action!r}")
 
     @_perform.register
     async def _(self, action: Run):
-        await self._tasks.spawn(self._run_job, action.job)
+        await self._tasks.spawn(self._run_job, action.job, daemon=True)
 
     @_perform.register
     async def _(self, action: Reply):
-        key = action.stream
-        if key not in self._streams and type(action.message) is UpstreamPush:
-            key = next(iter(self._streams), None)
-        await self._send(key, action.message)
+        await self._send(action.stream, action.message)
 
     async def _send(self, key, message):
         """Send a message; a stream without room for it is broken."""
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -25,6 +25,26 @@
 from tests.entries import CALLER, SERVICE, Caller, Joined
 
 
+class StreamFirst(testtools.TestCase):
+    """A stream may stand before the directory knows its upstream."""
+
+    def test_stream_is_used(self):
+        joined = Joined(entries=("a",))
+        caller = joined.open("a")
+        joined.hold_announces = True
+        joined.add_entry("b")
+        joined.renew("b", caller)
+        joined.keep_alive("b", caller)
+        joined.send("b", caller, caller.request(1))
+        joined.hold_announces = False
+        joined.announce_all()
+        self.assertEqual(["answer"], caller.outcomes(1))
+        other = joined.open("b", Address(host="127.0.0.8", port=1))
+        self.assertNotEqual(b"", other.ticket)
+        upstream = joined.entries["b"].directory.get(joined.key("u1"))
+        self.assertTrue(upstream.ready)
+
+
 class AtMostOnce(testtools.TestCase):
     """A request runs once, however often and wherever it comes."""
 
@@ -171,6 +191,27 @@
         self.assertEqual(["not_run"], caller.outcomes(1))
         self.assertEqual({}, dict(joined.works))
 
+    def test_without_control_another_entry_of_the_zone(self):
+        joined = Joined()
+        joined.hold_records = True
+        caller = joined.open("a")
+        core = joined.entries["a"]
+        core.set_neighbours([joined.entries["b"].identity.address])
+        joined.cut.add(frozenset("ab"))
+        joined.send("a", caller, caller.on_flow(Cancel, number=1))
+        joined.advance(2_500)
+        self.assertEqual([], caller.outcomes(1))
+        joined.cut.clear()
+        joined.advance(1_000)
+        self.assertEqual(["not_run"], caller.outcomes(1))
+        holdings = [joined.entries[name].context.holding for name in "ab"]
+        self.assertEqual([1, 1], [len(holding.held()) for holding in holdings])
+        joined.hold_records = False
+        joined.release()
+        joined.advance(1_000)
+        self.assertEqual([0, 0], [len(holding.held()) for holding in holdings])
+        self.assertEqual(["not_run"], caller.outcomes(1))
+
     def test_deadline_passed(self):
         joined = Joined()
         caller = joined.open("a")
@@ -411,7 +452,7 @@
         joined, _ = self.joined()
         callers = [
             joined.open("a", Address(host="127.0.0.8", port=port))
-            for port in range(300)
+            for port in range(600)
         ]
         joined.leave("u2")
         for caller in callers:
@@ -892,3 +933,34 @@
         joined.send("b", caller, caller.on_flow(Renew))
         joined.send("b", caller, caller.request(1))
         self.assertEqual(["answer"], caller.outcomes(1))
+
+
+class Overload(testtools.TestCase):
+    """A request without hope of an answer in time isn't sent."""
+
+    def joined(self, outstanding):
+        joined = Joined()
+        caller = joined.open("a")
+        joined.hold_work = True
+        for number in range(1, 40):
+            joined.send("a", caller, caller.request(number, floor=number))
+            joined.advance(100)
+            joined.release()
+        context = joined.entries["a"].context
+        upstream = context.directory.get(joined.key("u1"))
+        context.admission.reported(upstream, outstanding, now_ms=joined.now_ms)
+        return joined, caller
+
+    def test_refused(self):
+        joined, caller = self.joined(outstanding=10_000)
+        joined.send("a", caller, caller.request(50, deadline_ms=1_000))
+        self.assertEqual(0, joined.runs[caller.flow_id, 50])
+        self.assertEqual([], caller.outcomes(50))
+        joined.advance(100)
+        self.assertEqual(["not_run"], caller.outcomes(50))
+        self.assertEqual("overloaded", caller.told[-1].reason)
+
+    def test_sent_while_there_is_hope(self):
+        joined, caller = self.joined(outstanding=100)
+        joined.send("a", caller, caller.request(50, deadline_ms=1_000))
+        self.assertEqual(1, joined.runs[caller.flow_id, 50])
