--- a/bench/choosers.py
+++ b/bench/choosers.py
@@ -1,6 +1,8 @@
 """bench.choosers: Ways of choosing an upstream that the policy is measured against."""
 
-from knapweeddeal.balance import Balancer, choose
+import zlib
+
+from knapweeddeal.balance import Balancer
 
 __all__ = ["CHOOSERS", "Chooser"]
 
@@ -8,23 +10,21 @@
 class Chooser:
     """Choose without any knowledge; the base of all ways."""
 
-    def __init__(self, *, zone, fakes):
+    def __init__(self, *, zone, fakes, own_flows):
         self.zone = zone
         self.fakes = fakes
+        self.own_flows = own_flows
 
     def choose(self, upstreams, *, rng, now_ms, flow_id):
         """Return one of the upstreams at random."""
         return rng.choice(upstreams) if upstreams else None
 
-    def reported(self, key, outstanding, connections, *, now_ms):
+    def reported(self, key, outstanding, *, now_ms):
         """Take a reported load."""
 
-    def opened(self, key, *, now_ms):
+    def asked(self, key, *, now_ms):
         """Note a flow that is asked for."""
 
-    def owned(self, key, change, *, now_ms):
-        """Note that the flows owned here grew or shrank."""
-
     def shed(self, key, *, now_ms):
         """Note that a flow was turned away."""
 
@@ -49,7 +49,11 @@
         """Return the upstream with the highest hash."""
         if not upstreams:
             return None
-        return max(upstreams, key=lambda u: hash((flow_id, u.key.upstream_id)))
+        return max(upstreams, key=lambda upstream: _score(flow_id, upstream))
+
+
+def _score(flow_id, upstream):
+    return zlib.crc32(f"{flow_id} {upstream.key.upstream_id}".encode())
 
 
 class Earlier(Chooser):
@@ -57,7 +61,19 @@
 
     def choose(self, upstreams, *, rng, now_ms, flow_id):
         """Return the better of two, in the own zone if it has any."""
-        return choose(upstreams, zone=self.zone, rng=rng)
+        near = [u for u in upstreams if u.announce.zone == self.zone]
+        pool = near or upstreams
+        if not pool:
+            return None
+        return min(rng.sample(pool, min(2, len(pool))), key=_earlier_load)
+
+
+def _earlier_load(upstream):
+    announce = upstream.announce
+    return (
+        upstream.outstanding / announce.slots,
+        upstream.connections / announce.max_connections,
+    )
 
 
 class Perfect(Chooser):
@@ -97,10 +113,11 @@
 
     def __init__(self, **parts):
         super().__init__(**parts)
-        self._balancer = Balancer(zone=self.zone, **self.options)
+        self._balancer = Balancer(
+            zone=self.zone, own_flows=self.own_flows, **self.options
+        )
         self.reported = self._balancer.reported
-        self.opened = self._balancer.opened
-        self.owned = self._balancer.owned
+        self.asked = self._balancer.asked
         self.shed = self._balancer.shed
 
     def choose(self, upstreams, *, rng, now_ms, flow_id):
@@ -123,4 +140,4 @@
     "perfect, requests": PerfectRequests,
     "perfect, both": PerfectBoth,
 }
-CHOOSERS["policy"] = policy(weight=0.02)
+CHOOSERS["policy"] = Policy
--- a/tests/test_entrycore.py
+++ b/tests/test_entrycore.py
@@ -452,7 +452,7 @@
         joined, _ = self.joined()
         callers = [
             joined.open("a", Address(host="127.0.0.8", port=port))
-            for port in range(300)
+            for port in range(600)
         ]
         joined.leave("u2")
         for caller in callers:
@@ -933,3 +933,34 @@
         joined.send("b", caller, caller.on_flow(Renew))
         joined.send("b", caller, caller.request(1))
         self.assertEqual(["answer"], caller.outcomes(1))
+
+
+class Overload(testtools.TestCase):
+    """A request without hope of an answer in time isn't sent."""
+
+    def joined(self, outstanding):
+        joined = Joined()
+        caller = joined.open("a")
+        joined.hold_work = True
+        for number in range(1, 40):
+            joined.send("a", caller, caller.request(number, floor=number))
+            joined.advance(100)
+            joined.release()
+        context = joined.entries["a"].context
+        upstream = context.directory.get(joined.key("u1"))
+        context.admission.reported(upstream, outstanding, now_ms=joined.now_ms)
+        return joined, caller
+
+    def test_refused(self):
+        joined, caller = self.joined(outstanding=10_000)
+        joined.send("a", caller, caller.request(50, deadline_ms=1_000))
+        self.assertEqual(0, joined.runs[caller.flow_id, 50])
+        self.assertEqual([], caller.outcomes(50))
+        joined.advance(100)
+        self.assertEqual(["not_run"], caller.outcomes(50))
+        self.assertEqual("overloaded", caller.told[-1].reason)
+
+    def test_sent_while_there_is_hope(self):
+        joined, caller = self.joined(outstanding=100)
+        joined.send("a", caller, caller.request(50, deadline_ms=1_000))
+        self.assertEqual(1, joined.runs[caller.flow_id, 50])
