Survive any datagram that passes its checks; restart from peers

Cause, found by a test that sends random messages that pass their checks: a sync answer that names 2^64 members made a list of as many buckets, and a record with the highest counter made a member's own record impossible to send. A real-process test: an entry that restarts while no replica lives takes the configuration of its peers and serves.

--- a/knapweeddeal/membership.py
+++ b/knapweeddeal/membership.py
@@ -8,6 +8,7 @@
     ALIVE,
     DEAD,
     LEFT,
+    MAX_COUNTER,
     SUSPECT,
     Note,
     Ping,
@@ -39,9 +40,13 @@
 #: Records and notes that ride on one datagram.
 RIDING_RECORDS = 6
 RIDING_NOTES = 2
+#: Notes that are known at a time.
+MAX_NOTES = 10_000
 #: Records in an answer to a sync ask, and the mean size of a bucket.
 SYNC_RECORDS = 12
 BUCKET_RECORDS = 6
+#: Buckets that one sweep asks for.
+MAX_BUCKETS = 2_000
 #: Answers to one sync ask.
 MAX_SYNC_PARTS = 4
 #: Buckets that a joining member asks for at a time.
@@ -105,6 +110,12 @@
     __slots__ = ("address", "number", "until_ms")
 
 
+class Sweep(Record):
+    """Hold how far the buckets of another member are asked for."""
+
+    __slots__ = ("address", "buckets", "done", "first")
+
+
 class Membership:
     """Know the live entries; every method returns a list of actions.
 
@@ -132,7 +143,8 @@
         self._periods = 0
         self._ticked_ms = now_ms
         self._paused = False
-        self._buckets = []
+        #: The sweep over all buckets of another member that is under way.
+        self._sweep = None
         self._eager_until = 0
         self._next_sweep = 0
         #: Bits of the number of members that were known at the last word of this one.
@@ -295,7 +307,7 @@
         return actions
 
     def _refute(self, record):
-        if self.record.state == LEFT:
+        if self.record.state == LEFT or record.counter == MAX_COUNTER:
             return
         if record.incarnation == self.record.incarnation:
             if record.state != ALIVE and record.counter >= self.record.counter:
@@ -310,6 +322,8 @@
     def _take_note(self, note, now_ms):
         if note.note_id in self._known_notes or not note.life_ms:
             return []
+        if len(self._known_notes) >= MAX_NOTES:
+            return []
         self._known_notes[note.note_id] = now_ms + note.life_ms
         self._notes.add(note.note_id, note)
         return [NoteCame(note=note)]
@@ -422,16 +436,27 @@
         ]
 
     def _sweep_buckets(self, source, buckets):
-        self._buckets = [(source, bucket, buckets) for bucket in range(buckets)]
-        self._rng.shuffle(self._buckets)
+        buckets = min(buckets, MAX_BUCKETS)
+        first = self._rng.randrange(buckets)
+        self._sweep = Sweep(address=source, first=first, done=0, buckets=buckets)
         self._next_sweep = self._periods + max(MIN_SWEEP_PERIODS, buckets)
 
     def _live_count(self):
         return len(self.records.live()) + 1
 
     def _sync_next(self):
-        due, self._buckets = self._buckets[:SYNC_ASKS], self._buckets[SYNC_ASKS:]
-        return [self._sync_ask(*ask) for ask in due]
+        sweep = self._sweep
+        if sweep is None:
+            return []
+        end = min(sweep.done + SYNC_ASKS, sweep.buckets)
+        numbers = range(sweep.first + sweep.done, sweep.first + end)
+        sweep.done = end
+        if end == sweep.buckets:
+            self._sweep = None
+        return [
+            self._sync_ask(sweep.address, number % sweep.buckets, sweep.buckets)
+            for number in numbers
+        ]
 
     def _sync_ask(self, address, bucket, buckets):
         held = self.records.bucket(bucket, buckets, self.record)
--- a/knapweeddeal/messages/member.py
+++ b/knapweeddeal/messages/member.py
@@ -22,6 +22,10 @@
 DEAD = "dead"
 LEFT = "left"
 
+#: Highest counter of a record.
+MAX_COUNTER = 2**48
+#: Longest life of a note.
+MAX_LIFE_MS = 86_400_000
 #: Most records in one datagram.
 MAX_RECORDS = 64
 
@@ -33,7 +37,7 @@
     schema = {
         "note_id": Whole(),
         "topic": Text(max_chars=32),
-        "life_ms": Whole(),
+        "life_ms": Whole(maximum=MAX_LIFE_MS),
         "body": Blob(max_bytes=256),
     }
     __slots__ = tuple(schema)
@@ -46,7 +50,7 @@
     schema = {
         "name": NAME,
         "incarnation": Whole(),
-        "counter": Whole(),
+        "counter": Whole(maximum=MAX_COUNTER),
         "zone": NAME,
         "host": HOST,
         "port": PORT,
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -2,6 +2,7 @@
 
 import random
 
+import testscenarios
 import testtools
 
 from knapweeddeal.actions import Address, Dial
@@ -10,7 +11,7 @@
 from knapweeddeal.healthpoll import HealthPoll, Poll
 from knapweeddeal.healthreader import Health
 from knapweeddeal.membership import Membership, SendDatagram
-from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages import base, decode, encode, member, peer
 from knapweeddeal.messages.member import ALIVE, MemberRecord
 from knapweeddeal.messages.peer import AnnounceSeen, LeaseAnswer, UpstreamName
 from knapweeddeal.presence import Presence
@@ -19,6 +20,11 @@
 
 STRANGER = Address(host="10.9.9.9", port=1)
 STEP_MS = 50
+#: Datagrams between entries beside those of the members.
+DATAGRAMS = (
+    *("Announced", "AnnounceSeen", "AnnounceWanted", "LeaseAsk", "LeaseAnswer"),
+    *("DirectoryDelta", "LoadAsk", "LoadReport"),
+)
 
 
 class Entries:
@@ -241,6 +247,61 @@
         self.assertEqual(set(self.net.entries) - {"entry-1"}, seen)
 
 
+def random_value(rng, kind):
+    """Return a value that passes a field's check, often at its limits."""
+    if type(kind) is base.Whole:
+        return rng.choice(
+            [kind.minimum, kind.maximum, kind.minimum + rng.randint(0, 9)]
+        )
+    if type(kind) is base.Flag:
+        return rng.random() < 0.5
+    if type(kind) is base.OneOf:
+        return rng.choice(sorted(kind.choices))
+    if type(kind) is base.Blob:
+        return bytes(rng.randint(0, 9))
+    if type(kind) is base.Nested:
+        return random_message(rng, kind.cls)
+    if type(kind) is base.ListOf:
+        return [random_value(rng, kind.item) for _ in range(rng.randint(0, 3))]
+    return rng.choice(["", "entry-1", "entry-2", "upstream-1", "records", "10.0.0.2"])
+
+
+def random_message(rng, cls):
+    """Return a message whose fields pass their checks."""
+    return cls(**{name: random_value(rng, kind) for name, kind in cls.schema.items()})
+
+
+class Anything(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Messages that pass their checks and make no sense end nothing."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in range(8)]
+
+    def test_still_works(self):
+        rng = random.Random(self.seed)
+        net = Entries(zones=ZONES, seed=self.seed)
+        announcing = Announcing(net)
+        net.run(5_000, announcing)
+        kinds = [getattr(member, name) for name in member.__all__ if name[0] != "M"]
+        kinds = [cls for cls in kinds if isinstance(cls, type)]
+        kinds += [getattr(peer, name) for name in DATAGRAMS]
+        for _ in range(3_000):
+            message = random_message(rng, rng.choice(kinds))
+            if type(message) is peer.Announced:
+                message.announce.health_port = 0
+            target = net.entries[rng.choice(list(net.entries))]
+            source = rng.choice([STRANGER, *net.addresses.values()])
+            actions = target.receive(decode(encode(message)), source, now_ms=net.now_ms)
+            for action in actions:
+                if type(action) is SendDatagram:
+                    decode(encode(action.message))
+                elif type(action) is DirectoryCame:
+                    directory = net.directories[target.membership.record.name]
+                    directory.take(action.message, action.name, now_ms=net.now_ms)
+        net.run(60_000, announcing)
+        for name in net.entries:
+            self.assertLessEqual({"upstream-1", "upstream-2"}, set(net.fresh(name)))
+
+
 class Strangers(testtools.TestCase):
     """What comes from nobody known, or asks for what isn't known, does no harm."""
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -194,3 +194,15 @@
         self.wait_for_fresh(own, 0)
         self.cluster.heal()
         self.wait_for(ALL)
+
+
+class Restart(Case):
+    """An entry that restarts without any replica takes what its peers have."""
+
+    def test_from_peers(self):
+        self.cluster.kill("control-1")
+        self.cluster.kill("entry-1")
+        self.cluster.start_entry("entry-1")
+        wait_until(lambda: self.cluster.dump("entry-1").get("version") == 1)
+        self.wait_for(ALL, ["entry-1"])
+        self.assertNotEqual(set(), self.cluster.serve("entry-1"))
