Never say not_run of an idempotent request that may have run

Cause (found by the specs' traces): a request that was under way on a stream that broke was forgotten, so a later cancellation, deadline or shed told not_run; a datagram of a flow that was handed to a successor that is lost now raised an AttributeError. Now: the ledger keeps that it was forwarded; it may be forwarded again, and ends as unknown if nothing comes of it. Handed flows keep their successor's address. A caller that takes another ticket for an idempotent request takes another number. Ruled out: letting entries find one number under two tickets (its two owners share no state).

--- a/knapweeddeal/caller.py
+++ b/knapweeddeal/caller.py
@@ -106,8 +106,9 @@
         )
         self._pending[number] = pending
         await self._send_until_settled(pending, deadline_ms)
-        del self._pending[number]
-        self._settle(number)
+        for number in [n for n, held in self._pending.items() if held is pending]:
+            del self._pending[number]
+            self._settle(number)
         return pending.result or Result(kind=UNKNOWN, reason="timeout", body=b"")
 
     async def cancel(self, number):
@@ -120,7 +121,7 @@
                 service=self.service,
                 flow_id=self.flow_id,
                 ticket=pending.message.ticket,
-                number=number,
+                number=pending.message.number,
             )
         )
 
@@ -152,15 +153,18 @@
     def _next_attempt(self, pending, left_ms):
         """Return the request for its next attempt.
 
-        Only an idempotent request may go with another ticket than its first.
+        Only an idempotent request may go with another ticket than its first, and
+        then under another number, so that each number has one ticket.
         """
-        message = pending.message
-        renewed = message.idempotent and pending.resends
-        return message.replace(
-            attempt=message.attempt + 1,
-            deadline_ms=max(0, left_ms),
-            ticket=self._ticket if renewed else message.ticket,
+        message = pending.message.replace(
+            attempt=pending.message.attempt + 1, deadline_ms=max(0, left_ms)
         )
+        moved = message.ticket != self._ticket
+        if not (message.idempotent and pending.resends and moved):
+            return message
+        self._number += 1
+        self._pending[self._number] = pending
+        return message.replace(ticket=self._ticket, number=self._number)
 
     async def _wait(self, event, wait_ms):
         await curio.ignore_after(wait_ms / 1000, event.wait)
@@ -229,9 +233,10 @@
             return
         if message.part >= message.parts:
             return
-        pending.parts[message.part] = message.body
-        if len(pending.parts) == message.parts:
-            body = b"".join(pending.parts[part] for part in range(message.parts))
+        parts = pending.parts.setdefault(message.number, {})
+        parts[message.part] = message.body
+        if len(parts) == message.parts:
+            body = b"".join(parts[part] for part in range(message.parts))
             pending.result = Result(kind=ANSWER, reason="", body=body)
             await pending.wake.set()
 
@@ -242,6 +247,9 @@
         if message.kind == RESEND:
             pending.resends += 1
             return
+        if message.number != pending.message.number:
+            # It speaks of a number that was given up for another one.
+            return
         pending.result = Result(kind=message.kind, reason=message.reason, body=b"")
         await pending.wake.set()
 
--- a/knapweeddeal/handover.py
+++ b/knapweeddeal/handover.py
@@ -78,7 +78,8 @@
         self._frozen = set()
         self._sending = {}
         self._on_way = set()
-        self._handed = set()
+        #: Successors' addresses by the flows that they hold.
+        self._handed = {}
         self._batch = 0
 
     @property
@@ -134,7 +135,7 @@
             return None
         name = (ticket.owner_incarnation, ticket.flow_id)
         if name in self._handed:
-            return [self._relay(caller, data)]
+            return [_relay(self._handed[name], caller, data)]
         if name in self._on_way:
             return []
         flow = self._owner.find(ticket)
@@ -143,10 +144,6 @@
         known = flow.ledger is not None and flow.ledger.get(message.number)
         return None if known else []
 
-    def _relay(self, caller, data):
-        relay = Relay(caller_host=caller.host, caller_port=caller.port, datagram=data)
-        return ToPeer(address=successor_address(self.succession), message=relay)
-
     # The successor's answers
 
     def offered(self, message, *, now_ms):
@@ -172,7 +169,7 @@
         for flow in self._sending.pop(message.batch).flows:
             name = (flow.owner_incarnation, flow.flow_id)
             self._on_way.discard(name)
-            self._handed.add(name)
+            self._handed[name] = successor_address(self.succession)
             self._frozen.discard(flow)
             self._owner.release(flow)
         return self._send(now_ms)
@@ -389,6 +386,11 @@
 }
 
 
+def _relay(address, caller, data):
+    relay = Relay(caller_host=caller.host, caller_port=caller.port, datagram=data)
+    return ToPeer(address=address, message=relay)
+
+
 def _ledger_records(ledger):
     return [
         LedgerRecord(
--- a/knapweeddeal/ledger.py
+++ b/knapweeddeal/ledger.py
@@ -39,6 +39,11 @@
 
     __slots__ = ("state", "idempotent", "reason", "answer", "record", "upstream")
 
+    @property
+    def repeatable(self):
+        """Tell whether a request whose run is unknown may be forwarded again."""
+        return self.state == LEDGER_UNKNOWN and self.idempotent
+
     @property
     def open(self):
         """Tell whether the outcome is still to come."""
@@ -155,8 +160,20 @@
             self._remove(number)
 
     def forward(self, number, *, idempotent, upstream):
-        """Note that a request is forwarded to an upstream."""
-        self._put(number, FORWARDED, idempotent=idempotent, upstream=upstream)
+        """Note that a request is forwarded to an upstream, maybe once more."""
+        earlier = self._entries.get(number)
+        self._put(
+            number,
+            FORWARDED,
+            idempotent=idempotent,
+            upstream=upstream,
+            reason="" if earlier is None else earlier.reason,
+        )
+
+    def may_have_run(self, number):
+        """Tell whether an earlier forwarding of a request has an unknown end."""
+        entry = self._entries.get(number)
+        return entry is not None and bool(entry.reason)
 
     def answer(self, number, body):
         """Keep an answer."""
@@ -166,9 +183,9 @@
         """Put a tombstone: the request must never be forwarded from now on."""
         self._put(number, LEDGER_NOT_RUN, reason=reason)
 
-    def lose(self, number, reason):
+    def lose(self, number, reason, *, idempotent=False):
         """Note that nobody can say whether a request ran."""
-        self._put(number, LEDGER_UNKNOWN, reason=reason)
+        self._put(number, LEDGER_UNKNOWN, reason=reason, idempotent=idempotent)
 
     def mark(self, number, record):
         """Note how far the record of a refusal has come."""
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -197,7 +197,7 @@
         if ledger.settled(number):
             return self._context.drop("settled")
         entry = ledger.get(number)
-        if entry is not None:
+        if entry is not None and not entry.repeatable:
             return self._replay(flow, number, entry)
         if ledger.forgotten(number):
             return self._settle(message, ticket, caller, now_ms=now_ms)
@@ -284,7 +284,11 @@
         return []
 
     def _refuse(self, flow, number, reason):
-        self.ledger(flow).refuse(number, reason)
+        ledger = self.ledger(flow)
+        if ledger.may_have_run(number):
+            ledger.lose(number, ledger.get(number).reason)
+            return self._replay(flow, number, ledger.get(number))
+        ledger.refuse(number, reason)
         return self._record(flow, number, reason)
 
     def _record(self, flow, number, reason):
@@ -351,9 +355,17 @@
         flow = self._take_off(work, key)
         if flow is None:
             return []
-        flow.ledger.forget(work.number)
+        self._take_back(flow, work.number)
         return [self._outcome(flow, work.number, RESEND, "upstream_busy")]
 
+    def _take_back(self, flow, number):
+        """Undo a forwarding that nothing came of; an earlier one still counts."""
+        ledger = flow.ledger
+        if ledger.may_have_run(number):
+            ledger.lose(number, ledger.get(number).reason, idempotent=True)
+        else:
+            ledger.forget(number)
+
     def under_way_at(self, flow, key):
         """Tell whether a request of a flow is under way at an upstream."""
         return flow in self._under_way.get(key, ())
@@ -361,7 +373,7 @@
     def _lose(self, flow, number):
         entry = flow.ledger.get(number)
         if entry.idempotent:
-            flow.ledger.forget(number)
+            flow.ledger.lose(number, "stream_broke", idempotent=True)
             return [self._outcome(flow, number, RESEND, "stream_broke")]
         self._context.count("requests_unknown")
         flow.ledger.lose(number, "stream_broke")
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -161,6 +161,9 @@
         self.assertEqual(ANSWER, result.kind)
         self.assertEqual([0, 1, 2], [message.attempt for message in requests])
         self.assertEqual(self.tickets, {message.ticket for message in requests})
+        numbers = {(message.number, message.ticket) for message in requests}
+        self.assertEqual(len(self.tickets), len(numbers))
+        self.assertEqual(len(self.tickets), len({number for number, _ in numbers}))
         deadlines = [message.deadline_ms for message in requests]
         self.assertEqual(sorted(deadlines, reverse=True), deadlines)
         self.assertLess(deadlines[-1], deadlines[0])
