--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,10 +11,11 @@
 from bench import samples
 from bench.tables import print_head, print_table, spread
 from knapweeddeal.actions import Address, ToUpstream, UpstreamKey
-from knapweeddeal.balance import choose
+from knapweeddeal.balance import Balancer
 from knapweeddeal.directory import Directory
 from knapweeddeal.entrycore import EntryCore, Identity
 from knapweeddeal.entryprocess import run as _run  # noqa: F401 - for its memory
+from knapweeddeal.limits import Limits
 from knapweeddeal.messages import decode, encode
 from knapweeddeal.messages.caller import KeepAlive, Open, Request
 from knapweeddeal.messages.upstream import FlowAccepted, WorkAnswer
@@ -44,7 +45,7 @@
             address=Address(host="10.1.1.2", port=7001),
         ),
         sealer=samples.SEALER,
-        lease_ms=2_000,
+        limits=Limits(max_flows=10**6, max_answers=10**6, max_answer_bytes=10**9),
         rng=random.Random(1),
         wall_clock_ms=lambda: samples.NOW_MS,
         counters=lambda name: None,
@@ -90,10 +91,11 @@
 def hold_ledger_entries(size):
     """Hold answered requests with answers of 200 bytes, ten on a flow."""
     core = hold_flows(size // 10)
-    for flow in core.flows.values():
+    for flow in core.flows:
+        ledger = core.owner.ledger(flow)
         for number in range(1, 11):
-            flow.ledger.forward(number, idempotent=False)
-            flow.ledger.answer(number, samples.RNG.randbytes(200))
+            ledger.forward(number, idempotent=False, upstream=flow.upstream)
+            ledger.answer(number, samples.RNG.randbytes(200))
     return core
 
 
@@ -111,6 +113,12 @@
     return [decode(wire) for _ in range(size // 1_000)]
 
 
+def hold_members(size):
+    """Hold received member records by name."""
+    received = (decode(encode(samples.member(number))) for number in range(size))
+    return {f"{member.name}-{member.incarnation}": member for member in received}
+
+
 def hold_successions(size):
     """Hold successions as a map by owner incarnation."""
     base = samples.samples()["Succession"]
@@ -126,6 +134,7 @@
     "kept answer of 200 B, 1/10 flow": hold_ledger_entries,
     "upstream in the directory": hold_upstreams,
     "service in a configuration": hold_services,
+    "member record": hold_members,
     "succession": hold_successions,
 }
 
@@ -251,11 +260,12 @@
 def choose_rows():
     """Return the time of a choice by the length of the list."""
     rng = random.Random(1)
-    for upstreams in (4, 17, 72, 1_000):
+    balancer = Balancer(zone="region-1-zone-1", own_flows=lambda key: 10)
+    for upstreams in (4, 7, 17, 24, 72, 1_000):
         fresh = entry(upstreams).directory.fresh(SERVICE, now_ms=1)
 
         def one(fresh=fresh):
-            choose(fresh, zone="region-1-zone-1", rng=rng)
+            balancer.choose(fresh, rng=rng, now_ms=10**6)
 
         yield ["choose", f"list of {upstreams}", spread(microseconds(one))]
 
--- a/bench/samples.py
+++ b/bench/samples.py
@@ -12,8 +12,10 @@
     ConfigurationPush,
     ServiceEntry,
 )
+from knapweeddeal.messages.member import ALIVE, MemberRecord, Ping
 from knapweeddeal.messages.peer import (
     Announced,
+    AnnounceSeen,
     DirectoryDelta,
     FlowRecord,
     HandOver,
@@ -37,7 +39,7 @@
 )
 from knapweeddeal.ticket import Ticket, TicketSealer
 
-__all__ = ["SEALER", "announce", "big", "configuration", "host"]
+__all__ = ["SEALER", "announce", "big", "configuration", "host", "member"]
 __all__ += ["refusals_by_column", "samples", "service", "ticket"]
 
 NOW_MS = 1_790_000_000_000
@@ -120,6 +122,19 @@
     )
 
 
+def member(number):
+    """Return what is known of one member."""
+    return MemberRecord(
+        name=f"entry-{number:04d}",
+        incarnation=big(),
+        counter=10,
+        zone="region-1-zone-1",
+        host=host(number),
+        port=7001,
+        state=ALIVE,
+    )
+
+
 def refusals_by_column(size):
     """Return the bytes of a batch that gives what its records share only once."""
     records = [refusal(number) for number in range(size)]
@@ -181,10 +196,16 @@
         "Heartbeat": Heartbeat(),
         "Announce": announce(1),
         "Announced": Announced(announce=announce(1)),
+        "AnnounceSeen (digest)": AnnounceSeen(digest=big(), sequence=100_000),
         "LeaseAsk": LeaseAsk(**epoch),
         "LeaseAnswer": LeaseAnswer(**epoch),
         "DirectoryDelta, 1 changed": DirectoryDelta(
-            epoch=big(), version=10**6, whole=False, changed=[announce(1)], gone=[]
+            epoch=big(),
+            since=10**6 - 1,
+            version=10**6,
+            whole=False,
+            changed=[announce(1)],
+            gone=[],
         ),
         "Succession": Succession(
             owner_incarnation=big(),
@@ -193,6 +214,15 @@
             successor_host=host(2),
             successor_port=7001,
         ),
+        "MemberRecord": member(1),
+        "Ping, empty": Ping(
+            name="entry-0001",
+            incarnation=big(),
+            number=10**6,
+            version=500_000,
+            records=[],
+            notes=[],
+        ),
         "HandOver, 1 flow, no ticket": HandOver(
             owner_incarnation=big(),
             batch=1,
