--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -4,6 +4,7 @@
 from knapweeddeal.admission import Admission
 from knapweeddeal.balance import Balancer
 from knapweeddeal.directory import Directory
+from knapweeddeal.ejection import Ejection
 from knapweeddeal.flowtable import FlowTable
 from knapweeddeal.messages.caller import MAX_BODY_BYTES, AnswerPart, Outcome
 from knapweeddeal.messages.peer import RefusalRecord
@@ -36,6 +37,7 @@
         "count",
         "directory",
         "draining",
+        "ejection",
         "flows",
         "identity",
         "limits",
@@ -58,6 +60,7 @@
         self.directory = Directory(
             lease_ms=limits.lease_ms,
             name=identity.entry_id,
+            zone=identity.zone,
             ask_ms=limits.lease_ask_ms,
             per_zone=limits.registrars_per_zone,
         )
@@ -68,6 +71,7 @@
         self.holding = RefusalHolding(counters=counters)
         #: Refusals that wait until a second process holds their record.
         self.refusals = self.holding.queue
+        self.ejection = Ejection(share=limits.max_ejected_percent / 100)
         #: Confirmed services by name.
         self.services = {}
         #: Ids of upstreams that an operator takes out, by service.
@@ -101,10 +105,11 @@
         usable = [
             upstream
             for upstream in self.directory.fresh(service, now_ms=now_ms)
-            if self.ready(upstream.key)
-            and upstream.key not in tried
-            and not self.leaving(upstream.key)
+            if self.ready(upstream.key) and not self.leaving(upstream.key)
         ]
+        doubtful = [u.key for u in usable if u.is_doubtful(now_ms=now_ms)]
+        usable = self.ejection.usable(usable, doubtful, now_ms=now_ms)
+        usable = [u for u in usable if u.key not in tried]
         chosen = self.balancer.choose(usable, rng=self.rng, now_ms=now_ms)
         if chosen is not None:
             self.balancer.asked(chosen.key, now_ms=now_ms)
@@ -112,9 +117,10 @@
 
     def note_load(self, key, message, *, now_ms):
         """Take the load that an upstream reports on the data path."""
+        self.ejection.succeed(key)
         upstream = self.directory.get(key)
         if upstream is not None:
-            upstream.connections = message.connections
+            upstream.report(message.connections, now_ms=now_ms)
             self.balancer.reported(key, message.outstanding, now_ms=now_ms)
             self.admission.reported(upstream, message.outstanding, now_ms=now_ms)
 
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -126,6 +126,7 @@
 
     def stream_down(self, key, *, now_ms):
         """Settle what was under way on a stream that broke."""
+        self.context.ejection.fail(key, now_ms=now_ms)
         self.context.admission.forget(key)
         self.moves.stream_down(key, now_ms=now_ms)
         self.directory.stream_down(key)
