--- a/bench/policy.py
+++ b/bench/policy.py
@@ -10,6 +10,7 @@
 from bench.choosers import CHOOSERS
 from bench.scenarios import SCENARIOS
 from bench.tables import print_head, print_table, spread
+from bench.targets import TARGETS
 from bench.world import Setup, Size, World
 
 __all__ = ["CELLS", "FUNDACION", "GUILD", "SIZES", "results"]
@@ -39,6 +40,7 @@
     "p99 ms": lambda f: f.wait_ms(99),
     "p99.9 ms": lambda f: f.wait_ms(99.9),
     "refused": lambda f: f.refused,
+    "stalled": lambda f: f.stalled,
     "asks/open": lambda f: f.asked_opens / max(1, f.opens),
     "sent/request": lambda f: f.forwards_measured / max(1, f.requests),
     "in time": lambda f: f.share_in_time,
@@ -91,6 +93,17 @@
         print_table(title, ["chooser", *CELLS], rows)
 
 
+def verdicts(found):
+    """Return a row for each target and size that was measured."""
+    for (size, scenario, chooser), trials in found.items():
+        if chooser != "policy":
+            continue
+        for target in TARGETS:
+            if scenario in target.scenarios:
+                perfect = found[size, scenario, "perfect, both"]
+                yield target.row(size, scenario, trials, perfect)
+
+
 def main():
     """Run trials and print their tables."""
     started_s = time.monotonic()
@@ -98,7 +111,13 @@
     print_head("python -m bench.policy")
     print(f"seeds {SEEDS}; cells are median (range) over seeds")
     sizes = [FUNDACION.name, GUILD.name]
-    print_results(results(sizes, names, CHOOSERS))
+    found = results(sizes, names, CHOOSERS)
+    print_results(found)
+    print_table(
+        "Targets, on the worst seed",
+        ["target", "size", "scenario", "limit", "found", "met"],
+        verdicts(found),
+    )
     small = [name for name in SIZES if name not in sizes]
     quiet = [name for name in names if name in ("even", "heavy")]
     print_results(results(small, quiet, CHOOSERS))
