--- a/bench/streams.py
+++ b/bench/streams.py
@@ -17,12 +17,14 @@
 from knapweeddeal.actions import Address, UpstreamKey
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.entrycore import Identity
+from knapweeddeal.inbox import Inbox
 from knapweeddeal.settings import OPTIONS, Settings
 from knapweeddeal.upstream import UpstreamServer
 from knapweeddeal.upstreamlink import UpstreamLink
 
 COUNTS = (100, 200, 400)
 RUNS = 3
+MAX_EVENTS = 20_000
 WATCH_S = 5.0
 PORT = 28_443
 TIMEOUT_S = 20.0
@@ -61,7 +63,7 @@
         upstream_id=announce.upstream_id,
         incarnation=announce.incarnation,
     )
-    inbox = curio.Queue()
+    inbox = Inbox(max_events=MAX_EVENTS)
     async with curio.TaskGroup(wait=None) as tasks:
         await tasks.spawn(server.run)
         await curio.sleep(0.2)
@@ -76,8 +78,9 @@
             )
             await tasks.spawn(link.run)
         async with curio.timeout_after(TIMEOUT_S):
-            for _ in range(count):
-                await inbox.get()
+            up = 0
+            while up < count:
+                up += len(await inbox.take(MAX_EVENTS))
         await curio.sleep(1)
         held = resident_bytes() - before
         spent_s, started_s = time.process_time(), time.monotonic()
