Say not_run of a request only if every number that it went under was refused

Cause: a caller sends an idempotent request again under another ticket with another number, and took the later number's not_run for the request's, though the first may have run. The reference caller joins the outcomes now. Ruled out: a flag that forbids not_run on any repeated request, as it would turn most refusals of idempotent requests into unknown.

--- a/knapweeddeal/caller.py
+++ b/knapweeddeal/caller.py
@@ -6,6 +6,7 @@
 from knapweeddeal.errors import BadMessageError, UnreachableError
 from knapweeddeal.messages import decode, encode
 from knapweeddeal.messages.caller import (
+    NOT_RUN,
     RESEND,
     UNKNOWN,
     AnswerPart,
@@ -44,9 +45,20 @@
 
 
 class Pending(Record):
-    """Hold a request under way and the parts of its answer so far."""
+    """Hold a request under way and the parts of its answer so far.
 
-    __slots__ = ("message", "parts", "resends", "result", "wake")
+    `numbers` are all that it was sent under, `refused` those that didn't run.
+    """
+
+    __slots__ = (
+        "message",
+        "numbers",
+        "parts",
+        "refused",
+        "resends",
+        "result",
+        "wake",
+    )
 
 
 class CallerFlow:
@@ -102,11 +114,17 @@
             body=body,
         )
         pending = Pending(
-            message=message, parts={}, resends=0, result=None, wake=curio.Event()
+            message=message,
+            numbers={number},
+            parts={},
+            refused=set(),
+            resends=0,
+            result=None,
+            wake=curio.Event(),
         )
         self._pending[number] = pending
         await self._send_until_settled(pending, deadline_ms)
-        for number in [n for n, held in self._pending.items() if held is pending]:
+        for number in pending.numbers:
             del self._pending[number]
             self._settle(number)
         return pending.result or Result(kind=UNKNOWN, reason="timeout", body=b"")
@@ -164,6 +182,7 @@
             return message
         self._number += 1
         self._pending[self._number] = pending
+        pending.numbers.add(self._number)
         return message.replace(ticket=self._ticket, number=self._number)
 
     async def _wait(self, event, wait_ms):
@@ -247,10 +266,12 @@
         if message.kind == RESEND:
             pending.resends += 1
             return
+        if message.kind == NOT_RUN:
+            pending.refused.add(message.number)
         if message.number != pending.message.number:
             # It speaks of a number that was given up for another one.
             return
-        pending.result = Result(kind=message.kind, reason=message.reason, body=b"")
+        pending.result = _joined_result(pending, message)
         await pending.wake.set()
 
     async def _on_push(self, message):
@@ -267,6 +288,13 @@
             self.kept_alive += 1
 
 
+def _joined_result(pending, outcome):
+    """Return the result of a request, which may have run under another number."""
+    if outcome.kind == NOT_RUN and pending.refused != pending.numbers:
+        return Result(kind=UNKNOWN, reason="other_ticket", body=b"")
+    return Result(kind=outcome.kind, reason=outcome.reason, body=b"")
+
+
 async def open_flow(service, address, *, rng, deadline_ms=5_000):
     """Return an open flow of a service; raise UnreachableError."""
     flow = CallerFlow(service=service, address=address, rng=rng)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -192,6 +192,33 @@
         self.assertEqual((UNKNOWN, "timeout"), (result.kind, result.reason))
 
 
+class TwoNumbers(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A request that went under two tickets is `not_run` only if both say so."""
+
+    scenarios = [
+        ("both", {"old": NOT_RUN, "kind": NOT_RUN, "reason": "r"}),
+        ("old one silent", {"old": None, "kind": UNKNOWN, "reason": "other_ticket"}),
+        (
+            "old one unknown",
+            {"old": UNKNOWN, "kind": UNKNOWN, "reason": "other_ticket"},
+        ),
+    ]
+
+    def test_joined(self):
+        def script(message):
+            if type(message) is not Request:
+                return []
+            if message.ticket == b"one":
+                return [moved(message), outcome(message, RESEND)]
+            old = message.replace(number=1)
+            told = [outcome(old, self.old)] if self.old else []
+            return [*told, outcome(message, NOT_RUN)]
+
+        entry, result = run(script, lambda flow: flow.request(b"", idempotent=True))
+        self.assertEqual({1, 2}, {message.number for message in entry.of(Request)})
+        self.assertEqual((self.kind, self.reason), (result.kind, result.reason))
+
+
 class Opens(testtools.TestCase):
     """An open is answered once, refused, or given up."""
 
