Always use a free slot; name the entry's own refusals expected_late

Cause (reading): one slow first answer could put the expected time over the limit for good, since nothing was sent any more that could correct it. Two tests fail without it. The reason overloaded is the upstream's own word, so the entry's is another.

--- a/knapweeddeal/admission.py
+++ b/knapweeddeal/admission.py
@@ -99,9 +99,10 @@
     # Queries
 
     def admits(self, upstream, *, deadline_ms, now_ms):
-        """Tell whether an answer can be expected well within a deadline."""
+        """Tell whether a slot is free or an answer can be expected well in time."""
         pace = self._paces.get(upstream.key)
-        if pace is None:
+        if pace is None or pace.queue(now_ms) < pace.slots:
+            # A free slot is always used: without answers no estimate improves.
             return True
         return pace.expected_ms(now_ms) <= deadline_ms * self._deadline_share
 
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -237,7 +237,7 @@
         if not self._context.ready(key):
             return self._cannot_forward(message, ticket, flow, key, now_ms)
         if not self._context.admits(key, message.deadline_ms, now_ms=now_ms):
-            return self._refuse(flow, message.number, "overloaded")
+            return self._refuse(flow, message.number, "expected_late")
         return self._send(message, flow, key, now_ms)
 
     def _cannot_forward(self, message, ticket, flow, key, now_ms):
