Split the entry's process into modules with one job each

Cause: entryprocess did set-up, tasks, the handling of events, the table of links and the performing of actions in one class (582 lines).

Behaviour stays; handlers were moved with only their references renamed.

Ruled out: handing the core to entrylinks. It takes one callable that says what to do for a message that an upstream won't get.

Checks seen failing first, each with one line of entrylinks broken: the three drop counters, the fall-back for an unsent message, a second dial, a second peer link, links started twice, an upstream link kept on removal, a port not closed, a port that stays closed and reopened.

Before: entryprocess 582 lines.

--- /dev/null
+++ b/knapweeddeal/entrylinks.py
@@ -0,0 +1,206 @@
+"""knapweeddeal.entrylinks: The links and ports of an entry, and actions on them."""
+
+from knapweeddeal.actions import (
+    Dial,
+    ToCaller,
+    ToControl,
+    ToPeer,
+    ToStream,
+    ToUpstream,
+)
+from knapweeddeal.directory import AskRegistrar
+from knapweeddeal.dispatch import methoddispatch
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.logs import Log
+from knapweeddeal.peerlink import PeerLink
+from knapweeddeal.serviceport import ServicePort
+from knapweeddeal.upstreamlink import UpstreamLink
+
+__all__ = ["EntryLinks"]
+
+LOG = Log(prefix="entry")
+
+
+class EntryLinks:
+    """Own the links and ports of an entry; the deciding task alone acts on them."""
+
+    __slots__ = (
+        "_control",
+        "_count",
+        "_identity",
+        "_inbox",
+        "_peer_links",
+        "_peer_streams",
+        "_ports",
+        "_presence",
+        "_settings",
+        "_starting",
+        "_tasks",
+        "_touched",
+        "_unsent",
+        "_upstream_links",
+    )
+
+    def __init__(
+        self, *, identity, settings, inbox, tasks, control, presence, unsent, counters
+    ):
+        self._identity = identity
+        self._settings = settings
+        self._inbox = inbox
+        #: The group that the tasks of links and ports join.
+        self._tasks = tasks
+        #: Outbox to the control replicas.
+        self._control = control
+        #: Inbox of the presence.
+        self._presence = presence
+        #: Returns what to do instead for a message that an upstream won't get.
+        self._unsent = unsent
+        self._count = counters
+        self._ports = {}
+        self._upstream_links = {}
+        self._peer_links = {}
+        self._peer_streams = {}
+        self._touched = set()
+        self._starting = []
+
+    # Queries
+
+    def state(self):
+        """Return the section of the state dump."""
+        return {
+            "ports": {name: port.address for name, port in self._ports.items()},
+            "upstreams": list(self._upstream_links),
+            "peers": list(self._peer_links),
+            "peer_streams": len(self._peer_streams),
+        }
+
+    # Commands
+
+    async def go_on(self):
+        """Start new links, and let the tasks go on that have something to send."""
+        starting, self._starting = self._starting, []
+        for link in starting:
+            await self._tasks.spawn(link.run, daemon=True)
+        for sender in self._touched:
+            await sender.wake()
+        self._touched.clear()
+
+    def add_stream(self, number, outbox):
+        """Take up the stream that a peer opened."""
+        self._peer_streams[number] = outbox
+
+    def remove_stream(self, number):
+        """Forget the stream that a peer opened."""
+        del self._peer_streams[number]
+
+    def remove_upstream(self, key):
+        """Forget the link to an upstream; return the messages that it didn't send."""
+        link = self._upstream_links.pop(key, None)
+        return link.outbox.unsent() if link else []
+
+    async def set_ports(self, wanted):
+        """Open and close ports until the services have the wanted addresses."""
+        for name, port in list(self._ports.items()):
+            if wanted.get(name) != port.address:
+                await port.task.cancel()
+                del self._ports[name]
+        for name, address in wanted.items():
+            if name not in self._ports:
+                await self._open_port(name, address)
+
+    async def _open_port(self, name, address):
+        try:
+            port = ServicePort(
+                service=name,
+                address=address,
+                inbox=self._inbox,
+                counters=self._count,
+            )
+        except BadSettingError as error:
+            LOG.warning("Address can't be bound.", service=name, why=str(error))
+            return
+        port.task = await self._tasks.spawn(port.run, daemon=True)
+        self._ports[name] = port
+
+    # Actions
+
+    @methoddispatch
+    def perform(self, action):
+        """Do what a decision asks for; senders and new links wait for `go_on`."""
+        raise TypeError(f"no such action: {action!r}")
+
+    @perform.register
+    def _(self, action: ToCaller):
+        port = self._ports.get(action.service)
+        if port is None or not port.put(action.caller, action.message):
+            self._count("dropped_to_caller")
+            return
+        self._touched.add(port)
+
+    @perform.register
+    def _(self, action: Dial):
+        if action.key in self._upstream_links:
+            return
+        link = UpstreamLink(
+            key=action.key,
+            address=action.address,
+            identity=self._identity,
+            settings=self._settings,
+            inbox=self._inbox,
+        )
+        self._upstream_links[action.key] = link
+        self._starting.append(link)
+
+    @perform.register
+    def _(self, action: ToUpstream):
+        link = self._upstream_links.get(action.key)
+        if link is not None and link.outbox.put(action.message):
+            self._touched.add(link.outbox)
+            return
+        self._count("dropped_to_upstream")
+        for then in self._unsent(action.message, action.key):
+            self.perform(then)
+
+    @perform.register
+    def _(self, action: ToPeer):
+        link = self._peer_links.get(action.address)
+        if link is None:
+            link = self._add_peer_link(action.address)
+        if link.outbox.put(action.message):
+            self._touched.add(link.outbox)
+        else:
+            self._count("dropped_to_peer")
+
+    @perform.register
+    def _(self, action: ToStream):
+        outbox = self._peer_streams.get(action.stream)
+        if outbox is None or not outbox.put(action.message):
+            self._count("dropped_to_stream")
+            return
+        self._touched.add(outbox)
+
+    @perform.register
+    def _(self, action: AskRegistrar):
+        self._presence.put_later(action)
+        self._touched.add(self._presence)
+
+    @perform.register
+    def _(self, action: ToControl):
+        if not self._control.put(action.message):
+            self._count("dropped_to_control")
+        self._touched.add(self._control)
+
+    def _add_peer_link(self, address):
+        link = PeerLink(
+            address=address,
+            identity=self._identity,
+            settings=self._settings,
+            inbox=self._inbox,
+            ended=self._remove_peer_link,
+        )
+        self._peer_links[address] = link
+        self._starting.append(link)
+        return link
+
+    def _remove_peer_link(self, address):
+        self._peer_links.pop(address, None)
