Beat on all streams of an entry from one timer; tick ten times a second

Cause: an idle entry woke about 270 times a second; the profile shows no costly function but the wake-ups themselves. Eleven links had a timer each, and the deciding task ticked every 50 ms. Ruled out, by trials: the deciding task's yield after each batch (no change); a longer heartbeat (800 ms: within the noise; 1,000 ms: lower still, but a cut stream would be noticed after two beats only).

--- a/bench/streams.py
+++ b/bench/streams.py
@@ -17,6 +17,7 @@
 from knapweeddeal.actions import Address, UpstreamKey
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.entrycore import Identity
+from knapweeddeal.heartbeats import Heartbeats
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.settings import OPTIONS, Settings
 from knapweeddeal.upstream import UpstreamServer
@@ -65,7 +66,9 @@
     )
     inbox = Inbox(max_events=MAX_EVENTS)
     async with curio.TaskGroup(wait=None) as tasks:
+        heartbeats = Heartbeats(settings=settings())
         await tasks.spawn(server.run)
+        await tasks.spawn(heartbeats.run)
         await curio.sleep(0.2)
         before = resident_bytes()
         for _ in range(count):
@@ -75,6 +78,7 @@
                 identity=identity,
                 settings=settings(),
                 inbox=inbox,
+                heartbeats=heartbeats,
             )
             await tasks.spawn(link.run)
         async with curio.timeout_after(TIMEOUT_S):
--- a/knapweeddeal/entrylinks.py
+++ b/knapweeddeal/entrylinks.py
@@ -27,6 +27,7 @@
     __slots__ = (
         "_control",
         "_count",
+        "_heartbeats",
         "_identity",
         "_inbox",
         "_peer_links",
@@ -42,13 +43,24 @@
     )
 
     def __init__(
-        self, *, identity, settings, inbox, tasks, control, presence, unsent, counters
+        self,
+        *,
+        identity,
+        settings,
+        inbox,
+        tasks,
+        heartbeats,
+        control,
+        presence,
+        unsent,
+        counters,
     ):
         self._identity = identity
         self._settings = settings
         self._inbox = inbox
         #: The group that the tasks of links and ports join.
         self._tasks = tasks
+        self._heartbeats = heartbeats
         #: Outbox to the control replicas.
         self._control = control
         #: Inbox of the presence.
@@ -147,6 +159,7 @@
             identity=self._identity,
             settings=self._settings,
             inbox=self._inbox,
+            heartbeats=self._heartbeats,
         )
         self._upstream_links[action.key] = link
         self._starting.append(link)
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -18,6 +18,7 @@
 from knapweeddeal.entrystreams import EntryStreams
 from knapweeddeal.events import ReloadAsked, StopAsked, Tick
 from knapweeddeal.healthpoll import HealthPoll
+from knapweeddeal.heartbeats import Heartbeats
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.limits import Limits
 from knapweeddeal.logs import Log
@@ -39,7 +40,7 @@
 
 #: Events that may wait for the deciding task.
 MAX_EVENTS = 20_000
-TICK_MS = 50
+TICK_MS = 100
 #: Events by the signal that they stand for.
 SIGNALS = {signal.SIGTERM: StopAsked, signal.SIGHUP: ReloadAsked}
 
@@ -78,6 +79,7 @@
             entry=self._inbox,
             counters=self._metrics.count,
         )
+        self._heartbeats = Heartbeats(settings=settings)
         self._links = self._new_links()
         self._decider = self._new_decider()
         self._streams = self._new_streams()
@@ -94,6 +96,7 @@
                 take_announcements(announce, self._presence.inbox),
                 self._presence.run(),
                 self._control.run(),
+                self._heartbeats.run(),
                 self._tick(),
                 self._take_signals(),
                 self._decider.run(),
@@ -160,6 +163,7 @@
             settings=self._settings,
             inbox=self._inbox,
             tasks=self._tasks,
+            heartbeats=self._heartbeats,
             control=self._control.outbox,
             presence=self._presence.inbox,
             unsent=self._unsent,
--- a/knapweeddeal/outbox.py
+++ b/knapweeddeal/outbox.py
@@ -75,19 +75,22 @@
             await stream.send_all(self._sending)
             self._sending = []
 
+    async def beat_once(self):
+        """Queue a heartbeat."""
+        if await self.offer(Heartbeat()):
+            self.offered -= 1
+
     async def beat(self, heartbeat_ms):
         """Queue heartbeats, for ever."""
         while True:
-            if await self.offer(Heartbeat()):
-                self.offered -= 1
+            await self.beat_once()
             await curio.sleep(heartbeat_ms / 1000)
 
     async def beat_until_idle(self, heartbeat_ms, *, idle_ms):
         """Queue heartbeats until nothing else was offered for some time."""
         offered, quiet_ms = self.offered, 0
         while quiet_ms < idle_ms:
-            if await self.offer(Heartbeat()):
-                self.offered -= 1
+            await self.beat_once()
             await curio.sleep(heartbeat_ms / 1000)
             quiet_ms = quiet_ms + heartbeat_ms if offered == self.offered else 0
             offered = self.offered
--- a/knapweeddeal/upstreamlink.py
+++ b/knapweeddeal/upstreamlink.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "_address",
+        "_heartbeats",
         "_identity",
         "_inbox",
         "_settings",
@@ -28,12 +29,13 @@
         "task",
     )
 
-    def __init__(self, *, key, address, identity, settings, inbox):
+    def __init__(self, *, key, address, identity, settings, inbox, heartbeats):
         self.key = key
         self._address = address
         self._identity = identity
         self._settings = settings
         self._inbox = inbox
+        self._heartbeats = heartbeats
         self.outbox = Outbox()
 
     async def run(self):
@@ -53,12 +55,10 @@
         try:
             await self._greet(stream)
             await self._inbox.put(UpstreamUp(key=self.key))
-            await run_until_first(
-                self._receive(stream),
-                self.outbox.drain_to(stream),
-                self.outbox.beat(self._settings.heartbeat_ms),
-            )
+            await self._heartbeats.add(self.outbox)
+            await run_until_first(self._receive(stream), self.outbox.drain_to(stream))
         finally:
+            self._heartbeats.remove(self.outbox)
             await stream.close()
 
     async def _greet(self, stream):
--- a/tests/test_entrylinks.py
+++ b/tests/test_entrylinks.py
@@ -17,6 +17,7 @@
 )
 from knapweeddeal.entrycore import Identity
 from knapweeddeal.entrylinks import EntryLinks
+from knapweeddeal.heartbeats import Heartbeats
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.messages.upstream import FlowClose
 from knapweeddeal.outbox import Outbox
@@ -58,6 +59,7 @@
             settings=SETTINGS,
             inbox=Inbox(max_events=10),
             tasks=self.tasks,
+            heartbeats=Heartbeats(settings=SETTINGS),
             control=Outbox(),
             presence=Inbox(max_events=10),
             unsent=lambda message, _: [ToStream(stream=OPEN, message=message)],
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,6 +10,7 @@
 from knapweeddeal.entrycore import Identity
 from knapweeddeal.errors import KnapweeddealError, UnreachableError
 from knapweeddeal.events import PeerDown, Undeliverable, UpstreamDown, UpstreamUp
+from knapweeddeal.heartbeats import Heartbeats
 from knapweeddeal.inbox import Inbox
 from knapweeddeal.messages import encode
 from knapweeddeal.messages.peer import PeerHello, Relay
@@ -98,7 +99,12 @@
 def upstream_link(address, inbox):
     """Return a link to an upstream."""
     return UpstreamLink(
-        key=KEY, address=address, identity=IDENTITY, settings=SETTINGS, inbox=inbox
+        key=KEY,
+        address=address,
+        identity=IDENTITY,
+        settings=SETTINGS,
+        inbox=inbox,
+        heartbeats=Heartbeats(settings=SETTINGS),
     )
 
 
