--- /dev/null
+++ b/knapweeddeal/commandrecords.py
@@ -0,0 +1,52 @@
+"""knapweeddeal.commandrecords: The records that replicate operators' commands."""
+
+import functools
+
+from knapweeddeal.errors import BadMessageError, InvalidIntentError
+from knapweeddeal.messages.operator import ConfirmAsk, PlanAsk
+from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
+from knapweeddeal.plans import apply_steps
+
+__all__ = ["command_record"]
+
+
+@functools.singledispatch
+def command_record(message, _replica, *, wall_ms):
+    """Return the record of a command that is replicated."""
+    raise BadMessageError("not for a control replica", field="message", value=message)
+
+
+@command_record.register
+def _(message: PlanAsk, replica, *, wall_ms):
+    affected = _affected(message.steps, replica)
+    return PlanRecord(
+        operator=message.operator,
+        request_id=message.request_id,
+        steps=message.steps,
+        upstreams=affected.upstreams,
+        zones=affected.zones,
+        flows=affected.flows,
+        planned_ms=wall_ms,
+        life_ms=replica.plan_life_ms,
+    )
+
+
+@command_record.register
+def _(message: ConfirmAsk, _replica, *, wall_ms):
+    return ConfirmRecord(
+        operator=message.operator,
+        request_id=message.request_id,
+        plan_id=message.plan_id,
+        confirmed_ms=wall_ms,
+    )
+
+
+def _affected(steps, replica):
+    """Return whom a plan affects, as far as is known here."""
+    old = replica.state.configuration
+    try:
+        new = apply_steps(old, steps).configuration
+    except InvalidIntentError:
+        # The state machine refuses it, in the same way on every replica.
+        new = old
+    return replica.affected(old, new)
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -4,8 +4,8 @@
 """
 
 import functools
-import json
 
+from knapweeddeal.commandrecords import command_record
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.consensus import LEADER
 from knapweeddeal.consensuslog import (
@@ -13,91 +13,45 @@
     unpack_command,
     unpack_membership,
 )
+from knapweeddeal.controlqueries import (
+    local_answer,
+    quorum_answer,
+    replicas_answer,
+)
 from knapweeddeal.entrytable import EntryTable
 from knapweeddeal.errors import (
-    BadMessageError,
     ConflictError,
     InvalidIntentError,
     KnapweeddealError,
-    NoQuorumError,
     NotLeaderError,
 )
 from knapweeddeal.flowcounts import FlowCountTable
-from knapweeddeal.inspection import dump_text
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.control import FlowCounts
 from knapweeddeal.messages.operator import (
-    ConfirmAsk,
-    DumpAnswer,
-    DumpAsk,
-    FailureAnswer,
-    MetricsAsk,
-    PlanAsk,
-    ReplicasAnswer,
     ReplicasAsk,
     ReplicaSwapAsk,
-    ServicesAnswer,
     ServicesAsk,
-    StatusAnswer,
     StatusAsk,
 )
 from knapweeddeal.messages.replication import (
-    ConfirmRecord,
     EntryReports,
     MembershipRecord,
-    PlanRecord,
     SnapshotFile,
 )
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.plans import apply_steps
-from knapweeddeal.record import Record
+from knapweeddeal.pendingasks import Pending, PendingAsks
 from knapweeddeal.replicaswap import ReplicaSwap
+from knapweeddeal.snapshotturns import SNAPSHOT_RECORDS, is_snapshot_due
 
-__all__ = ["Answer", "ControlReplica", "is_snapshot_turn"]
+__all__ = ["ControlReplica"]
 
 #: An operator waits this many election timeouts for a quorum.
 PATIENCE_ELECTIONS = 2
-#: Records after which the state is written as a snapshot.
-SNAPSHOT_RECORDS = 1_000
-#: Size of the log file after which a snapshot is written at once.
-SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
 #: Records before a snapshot that stay in memory for followers that lag a little.
 KEEP_RECORDS = 500
 #: Time between reports of a follower's entries to the leader.
 REPORT_MS = 1_000
-US_PER_MS = 1_000
-
-UNSURE = "no majority answered; it may still take effect, resend the same request id"
-UNHEARD = "no majority of the control replicas answered"
-
-
-class Answer(Record):
-    """Address an answer to the ask that it belongs to."""
-
-    __slots__ = ("ask_id", "message")
-
-
-class Pending:
-    """Hold an ask that waits: for a leader, a commit or a quorum round."""
-
-    __slots__ = (
-        "ask_id",
-        "asked_ms",
-        "index",
-        "message",
-        "term",
-        "until_ms",
-        "wall_ms",
-    )
-
-    def __init__(self, *, ask_id, message, asked_ms, until_ms, wall_ms):
-        self.ask_id = ask_id
-        self.asked_ms = asked_ms
-        self.message = message
-        self.until_ms = until_ms
-        self.wall_ms = wall_ms
-        self.index = 0
-        self.term = 0
 
 
 class ControlReplica:
@@ -108,22 +62,19 @@
     """
 
     __slots__ = (
-        "_answers",
         "_election_ms",
         "_now_ms",
-        "_plan_life_ms",
-        "_proposed",
-        "_reading",
+        "_pending",
         "_report_ms",
         "_snapshot_records",
         "_swap",
-        "_waiting",
         "connected",
         "entries",
         "flow_counts",
         "metrics",
         "node",
         "own",
+        "plan_life_ms",
         "state",
     )
 
@@ -146,14 +97,11 @@
         self.metrics = Metrics()
         self.connected = {}
         self._election_ms = election_ms
-        self._plan_life_ms = plan_life_ms
+        self.plan_life_ms = plan_life_ms
         self._snapshot_records = snapshot_records
         self._now_ms = now_ms
         self._report_ms = 0
-        self._waiting = []
-        self._proposed = {}
-        self._reading = {}
-        self._answers = []
+        self._pending = PendingAsks(metrics=self.metrics)
         self._swap = None
         if node.snapshot is not None:
             state.restore(node.snapshot.data)
@@ -176,7 +124,7 @@
 
     def forget(self, ask_id):
         """Drop an ask whose operator went away; a command may still take effect."""
-        self._waiting = [p for p in self._waiting if p.ask_id != ask_id]
+        self._pending.forget(ask_id)
 
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
@@ -202,8 +150,7 @@
         self._now_ms = max(now_ms, self._now_ms)
         self.node.tick(now_ms)
         self._wake_waiting()
-        self._expire(self._proposed, UNSURE)
-        self._expire(self._reading, UNHEARD)
+        self._pending.expire(now_ms=self._now_ms)
         if self._swap is not None:
             self._go_on_with_swap()
 
@@ -228,13 +175,13 @@
 
     def take_answers(self):
         """Return the answers that are due, and forget them."""
-        answers, self._answers = self._answers, []
-        return answers
+        return self._pending.take_answers()
 
     def take_snapshot(self, log_bytes):
         """Return a new snapshot if enough was applied since the last, else None."""
         node = self.node
-        if not self._snapshot_is_due(log_bytes):
+        every = self._snapshot_records
+        if not is_snapshot_due(node, log_bytes=log_bytes, every=every):
             return None
         snapshot = SnapshotFile(
             last_index=node.applied_index,
@@ -260,14 +207,7 @@
     @property
     def next_ms(self):
         """Return when `tick` has to be called at the latest."""
-        times = [self.node.next_ms]
-        for pendings in (
-            self._waiting,
-            self._proposed.values(),
-            self._reading.values(),
-        ):
-            times.extend(pending.until_ms for pending in pendings)
-        return min(times)
+        return min([self.node.next_ms, *self._pending.deadlines_ms()])
 
     def leader_name(self):
         """Return the leader's name, or an empty text."""
@@ -283,6 +223,14 @@
             if identity not in members
         ]
 
+    def entry_statuses(self):
+        """Return what the entries applied."""
+        return self.entries.statuses(self._now_ms)
+
+    def affected(self, old, new):
+        """Return whom the way from one configuration to another affects."""
+        return self.flow_counts.affected(old, new, now_ms=self._now_ms)
+
     def dump(self):
         """Return the state by name, for the dump."""
         node = self.node
@@ -298,23 +246,21 @@
             "last_index": node.log.last_index,
             "members": [_named(replica) for replica in node.log.replicas],
             "connected": [_named(replica) for replica in self.connected.values()],
-            "waiting": len(self._waiting),
-            "proposed": len(self._proposed),
-            "reading": len(self._reading),
-            "entries": len(self.entries.statuses(self._now_ms)),
+            **self._pending.counts(),
+            "entries": len(self.entry_statuses()),
             **self.state.counts(),
         }
 
     # Asks.
 
     def _dispatch(self, pending):
-        answer = _local_answer(pending.message, self)
+        answer = local_answer(pending.message, self)
         if answer is not None:
             self._reply(pending, answer)
             return
         leader = self.node.leader
         if not leader or self.node.transferring:
-            self._waiting.append(pending)
+            self._pending.await_leader(pending)
             return
         try:
             if leader != self.node.identity:
@@ -323,41 +269,15 @@
         except KnapweeddealError as error:
             self._reply(pending, failure_answer(error))
 
-    def propose(self, pending, record):
+    def propose(self, pending):
         """Replicate an operator's command."""
-        pending.index, pending.term = self.node.propose(encode(record))
-        self._proposed[pending.ask_id] = pending
-
-    def plan(self, pending):
-        """Replicate a plan, with whom it affects as far as is known here."""
-        ask = pending.message
-        affected = self._affected(ask.steps)
-        self.propose(
-            pending,
-            PlanRecord(
-                operator=ask.operator,
-                request_id=ask.request_id,
-                steps=ask.steps,
-                upstreams=affected.upstreams,
-                zones=affected.zones,
-                flows=affected.flows,
-                planned_ms=pending.wall_ms,
-                life_ms=self._plan_life_ms,
-            ),
-        )
-
-    def _affected(self, steps):
-        old = self.state.configuration
-        try:
-            new = apply_steps(old, steps).configuration
-        except InvalidIntentError:
-            # The state machine refuses it, in the same way on every replica.
-            new = old
-        return self.flow_counts.affected(old, new, now_ms=self._now_ms)
+        record = command_record(pending.message, self, wall_ms=pending.wall_ms)
+        index, term = self.node.propose(encode(record))
+        self._pending.await_commit(pending, index=index, term=term)
 
     def read(self, pending):
         """Start the quorum round of a query."""
-        self._reading[pending.ask_id] = pending
+        self._pending.await_quorum(pending)
         self.node.read(pending.ask_id)
 
     def swap(self, pending):
@@ -374,31 +294,6 @@
         )
         self._go_on_with_swap()
 
-    def replicas_answer(self):
-        """Return who counts and who could."""
-        return ReplicasAnswer(
-            leader=self.leader_name(),
-            members=list(self.node.log.replicas_at(self.node.commit_index)),
-            candidates=self.candidates(),
-        )
-
-    def status_answer(self):
-        """Return who leads, what is in force and what the entries applied."""
-        return StatusAnswer(
-            leader=self.leader_name(),
-            term=self.node.term,
-            version=self.state.configuration.version,
-            commit_index=self.node.commit_index,
-            entries=self.entries.statuses(self._now_ms),
-        )
-
-    def services_answer(self):
-        """Return the services in force."""
-        configuration = self.state.configuration
-        return ServicesAnswer(
-            version=configuration.version, services=configuration.services
-        )
-
     # What happened.
 
     def _apply(self, record):
@@ -408,26 +303,24 @@
         membership = unpack_membership(record)
         if membership is not None and membership.request_id:
             self.state.apply(record.index, membership)
-        due = [p for p in self._proposed.values() if p.index == record.index]
-        for pending in due:
-            del self._proposed[pending.ask_id]
+        for pending in self._pending.take_proposed(record.index):
             if pending.term == record.term:
                 self._reply(pending, answer)
             else:
                 self._dispatch(pending)
 
     def _finish_read(self, read):
-        pending = self._reading.pop(read.read_id, None)
+        pending = self._pending.take_reading(read.read_id)
         if pending is None:
             return
         if not read.index:
             self._dispatch(pending)
             return
-        self._reply(pending, _query(pending.message, self))
+        self._reply(pending, quorum_answer(pending.message, self))
 
     def _swap_again(self, kept, request_id):
         if isinstance(kept, MembershipRecord):
-            return self.replicas_answer()
+            return replicas_answer(self)
         raise InvalidIntentError(
             "was given to another command", field="request_id", value=request_id
         )
@@ -438,52 +331,18 @@
         except KnapweeddealError as error:
             answer = failure_answer(error)
         if answer is not None:
-            self._answers.append(Answer(ask_id=self._swap.ask_id, message=answer))
+            self._pending.answer(self._swap.ask_id, answer)
             self._swap = None
 
     def _wake_waiting(self):
-        waiting, self._waiting = self._waiting, []
-        for pending in waiting:
+        for pending in self._pending.take_waiting():
             if self._now_ms >= pending.until_ms:
-                self._reply(pending, failure_answer(NoQuorumError(UNHEARD)))
+                self._pending.refuse_unheard(pending, now_ms=self._now_ms)
             else:
                 self._dispatch(pending)
 
-    def _expire(self, pendings, text):
-        late = [p for p in pendings.values() if self._now_ms >= p.until_ms]
-        for pending in late:
-            del pendings[pending.ask_id]
-            self._reply(pending, failure_answer(NoQuorumError(text)))
-
-    def _snapshot_is_due(self, log_bytes):
-        """Tell whether to write a snapshot; the members take turns."""
-        node = self.node
-        last = node.snapshot.last_index if node.snapshot else 0
-        if node.applied_index == last:
-            return False
-        members = sorted(node.members)
-        place = members.index(node.identity) if node.is_member else 0
-        by_count = is_snapshot_turn(
-            index=node.applied_index,
-            last_index=last,
-            every=self._snapshot_records,
-            place=place,
-            members=len(members),
-        )
-        return by_count or log_bytes > SNAPSHOT_LOG_BYTES
-
     def _reply(self, pending, message):
-        self._measure(pending, message)
-        self._answers.append(Answer(ask_id=pending.ask_id, message=message))
-
-    def _measure(self, pending, message):
-        kind = type(pending.message).__name__
-        if isinstance(message, FailureAnswer):
-            self.metrics.count(f"{kind}_{message.code}")
-            return
-        self.metrics.count(kind)
-        wait_ms = self._now_ms - pending.asked_ms
-        self.metrics.record_us(kind, wait_ms * US_PER_MS)
+        self._pending.reply(pending, message, now_ms=self._now_ms)
 
     def _not_leader(self):
         replica = self._leader_replica()
@@ -498,28 +357,6 @@
         return self.connected.get(leader)
 
 
-def is_snapshot_turn(*, index, last_index, every, place, members):
-    """Tell whether a snapshot is due by count; members do it at different indices."""
-    shift = every * place // max(members, 1)
-    return (index + shift) // every > (last_index + shift) // every
-
-
-@functools.singledispatch
-def _local_answer(_message, _replica):
-    """Return the answer that needs no leader, or None."""
-    return
-
-
-@_local_answer.register
-def _(message: DumpAsk, replica):
-    return DumpAnswer(text=dump_text(replica.dump(), max_bytes=message.max_bytes))
-
-
-@_local_answer.register
-def _(_message: MetricsAsk, replica):
-    return DumpAnswer(text=json.dumps(replica.metrics.summary()))
-
-
 @functools.singledispatch
 def _receive(message, replica, sender):
     replica.take_consensus(sender, message)
@@ -536,24 +373,8 @@
 
 
 @functools.singledispatch
-def _ask(message, _replica, _pending):
-    raise BadMessageError("not for a control replica", field="message", value=message)
-
-
-@_ask.register
-def _(_message: PlanAsk, replica, pending):
-    replica.plan(pending)
-
-
-@_ask.register
-def _(message: ConfirmAsk, replica, pending):
-    record = ConfirmRecord(
-        operator=message.operator,
-        request_id=message.request_id,
-        plan_id=message.plan_id,
-        confirmed_ms=pending.wall_ms,
-    )
-    replica.propose(pending, record)
+def _ask(_message, replica, pending):
+    replica.propose(pending)
 
 
 @_ask.register
@@ -568,25 +389,5 @@
     replica.read(pending)
 
 
-@functools.singledispatch
-def _query(message, _replica):
-    raise BadMessageError("not a query", field="message", value=message)
-
-
-@_query.register
-def _(_message: StatusAsk, replica):
-    return replica.status_answer()
-
-
-@_query.register
-def _(_message: ServicesAsk, replica):
-    return replica.services_answer()
-
-
-@_query.register
-def _(_message: ReplicasAsk, replica):
-    return replica.replicas_answer()
-
-
 def _named(replica):
     return f"{replica.name}={replica.host}:{replica.port} {replica.identity:016x}"
--- a/knapweeddeal/replicaswap.py
+++ b/knapweeddeal/replicaswap.py
@@ -1,5 +1,6 @@
 """knapweeddeal.replicaswap: The steps that change one member of the replicated log."""
 
+from knapweeddeal.controlqueries import replicas_answer
 from knapweeddeal.errors import (
     InvalidIntentError,
     NoQuorumError,
@@ -50,7 +51,7 @@
         if self._has_to_remove():
             self._go_on_removing()
             return None
-        return self._replica.replicas_answer()
+        return replicas_answer(self._replica)
 
     def _has_to_add(self):
         return self._add is not None and self._add.identity not in self._node.members
