Split a control replica's cluster from its core, dispatch in place

Ruled out: the links in an object of their own beside the cluster, as founding needs both. The tests of controlprocess and controlreplica pass.

--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -1,15 +1,15 @@
 """knapweeddeal.controlcore: The task that owns a control replica and its folder."""
 
-import functools
 import random
 import secrets
+from functools import singledispatchmethod
 
 import curio
 
 from knapweeddeal.clock import monotonic_ms, monotonic_us, wall_ms
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import Node
-from knapweeddeal.consensuslog import unpack_membership
+from knapweeddeal.controlcluster import ControlCluster
 from knapweeddeal.controlevents import (
     EntryAsk,
     EntryFlows,
@@ -21,7 +21,6 @@
 from knapweeddeal.controlreplica import ControlReplica
 from knapweeddeal.disk import in_thread
 from knapweeddeal.errors import BadMessageError
-from knapweeddeal.formation import Formation, cluster_of
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import (
     AppendAsk,
@@ -47,19 +46,17 @@
     """Take events, persist what they lead to, then send, apply and answer."""
 
     __slots__ = (
+        "_cluster",
         "_entries",
         "_events",
         "_folder",
-        "_formation",
         "_links",
         "_next_ask",
-        "_outboxes",
         "_own",
         "_pushed_version",
         "_replica",
         "_replies",
         "_settings",
-        "_states",
         "_stop_ms",
         "_told_leader",
     )
@@ -74,10 +71,15 @@
             name=settings.name, identity=folder.identity, host=host, port=port
         )
         self._replica = self._make_replica()
-        self._formation = Formation(own=self._own, listed=settings.control)
-        self._outboxes = {}
-        self._states = {}
+        self._cluster = ControlCluster(
+            own=self._own,
+            node=self._replica.node,
+            folder=folder,
+            listed=settings.control,
+        )
+        #: Versions that entries applied, by the outbox for pushes.
         self._entries = {}
+        #: Queues for operators' answers, by ask id.
         self._replies = {}
         self._next_ask = 1
         self._pushed_version = 0
@@ -112,8 +114,8 @@
 
     @property
     def cluster(self):
-        """Return the group that the folder belongs to, or 0."""
-        return self._folder.cluster
+        """Return the cluster that the folder belongs to, or 0."""
+        return self._cluster.cluster
 
     def hello(self):
         """Return what opens a stream between replicas."""
@@ -122,17 +124,13 @@
 
     def state_message(self):
         """Return what this replica tells others of itself."""
-        return ReplicaState(
-            replica=self._own,
-            cluster=self._folder.cluster,
-            listed=sorted(self._settings.control),
-        )
+        return self._cluster.state_message()
 
     # The loop.
 
     async def run(self):
         """Take events until a planned stop is done."""
-        self._bind_cluster()
+        self._cluster.bind()
         log.info(
             "started",
             name=self._own.name,
@@ -157,13 +155,13 @@
         event = await curio.ignore_after(wait_ms / 1000, self._events.get)
         taken = 0
         while event is not None:
-            await _take(event, self)
+            await self._take(event)
             taken += 1
             if self._events.empty() or taken >= MAX_EVENTS:
                 break
             event = await self._events.get()
         self._replica.tick(monotonic_ms())
-        self._found()
+        self._cluster.found()
         await self._flush()
         await self._note_commit()
         await self._report()
@@ -182,7 +180,7 @@
         await self._answer()
         await self._push()
         await self._snapshot()
-        await self._settle_cluster()
+        await self._cluster.settle()
 
     async def _persist(self, ready):
         replica = self._replica
@@ -194,7 +192,7 @@
 
     async def _send(self, envelopes):
         for envelope in envelopes:
-            outbox = self._outboxes.get(envelope.to)
+            outbox = self._cluster.outbox(envelope.to)
             if outbox is not None:
                 await outbox.offer(envelope.message)
 
@@ -235,116 +233,52 @@
             self._told_leader = node.leader
             log.info("leader", leader=self._replica.leader_name(), term=node.term)
         report = self._replica.take_report()
-        outbox = self._outboxes.get(node.leader)
+        outbox = self._cluster.outbox(node.leader)
         if report is not None and outbox is not None:
             await outbox.offer(report)
 
-    # The group of replicas.
-
-    def _bind_cluster(self):
-        """Derive the group's id if a crash came between record and id."""
-        if not self._folder.cluster and self._folder.records:
-            membership = unpack_membership(self._folder.records[0])
-            self._folder.set_cluster(cluster_of(membership.replicas))
-
-    def _found(self):
-        node = self._replica.node
-        if self._folder.cluster or node.log.last_index:
-            return
-        founding = self._formation.founding()
-        if founding is not None:
-            log.info("founds a group", cluster=f"{founding.cluster:016x}")
-            node.found(founding.replicas)
-
-    async def _settle_cluster(self):
-        """Bind the folder to its group after the first record was synced."""
-        node = self._replica.node
-        if self._folder.cluster or not node.log.last_index or node.log.base_index:
-            return
-        founders = node.log.replicas_at(1)
-        await in_thread(self._folder.set_cluster, cluster_of(founders))
-        for outbox in self._outboxes.values():
-            await outbox.offer(self.state_message())
-        for state in list(self._states.values()):
-            await self._offer_founding(state)
-
-    async def _offer_founding(self, state):
-        node = self._replica.node
-        if state.cluster or not self._folder.cluster or node.log.base_index:
-            return
-        founders = list(node.log.replicas_at(1))
-        outbox = self._outboxes.get(state.replica.identity)
-        if outbox is not None and state.replica in founders:
-            founding = Founding(cluster=self._folder.cluster, replicas=founders)
-            await outbox.offer(founding)
-
-    def _is_foreign(self, cluster):
-        own = self._folder.cluster
-        return bool(own and cluster and own != cluster)
-
     # Events.
 
-    async def on_link_up(self, event):
-        """Use a link to a replica of the same group."""
+    @singledispatchmethod
+    async def _take(self, event):
+        raise TypeError(event)
+
+    @_take.register
+    async def _(self, event: LinkUp):
         state = event.state
-        identity = state.replica.identity
-        if self._is_foreign(state.cluster):
+        if self._cluster.is_foreign(state.cluster):
             log.warning("meets a foreign group", replica=state.replica.name)
             return
-        self._outboxes[identity] = event.outbox
-        self._states[identity] = state
-        self._formation.heard(state)
+        self._cluster.link_up(event)
         self._replica.peer_connected(state.replica)
         for report in self._replica.flow_counts.own_reports():
             await event.outbox.offer(report)
-        await self._offer_founding(state)
-
-    def on_link_down(self, event):
-        """Stop using a link."""
-        if self._outboxes.get(event.identity) is event.outbox:
-            del self._outboxes[event.identity]
-            del self._states[event.identity]
-            self._formation.gone(event.identity)
+        await self._cluster.offer_founding(state)
+
+    @_take.register
+    async def _(self, event: LinkDown):
+        if self._cluster.outbox(event.identity) is event.outbox:
+            self._cluster.link_down(event.identity)
             self._replica.peer_gone(event.identity)
 
-    async def on_peer_message(self, event):
-        """Take a message from a replica of the same group."""
-        if self._is_foreign(event.cluster):
+    @_take.register
+    async def _(self, event: PeerMessage):
+        if self._cluster.is_foreign(event.cluster):
             return
         try:
-            await _take_peer(event.message, self, event)
+            await self._take_peer(event.message, event)
         except BadMessageError as error:
             log.warning("drops a message", error=error.describe())
 
-    async def on_replica_state(self, state):
-        """Connect to a replica that connected to this one."""
-        await self._links.dial((state.replica.host, state.replica.port))
-
-    def on_founding(self, founding):
-        """Take the first membership if this folder is empty and named in it."""
-        node = self._replica.node
-        is_empty = not self._folder.cluster and not node.log.last_index
-        if is_empty and self._own in founding.replicas:
-            node.found(founding.replicas)
-
-    async def join_cluster(self, cluster):
-        """Bind an empty folder to the group whose leader sends it records."""
-        if cluster and not self._folder.cluster:
-            await in_thread(self._folder.set_cluster, cluster)
-
-    def on_consensus(self, event):
-        """Take a message of the replicated log."""
-        self._replica.receive(event.sender, event.message, monotonic_ms())
-
-    def on_operator_ask(self, event):
-        """Take an operator's ask."""
+    @_take.register
+    async def _(self, event: OperatorAsk):
         ask_id = self._next_ask
         self._next_ask += 1
         self._replies[ask_id] = event.reply
         self._replica.ask(ask_id, event.message, monotonic_ms(), wall_ms())
 
-    async def on_entry_ask(self, event):
-        """Note what an entry applied, and push what is newer."""
+    @_take.register
+    async def _(self, event: EntryAsk):
         applied = event.message.applied_version
         self._entries[event.outbox] = applied
         self._replica.entries.heard(event.message, monotonic_ms())
@@ -353,18 +287,19 @@
         if configuration.version > applied:
             await event.outbox.offer(ConfigurationPush(configuration=configuration))
 
-    async def on_entry_flows(self, event):
-        """Take an entry's counted flows and pass them to every replica."""
+    @_take.register
+    async def _(self, event: EntryFlows):
         report = event.message
         self._replica.flow_counts.take(report, now_ms=monotonic_ms())
-        for outbox in self._outboxes.values():
+        for outbox in self._cluster.outboxes():
             await outbox.offer(report)
 
-    def on_entry_gone(self, event):
-        """Stop pushing to an entry."""
+    @_take.register
+    async def _(self, event: EntryGone):
         self._entries.pop(event.outbox, None)
 
-    def on_stop(self):
+    @_take.register
+    async def _(self, _event: StopAsk):
         """Hand leadership over, and stop when that is done or takes too long."""
         if self._stop_ms:
             return
@@ -372,72 +307,26 @@
         patience_ms = self._settings.stop_ms if handed else 0
         self._stop_ms = monotonic_ms() + patience_ms
 
+    # Messages of replicas of the same cluster.
 
-@functools.singledispatch
-async def _take(event, _core):
-    raise TypeError(event)
+    @singledispatchmethod
+    async def _take_peer(self, message, event):
+        self._replica.receive(event.sender, message, monotonic_ms())
 
+    @_take_peer.register
+    async def _(self, message: ReplicaState, _event):
+        """Connect to a replica that connected to this one."""
+        await self._links.dial((message.replica.host, message.replica.port))
 
-@_take.register
-async def _(event: LinkUp, core):
-    await core.on_link_up(event)
-
-
-@_take.register
-async def _(event: LinkDown, core):
-    core.on_link_down(event)
-
-
-@_take.register
-async def _(event: PeerMessage, core):
-    await core.on_peer_message(event)
-
-
-@_take.register
-async def _(event: OperatorAsk, core):
-    core.on_operator_ask(event)
-
-
-@_take.register
-async def _(event: EntryAsk, core):
-    await core.on_entry_ask(event)
-
-
-@_take.register
-async def _(event: EntryFlows, core):
-    await core.on_entry_flows(event)
-
-
-@_take.register
-async def _(event: EntryGone, core):
-    core.on_entry_gone(event)
-
-
-@_take.register
-async def _(_event: StopAsk, core):
-    core.on_stop()
-
-
-@functools.singledispatch
-async def _take_peer(_message, core, event):
-    core.on_consensus(event)
-
-
-@_take_peer.register
-async def _(message: ReplicaState, core, _event):
-    await core.on_replica_state(message)
-
-
-@_take_peer.register
-async def _(message: Founding, core, _event):
-    core.on_founding(message)
-
+    @_take_peer.register
+    async def _(self, message: Founding, _event):
+        self._cluster.take_founding(message)
 
-@_take_peer.register(AppendAsk)
-@_take_peer.register(SnapshotAsk)
-async def _(_message, core, event):
-    await core.join_cluster(event.cluster)
-    core.on_consensus(event)
+    @_take_peer.register(AppendAsk)
+    @_take_peer.register(SnapshotAsk)
+    async def _(self, message, event):
+        await self._cluster.join(event.cluster)
+        self._replica.receive(event.sender, message, monotonic_ms())
 
 
 def _persist(folder, ready, commit_index):
