Let one piece name upstreams, never, dials and silence

NEVER_MS stood in two modules, the name of an announced upstream in three, the dials of a pool and the set of registrars twice in the directory, and a replica's link had its own receive within a time limit beside the stream's.

Tests change their import of announce_digest only. With the state left out of the content in place of the sequence, test_registrar fails.

--- a/knapweeddeal/configurationspread.py
+++ b/knapweeddeal/configurationspread.py
@@ -1,5 +1,6 @@
 """knapweeddeal.configurationspread: The highest confirmed configuration, passed on."""
 
+from knapweeddeal.instants import NEVER_MS
 from knapweeddeal.messages.control import ConfigurationPush
 from knapweeddeal.record import Record
 
@@ -9,8 +10,6 @@
 ASK_MS = 500
 #: Peers whose versions a process that starts waits to see.
 MIN_PEERS = 2
-#: Start of a time that never was.
-NEVER_MS = -(10**15)
 
 
 class AskPeer(Record):
--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -2,14 +2,15 @@
 
 from functools import singledispatchmethod
 
-from knapweeddeal.actions import Address, Dial, UpstreamKey
+from knapweeddeal.actions import Address, Dial
+from knapweeddeal.announces import announced_key, announced_name
+from knapweeddeal.instants import NEVER_MS
 from knapweeddeal.messages.peer import (
     DirectoryDelta,
     LeaseAnswer,
     LeaseAsk,
     LoadAsk,
     LoadReport,
-    UpstreamName,
 )
 from knapweeddeal.messages.upstream import READY
 from knapweeddeal.placement import COPIES, Placement, rendezvous
@@ -29,8 +30,6 @@
 HINT_LIFE_MS = 10_000
 #: Silence of the data path after which a polled figure stands in.
 SILENT_MS = 2_000
-#: Start of a time that never was.
-NEVER_MS = -(10**15)
 
 
 class AskRegistrar(Record):
@@ -92,7 +91,7 @@
 
     def __init__(self, *, announce, lease_ms):
         self.announce = announce
-        self.key = _key(announce)
+        self.key = announced_key(announce)
         self.lease_ms = lease_ms
         #: Views of registrars that list it.
         self.views = []
@@ -202,8 +201,7 @@
             zone: rendezvous(self._name, registrars, len(registrars))
             for zone, registrars in placement.registrars.items()
         }
-        wanted = {name for names in self._zones.values() for name in names}
-        for name in wanted - set(self._views):
+        for name in self._registrars() - set(self._views):
             self._views[name] = View(name=name)
 
     def tick(self, *, now_ms):
@@ -292,7 +290,7 @@
         )
         if rival:
             return
-        is_known = _key(announce) in self._upstreams
+        is_known = announced_key(announce) in self._upstreams
         upstream = self._upstream(announce, now_ms)
         if not is_known or _is_later(announce, upstream):
             upstream.announce = announce
@@ -300,7 +298,7 @@
 
     def sweep(self, *, now_ms):
         """Forget views and upstreams that ended long ago."""
-        wanted = {name for names in self._zones.values() for name in names}
+        wanted = self._registrars()
         for name, view in list(self._views.items()):
             if name not in wanted and view.leased_ms + self._lease_ms < now_ms:
                 self._clear(view)
@@ -335,20 +333,12 @@
 
     def dials(self, *, now_ms):
         """Return the dials of upstreams under lease whose streams don't stand."""
-        return [
-            Dial(key=upstream.key, address=upstream.address)
-            for upstream in self._upstreams.values()
-            if not upstream.ready and upstream.lease_until_ms > now_ms
-        ]
+        return _dials(self._upstreams.values(), now_ms)
 
     def dials_of(self, announces, *, now_ms):
         """Return the dials that some announcements ask for."""
-        wanted = {_key(announce) for announce in announces}
-        return [
-            Dial(key=key, address=upstream.address)
-            for key, upstream in ((key, self._upstreams.get(key)) for key in wanted)
-            if upstream and not upstream.ready and upstream.lease_until_ms > now_ms
-        ]
+        wanted = {announced_key(announce) for announce in announces}
+        return _dials(filter(None, map(self._upstreams.get, wanted)), now_ms)
 
     def get(self, key):
         """Return an upstream, or None."""
@@ -368,6 +358,9 @@
 
     # Asking registrars
 
+    def _registrars(self):
+        return {name for names in self._zones.values() for name in names}
+
     def _due(self, names, now_ms):
         views = [self._views[name] for name in names]
         late_ms = now_ms - 2 * self._ask_ms
@@ -401,7 +394,7 @@
     # What registrars list
 
     def _list(self, view, announce, joined_ms):
-        name = UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
+        name = announced_name(announce)
         upstream = self._upstream(announce, joined_ms)
         if view.keys.get(name) != upstream.key:
             self._unlist(view, name)
@@ -441,12 +434,12 @@
         del self._by_service[key.service][key]
 
 
-def _key(announce):
-    return UpstreamKey(
-        service=announce.service,
-        upstream_id=announce.upstream_id,
-        incarnation=announce.incarnation,
-    )
+def _dials(upstreams, now_ms):
+    return [
+        Dial(key=upstream.key, address=upstream.address)
+        for upstream in upstreams
+        if not upstream.ready and upstream.lease_until_ms > now_ms
+    ]
 
 
 def _is_later(announce, upstream):
--- a/knapweeddeal/healthpoll.py
+++ b/knapweeddeal/healthpoll.py
@@ -3,7 +3,8 @@
 import heapq
 import operator
 
-from knapweeddeal.messages.peer import LoadFigure, LoadReport, UpstreamName
+from knapweeddeal.announces import announced_name
+from knapweeddeal.messages.peer import LoadFigure, LoadReport
 from knapweeddeal.record import Record
 
 __all__ = ["HealthPoll", "Poll"]
@@ -64,7 +65,7 @@
 
     def follow(self, announces, *, now_ms):
         """Poll exactly these upstreams, where they have a health port."""
-        wanted = {_name(a): a for a in announces if a.health_port}
+        wanted = {announced_name(a): a for a in announces if a.health_port}
         self._polled = {n: p for n, p in self._polled.items() if n in wanted}
         for name, announce in wanted.items():
             polled = self._polled.get(name)
@@ -135,10 +136,6 @@
         return self._poll_ms * min(MAX_BACKOFF, 1 << polled.failures)
 
 
-def _name(announce):
-    return UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
-
-
 def _steps(announce, health):
     return (
         health.healthy,
@@ -149,7 +146,7 @@
 
 def _figure(polled, now_ms):
     return LoadFigure(
-        name=_name(polled.announce),
+        name=announced_name(polled.announce),
         healthy=polled.health.healthy,
         outstanding=polled.health.outstanding,
         connections=polled.health.connections,
--- a/knapweeddeal/presence.py
+++ b/knapweeddeal/presence.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatchmethod
 
+from knapweeddeal.announces import announce_digest
 from knapweeddeal.events import (
     AnnounceCame,
     DirectoryCame,
@@ -28,7 +29,6 @@
     LoadReport,
 )
 from knapweeddeal.placement import Placement
-from knapweeddeal.registrar import announce_digest
 
 __all__ = ["Presence"]
 
--- a/knapweeddeal/registrar.py
+++ b/knapweeddeal/registrar.py
@@ -1,14 +1,13 @@
 """knapweeddeal.registrar: Upstreams of a zone as announced, for entries to lease."""
 
-import hashlib
 import operator
 from bisect import bisect_right
 
-from knapweeddeal.messages.peer import DirectoryDelta, LeaseAnswer, UpstreamName
-from knapweeddeal.messages.upstream import Announce
+from knapweeddeal.announces import announce_digest, announced_content, announced_name
+from knapweeddeal.messages.peer import DirectoryDelta, LeaseAnswer
 from knapweeddeal.record import Record
 
-__all__ = ["FORGET_MS", "MAX_DELTA_CHANGES", "Registrar", "announce_digest"]
+__all__ = ["FORGET_MS", "MAX_DELTA_CHANGES", "Registrar"]
 
 #: Changes in one delta, so that it fits a datagram.
 MAX_DELTA_CHANGES = 8
@@ -22,8 +21,6 @@
 #: nothing for half of it takes a snapshot.
 FORGET_MS = 600_000
 
-#: What a change is told by: every field but the sequence.
-CONTENT = operator.attrgetter(*(name for name in Announce.schema if name != "sequence"))
 VERSION = operator.attrgetter("version")
 
 
@@ -95,7 +92,7 @@
             heard = self._first_heard(listing, announce, now_ms)
         elif self._is_silent(heard, now_ms):
             heard.times = 0
-        is_changed = CONTENT(heard.announce) != CONTENT(announce)
+        is_changed = announced_content(heard.announce) != announced_content(announce)
         heard.announce = announce
         if is_changed:
             self._set_digest(heard, announce_digest(announce))
@@ -201,7 +198,7 @@
     # The list of changes
 
     def _listing(self, announce):
-        name = UpstreamName(service=announce.service, upstream_id=announce.upstream_id)
+        name = announced_name(announce)
         listing = self._listings.get(name)
         if listing is None:
             listing = Listing(name=name, heard={}, listed=None, version=0)
@@ -246,9 +243,3 @@
         self._by_digest.pop(heard.digest, None)
         heard.digest = digest
         self._by_digest[digest] = heard
-
-
-def announce_digest(announce):
-    """Return a whole number that stands for all of it but its sequence."""
-    text = repr(CONTENT(announce)).encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
--- a/knapweeddeal/replicalink.py
+++ b/knapweeddeal/replicalink.py
@@ -78,18 +78,14 @@
         )
 
     async def _listen(self, stream, outbox):
-        """Expect echoes of heartbeats; silence raises TaskTimeout."""
+        """Expect echoes of heartbeats; silence raises StreamClosedError."""
         while True:
             message = await self._receive(stream)
             if isinstance(message, ReplicaState):
                 await self._events.put(LinkUp(state=message, outbox=outbox))
 
     async def _receive(self, stream):
-        try:
-            async with curio.timeout_after(self._timeout_ms / 1000):
-                return await stream.receive()
-        except curio.TaskTimeout:
-            raise StreamClosedError("silence") from None
+        return await stream.receive_within(self._timeout_ms)
 
 
 class LinkPool:
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -6,6 +6,7 @@
 import testtools
 
 from knapweeddeal.actions import Address, Dial
+from knapweeddeal.announces import announce_digest
 from knapweeddeal.directory import AskRegistrar, Directory
 from knapweeddeal.events import DirectoryCame, MemberLost, MembersCame, VersionCame
 from knapweeddeal.healthpoll import HealthPoll, Poll
@@ -15,7 +16,7 @@
 from knapweeddeal.messages.member import ALIVE, MemberRecord
 from knapweeddeal.messages.peer import AnnounceSeen, LeaseAnswer, UpstreamName
 from knapweeddeal.presence import Presence
-from knapweeddeal.registrar import Registrar, announce_digest
+from knapweeddeal.registrar import Registrar
 from tests.directoryfakes import LEASE_MS, SILENCE_MS, announce
 
 STRANGER = Address(host="10.9.9.9", port=1)
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -5,13 +5,13 @@
 import testscenarios
 import testtools
 
+from knapweeddeal.announces import announce_digest
 from knapweeddeal.messages.peer import DirectoryDelta, LeaseAnswer, LeaseAsk
 from knapweeddeal.messages.upstream import LEAVING
 from knapweeddeal.registrar import (
     FORGET_MS,
     MAX_DELTA_CHANGES,
     Registrar,
-    announce_digest,
 )
 from tests.directoryfakes import SILENCE_MS, announce
 
