Dispatch plain values of dumps by type

plain() was a chain of seven isinstance tests; singledispatch reads as the table that it is. test_inspection passes (6), and its test of depth is the check on the one trap: scalars are shown at any depth, the rest is cut.

--- a/knapweeddeal/inspection.py
+++ b/knapweeddeal/inspection.py
@@ -1,5 +1,6 @@
 """knapweeddeal.inspection: State dumps, bounded in size, of any process."""
 
+import functools
 import json
 
 from knapweeddeal.record import Record
@@ -12,6 +13,8 @@
 MAX_DEPTH = 8
 #: Length of a text or byte string that a dump shows.
 MAX_TEXT_CHARS = 200
+#: What stands for what a dump leaves out.
+CUT = "..."
 
 
 def dump_text(state, *, max_bytes):
@@ -25,30 +28,54 @@
     return json.dumps({"cut": f"the state is larger than {max_bytes} bytes"})
 
 
+@functools.singledispatch
 def plain(value, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
     """Return a value as JSON-ready maps and lists, long ones cut."""
-    if value is None or isinstance(value, (bool, int, float)):
-        return value
-    if isinstance(value, bytes):
-        return value[: MAX_TEXT_CHARS // 2].hex()
-    if isinstance(value, str):
-        return value[:MAX_TEXT_CHARS]
-    if depth == 0:
-        return "..."
-    if isinstance(value, Record):
-        value = {name: getattr(value, name) for name in value.__slots__}
-    if isinstance(value, dict):
-        return _plain_map(value, max_items, depth - 1)
-    if isinstance(value, (list, tuple, set, frozenset)):
-        return _plain_list(list(value), max_items, depth - 1)
-    return str(value)[:MAX_TEXT_CHARS]
+    return str(value)[:MAX_TEXT_CHARS] if depth else CUT
+
+
+@plain.register(type(None))
+@plain.register(bool)
+@plain.register(int)
+@plain.register(float)
+def _(value, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    return value
+
+
+@plain.register
+def _(value: bytes, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    return value[: MAX_TEXT_CHARS // 2].hex()
+
+
+@plain.register
+def _(value: str, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    return value[:MAX_TEXT_CHARS]
+
+
+@plain.register
+def _(value: Record, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    fields = {name: getattr(value, name) for name in value.__slots__}
+    return plain(fields, max_items=max_items, depth=depth)
+
+
+@plain.register
+def _(value: dict, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    return _plain_map(value, max_items, depth - 1) if depth else CUT
+
+
+@plain.register(list)
+@plain.register(tuple)
+@plain.register(set)
+@plain.register(frozenset)
+def _(value, *, max_items=FIRST_MAX_ITEMS, depth=MAX_DEPTH):
+    return _plain_list(list(value), max_items, depth - 1) if depth else CUT
 
 
 def _plain_map(items, max_items, depth):
     kept = list(items.items())[:max_items]
     shown = {str(k): plain(v, max_items=max_items, depth=depth) for k, v in kept}
     if len(items) > max_items:
-        shown["..."] = f"{len(items) - max_items} more"
+        shown[CUT] = f"{len(items) - max_items} more"
     return shown
 
 
