Call things of the control plane by the field's terms

Readers had to look up rumours, favours, troubles, barren replicas, spares, riding notes and a burial. They are now a gossip queue, relayed pings, failure histories with ejections, replicas that failed, backups, piggybacked notes and members declared dead; patience is a timeout. Names only; tests follow where they read a private name. Kept: promise and tombstone, which the proofs use, and names of metrics and messages, which others read.

--- a/bench/directory.py
+++ b/bench/directory.py
@@ -227,7 +227,7 @@
         for other in net.members.values():
             if other is not member:
                 member.records.put(other.record, now_ms=0)
-        member._rumours.take(1, members=1)
+        member._gossip.take(1, members=1)
         member._told_members = 64
     net.run(12 * PROBE_MS)
     return net
--- a/knapweeddeal/controlclient.py
+++ b/knapweeddeal/controlclient.py
@@ -112,14 +112,14 @@
 class _Search:
     """Choose whom to ask next, and remember the failure that says most."""
 
-    __slots__ = ("_addresses", "_barren", "_error", "_hint", "_place", "_until_ms")
+    __slots__ = ("_addresses", "_error", "_failed", "_hint", "_place", "_until_ms")
 
     def __init__(self, *, addresses, until_ms):
         self._addresses = addresses
         self._until_ms = until_ms
         self._hint = None
         self._place = 0
-        self._barren = set()
+        self._failed = set()
         self._error = None
 
     def next_address(self):
@@ -133,9 +133,9 @@
 
     def failed(self, address, error):
         """Learn from a failure."""
-        self._barren.add(address)
+        self._failed.add(address)
         if isinstance(error, NotLeaderError):
-            self._barren = set()
+            self._failed = set()
             self._follow(address, error)
         if not isinstance(error, NotLeaderError) or self._error is None:
             keep = isinstance(self._error, NoQuorumError)
@@ -161,8 +161,8 @@
         """Tell whether to give up: at the end, or when no replica knows a leader."""
         if monotonic_ms() >= self._until_ms:
             return True
-        is_barren = self._barren >= set(self._addresses)
-        return is_barren and isinstance(self._error, NoQuorumError)
+        all_failed = self._failed >= set(self._addresses)
+        return all_failed and isinstance(self._error, NoQuorumError)
 
     def error(self):
         """Return the failure to raise."""
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -304,8 +304,8 @@
         if self._stop_ms:
             return
         handed = self._replica.node.transfer()
-        patience_ms = self._settings.stop_ms if handed else 0
-        self._stop_ms = monotonic_ms() + patience_ms
+        timeout_ms = self._settings.stop_ms if handed else 0
+        self._stop_ms = monotonic_ms() + timeout_ms
 
     # Messages of replicas of the same cluster.
 
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -47,7 +47,7 @@
 __all__ = ["ControlReplica"]
 
 #: An operator waits this many election timeouts for a quorum.
-PATIENCE_ELECTIONS = 2
+ASK_TIMEOUT_ELECTIONS = 2
 #: Records before a snapshot that stay in memory for followers that lag a little.
 KEEP_RECORDS = 500
 #: Time between reports of a follower's entries to the leader.
@@ -111,7 +111,7 @@
     def ask(self, ask_id, message, now_ms, wall_ms):
         """Take an operator's command or query; its answer comes by take_answers."""
         self._now_ms = max(now_ms, self._now_ms)
-        until_ms = self._now_ms + PATIENCE_ELECTIONS * self._election_ms
+        until_ms = self._now_ms + ASK_TIMEOUT_ELECTIONS * self._election_ms
         self._dispatch(
             Pending(
                 ask_id=ask_id,
--- a/knapweeddeal/directory.py
+++ b/knapweeddeal/directory.py
@@ -20,7 +20,7 @@
 __all__ = ["AskRegistrar", "Directory", "Upstream"]
 
 #: Asks of the preferred registrar for one ask of another that holds the same.
-ASKS_FOR_SPARE = 2
+ASKS_FOR_BACKUP = 2
 #: Time between tries to open the stream to an upstream.
 DIAL_MS = 500
 #: Time between sweeps over all upstreams.
@@ -364,9 +364,9 @@
     def _due(self, names, now_ms):
         views = [self._views[name] for name in names]
         late_ms = now_ms - 2 * self._ask_ms
-        spares_wait = 0 < len(names) <= COPIES and views[0].leased_ms > late_ms
+        backups_wait = 0 < len(names) <= COPIES and views[0].leased_ms > late_ms
         for index, view in enumerate(views):
-            times = ASKS_FOR_SPARE if index and spares_wait else 1
+            times = ASKS_FOR_BACKUP if index and backups_wait else 1
             if now_ms - view.asked_ms >= times * self._ask_ms:
                 yield view.name
 
--- a/knapweeddeal/ejection.py
+++ b/knapweeddeal/ejection.py
@@ -13,10 +13,10 @@
 FORGIVE_MS = 300_000
 
 
-class Trouble(Record):
+class FailureHistory(Record):
     """Hold the failures of an upstream and its last ejection."""
 
-    __slots__ = ("failures", "key", "times", "until_ms")
+    __slots__ = ("ejections", "failures", "key", "until_ms")
 
 
 class Ejection:
@@ -27,39 +27,39 @@
     themselves; each ejection soon after another one takes longer.
     """
 
-    __slots__ = ("_share", "_troubles")
+    __slots__ = ("_histories", "_share")
 
     def __init__(self, *, share):
         self._share = share
-        self._troubles = {}
+        self._histories = {}
 
     # Commands
 
     def succeed(self, key):
         """Note that an upstream did what it was asked for."""
-        trouble = self._troubles.get(key)
-        if trouble is not None:
-            trouble.failures = 0
+        history = self._histories.get(key)
+        if history is not None:
+            history.failures = 0
 
     def fail(self, key, *, now_ms):
         """Note that an upstream's stream broke or that it didn't answer."""
-        trouble = self._troubles.get(key)
-        if trouble is None:
-            trouble = Trouble(key=key, failures=0, times=0, until_ms=now_ms)
-            self._troubles[key] = trouble
-        if trouble.until_ms > now_ms:
+        history = self._histories.get(key)
+        if history is None:
+            history = FailureHistory(key=key, failures=0, ejections=0, until_ms=now_ms)
+            self._histories[key] = history
+        if history.until_ms > now_ms:
             return
-        trouble.failures += 1
-        if trouble.failures >= MAX_FAILURES:
-            trouble.failures = 0
-            trouble.until_ms = now_ms + min(MAX_MS, FIRST_MS << trouble.times)
-            trouble.times += 1
+        history.failures += 1
+        if history.failures >= MAX_FAILURES:
+            history.failures = 0
+            history.until_ms = now_ms + min(MAX_MS, FIRST_MS << history.ejections)
+            history.ejections += 1
 
     def sweep(self, *, now_ms):
         """Forget what is long past."""
-        for key, trouble in list(self._troubles.items()):
-            if trouble.until_ms + FORGIVE_MS <= now_ms:
-                del self._troubles[key]
+        for key, history in list(self._histories.items()):
+            if history.until_ms + FORGIVE_MS <= now_ms:
+                del self._histories[key]
 
     # Queries
 
@@ -69,18 +69,18 @@
         If the share doesn't allow for all, those whose ejection ends first stay in.
         """
         ejected = [
-            trouble
-            for trouble in map(self._troubles.get, (u.key for u in upstreams))
-            if trouble is not None and trouble.until_ms > now_ms
+            history
+            for history in map(self._histories.get, (u.key for u in upstreams))
+            if history is not None and history.until_ms > now_ms
         ]
         if not ejected and not doubtful:
             return upstreams
-        ejected.sort(key=lambda trouble: trouble.until_ms, reverse=True)
-        worst_first = [*(trouble.key for trouble in ejected), *doubtful]
+        ejected.sort(key=lambda history: history.until_ms, reverse=True)
+        worst_first = [*(history.key for history in ejected), *doubtful]
         worst_first = list(dict.fromkeys(worst_first))
         out = set(worst_first[: int(len(upstreams) * self._share)])
         return [upstream for upstream in upstreams if upstream.key not in out]
 
     def ejected(self, *, now_ms):
         """Return the keys of the upstreams under ejection."""
-        return [t.key for t in self._troubles.values() if t.until_ms > now_ms]
+        return [h.key for h in self._histories.values() if h.until_ms > now_ms]
--- a/knapweeddeal/rumours.py
+++ b/knapweeddeal/gossip.py
@@ -1,11 +1,11 @@
-"""knapweeddeal.rumours: News that ride on datagrams a bounded number of times."""
+"""knapweeddeal.gossip: News piggybacked on datagrams a bounded number of times."""
 
 import heapq
 import operator
 
 from knapweeddeal.record import Record
 
-__all__ = ["Rumours"]
+__all__ = ["GossipQueue"]
 
 #: Sendings of a piece of news beyond the logarithm of the number of members.
 EXTRA_SENDS = 3
@@ -19,7 +19,7 @@
     __slots__ = ("item", "key", "sent")
 
 
-class Rumours:
+class GossipQueue:
     """Choose the news that go with a datagram: the least sent first."""
 
     __slots__ = ("_news",)
--- a/knapweeddeal/membership.py
+++ b/knapweeddeal/membership.py
@@ -1,8 +1,9 @@
-"""knapweeddeal.membership: Which entries live, by probes and rumours at steady cost."""
+"""knapweeddeal.membership: Which entries live, by probes and gossip at steady cost."""
 
 from functools import singledispatchmethod
 
 from knapweeddeal.actions import Address
+from knapweeddeal.gossip import GossipQueue
 from knapweeddeal.memberrecords import MemberRecords, digest, is_live
 from knapweeddeal.messages.member import (
     ALIVE,
@@ -18,7 +19,6 @@
     SyncAsk,
 )
 from knapweeddeal.record import Record
-from knapweeddeal.rumours import Rumours
 
 __all__ = [
     "MemberGone",
@@ -38,8 +38,8 @@
 #: Periods for which a member that starts looks for others in haste.
 JOIN_PERIODS = 5
 #: Records and notes that ride on one datagram.
-RIDING_RECORDS = 6
-RIDING_NOTES = 2
+PIGGYBACKED_RECORDS = 6
+PIGGYBACKED_NOTES = 2
 #: Notes that are known at a time.
 MAX_NOTES = 10_000
 #: Records in an answer to a sync ask, and the mean size of a bucket.
@@ -104,7 +104,7 @@
     __slots__ = ("answered", "helped", "number", "record", "sent_ms", "tries")
 
 
-class Favour(Record):
+class RelayedPing(Record):
     """Hold a ping on behalf of another member."""
 
     __slots__ = ("address", "number", "until_ms")
@@ -130,15 +130,15 @@
         self._rng = rng
         self._probe_ms = probe_ms
         self._version = 0
-        self._rumours = Rumours()
-        self._notes = Rumours()
+        self._gossip = GossipQueue()
+        self._notes = GossipQueue()
         #: Ends of the lives of notes known here, by note id.
         self._known_notes = {}
-        self._rumours.add(record.name, record)
+        self._gossip.add(record.name, record)
         self._number = 0
         self._round = []
         self._probe = None
-        self._favours = {}
+        self._relayed_pings = {}
         self._period_ms = now_ms - probe_ms
         self._periods = 0
         self._ticked_ms = now_ms
@@ -224,10 +224,10 @@
         probe = self._probe
         if probe is not None and probe.number == message.number:
             probe.answered = probe.answered or message.name == probe.record.name
-        favour = self._favours.pop(message.number, None)
-        if favour is not None:
-            answer = message.replace(number=favour.number, records=[], notes=[])
-            actions.append(SendDatagram(address=favour.address, message=answer))
+        relayed = self._relayed_pings.pop(message.number, None)
+        if relayed is not None:
+            answer = message.replace(number=relayed.number, records=[], notes=[])
+            actions.append(SendDatagram(address=relayed.address, message=answer))
         return actions
 
     @receive.register
@@ -235,7 +235,7 @@
         if self.records.at(source) != message.name:
             return []
         ping = self._ping(Address(host=message.host, port=message.port))
-        self._favours[self._number] = Favour(
+        self._relayed_pings[self._number] = RelayedPing(
             address=source,
             number=message.number,
             until_ms=now_ms + self._probe_ms,
@@ -292,10 +292,10 @@
         if not self.records.put(record, now_ms=now_ms):
             return []
         if is_news:
-            self._rumours.add(record.name, record)
+            self._gossip.add(record.name, record)
         if len(self.records).bit_length() > self._told_members:
             self._told_members = len(self.records).bit_length()
-            self._rumours.add(self.record.name, self.record)
+            self._gossip.add(self.record.name, self.record)
         was_live = before is not None and is_live(before)
         replaced = was_live and before.incarnation != record.incarnation
         if was_live == is_live(record) and not replaced:
@@ -317,7 +317,7 @@
 
     def _own(self, state, counter):
         self.record = self.record.replace(state=state, counter=counter)
-        self._rumours.add(self.record.name, self.record)
+        self._gossip.add(self.record.name, self.record)
 
     def _take_note(self, note, now_ms):
         if note.note_id in self._known_notes or not note.life_ms:
@@ -333,7 +333,7 @@
     def _end_period(self, now_ms):
         self._periods += 1
         actions = self._judge_probe(now_ms)
-        actions += self._bury(now_ms)
+        actions += self._declare_dead(now_ms)
         self._expire(now_ms)
         actions += self._start_probe(now_ms)
         if self._periods % RETRY_PERIODS == 0 or self._is_joining():
@@ -357,7 +357,7 @@
         actions = self._put(suspect, now_ms)
         return [*actions, self._ping(_address(held), suspect)]
 
-    def _bury(self, now_ms):
+    def _declare_dead(self, now_ms):
         periods = max(MIN_SUSPICION_PERIODS, (len(self.records) + 1).bit_length())
         actions = []
         for record in self.records.suspected_before(now_ms - periods * self._probe_ms):
@@ -366,7 +366,11 @@
 
     def _expire(self, now_ms):
         self.records.forget(now_ms=now_ms)
-        self._favours = {n: f for n, f in self._favours.items() if f.until_ms > now_ms}
+        self._relayed_pings = {
+            number: ping
+            for number, ping in self._relayed_pings.items()
+            if ping.until_ms > now_ms
+        }
         for note_id in [n for n, end in self._known_notes.items() if end <= now_ms]:
             del self._known_notes[note_id]
 
@@ -479,7 +483,7 @@
 
     def _message(self, cls, number, first):
         members = len(self.records) + 1
-        records = self._rumours.take(RIDING_RECORDS, members=members)
+        records = self._gossip.take(PIGGYBACKED_RECORDS, members=members)
         if first is not None and first not in records:
             records.insert(0, first)
         return cls(
@@ -488,16 +492,16 @@
             number=number,
             version=self._version,
             records=records,
-            notes=self._riding_notes(members),
+            notes=self._piggybacked_notes(members),
         )
 
-    def _riding_notes(self, members):
-        riding = []
-        for note in self._notes.take(RIDING_NOTES, members=members):
+    def _piggybacked_notes(self, members):
+        piggybacked = []
+        for note in self._notes.take(PIGGYBACKED_NOTES, members=members):
             left_ms = self._known_notes.get(note.note_id, 0) - self._ticked_ms
             if left_ms > 0:
-                riding.append(note.replace(life_ms=left_ms))
-        return riding
+                piggybacked.append(note.replace(life_ms=left_ms))
+        return piggybacked
 
     def _some(self, count):
         live = self.records.live()
--- a/tests/memberfakes.py
+++ b/tests/memberfakes.py
@@ -127,7 +127,7 @@
 
     def at_rest(self):
         """Tell whether nobody has news to pass on."""
-        return not any(len(member._rumours) for member in self.members.values())
+        return not any(len(member._gossip) for member in self.members.values())
 
     def perform(self, name, actions):
         """Do what a member asks for."""
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -98,9 +98,9 @@
     def test_forgiven(self):
         ejection = failed([0])
         ejection.sweep(now_ms=FIRST_MS + FORGIVE_MS - 1)
-        self.assertEqual(1, len(ejection._troubles))
+        self.assertEqual(1, len(ejection._histories))
         ejection.sweep(now_ms=FIRST_MS + FORGIVE_MS)
-        self.assertEqual(0, len(ejection._troubles))
+        self.assertEqual(0, len(ejection._histories))
 
 
 class AnySchedule(testscenarios.TestWithScenarios, testtools.TestCase):
