Dispatch messages of the log and of entries in place

consensus.py had seven functions that only called a method of the node, and controlstreams.py four; the methods are dispatched themselves now, as in controlcore. Ruled out: the same for what operators and replicas send to controlstreams, whose methods are also called by name.

test_consensus (73), test_controlprocess (20), test_controlreplica (20), test_conformance (62) and test_links (19) pass.

--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -5,7 +5,7 @@
 state, snapshot and records, call `persisted`, send `late`, apply `committed`.
 """
 
-import functools
+from functools import singledispatchmethod
 
 from knapweeddeal.consensuslog import (
     ConsensusLog,
@@ -232,7 +232,7 @@
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
         self.now_ms = max(now_ms, self.now_ms)
-        _receive(message, self, sender)
+        self._take(message, sender)
 
     # Elections.
 
@@ -272,7 +272,12 @@
         self._leadership.propose(pack_leader_start())
         self._leadership.broadcast()
 
-    def on_vote_ask(self, sender, ask):
+    @singledispatchmethod
+    def _take(self, message, sender):
+        """Drop what doesn't belong between replicas."""
+
+    @_take.register
+    def _(self, ask: VoteAsk, sender):
         """Give a vote, or tell whether it would be given.
 
         A member may lack the record that names it, so the candidate's log decides.
@@ -296,7 +301,8 @@
             VoteAnswer(term=term, voter=self.identity, granted=granted, pre=ask.pre),
         )
 
-    def on_vote_answer(self, answer):
+    @_take.register
+    def _(self, answer: VoteAnswer, _sender):
         """Count a vote."""
         if not answer.granted:
             self._see_term(answer.term)
@@ -308,14 +314,16 @@
             self._votes.add(answer.voter)
             self._count_votes()
 
-    def on_transfer(self, message):
+    @_take.register
+    def _(self, message: LeadershipTransfer, _sender):
         """Start an election at once, as the leader asks."""
         if message.term == self.term and self.role == FOLLOWER and self.is_member:
             self._campaign(pre=False)
 
     # Followers.
 
-    def on_append(self, sender, ask):
+    @_take.register
+    def _(self, ask: AppendAsk, sender):
         """Take records from the leader."""
         if not self._follow(ask.term, ask.leader):
             self._answer_append(sender, ask, success=False, match=0)
@@ -367,7 +375,8 @@
         )
         self.send(sender, answer)
 
-    def on_snapshot(self, sender, ask):
+    @_take.register
+    def _(self, ask: SnapshotAsk, sender):
         """Take a part of a snapshot."""
         if not self._follow(ask.term, ask.leader):
             self._answer_snapshot(sender, ask, 0)
@@ -424,7 +433,9 @@
         self._reset_election()
         return True
 
-    def on_answer(self, sender, answer):
+    @_take.register(AppendAnswer)
+    @_take.register(SnapshotAnswer)
+    def _(self, answer, sender):
         """Take a follower's answer if this replica still leads."""
         self._see_term(answer.term)
         if self._leadership is not None:
@@ -512,43 +523,3 @@
     for place, record in enumerate(ask.records, ask.previous_index + 1):
         if record.index != place:
             raise BadMessageError("not the next record", field="index", value=place)
-
-
-@functools.singledispatch
-def _receive(_message, _node, _sender):
-    """Drop what doesn't belong between replicas."""
-
-
-@_receive.register
-def _(message: VoteAsk, node, sender):
-    node.on_vote_ask(sender, message)
-
-
-@_receive.register
-def _(message: VoteAnswer, node, _sender):
-    node.on_vote_answer(message)
-
-
-@_receive.register
-def _(message: AppendAsk, node, sender):
-    node.on_append(sender, message)
-
-
-@_receive.register
-def _(message: AppendAnswer, node, sender):
-    node.on_answer(sender, message)
-
-
-@_receive.register
-def _(message: SnapshotAsk, node, sender):
-    node.on_snapshot(sender, message)
-
-
-@_receive.register
-def _(message: SnapshotAnswer, node, sender):
-    node.on_answer(sender, message)
-
-
-@_receive.register
-def _(message: LeadershipTransfer, node, _sender):
-    node.on_transfer(message)
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -84,22 +84,32 @@
         sender = await curio.spawn(_drain, outbox, stream)
         try:
             while True:
-                await _from_entry(await stream.receive(), self, outbox)
+                await self._from_entry(await stream.receive(), outbox)
         finally:
             await self._events.put(EntryGone(outbox=outbox))
             await sender.cancel()
 
-    async def on_entry_ask(self, message, outbox):
-        """Give what an entry applied to the core."""
+    @functools.singledispatchmethod
+    async def _from_entry(self, message, _outbox):
+        raise BadMessageError(
+            "not for a control replica", field="message", value=type(message).__name__
+        )
+
+    @_from_entry.register
+    async def _(self, message: Heartbeat, outbox):
+        await outbox.offer(message)
+
+    @_from_entry.register
+    async def _(self, message: ConfigurationAsk, outbox):
         await self._events.put(EntryAsk(message=message, outbox=outbox))
 
-    async def on_entry_flows(self, message):
-        """Give an entry's counted flows to the core."""
+    @_from_entry.register
+    async def _(self, message: FlowCounts, _outbox):
         await self._events.put(EntryFlows(message=message))
 
-    async def on_refusals(self, batch, outbox):
-        """Give refusals to the journal."""
-        await self._journal.hold(batch, outbox)
+    @_from_entry.register
+    async def _(self, message: RefusalBatch, outbox):
+        await self._journal.hold(message, outbox)
 
     async def serve_operator(self, message, stream):
         """Answer one ask after another."""
@@ -166,33 +176,6 @@
     await streams.pass_on(message, link)
 
 
-@functools.singledispatch
-async def _from_entry(message, _streams, _outbox):
-    raise BadMessageError(
-        "not for a control replica", field="message", value=type(message).__name__
-    )
-
-
-@_from_entry.register
-async def _(message: Heartbeat, _streams, outbox):
-    await outbox.offer(message)
-
-
-@_from_entry.register
-async def _(message: ConfigurationAsk, streams, outbox):
-    await streams.on_entry_ask(message, outbox)
-
-
-@_from_entry.register
-async def _(message: FlowCounts, streams, _outbox):
-    await streams.on_entry_flows(message)
-
-
-@_from_entry.register
-async def _(message: RefusalBatch, streams, outbox):
-    await streams.on_refusals(message, outbox)
-
-
 @functools.singledispatch
 async def _answer(message, streams):
     return await streams.ask_core(message)
