--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -60,3 +60,21 @@
         self.assertEqual(3, len(examples))
         for example in examples:
             exec(compile(example, "LIBRARY.md", "exec"), {})
+
+
+class Pages(testtools.TestCase):
+    """Every page that a page names is there."""
+
+    def test_links(self):
+        root = DOCS.parent
+        named = {
+            name
+            for page in [root / "README.md", *DOCS.glob("*.md")]
+            for name in re.findall(r"[\w/-]+\.md", page.read_text(encoding="utf-8"))
+        }
+        missing = [
+            name
+            for name in named
+            if not (root / name).exists() and not (DOCS / name).exists()
+        ]
+        self.assertEqual([], sorted(missing))
