Dispatch asks and reports of a control replica in place

Three methods for messages and three for asks were only called by functions beside the class; they are dispatched themselves now. 363 lines are left. Docstrings say cluster where they said group; log lines stay as they were.

test_controlreplica (20) and test_controlprocess (20) pass.

--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -13,7 +13,7 @@
 
 
 class PeerMessage(Record):
-    """Carry a message from another replica, and the group that it belongs to."""
+    """Carry a message from another replica, and the cluster that it belongs to."""
 
     __slots__ = ("cluster", "message", "sender")
 
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -3,7 +3,7 @@
 It joins the replicated log, the replicated state and the operators that wait.
 """
 
-import functools
+from functools import singledispatchmethod
 
 from knapweeddeal.commandrecords import command_record
 from knapweeddeal.configurationstate import failure_answer
@@ -129,22 +129,22 @@
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
         self._now_ms = max(now_ms, self._now_ms)
-        _receive(message, self, sender)
+        self._take(message, sender)
 
-    def take_reports(self, reports):
-        """Take what entries told another replica."""
+    @singledispatchmethod
+    def _take(self, message, sender):
+        self.node.receive(sender, message, self._now_ms)
+
+    @_take.register
+    def _(self, reports: EntryReports, _sender):
         self.entries.merge(reports, self._now_ms)
         for status in reports.entries:
             self.flow_counts.heard(status.name, now_ms=self._now_ms)
 
-    def take_flow_counts(self, counts):
-        """Take the flows that an entry counted for another replica."""
+    @_take.register
+    def _(self, counts: FlowCounts, _sender):
         self.flow_counts.apply(counts, now_ms=self._now_ms)
 
-    def take_consensus(self, sender, message):
-        """Take a message of the replicated log."""
-        self.node.receive(sender, message, self._now_ms)
-
     def tick(self, now_ms):
         """Let time pass."""
         self._now_ms = max(now_ms, self._now_ms)
@@ -265,33 +265,35 @@
         try:
             if leader != self.node.identity:
                 raise self._not_leader()
-            _ask(pending.message, self, pending)
+            self._start(pending.message, pending)
         except KnapweeddealError as error:
             self._reply(pending, failure_answer(error))
 
-    def propose(self, pending):
+    @singledispatchmethod
+    def _start(self, message, pending):
         """Replicate an operator's command."""
-        record = command_record(pending.message, self, wall_ms=pending.wall_ms)
+        record = command_record(message, self, wall_ms=pending.wall_ms)
         index, term = self.node.propose(encode(record))
         self._pending.await_commit(pending, index=index, term=term)
 
-    def read(self, pending):
+    @_start.register(StatusAsk)
+    @_start.register(ServicesAsk)
+    @_start.register(ReplicasAsk)
+    def _(self, _message, pending):
         """Start the quorum round of a query."""
         self._pending.await_quorum(pending)
         self.node.read(pending.ask_id)
 
-    def swap(self, pending):
+    @_start.register
+    def _(self, ask: ReplicaSwapAsk, pending):
         """Start a change of one member."""
-        ask = pending.message
         kept = self.state.kept(ask.operator, ask.request_id)
         if kept is not None:
             self._reply(pending, self._swap_again(kept, ask.request_id))
             return
         if self._swap is not None:
             raise ConflictError("another change of replicas is under way")
-        self._swap = ReplicaSwap(
-            ask_id=pending.ask_id, ask=pending.message, replica=self
-        )
+        self._swap = ReplicaSwap(ask_id=pending.ask_id, ask=ask, replica=self)
         self._go_on_with_swap()
 
     # What happened.
@@ -357,37 +359,5 @@
         return self.connected.get(leader)
 
 
-@functools.singledispatch
-def _receive(message, replica, sender):
-    replica.take_consensus(sender, message)
-
-
-@_receive.register
-def _(message: EntryReports, replica, _sender):
-    replica.take_reports(message)
-
-
-@_receive.register
-def _(message: FlowCounts, replica, _sender):
-    replica.take_flow_counts(message)
-
-
-@functools.singledispatch
-def _ask(_message, replica, pending):
-    replica.propose(pending)
-
-
-@_ask.register
-def _(_message: ReplicaSwapAsk, replica, pending):
-    replica.swap(pending)
-
-
-@_ask.register(StatusAsk)
-@_ask.register(ServicesAsk)
-@_ask.register(ReplicasAsk)
-def _(_message, replica, pending):
-    replica.read(pending)
-
-
 def _named(replica):
     return f"{replica.name}={replica.host}:{replica.port} {replica.identity:016x}"
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -64,7 +64,7 @@
             await _from_replica(message, self, link)
 
     async def echo(self, message, link):
-        """Answer a heartbeat, and tell the own group if it is new."""
+        """Answer a heartbeat, and tell the own cluster if it is new."""
         await link.stream.send(message)
         if link.told != self._core.cluster:
             link.told = self._core.cluster
