--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -122,10 +122,6 @@
             )
         )
 
-    def forget(self, ask_id):
-        """Drop an ask whose operator went away; a command may still take effect."""
-        self._pending.forget(ask_id)
-
     def receive(self, sender, message, now_ms):
         """Take a message from another replica."""
         self._now_ms = max(now_ms, self._now_ms)
--- a/knapweeddeal/pendingasks.py
+++ b/knapweeddeal/pendingasks.py
@@ -73,10 +73,6 @@
         """Hold a query until its quorum round ends."""
         self._reading[pending.ask_id] = pending
 
-    def forget(self, ask_id):
-        """Drop an ask that waits for a leader."""
-        self._waiting = [p for p in self._waiting if p.ask_id != ask_id]
-
     def take_waiting(self):
         """Return the asks that wait for a leader, and hold them no longer."""
         waiting, self._waiting = self._waiting, []
