--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -221,6 +221,9 @@
 
 def _limits(settings):
     return Limits(
+        flow_idle_ms=settings.flow_idle_ms,
+        max_flows=settings.max_flows,
+        max_answer_bytes=settings.max_answer_bytes,
         lease_ms=settings.lease_ms,
         lease_ask_ms=settings.lease_ask_ms,
         max_ejected_percent=settings.max_ejected_percent,
