--- a/bench/policy.py
+++ b/bench/policy.py
@@ -13,21 +13,25 @@
 from bench.targets import TARGETS
 from bench.world import Setup, Size, World
 
-__all__ = ["CELLS", "FUNDACION", "GUILD", "SIZES", "results"]
+__all__ = ["CELLS", "FAR_CALLERS", "NEAR_CALLERS", "SIZES", "results"]
 
 SEEDS = (1, 2, 3, 4, 5)
 #: Trials that run at the same time.
 WORKERS = 4
 
-FUNDACION = Size(name="fundacion-7", entries=12, upstreams=7, limit=4_000, caller_ms=3)
-GUILD = Size(name="guild-7", entries=19, upstreams=7, limit=4_200, caller_ms=1)
+FAR_CALLERS = Size(
+    name="callers-3ms-7", entries=12, upstreams=7, limit=4_000, caller_ms=3
+)
+NEAR_CALLERS = Size(
+    name="callers-1ms-7", entries=19, upstreams=7, limit=4_200, caller_ms=1
+)
 SIZES = {
     size.name: size
     for size in (
-        FUNDACION,
-        GUILD,
-        Size(name="fundacion-4", entries=12, upstreams=4, limit=4_000, caller_ms=3),
-        Size(name="guild-4", entries=19, upstreams=4, limit=4_200, caller_ms=1),
+        FAR_CALLERS,
+        NEAR_CALLERS,
+        Size(name="callers-3ms-4", entries=12, upstreams=4, limit=4_000, caller_ms=3),
+        Size(name="callers-1ms-4", entries=19, upstreams=4, limit=4_200, caller_ms=1),
     )
 }
 
@@ -110,7 +114,7 @@
     names = [name for name in sys.argv[1:] if name in SCENARIOS] or list(SCENARIOS)
     print_head("python -m bench.policy")
     print(f"seeds {SEEDS}; cells are median (range) over seeds")
-    sizes = [FUNDACION.name, GUILD.name]
+    sizes = [FAR_CALLERS.name, NEAR_CALLERS.name]
     found = results(sizes, names, CHOOSERS)
     print_results(found)
     print_table(
--- a/tests/test_policybench.py
+++ b/tests/test_policybench.py
@@ -4,7 +4,7 @@
 import testtools
 
 from bench.choosers import CHOOSERS
-from bench.policy import FUNDACION, GUILD
+from bench.policy import FAR_CALLERS, NEAR_CALLERS
 from bench.scenarios import SCENARIOS
 from bench.world import Setup, World
 
@@ -25,7 +25,10 @@
 class Sizes(testscenarios.TestWithScenarios, testtools.TestCase):
     """The targets hold at both users' sizes."""
 
-    scenarios = [("fundacion", {"size": FUNDACION}), ("guild", {"size": GUILD})]
+    scenarios = [
+        ("far callers", {"size": FAR_CALLERS}),
+        ("near callers", {"size": NEAR_CALLERS}),
+    ]
 
     def test_peak_near_perfect_knowledge(self):
         found = trial(self.size, "even")
@@ -56,6 +59,6 @@
     """A seed gives the same figures again."""
 
     def test_same(self):
-        first, second = (trial(GUILD, "cut", seconds=30.0) for _ in range(2))
+        first, second = (trial(NEAR_CALLERS, "cut", seconds=30.0) for _ in range(2))
         self.assertEqual(first.requests, second.requests)
         self.assertEqual(first.peak, second.peak)
