Measure how long opens and requests wait; reserve addresses for chosen tests

Cause: `knapweeddeal metrics` of an entry had counters and no latencies. The waits from asking an upstream to its word go into the histograms, to the millisecond of the deciding task's clock. test_waits_are_measured failed before (no histogram). While it was tried beside another run of all tests, tests.test_demo failed once and then passed 4 times: chosen tests took a number for their addresses by process id, which the other run may have reserved. That it was so is likely and not proved; chosen tests reserve a number now, and a run by hand takes one above.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -18,8 +18,8 @@
 
 
 def default_base():
-    """Return a number for addresses that few processes at a time share."""
-    return 100 + os.getpid() % 150
+    """Return a number for addresses, above those that runs of the tests reserve."""
+    return 200 + os.getpid() % 55
 
 
 class Cluster:
--- a/knapweeddeal/entrycontext.py
+++ b/knapweeddeal/entrycontext.py
@@ -24,6 +24,8 @@
     "ticket_upstream",
 ]
 
+US_PER_MS = 1_000
+
 
 class Identity(Record):
     """Name an entry process: id, incarnation, zone and stream address."""
@@ -51,6 +53,7 @@
         "identity",
         "limits",
         "holding",
+        "record_us",
         "refusals",
         "rng",
         "sealer",
@@ -58,7 +61,9 @@
         "wall_clock_ms",
     )
 
-    def __init__(self, *, identity, sealer, limits, rng, wall_clock_ms, counters):
+    def __init__(
+        self, *, identity, sealer, limits, rng, wall_clock_ms, counters, timers
+    ):
         self.identity = identity
         self.sealer = sealer
         self.limits = limits
@@ -66,6 +71,8 @@
         self.wall_clock_ms = wall_clock_ms
         #: Counts an event by its name.
         self.count = counters
+        #: Records a time in microseconds by its name.
+        self.record_us = timers
         self.directory = Directory(
             lease_ms=limits.lease_ms,
             name=identity.entry_id,
@@ -93,6 +100,10 @@
             entry.name: frozenset(entry.draining) for entry in configuration.services
         }
 
+    def record_wait(self, name, since_ms, *, now_ms):
+        """Record how long something waited."""
+        self.record_us(name, (now_ms - since_ms) * US_PER_MS)
+
     def drop(self, reason):
         """Count a message that is dropped; return no actions."""
         self.count(f"dropped_{reason}")
--- a/knapweeddeal/entrycore.py
+++ b/knapweeddeal/entrycore.py
@@ -44,7 +44,17 @@
     of actions; `wall_clock_ms` stands in tickets and records.
     """
 
-    def __init__(self, *, identity, sealer, limits, rng, wall_clock_ms, counters):
+    def __init__(
+        self,
+        *,
+        identity,
+        sealer,
+        limits,
+        rng,
+        wall_clock_ms,
+        counters,
+        timers=lambda _name, _value_us: None,
+    ):
         self.context = EntryContext(
             identity=identity,
             sealer=sealer,
@@ -52,6 +62,7 @@
             rng=rng,
             wall_clock_ms=wall_clock_ms,
             counters=counters,
+            timers=timers,
         )
         self.identity = identity
         self.directory = self.context.directory
--- a/knapweeddeal/entryprocess.py
+++ b/knapweeddeal/entryprocess.py
@@ -135,6 +135,7 @@
             rng=_rng(),
             wall_clock_ms=wall_ms,
             counters=self._metrics.count,
+            timers=self._metrics.record_us,
         )
 
     def _new_presence(self):
--- a/knapweeddeal/opening.py
+++ b/knapweeddeal/opening.py
@@ -23,6 +23,7 @@
         "nonce",
         "caller",
         "tried",
+        "asked_ms",
         "deadline_ms",
         "until_ms",
     )
@@ -58,6 +59,7 @@
             nonce=message.nonce,
             caller=caller,
             tried=[],
+            asked_ms=now_ms,
             deadline_ms=now_ms + message.deadline_ms,
             until_ms=now_ms + OPEN_MS,
         )
@@ -80,6 +82,7 @@
             pending.flow_id, key, upstream.address, pending.caller, now_ms=now_ms
         )
         self._context.count("flows_opened")
+        self._context.record_wait("open", pending.asked_ms, now_ms=now_ms)
         opened = Opened(
             service=key.service,
             nonce=pending.nonce,
--- a/knapweeddeal/owner.py
+++ b/knapweeddeal/owner.py
@@ -325,6 +325,7 @@
         upstream = self._context.directory.get(key)
         if upstream is not None and sent is not None:
             self._context.admission.answered(upstream, sent, now_ms=now_ms)
+            self._context.record_wait("request", sent.sent_ms, now_ms=now_ms)
         flow.ledger.answer(message.number, message.body)
         return self._parts(flow, message.number, message.body)
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -32,7 +32,7 @@
     "test_journal",
 )
 #: Second numbers of loopback addresses that runs of the tests share.
-BASES = range(1, 250)
+BASES = range(1, 200)
 #: Port whose binding reserves a number.
 RESERVING_PORT = 6999
 #: Option of a process that runs one module.
@@ -118,7 +118,10 @@
         str(ROOT / "tests"), top_level_dir=str(ROOT)
     )
     tests = [test for test in flatten(suite) if any(w in test.id() for w in words)]
-    return run_suite(unittest.TestSuite(tests))
+    base, reserving = take_base()
+    os.environ[BASE_VARIABLE] = str(base)
+    with reserving:
+        return run_suite(unittest.TestSuite(tests))
 
 
 def take_base():
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -91,6 +91,23 @@
 
         return wait_until(counted)
 
+    def test_waits_are_measured(self):
+        async def use():
+            address = self.cluster.service_address(SERVICES[SERVICE])
+            flow = await open_flow(SERVICE, address, rng=random.Random(99))
+            for _ in range(FLOWS):
+                await flow.request(b"x")
+            await flow.close()
+
+        curio.run(use)
+        waits = [
+            self.json("metrics", "--at", self.cluster.entry_address(name))["us"]
+            for name in self.cluster.entries
+        ]
+        for name, least in (("open", 1), ("request", FLOWS)):
+            counted = sum(wait[name]["count"] for wait in waits if name in wait)
+            self.assertGreaterEqual(counted, least)
+
     def test_conflict_has_its_own_status(self):
         first, second = self.drain()
         version = self.json("confirm", first["plan_id"])["version"]
