--- a/knapweeddeal/commandrecords.py
+++ b/knapweeddeal/commandrecords.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.errors import BadMessageError, InvalidIntentError
 from knapweeddeal.messages.operator import ConfirmAsk, PlanAsk
+from knapweeddeal.messages.packets import PublishAsk, PublishRecord
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
 from knapweeddeal.plans import apply_steps
 
@@ -41,6 +42,13 @@
     )
 
 
+@command_record.register
+def _(message: PublishAsk, _replica, *, wall_ms):
+    return PublishRecord(
+        operator="", request_id="", configuration=message.configuration
+    )
+
+
 def _affected(steps, replica):
     """Return whom a plan affects, as far as is known here."""
     old = replica.state.configuration
--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -7,6 +7,11 @@
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.control import Configuration
 from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, PlanAnswer
+from knapweeddeal.messages.packets import (
+    PacketConfiguration,
+    PublishAnswer,
+    PublishRecord,
+)
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
     MembershipRecord,
@@ -15,6 +20,7 @@
     StoredPlan,
     StoredResult,
 )
+from knapweeddeal.packetconfigurations import with_former
 from knapweeddeal.plans import apply_steps
 
 __all__ = ["ConfigurationState", "failure_answer"]
@@ -48,9 +54,11 @@
     """
 
     __slots__ = ("_clock_ms", "_plans", "_result_bytes", "_results", "configuration")
+    __slots__ += ("packets",)
 
     def __init__(self):
         self.configuration = Configuration(version=0, services=[])
+        self.packets = PacketConfiguration(revision=0, routes=[], document=b"")
         self._clock_ms = 0
         self._plans = {}
         self._results = {}
@@ -66,6 +74,7 @@
                 clock_ms=self._clock_ms,
                 plans=list(self._plans.values()),
                 results=list(self._results.values()),
+                packets=self.packets,
             )
         )
 
@@ -78,6 +87,8 @@
         """Return sizes by name, for the dump."""
         return {
             "version": self.configuration.version,
+            "packet_revision": self.packets.revision,
+            "packet_routes": len(self.packets.routes),
             "services": len(self.configuration.services),
             "plans": len(self._plans),
             "results": len(self._results),
@@ -90,6 +101,7 @@
         """Replace the whole state by an image."""
         image = decode(data)
         self.configuration = image.configuration
+        self.packets = image.packets
         self._clock_ms = image.clock_ms
         self._plans = {plan.plan_id: plan for plan in image.plans}
         self._results = {
@@ -159,6 +171,13 @@
         )
         return ConfirmAnswer(plan_id=plan.plan_id, version=version)
 
+    def publish(self, record):
+        """Put packet routes in force if their revision is higher."""
+        wanted = record.configuration
+        if wanted.revision > self.packets.revision:
+            self.packets = with_former(self.packets, wanted)
+        return PublishAnswer(revision=self.packets.revision)
+
     def _advance(self, now_ms):
         """Let time pass and drop the plans that expired."""
         self._clock_ms = max(self._clock_ms, now_ms)
@@ -203,6 +222,11 @@
     return state.confirm(record)
 
 
+@_apply.register
+def _(record: PublishRecord, state, _index):
+    return state.publish(record)
+
+
 @_apply.register
 def _(record: MembershipRecord, _state, _index):
     return record
--- a/knapweeddeal/controlcluster.py
+++ b/knapweeddeal/controlcluster.py
@@ -1,7 +1,7 @@
 """knapweeddeal.controlcluster: The cluster of replicas that a folder belongs to."""
 
 from knapweeddeal.consensuslog import unpack_membership
-from knapweeddeal.disk import in_thread
+from knapweeddeal.disk import until_done
 from knapweeddeal.formation import Formation, cluster_of
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.replication import Founding, ReplicaState
@@ -98,7 +98,7 @@
     async def join(self, cluster):
         """Bind an empty folder to the cluster whose leader sends it records."""
         if cluster and not self.cluster:
-            await in_thread(self._folder.set_cluster, cluster)
+            await until_done(self._folder.set_cluster, cluster)
 
     async def settle(self):
         """Bind the folder to its cluster after the first record was synced."""
@@ -106,7 +106,7 @@
         if self.cluster or not node.log.last_index or node.log.base_index:
             return
         founders = node.log.replicas_at(1)
-        await in_thread(self._folder.set_cluster, cluster_of(founders))
+        await until_done(self._folder.set_cluster, cluster_of(founders))
         for outbox in self._outboxes.values():
             await outbox.offer(self.state_message())
         for state in list(self._states.values()):
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -16,11 +16,13 @@
     EntryGone,
     OperatorAsk,
     PeerMessage,
+    SeedsChanged,
     StopAsk,
 )
 from knapweeddeal.controlreplica import ControlReplica
-from knapweeddeal.disk import in_thread
-from knapweeddeal.errors import BadMessageError
+from knapweeddeal.disk import until_done
+from knapweeddeal.errors import BadMessageError, KnapweeddealError
+from knapweeddeal.healing import Healing
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import (
     AppendAsk,
@@ -29,15 +31,19 @@
     ReplicaHello,
     SnapshotAsk,
 )
+from knapweeddeal.messages.packets import ReplicaNotice
 from knapweeddeal.messages.replication import Founding, ReplicaState
+from knapweeddeal.packethub import CoreChanged
 from knapweeddeal.replicalink import LinkDown, LinkUp
 
-__all__ = ["Core"]
+__all__ = ["Core", "own_replica"]
 
 log = Log(prefix="control")
 
 #: Heartbeats of the leader in one election timeout, at least.
 HEARTBEATS_PER_ELECTION = 5
+#: Time between reports to the hub while nothing changes.
+HUB_MS = 400
 #: Events that one step takes before it writes and sends.
 MAX_EVENTS = 256
 
@@ -50,6 +56,9 @@
         "_entries",
         "_events",
         "_folder",
+        "_healing",
+        "_hub_events",
+        "_hub_ms",
         "_links",
         "_next_ask",
         "_own",
@@ -58,25 +67,26 @@
         "_replies",
         "_settings",
         "_stop_ms",
+        "_told_hub",
         "_told_leader",
+        "_told_members",
     )
 
-    def __init__(self, *, settings, folder, events, links):
+    def __init__(self, *, settings, folder, events, links, hub_events):
         self._settings = settings
         self._folder = folder
         self._events = events
         self._links = links
-        host, port = settings.control.get(settings.name, settings.listen)
-        self._own = Replica(
-            name=settings.name, identity=folder.identity, host=host, port=port
-        )
+        self._hub_events = hub_events
+        self._own = own_replica(settings, folder)
         self._replica = self._make_replica()
         self._cluster = ControlCluster(
             own=self._own,
             node=self._replica.node,
             folder=folder,
-            listed=settings.control,
+            listed=settings.control if settings.may_found else (),
         )
+        self._healing = Healing(tolerated_losses=settings.tolerated_losses)
         #: Versions that entries applied, by the outbox for pushes.
         self._entries = {}
         #: Queues for operators' answers, by ask id.
@@ -85,6 +95,10 @@
         self._pushed_version = 0
         self._stop_ms = 0
         self._told_leader = None
+        self._told_members = set()
+        #: What the hub was told last, and when it is told again.
+        self._told_hub = None
+        self._hub_ms = 0
 
     def _make_replica(self):
         settings, folder = self._settings, self._folder
@@ -112,6 +126,16 @@
 
     # Queries.
 
+    @property
+    def identity(self):
+        """Return the identity of this replica's folder."""
+        return self._own.identity
+
+    @property
+    def metrics(self):
+        """Return the counters and latencies of this replica."""
+        return self._replica.metrics
+
     @property
     def cluster(self):
         """Return the cluster that the folder belongs to, or 0."""
@@ -137,9 +161,7 @@
             identity=f"{self._own.identity:016x}",
             last_index=self._replica.node.log.last_index,
         )
-        for name, address in self._settings.control.items():
-            if name != self._own.name:
-                await self._links.dial(address)
+        await self._dial(self._settings.control.values())
         while not self._has_stopped():
             await self._step()
         log.info("stopped", name=self._own.name)
@@ -165,6 +187,56 @@
         await self._flush()
         await self._note_commit()
         await self._report()
+        await self._heal()
+        await self._dial_members()
+        await self._tell_hub()
+
+    async def _dial(self, addresses):
+        for address in addresses:
+            if address != (self._own.host, self._own.port):
+                await self._links.dial(address)
+
+    async def _dial_members(self):
+        members = set(self._replica.node.log.replicas)
+        if members != self._told_members:
+            self._told_members = members
+            names = sorted(replica.name for replica in members)
+            log.info("members", members=names)
+            await self._dial((replica.host, replica.port) for replica in members)
+
+    async def _heal(self):
+        """Let candidates join and lost members leave, one at a time."""
+        node = self._replica.node
+        if not self._settings.heals_itself or node.leader != self._own.identity:
+            return
+        record = self._healing.step(node, self._replica.connected, monotonic_ms())
+        if record is None:
+            return
+        try:
+            node.propose_membership(record)
+        except KnapweeddealError as error:
+            log.info("can't change members now", error=error.describe())
+            return
+        log.info("changes members", members=[r.name for r in record.replicas])
+        await self._flush()
+
+    async def _tell_hub(self):
+        replica, now_ms = self._replica, monotonic_ms()
+        told = (replica.state.packets, bool(replica.node.leader))
+        if told == self._told_hub and now_ms < self._hub_ms:
+            return
+        self._told_hub = told
+        self._hub_ms = now_ms + HUB_MS
+        packets, current = told
+        known = {(r.host, r.port): r for r in replica.connected.values()}
+        members = [*replica.node.log.replicas, *known.values(), self._own]
+        await self._hub_events.put(
+            CoreChanged(
+                configuration=packets,
+                current=current,
+                replicas=list({(r.host, r.port): r for r in members}.values()),
+            )
+        )
 
     async def _flush(self):
         replica = self._replica
@@ -186,7 +258,7 @@
         replica = self._replica
         began_us = monotonic_us()
         commit_index = replica.node.commit_index
-        await in_thread(_persist, self._folder, ready, commit_index)
+        await until_done(_persist, self._folder, ready, commit_index)
         replica.node.persisted(ready)
         replica.metrics.record_us("persist", monotonic_us() - began_us)
 
@@ -217,7 +289,7 @@
             return
         node = self._replica.node
         after = node.log.slice(snapshot.last_index + 1, node.log.last_index)
-        await in_thread(self._folder.set_snapshot, snapshot, after)
+        await until_done(self._folder.set_snapshot, snapshot, after)
         self._replica.metrics.count("snapshots")
         log.info("wrote a snapshot", last_index=snapshot.last_index)
 
@@ -225,7 +297,7 @@
         """Keep what is committed, for a restart without a quorum, when idle."""
         commit_index = self._replica.node.commit_index
         if commit_index > self._folder.commit_index and self._events.empty():
-            await in_thread(self._folder.note_commit, commit_index)
+            await until_done(self._folder.note_commit, commit_index)
 
     async def _report(self):
         node = self._replica.node
@@ -298,6 +370,10 @@
     async def _(self, event: EntryGone):
         self._entries.pop(event.outbox, None)
 
+    @_take.register
+    async def _(self, event: SeedsChanged):
+        await self._dial(event.addresses)
+
     @_take.register
     async def _(self, _event: StopAsk):
         """Hand leadership over, and stop when that is done or takes too long."""
@@ -318,6 +394,10 @@
         """Connect to a replica that connected to this one."""
         await self._links.dial((message.replica.host, message.replica.port))
 
+    @_take_peer.register
+    async def _(self, message: ReplicaNotice, _event):
+        await self._dial([(message.replica.host, message.replica.port)])
+
     @_take_peer.register
     async def _(self, message: Founding, _event):
         self._cluster.take_founding(message)
@@ -329,6 +409,12 @@
         self._replica.receive(event.sender, message, monotonic_ms())
 
 
+def own_replica(settings, folder):
+    """Return the replica that this process is."""
+    host, port = settings.control.get(settings.name, settings.listen)
+    return Replica(name=settings.name, identity=folder.identity, host=host, port=port)
+
+
 def _persist(folder, ready, commit_index):
     """Sync what a Ready holds; runs in a thread."""
     if ready.state is not None:
--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -8,6 +8,7 @@
     "EntryGone",
     "OperatorAsk",
     "PeerMessage",
+    "SeedsChanged",
     "StopAsk",
 ]
 
@@ -46,3 +47,9 @@
     """Ask for a planned stop."""
 
     __slots__ = ()
+
+
+class SeedsChanged(Record):
+    """Tell where replicas may be found from now on."""
+
+    __slots__ = ("addresses",)
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -1,19 +1,24 @@
 """knapweeddeal.controlprocess: A control replica as a process."""
 
+import functools
 import secrets
 import signal
 from pathlib import Path
 
 import curio
 
-from knapweeddeal.controlcore import Core
-from knapweeddeal.controlevents import StopAsk
+from knapweeddeal.controlcore import Core, own_replica
+from knapweeddeal.controlevents import SeedsChanged, StopAsk
 from knapweeddeal.controlstreams import ControlStreams
 from knapweeddeal.errors import BadSettingError, DiskFailedError, KnapweeddealError
+from knapweeddeal.httpserver import serve_http
 from knapweeddeal.journal import Journal
 from knapweeddeal.journaltask import JournalTask
 from knapweeddeal.logs import Log
-from knapweeddeal.reload import reload_settings
+from knapweeddeal.metricsserver import serve_metrics
+from knapweeddeal.packethub import PacketHub
+from knapweeddeal.platform.api import PlatformApi
+from knapweeddeal.reload import reload_settings, watch_settings
 from knapweeddeal.replicalink import LinkPool
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.storage import DataFolder
@@ -55,28 +60,60 @@
     return folder, journal
 
 
+class _BothQueues:
+    """Put the events of links into the core's and the hub's queue."""
+
+    __slots__ = ("_queues",)
+
+    def __init__(self, *, queues):
+        self._queues = queues
+
+    async def put(self, event):
+        """Put an event into both."""
+        for queue in self._queues:
+            await queue.put(event)
+
+
 async def _run_tasks(settings, folder, journal):
     events = curio.Queue(MAX_WAITING_EVENTS)
+    hub_events = curio.Queue(MAX_WAITING_EVENTS)
     links = LinkPool(
-        events=events,
+        events=_BothQueues(queues=(events, hub_events)),
         heartbeat_ms=settings.heartbeat_ms,
         timeout_ms=settings.stream_timeout_ms,
     )
-    core = Core(settings=settings, folder=folder, events=events, links=links)
+    core = Core(
+        settings=settings,
+        folder=folder,
+        events=events,
+        links=links,
+        hub_events=hub_events,
+    )
+    hub = PacketHub(
+        own=own_replica(settings, folder),
+        zone=settings.zone,
+        report_ms=settings.report_ms,
+        events=hub_events,
+        metrics=core.metrics,
+    )
     links.hello = core.hello
     keeper = JournalTask(journal=journal)
     streams = ControlStreams(
         core=core,
         events=events,
+        hub_events=hub_events,
         journal=keeper,
         timeout_ms=settings.stream_timeout_ms,
     )
     try:
         await run_until_first(
             core.run(),
+            hub.run(),
             keeper.run(),
             _serve(settings.listen, streams),
             _watch_signals(events, settings),
+            watch_settings(settings, functools.partial(_reloaded, events, settings)),
+            *_http_servers(settings, core, hub_events, streams),
         )
     except KnapweeddealError as error:
         log.warning("stops", error=error.describe())
@@ -94,12 +131,33 @@
         ) from None
 
 
+def _http_servers(settings, core, hub_events, streams):
+    servers = []
+    if settings.api is not None:
+        api = PlatformApi(
+            ask=streams.ask_core,
+            hub_events=hub_events,
+            identity=core.identity,
+            port=settings.api[1],
+            metrics=core.metrics,
+        )
+        servers.append(serve_http(settings.api, api.take))
+    if settings.metrics is not None:
+        servers.append(serve_metrics(settings.metrics, core.metrics))
+    return servers
+
+
+async def _reloaded(events, settings):
+    await events.put(SeedsChanged(addresses=settings.seed_addresses))
+
+
 async def _watch_signals(events, settings):
     """Ask for a planned stop at SIGTERM or SIGINT; read settings at SIGHUP."""
     signals = SignalReader(numbers=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     while True:
         if await signals.next() == signal.SIGHUP:
-            reload_settings(settings)
+            if reload_settings(settings):
+                await _reloaded(events, settings)
         else:
             await events.put(StopAsk())
 
--- a/knapweeddeal/controlqueries.py
+++ b/knapweeddeal/controlqueries.py
@@ -16,6 +16,12 @@
     StatusAnswer,
     StatusAsk,
 )
+from knapweeddeal.messages.packets import (
+    PublishAnswer,
+    PublishAsk,
+    PublishedAnswer,
+    PublishedAsk,
+)
 
 __all__ = ["local_answer", "quorum_answer", "replicas_answer"]
 
@@ -36,6 +42,15 @@
     return DumpAnswer(text=json.dumps(replica.metrics.summary()))
 
 
+@local_answer.register
+def _(message: PublishAsk, replica):
+    """Confirm a revision that is in force or was overtaken: it changes nothing."""
+    revision = replica.state.packets.revision
+    if message.configuration.revision > revision:
+        return None
+    return PublishAnswer(revision=revision)
+
+
 @functools.singledispatch
 def quorum_answer(message, _replica):
     """Return the answer of a leader whose quorum round ended."""
@@ -61,6 +76,11 @@
     )
 
 
+@quorum_answer.register
+def _(_message: PublishedAsk, replica):
+    return PublishedAnswer(configuration=replica.state.packets)
+
+
 @quorum_answer.register
 def _(_message: ReplicasAsk, replica):
     return replicas_answer(replica)
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -34,6 +34,7 @@
     ServicesAsk,
     StatusAsk,
 )
+from knapweeddeal.messages.packets import PublishedAsk
 from knapweeddeal.messages.replication import (
     EntryReports,
     MembershipRecord,
@@ -275,6 +276,7 @@
     @_start.register(StatusAsk)
     @_start.register(ServicesAsk)
     @_start.register(ReplicasAsk)
+    @_start.register(PublishedAsk)
     def _(self, _message, pending):
         """Start the quorum round of a query."""
         self._pending.await_quorum(pending)
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -21,10 +21,16 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationAsk, FlowCounts, ReplicaHello
 from knapweeddeal.messages.operator import RefusalsAsk
+from knapweeddeal.messages.packets import (
+    DirectoryAck,
+    DirectoryBatch,
+    ForwarderHello,
+)
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
+from knapweeddeal.packethub import ForwarderGone, ForwarderHeard, ForwarderJoined
 
 __all__ = ["ControlStreams"]
 
@@ -34,10 +40,11 @@
 class ControlStreams:
     """Serve each stream as its first message asks: replica, entry or operator."""
 
-    __slots__ = ("_core", "_events", "_journal", "_timeout_ms")
+    __slots__ = ("_core", "_events", "_hub_events", "_journal", "_timeout_ms")
 
-    def __init__(self, *, core, events, journal, timeout_ms):
+    def __init__(self, *, core, events, hub_events, journal, timeout_ms):
         self._core = core
+        self._hub_events = hub_events
         self._events = events
         self._journal = journal
         self._timeout_ms = timeout_ms
@@ -78,6 +85,23 @@
             )
         )
 
+    async def pass_to_hub(self, message):
+        """Give a replica's message on upstreams to the hub."""
+        await self._hub_events.put(message)
+
+    async def serve_forwarder(self, hello, stream):
+        """Push to a forwarder while it can be heard."""
+        outbox = Outbox()
+        sender = await curio.spawn(_drain, outbox, stream)
+        await self._hub_events.put(ForwarderJoined(hello=hello, outbox=outbox))
+        try:
+            while True:
+                await stream.receive_within(self._timeout_ms)
+                await self._hub_events.put(ForwarderHeard(outbox=outbox))
+        finally:
+            await self._hub_events.put(ForwarderGone(outbox=outbox))
+            await sender.cancel()
+
     async def serve_entry(self, stream):
         """Take what an entry reports, and push to it."""
         outbox = Outbox()
@@ -160,6 +184,11 @@
     await streams.serve_entry(stream)
 
 
+@_serve_first.register
+async def _(message: ForwarderHello, streams, stream):
+    await streams.serve_forwarder(message, stream)
+
+
 @functools.singledispatch
 async def _from_replica(message, streams, link):
     await streams.pass_on(message, link)
@@ -176,6 +205,12 @@
     await streams.pass_on(message, link)
 
 
+@_from_replica.register(DirectoryBatch)
+@_from_replica.register(DirectoryAck)
+async def _(message, streams, link):
+    await streams.pass_to_hub(message)
+
+
 @functools.singledispatch
 async def _answer(message, streams):
     return await streams.ask_core(message)
--- a/knapweeddeal/disk.py
+++ b/knapweeddeal/disk.py
@@ -3,8 +3,14 @@
 import curio
 
 from knapweeddeal.errors import DiskFailedError
+from knapweeddeal.logs import Log
 
-__all__ = ["in_thread"]
+__all__ = ["in_thread", "until_done"]
+
+log = Log(prefix="disk")
+
+#: Pause before a write that failed is tried again.
+RETRY_MS = 200
 
 
 async def in_thread(work, *arguments):
@@ -15,3 +21,23 @@
         raise DiskFailedError(
             error.strerror or str(error), field="file", value=error.filename or ""
         ) from error
+
+
+async def until_done(work, *arguments):
+    """Run blocking work in a thread, again and again while the disk fails.
+
+    Whoever waits promises nothing meanwhile; a replica that stopped instead could
+    not tell a full disk from a lost one.
+    """
+    failed = False
+    while True:
+        try:
+            result = await in_thread(work, *arguments)
+        except DiskFailedError as error:
+            failed = True
+            log.warning("can't write, tries again", error=error.describe())
+            await curio.sleep(RETRY_MS / 1000)
+        else:
+            if failed:
+                log.info("writes again")
+            return result
--- /dev/null
+++ b/knapweeddeal/forwardercore.py
@@ -0,0 +1,179 @@
+"""knapweeddeal.forwardercore: What a forwarder believes, and what changes that."""
+
+from functools import singledispatchmethod
+
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.packets import (
+    ControlState,
+    RoutesPush,
+    UpstreamsPush,
+)
+from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.packetforwarder import Forwarder
+from knapweeddeal.packetroutes import RouteTable
+from knapweeddeal.packetupstreams import UpstreamPool
+
+__all__ = ["ForwarderCore", "Subscription"]
+
+log = Log(prefix="forwarder")
+
+
+class Subscription:
+    """Hold what one replica told over one stream."""
+
+    __slots__ = ("address", "current", "stale_since_ms")
+
+    def __init__(self, *, address, now_ms):
+        self.address = address
+        self.current = False
+        #: Since when the replica hears no leader.
+        self.stale_since_ms = now_ms
+
+
+class ForwarderCore:
+    """Own routes and upstreams; the tasks of the process call it between waits."""
+
+    __slots__ = ("_choice", "_subscriptions", "forwarder", "metrics", "pool")
+    __slots__ += ("routes", "stopping")
+
+    def __init__(self, *, settings, choice, random, metrics):
+        self._choice = choice
+        self.metrics = metrics
+        self._subscriptions = set()
+        self.routes = RouteTable()
+        self.pool = UpstreamPool(zone=settings.zone, random=random)
+        self.forwarder = Forwarder(
+            routes=self.routes,
+            pool=self.pool,
+            random=random,
+            metrics=metrics,
+            log=log,
+            caller_port=settings.packets[1],
+            flow_idle_ms=settings.packet_flow_idle_ms,
+        )
+        self.stopping = False
+
+    # Queries.
+
+    @property
+    def is_ready(self):
+        """Tell whether new flows may come: routes and upstreams are known."""
+        known = self.routes.revision > 0 and len(self.pool) > 0
+        return known and not self.stopping
+
+    def dump(self):
+        """Return the state by name, for the dump."""
+        return {
+            "ready": self.is_ready,
+            "stopping": self.stopping,
+            "revision": self.routes.revision,
+            "routes": len(self.routes),
+            "current": self.forwarder.current,
+            "subscriptions": [s.address for s in self._subscriptions],
+            "replicas": self._choice.addresses,
+            "flows": self.forwarder.flow_count,
+            "upstreams": [_upstream(upstream) for upstream in self.pool.all()],
+            "metrics": self.metrics.summary(),
+        }
+
+    def has_another(self, subscription):
+        """Tell whether another replica's stream is up."""
+        return any(other is not subscription for other in self._subscriptions)
+
+    # Commands.
+
+    def begin(self, subscription):
+        """Use a stream from a replica."""
+        self._subscriptions.add(subscription)
+
+    def end(self, subscription, why):
+        """Stop using a stream; what it told stays."""
+        if subscription not in self._subscriptions:
+            return
+        self._subscriptions.discard(subscription)
+        self._update_current()
+        log.warning(
+            "loses a control replica",
+            replica=subscription.address,
+            why=why,
+            left=len(self._subscriptions),
+        )
+
+    def stop(self):
+        """Turn not ready; packets are still forwarded."""
+        self.stopping = True
+
+    @singledispatchmethod
+    def take(self, message, subscription, now_ms):
+        """Drop what a replica doesn't send."""
+        log.warning("drops a message", kind=type(message).__name__)
+
+    @take.register
+    def _(self, message: Heartbeat, subscription, now_ms):
+        """Know that the stream lives."""
+
+    @take.register
+    def _(self, message: ControlState, subscription, now_ms):
+        if message.current != subscription.current or not message.current:
+            self._note_current(message, subscription, now_ms)
+        self._choice.note_zone(subscription.address, message.zone)
+        self._choice.learn((r.host, r.port) for r in message.replicas)
+
+    def _note_current(self, message, subscription, now_ms):
+        if message.current != subscription.current:
+            subscription.stale_since_ms = now_ms
+            subscription.current = message.current
+            log.info(
+                "hears whether a replica has a leader",
+                replica=subscription.address,
+                current=message.current,
+                revision=message.revision,
+            )
+        self._update_current()
+
+    def _update_current(self):
+        self.forwarder.current = any(s.current for s in self._subscriptions)
+
+    @take.register
+    def _(self, message: RoutesPush, subscription, now_ms):
+        before = self.routes.revision
+        if self.routes.apply(message):
+            log.info(
+                "applies routes",
+                revision=message.revision,
+                before=before,
+                whole=message.whole,
+                changed=len(message.routes),
+                dropped=len(message.dropped),
+                replica=subscription.address,
+            )
+            self.metrics.count("route_changes")
+
+    @take.register
+    def _(self, message: UpstreamsPush, subscription, now_ms):
+        news = self.pool.take(message.states, now_ms, current=subscription.current)
+        for state in news:
+            log.info(
+                "learns of an upstream",
+                upstream=state.upstream_id,
+                service=state.service,
+                status=state.status,
+                silent=state.silent,
+                hint=state.hint,
+                born_ms=state.born_ms,
+                sequence=state.sequence,
+                replica=subscription.address,
+            )
+
+
+def _upstream(upstream):
+    state = upstream.state
+    return {
+        "upstream": state.upstream_id,
+        "service": state.service,
+        "address": upstream.address,
+        "status": state.status,
+        "silent": state.silent,
+        "open_flows": upstream.open_flows,
+        "unanswered": upstream.unanswered,
+    }
--- /dev/null
+++ b/knapweeddeal/forwarderlinks.py
@@ -0,0 +1,110 @@
+"""knapweeddeal.forwarderlinks: A forwarder's streams from control replicas."""
+
+import curio
+
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.errors import KnapweeddealError, StreamClosedError
+from knapweeddeal.forwardercore import Subscription
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.packets import ForwarderHello
+from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.stream import connect
+from knapweeddeal.tasks import run_until_first
+
+__all__ = ["LINKS", "keep_link"]
+
+log = Log(prefix="forwarder")
+
+#: Replicas that a forwarder subscribes to: one may fail without a gap.
+LINKS = 2
+#: Longest wait for a connection; a replica that is down doesn't answer at all.
+CONNECT_MS = 700
+#: Pause when there is no replica left to try, or after one failed.
+RETRY_MS = 150
+#: Time without a leader after which another replica is tried.
+MAX_STALE_MS = 1_500
+
+
+async def keep_link(core, choice, settings):
+    """Subscribe to one replica after another, for ever."""
+    while True:
+        address = choice.take(monotonic_ms())
+        if address is None:
+            await curio.sleep(RETRY_MS / 1000)
+            continue
+        link = Link(core=core, choice=choice, settings=settings, address=address)
+        stale = False
+        try:
+            stale = await link.run()
+        finally:
+            choice.give_back(
+                address, failed=not stale, stale=stale, now_ms=monotonic_ms()
+            )
+        await curio.sleep(RETRY_MS / 1000)
+
+
+class Link:
+    """Use one stream until it ends."""
+
+    __slots__ = ("_address", "_choice", "_core", "_settings", "_subscription")
+
+    def __init__(self, *, core, choice, settings, address):
+        self._core = core
+        self._choice = choice
+        self._settings = settings
+        self._address = address
+        self._subscription = None
+
+    async def run(self):
+        """Return whether the link was given up because the replica has no leader."""
+        try:
+            stream = await connect(self._address, timeout_ms=CONNECT_MS)
+        except KnapweeddealError as error:
+            log.info("can't reach a control replica", error=error.describe())
+            return False
+        try:
+            return await self._use(stream)
+        finally:
+            await stream.close()
+
+    async def _use(self, stream):
+        subscription = Subscription(address=self._address, now_ms=monotonic_ms())
+        self._subscription = subscription
+        core, why = self._core, "it hears no leader"
+        hello = ForwarderHello(
+            name=self._settings.name,
+            zone=self._settings.zone,
+            revision=core.routes.revision,
+        )
+        try:
+            await stream.send(hello)
+            core.begin(subscription)
+            await run_until_first(self._listen(stream), self._beat(stream))
+            return True
+        except KnapweeddealError as error:
+            why = error.describe()
+            return False
+        finally:
+            core.end(subscription, why)
+
+    async def _listen(self, stream):
+        core, subscription = self._core, self._subscription
+        timeout_ms = self._settings.stream_timeout_ms
+        while not self._is_stale():
+            message = await stream.receive_within(timeout_ms)
+            core.take(message, subscription, monotonic_ms())
+
+    def _is_stale(self):
+        """Tell whether the replica has no leader and another may have one."""
+        subscription, now_ms = self._subscription, monotonic_ms()
+        if subscription.current or now_ms - subscription.stale_since_ms < MAX_STALE_MS:
+            return False
+        return self._core.has_another(subscription) and self._choice.has_other(now_ms)
+
+    async def _beat(self, stream):
+        while True:
+            await curio.sleep(self._settings.heartbeat_ms / 1000)
+            try:
+                await stream.send(Heartbeat())
+            except StreamClosedError:
+                return
--- /dev/null
+++ b/knapweeddeal/httpserver.py
@@ -0,0 +1,143 @@
+"""knapweeddeal.httpserver: A server of HTTP/1.1 for short requests."""
+
+import curio
+import h11
+
+from knapweeddeal.errors import BadSettingError
+from knapweeddeal.logs import Log
+from knapweeddeal.record import Record
+
+__all__ = ["HttpRequest", "HttpResponse", "serve_http"]
+
+READ_BYTES = 64 * 1024
+#: Largest head of a request.
+MAX_HEAD_BYTES = 16 * 1024
+#: Largest body of a request.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Longest silence on a connection that a peer keeps open.
+IDLE_S = 60
+#: Connections that wait to be taken.
+BACKLOG = 256
+
+log = Log(prefix="http")
+
+
+class HttpRequest(Record):
+    """Hold a whole request."""
+
+    __slots__ = ("body", "method", "target")
+
+
+class HttpResponse(Record):
+    """Hold a whole response; `location` is empty but for redirects."""
+
+    __slots__ = ("body", "content_type", "location", "status")
+
+    def __init__(
+        self, *, status, body=b"", content_type="application/json", location=""
+    ):
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+        self.location = location
+
+    def events(self):
+        """Return the response as events of HTTP."""
+        headers = [
+            ("Content-Type", self.content_type),
+            ("Content-Length", str(len(self.body))),
+        ]
+        if self.location:
+            headers.append(("Location", self.location))
+        return [
+            h11.Response(status_code=self.status, headers=headers),
+            h11.Data(data=self.body),
+            h11.EndOfMessage(),
+        ]
+
+
+class BodyTooLargeError(Exception):
+    """Report a request's body over the limit."""
+
+
+async def serve_http(address, handler):
+    """Answer requests for ever by `await handler(request)`.
+
+    Raises BadSettingError if the address can't be bound.
+    """
+    try:
+        listener = curio.tcp_server_socket(
+            *address, backlog=BACKLOG, reuse_address=True
+        )
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be bound: {error.strerror}",
+            field="listen",
+            value=":".join(map(str, address)),
+        ) from None
+
+    async def take(connection, _address):
+        try:
+            await _serve_connection(connection, handler)
+        finally:
+            await connection.close()
+
+    await curio.network.run_server(listener, take)
+
+
+async def _serve_connection(connection, handler):
+    state = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    try:
+        while True:
+            request = await curio.timeout_after(
+                IDLE_S, _next_request, connection, state
+            )
+            if request is None:
+                return
+            await _send(connection, state, await handler(request))
+            if state.our_state is h11.MUST_CLOSE:
+                return
+            state.start_next_cycle()
+    except BodyTooLargeError:
+        await _refuse(connection, state, 413)
+    except h11.RemoteProtocolError as error:
+        log.info("refuses what isn't HTTP", why=str(error))
+        await _refuse(connection, state, error.error_status_hint)
+    except (OSError, curio.TaskTimeout, h11.LocalProtocolError) as error:
+        log.info("ends a connection", why=repr(error))
+
+
+async def _refuse(connection, state, status):
+    """Answer a request that wasn't taken whole; the connection ends."""
+    try:
+        await _send(connection, state, HttpResponse(status=status, body=b"{}"))
+    except (OSError, h11.LocalProtocolError) as error:
+        log.info("can't answer", why=repr(error))
+
+
+async def _send(connection, state, response):
+    data = b"".join(state.send(event) or b"" for event in response.events())
+    await connection.sendall(data)
+
+
+async def _next_request(connection, state):
+    """Return the next request, or None at the end of the connection."""
+    head, body = None, bytearray()
+    while True:
+        event = state.next_event()
+        if event is h11.NEED_DATA:
+            state.receive_data(await connection.recv(READ_BYTES))
+        elif type(event) is h11.Request:
+            head = event
+        elif type(event) is h11.Data:
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise BodyTooLargeError
+        elif type(event) is h11.EndOfMessage:
+            return HttpRequest(
+                method=head.method.decode(),
+                target=head.target.decode(),
+                body=bytes(body),
+            )
+        elif type(event) is h11.ConnectionClosed:
+            return None
--- a/knapweeddeal/logs.py
+++ b/knapweeddeal/logs.py
@@ -1,22 +1,52 @@
 """knapweeddeal.logs: Log lines with a fixed prefix for each part."""
 
 import logging
-import sys
-
-import eliot
 
 from knapweeddeal.errors import BadSettingError
+from knapweeddeal.loglines import LineSink
+
+__all__ = ["STANDARD_OUTPUT", "Log", "open_log"]
+
+#: Path that stands for standard output.
+STANDARD_OUTPUT = "-"
+
+
+class EliotSink:
+    """Write lines through eliot, to what `eliot.to_file` was given."""
+
+    __slots__ = ()
+
+    def write(self, prefix, level, text, fields):
+        """Write a line."""
+        # Its import takes longer than the rest of a forwarder's start.
+        import eliot
+
+        eliot.log_message(
+            message_type=prefix, level=level, text=f"{prefix}: {text}", **fields
+        )
 
-__all__ = ["Log", "open_log"]
+
+class Output:
+    """Hold where the lines of this process go."""
+
+    sink = EliotSink()
 
 
 def open_log(path):
-    """Send the log to a file, or to standard error if the path is empty.
+    """Send the log to a file, to standard output, or to standard error.
 
-    Raises BadSettingError if the file can't be opened.
+    Standard output gets bounded lines and is never waited for. Raises
+    BadSettingError if the file can't be opened.
     """
-    eliot.to_file(_open(path) if path else sys.stderr)
     logging.getLogger("curio").setLevel(logging.ERROR)
+    if path == STANDARD_OUTPUT:
+        Output.sink = LineSink(descriptor=1)
+        return
+    import sys
+
+    import eliot
+
+    eliot.to_file(_open(path) if path else sys.stderr)
 
 
 def _open(path):
@@ -38,16 +68,8 @@
 
     def info(self, text, **fields):
         """Write a short sentence and its fields."""
-        self._write("info", text, fields)
+        Output.sink.write(self._prefix, "info", text, fields)
 
     def warning(self, text, **fields):
         """Write a short sentence on trouble that the process survives."""
-        self._write("warning", text, fields)
-
-    def _write(self, level, text, fields):
-        eliot.log_message(
-            message_type=self._prefix,
-            level=level,
-            text=f"{self._prefix}: {text}",
-            **fields,
-        )
+        Output.sink.write(self._prefix, "warning", text, fields)
--- a/knapweeddeal/manifest.py
+++ b/knapweeddeal/manifest.py
@@ -46,10 +46,15 @@
 
     def set_synced(self, synced_bytes, commit_index):
         """Note durably how much of the log was synced, and how much is committed."""
+        before = (self.synced_bytes, self.commit_index)
         self.synced_bytes = synced_bytes
         self.commit_index = max(commit_index, self.commit_index)
-        self._write_slot()
-        os.fdatasync(self._file.fileno())
+        try:
+            self._write_slot()
+            os.fdatasync(self._file.fileno())
+        except OSError:
+            self.synced_bytes, self.commit_index = before
+            raise
 
     def set_all(self, *, log_number, synced_bytes, snapshot_index):
         """Switch durably to another log file and snapshot, in both slots."""
--- /dev/null
+++ b/knapweeddeal/messages/packets.py
@@ -0,0 +1,235 @@
+"""knapweeddeal.messages.packets: Packet routes, and the upstreams behind them."""
+
+from knapweeddeal.messages.base import (
+    Blob,
+    Flag,
+    ListOf,
+    Message,
+    Nested,
+    OneOf,
+    Text,
+    Whole,
+)
+from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.operator import REQUEST_ID
+from knapweeddeal.messages.upstream import HOST, NAME, PORT
+
+__all__ = [
+    "DRAINING",
+    "GONE",
+    "READY",
+    "ControlState",
+    "DirectoryAck",
+    "DirectoryBatch",
+    "ForwarderHello",
+    "PacketConfiguration",
+    "PacketRoute",
+    "PublishAnswer",
+    "PublishAsk",
+    "PublishRecord",
+    "PublishedAnswer",
+    "PublishedAsk",
+    "ReplicaNotice",
+    "RoutesPush",
+    "ServiceShare",
+    "UpstreamBeat",
+    "UpstreamState",
+    "UpstreamsPush",
+]
+
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+
+#: Largest document of an operator that a configuration keeps.
+MAX_DOCUMENT_BYTES = 1 << 22
+MAX_ROUTES = 20_000
+
+
+class ServiceShare(Message):
+    """Give a service a share of a route's new flows."""
+
+    tag = 160
+    schema = {"service": NAME, "weight": Whole(maximum=1_000_000)}
+    __slots__ = tuple(schema)
+
+
+class PacketRoute(Message):
+    """Lead packets for one address to services.
+
+    `former` names services that had a share earlier: their open flows go on.
+    """
+
+    tag = 161
+    schema = {
+        "host": HOST,
+        "port": PORT,
+        "shares": ListOf(Nested(ServiceShare), max_items=64),
+        "former": ListOf(NAME, max_items=256),
+    }
+    __slots__ = tuple(schema)
+
+
+class PacketConfiguration(Message):
+    """Hold the packet routes in force; the operator numbers the revisions.
+
+    `document` is what the operator sent, byte for byte.
+    """
+
+    tag = 162
+    schema = {
+        "revision": Whole(),
+        "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
+        "document": Blob(max_bytes=MAX_DOCUMENT_BYTES),
+    }
+    __slots__ = tuple(schema)
+
+
+class PublishAsk(Message):
+    """Ask to put packet routes in force: an intent that needs no plan."""
+
+    tag = 163
+    schema = {"configuration": Nested(PacketConfiguration)}
+    __slots__ = tuple(schema)
+
+
+class PublishAnswer(Message):
+    """Tell the revision in force after a publication."""
+
+    tag = 164
+    schema = {"revision": Whole()}
+    __slots__ = tuple(schema)
+
+
+class PublishedAsk(Message):
+    """Ask for the packet routes in force."""
+
+    tag = 165
+    schema = {}
+    __slots__ = ()
+
+
+class PublishedAnswer(Message):
+    """Give the packet routes in force; revision 0 for none."""
+
+    tag = 166
+    schema = {"configuration": Nested(PacketConfiguration)}
+    __slots__ = tuple(schema)
+
+
+class PublishRecord(Message):
+    """Put packet routes in force if their revision is higher."""
+
+    tag = 167
+    schema = {
+        "operator": Text(max_chars=64),
+        "request_id": REQUEST_ID,
+        "configuration": Nested(PacketConfiguration),
+    }
+    __slots__ = tuple(schema)
+
+
+class UpstreamState(Message):
+    """Tell what an upstream last said of itself.
+
+    Of one upstream the higher (`born_ms`, `sequence`) wins. `silent` tells that
+    nothing was heard for longer than reports may take; `home` is the replica that
+    heard it last. `hint` marks what a replica remembers from before its start.
+    """
+
+    tag = 170
+    schema = {
+        "upstream_id": NAME,
+        "born_ms": Whole(),
+        "sequence": Whole(),
+        "service": NAME,
+        "zone": NAME,
+        "host": HOST,
+        "port": PORT,
+        "slots": Whole(minimum=1, maximum=100_000),
+        "status": OneOf(READY, DRAINING, GONE),
+        "cold_ms": Whole(),
+        "silent": Flag(),
+        "home": Whole(),
+        "hint": Flag(),
+    }
+    __slots__ = tuple(schema)
+
+
+class UpstreamBeat(Message):
+    """Tell that an upstream was heard, with nothing new to say."""
+
+    tag = 171
+    schema = {"upstream_id": NAME, "born_ms": Whole(), "sequence": Whole()}
+    __slots__ = tuple(schema)
+
+
+class DirectoryBatch(Message):
+    """Hand on upstreams between replicas; a `batch_id` above 0 asks for an ack."""
+
+    tag = 172
+    schema = {
+        "sender": Whole(),
+        "batch_id": Whole(),
+        "states": ListOf(Nested(UpstreamState)),
+        "beats": ListOf(Nested(UpstreamBeat)),
+    }
+    __slots__ = tuple(schema)
+
+
+class DirectoryAck(Message):
+    """Acknowledge a batch."""
+
+    tag = 173
+    schema = {"sender": Whole(), "batch_id": Whole()}
+    __slots__ = tuple(schema)
+
+
+class ForwarderHello(Message):
+    """Open a forwarder's subscription to routes and upstreams."""
+
+    tag = 174
+    schema = {"name": NAME, "zone": NAME, "revision": Whole()}
+    __slots__ = tuple(schema)
+
+
+class ControlState(Message):
+    """Tell a forwarder whether this replica hears a leader, and of the others."""
+
+    tag = 175
+    schema = {
+        "zone": NAME,
+        "current": Flag(),
+        "revision": Whole(),
+        "replicas": ListOf(Nested(Replica), max_items=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class RoutesPush(Message):
+    """Change a forwarder's routes to a revision; `whole` replaces all of them."""
+
+    tag = 176
+    schema = {
+        "revision": Whole(),
+        "whole": Flag(),
+        "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
+        "dropped": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
+    }
+    __slots__ = tuple(schema)
+
+
+class UpstreamsPush(Message):
+    """Tell a forwarder of upstreams; `whole` says that the replica knows no others."""
+
+    tag = 177
+    schema = {"whole": Flag(), "states": ListOf(Nested(UpstreamState))}
+    __slots__ = tuple(schema)
+
+
+class ReplicaNotice(Message):
+    """Tell a replica of another one that it may not know."""
+
+    tag = 178
+    schema = {"replica": Nested(Replica)}
+    __slots__ = tuple(schema)
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -3,6 +3,7 @@
 from knapweeddeal.messages.base import Blob, ListOf, Message, Nested, Text, Whole
 from knapweeddeal.messages.control import Configuration, Replica
 from knapweeddeal.messages.operator import REQUEST_ID, EntryStatus, IntentStep
+from knapweeddeal.messages.packets import PacketConfiguration
 from knapweeddeal.messages.upstream import NAME
 
 __all__ = [
@@ -139,6 +140,7 @@
         "clock_ms": Whole(),
         "plans": ListOf(Nested(StoredPlan)),
         "results": ListOf(Nested(StoredResult)),
+        "packets": Nested(PacketConfiguration),
     }
     __slots__ = tuple(schema)
 
--- a/knapweeddeal/metrics.py
+++ b/knapweeddeal/metrics.py
@@ -12,6 +12,9 @@
 DIGITS = 2
 #: Percentiles that a summary gives.
 PERCENTILES = (50.0, 99.0, 99.9)
+#: What each name of the text format begins with.
+TEXT_PREFIX = "knapweeddeal_"
+US_PER_S = 1_000_000
 
 
 class Metrics:
@@ -47,6 +50,16 @@
         }
         return {"counters": dict(sorted(self._counters.items())), "us": latencies}
 
+    def text(self):
+        """Return counters and latencies in the text format of monitoring tools."""
+        lines = []
+        for name, value in sorted(self._counters.items()):
+            metric = f"{TEXT_PREFIX}{name}_total"
+            lines += [f"# TYPE {metric} counter", f"{metric} {value}"]
+        for name, histogram in sorted(self._histograms.items()):
+            lines += _summary_lines(f"{TEXT_PREFIX}{name}_seconds", histogram)
+        return "\n".join([*lines, ""])
+
 
 def _describe(histogram):
     described = {"count": histogram.get_total_count()}
@@ -54,3 +67,13 @@
         described[f"p{percentile:g}"] = histogram.get_value_at_percentile(percentile)
     described["max"] = histogram.get_max_value()
     return described
+
+
+def _summary_lines(metric, histogram):
+    count = histogram.get_total_count()
+    lines = [f"# TYPE {metric} summary"]
+    for percentile in PERCENTILES:
+        seconds = histogram.get_value_at_percentile(percentile) / US_PER_S
+        lines.append(f'{metric}{{quantile="{percentile / 100:g}"}} {seconds:g}')
+    total_s = histogram.get_mean_value() * count / US_PER_S if count else 0
+    return [*lines, f"{metric}_sum {total_s:g}", f"{metric}_count {count}"]
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -6,7 +6,9 @@
 
 __all__ = [
     "address_option",
+    "addresses_option",
     "choice_option",
+    "flag_option",
     "host_option",
     "keys_option",
     "name_option",
@@ -77,6 +79,19 @@
     return (host, number)
 
 
+def addresses_option(field, value, option):
+    """Return the addresses of a text like `IP:PORT, IP:PORT`."""
+    parts = (item.strip() for item in value.split(","))
+    return tuple(address_option(field, part, option) for part in parts if part)
+
+
+def flag_option(field, value, _option):
+    """Return a truth value."""
+    if value not in ("true", "false"):
+        raise BadSettingError("not true or false", field=field, value=value)
+    return value == "true"
+
+
 def peers_option(field, value, option):
     """Return addresses by name of a text like `a=IP:PORT, b=IP:PORT`."""
     peers = {}
--- /dev/null
+++ b/knapweeddeal/packetforwarder.py
@@ -0,0 +1,238 @@
+"""knapweeddeal.packetforwarder: What a forwarder does with each packet.
+
+No input or output: a packet and the time go in, packets to send come out.
+"""
+
+from knapweeddeal.messages.packets import GONE
+from knapweeddeal.packethead import (
+    ECHO,
+    FIN,
+    FLOW,
+    HEAD_BYTES,
+    ROUTE,
+    RST,
+    SYN,
+    describe_flow,
+    flow_address,
+    reset_for,
+)
+
+__all__ = ["Forwarder"]
+
+#: Weight of a SYN in an upstream's load: a request follows it.
+SYN_LOAD = 1.0
+#: Weight of a packet with data.
+DATA_LOAD = 1.0
+#: Offset of the count of data bytes in a head.
+LENGTH = slice(6, 8)
+NO_DATA = b"\0\0"
+#: Offset of the byte in which a SYN counts its copies.
+COPY = 12
+#: Longest age of a flow that is remembered.
+MAX_FLOW_AGE_MS = 60_000
+#: Flows that are remembered at once; over it the oldest are forgotten.
+MAX_FLOWS = 200_000
+
+
+class Flow:
+    """Hold what a forwarder remembers of a flow; it could route without it."""
+
+    __slots__ = ("is_open", "opened_ms", "seen_ms", "tried", "upstream")
+
+    def __init__(self, *, upstream, now_ms):
+        self.upstream = upstream
+        self.tried = []
+        self.opened_ms = now_ms
+        self.seen_ms = now_ms
+        self.is_open = False
+
+
+class Forwarder:
+    """Choose at the SYN, route by the echo, reset what can't be served."""
+
+    __slots__ = (
+        "_caller_port",
+        "_flow_idle_ms",
+        "_flows",
+        "_log",
+        "_metrics",
+        "_pool",
+        "_random",
+        "_routes",
+        "current",
+    )
+
+    def __init__(
+        self, *, routes, pool, random, metrics, log, caller_port, flow_idle_ms
+    ):
+        self._routes = routes
+        self._pool = pool
+        self._random = random
+        self._metrics = metrics
+        self._log = log
+        self._caller_port = caller_port
+        self._flow_idle_ms = flow_idle_ms
+        self._flows = {}
+        #: Whether the routes and upstreams come from a replica that hears a leader.
+        self.current = False
+
+    @property
+    def flow_count(self):
+        """Return how many flows are remembered."""
+        return len(self._flows)
+
+    def take(self, data, now_ms, out):
+        """Add what a packet leads to, as (bytes, address) pairs, to a list."""
+        if len(data) < HEAD_BYTES:
+            self._metrics.count("packets_short")
+            return
+        route = self._routes.get(data[ROUTE])
+        if route is None:
+            self._take_unrouted(data, out)
+        elif data[0] & SYN:
+            self._take_syn(data, route, now_ms, out)
+        else:
+            self._take_later(data, route, now_ms, out)
+
+    # A packet without a route.
+
+    def _take_unrouted(self, data, out):
+        """Reset a new flow if the routes are known; never an open flow by mistake."""
+        if data[0] & RST:
+            return
+        is_dropped = data[ROUTE] in self._routes.dropped
+        if is_dropped or (data[0] & SYN and self.current):
+            self._reset(data, out, "no route", revision=self._routes.revision)
+        else:
+            self._metrics.count("packets_unrouted")
+
+    def _reset(self, data, out, reason, **inputs):
+        self._metrics.count("resets")
+        self._log.info(
+            "resets a flow", flow=describe_flow(data), reason=reason, **inputs
+        )
+        out.append((reset_for(data), (flow_address(data), self._caller_port)))
+
+    # A SYN.
+
+    def _take_syn(self, data, route, now_ms, out):
+        key = data[FLOW]
+        flow = self._flows.get(key)
+        if flow is not None and not data[COPY] and not flow.is_open:
+            # The network doubled the first SYN.
+            self._send_syn(data, flow.upstream, out)
+            return
+        tried = flow.tried if flow is not None else ()
+        if flow is not None and not flow.is_open:
+            flow.upstream.note_unanswered(now_ms)
+        service = route.service_for(self._random())
+        upstream = self._pool.choose(service, now_ms, tried)
+        if upstream is None:
+            self._refuse_syn(data, service, out)
+            return
+        if flow is None:
+            flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
+        flow.upstream = upstream
+        flow.seen_ms = now_ms
+        flow.tried.append(upstream)
+        upstream.add_load(SYN_LOAD, now_ms)
+        self._metrics.count("flows_offered")
+        self._log.info(
+            "offers a flow",
+            flow=describe_flow(data),
+            copy=data[COPY],
+            service=service,
+            upstream=upstream.state.upstream_id,
+            sequence=upstream.state.sequence,
+            load=round(upstream.score(now_ms), 2),
+            revision=self._routes.revision,
+        )
+        self._send_syn(data, upstream, out)
+
+    def _refuse_syn(self, data, service, out):
+        """Reset if it is known that nobody serves; a copy may find somebody else."""
+        if self.current:
+            self._reset(data, out, "no upstream", service=service)
+        else:
+            self._metrics.count("syns_unserved")
+            self._log.info(
+                "drops a SYN", flow=describe_flow(data), reason="upstreams unknown"
+            )
+
+    def _send_syn(self, data, upstream, out):
+        payload = upstream.prefix + data[:2] + upstream.echo + data[6:]
+        out.append((payload, upstream.address))
+
+    # A later packet.
+
+    def _take_later(self, data, route, now_ms, out):
+        upstream = self._pool.by_echo(data[ECHO])
+        if upstream is None:
+            self._metrics.count("packets_unknown_upstream")
+            self._log.info(
+                "drops a packet",
+                flow=describe_flow(data),
+                reason="unknown upstream",
+                echo=data[ECHO].hex(),
+            )
+            return
+        if upstream.state.service not in route.services:
+            self._metrics.count("packets_foreign_service")
+            self._log.warning(
+                "drops a packet",
+                flow=describe_flow(data),
+                reason="the upstream serves another service",
+                upstream=upstream.state.upstream_id,
+            )
+            return
+        if upstream.state.status == GONE and not data[0] & RST:
+            self._reset(
+                data,
+                out,
+                "upstream gone",
+                upstream=upstream.state.upstream_id,
+                sequence=upstream.state.sequence,
+            )
+            return
+        self._note_later(data, upstream, now_ms)
+        out.append((upstream.prefix + data, upstream.address))
+
+    def _note_later(self, data, upstream, now_ms):
+        """Learn from a packet: its upstream answered, and has work if it holds data."""
+        key = data[FLOW]
+        flow = self._flows.get(key)
+        if flow is None:
+            if data[0] & (FIN | RST):
+                return
+            flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
+        if flow.upstream is not upstream and flow.is_open:
+            self._close(flow)
+        flow.upstream = upstream
+        flow.seen_ms = now_ms
+        if not flow.is_open:
+            flow.is_open = True
+            upstream.open_flows += 1
+            upstream.unanswered = 0
+        if data[LENGTH] != NO_DATA:
+            upstream.add_load(DATA_LOAD, now_ms)
+        if data[0] & (FIN | RST):
+            self._close(flow)
+            del self._flows[key]
+
+    def _close(self, flow):
+        flow.is_open = False
+        flow.upstream.open_flows -= 1
+
+    # Time.
+
+    def forget(self, now_ms):
+        """Forget flows that are idle or too old."""
+        idle_ms = now_ms - self._flow_idle_ms
+        old_ms = now_ms - MAX_FLOW_AGE_MS
+        surplus = len(self._flows) - MAX_FLOWS
+        for key, flow in list(self._flows.items()):
+            if flow.seen_ms < idle_ms or flow.opened_ms < old_ms or surplus > 0:
+                surplus -= 1
+                if flow.is_open:
+                    self._close(flow)
+                del self._flows[key]
--- /dev/null
+++ b/knapweeddeal/packethub.py
@@ -0,0 +1,373 @@
+"""knapweeddeal.packethub: The task of a control replica that serves forwarders.
+
+It keeps the directory of upstreams in memory, hands changes to the other replicas
+and to the forwarders that subscribed here, and pushes routes. It waits for no disk,
+so it goes on while the replicated log can't.
+"""
+
+import functools
+
+import curio
+
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.packets import (
+    ControlState,
+    DirectoryAck,
+    DirectoryBatch,
+    ReplicaNotice,
+    RoutesPush,
+    UpstreamsPush,
+)
+from knapweeddeal.packetroutes import diff_routes
+from knapweeddeal.record import Record
+from knapweeddeal.replicalink import LinkDown, LinkUp
+from knapweeddeal.upstreamtable import UpstreamTable
+
+__all__ = [
+    "CoreChanged",
+    "ForwarderGone",
+    "ForwarderHeard",
+    "ForwarderJoined",
+    "PacketHub",
+    "UpstreamAsked",
+    "UpstreamReported",
+]
+
+log = Log(prefix="directory")
+
+#: Time between beats that are handed to the other replicas, and looks at silence.
+BEAT_MS = 500
+#: Longest wait for other replicas to hold a departure before it is confirmed.
+REPLICATE_MS = 400
+#: Time without news from the replicated log after which its state isn't current.
+CORE_SILENT_MS = 1_500
+
+
+class UpstreamReported(Record):
+    """Carry an upstream's report; `reply` gets a word once it may be confirmed."""
+
+    __slots__ = ("reply", "state")
+
+
+class UpstreamAsked(Record):
+    """Ask for the state of an upstream; `reply` gets it, or None."""
+
+    __slots__ = ("reply", "upstream_id")
+
+
+class ForwarderJoined(Record):
+    """Tell that a forwarder subscribed."""
+
+    __slots__ = ("hello", "outbox")
+
+
+class ForwarderHeard(Record):
+    """Tell that a forwarder's stream lives."""
+
+    __slots__ = ("outbox",)
+
+
+class ForwarderGone(Record):
+    """Tell that a forwarder's stream ended."""
+
+    __slots__ = ("outbox",)
+
+
+class CoreChanged(Record):
+    """Tell what the replicated log holds: routes, members and whether it leads on."""
+
+    __slots__ = ("configuration", "current", "replicas")
+
+
+class Waiting:
+    """Hold a report until the replicas that were linked have acknowledged it."""
+
+    __slots__ = ("began_ms", "missing", "reply", "upstream_id")
+
+    def __init__(self, *, reply, missing, upstream_id, now_ms):
+        self.reply = reply
+        self.missing = missing
+        self.upstream_id = upstream_id
+        self.began_ms = now_ms
+
+
+class Subscriber(Record):
+    """Hold a subscribed forwarder's name and the routes that it was sent."""
+
+    __slots__ = ("configuration", "name")
+
+
+class PacketHub:
+    """Own the directory and the forwarders' outboxes."""
+
+    __slots__ = (
+        "_batch_id",
+        "_beat_ms",
+        "_configuration",
+        "_core_ms",
+        "_current",
+        "_diffs",
+        "_events",
+        "_forwarders",
+        "_links",
+        "_metrics",
+        "_own",
+        "_replicas",
+        "_table",
+        "_waiting",
+        "_zone",
+    )
+
+    def __init__(self, *, own, zone, report_ms, events, metrics):
+        self._own = own
+        self._zone = zone
+        self._events = events
+        self._metrics = metrics
+        self._table = UpstreamTable(own=own.identity, report_ms=report_ms)
+        self._configuration = None
+        self._current = False
+        self._core_ms = 0
+        self._replicas = [own]
+        #: Outboxes to the other replicas, by identity.
+        self._links = {}
+        #: What each subscribed forwarder has, by its outbox.
+        self._forwarders = {}
+        self._waiting = {}
+        self._batch_id = 0
+        self._beat_ms = 0
+        #: Pushes between the last configurations, by their revisions.
+        self._diffs = {}
+
+    # Queries.
+
+    def dump(self):
+        """Return the state by name, for the dump."""
+        return {
+            "current": self._is_current(monotonic_ms()),
+            "forwarders": [f.name for f in self._forwarders.values()],
+            "links": [f"{identity:016x}" for identity in self._links],
+            "upstreams": self._table.states(monotonic_ms()),
+            "waiting": len(self._waiting),
+        }
+
+    def _is_current(self, now_ms):
+        return self._current and now_ms - self._core_ms < CORE_SILENT_MS
+
+    # The loop.
+
+    async def run(self):
+        """Take events for ever."""
+        while True:
+            wait_ms = max(self._beat_ms - monotonic_ms(), 0)
+            event = await curio.ignore_after(wait_ms / 1000, self._events.get)
+            if event is not None:
+                await self._take(event)
+            if monotonic_ms() >= self._beat_ms:
+                await self._tick(monotonic_ms())
+
+    async def _tick(self, now_ms):
+        self._beat_ms = now_ms + BEAT_MS
+        beats = self._table.take_beats()
+        if beats:
+            await self._to_replicas(self._batch(beats=beats))
+        current = self._is_current(now_ms)
+        silent = self._table.expire(
+            now_ms=now_ms, current=current, linked=self._links.keys()
+        )
+        if silent:
+            await self._spread(silent)
+        await self._release(now_ms)
+
+    # Events.
+
+    @functools.singledispatchmethod
+    async def _take(self, event):
+        raise TypeError(event)
+
+    @_take.register
+    async def _(self, event: UpstreamReported):
+        state, now_ms = event.state, monotonic_ms()
+        changed = self._table.take(state, now_ms)
+        self._metrics.count("reports")
+        if not changed:
+            await event.reply.put(True)
+            return
+        await self._spread(changed)
+        self._batch_id += 1
+        await self._to_replicas(self._batch(states=changed, batch_id=self._batch_id))
+        self._waiting[self._batch_id] = Waiting(
+            reply=event.reply,
+            missing=set(self._links),
+            upstream_id=state.upstream_id,
+            now_ms=now_ms,
+        )
+        await self._release(now_ms)
+
+    @_take.register
+    async def _(self, event: UpstreamAsked):
+        await event.reply.put(self._table.get(event.upstream_id))
+
+    @_take.register
+    async def _(self, batch: DirectoryBatch):
+        now_ms = monotonic_ms()
+        changed = []
+        for state in batch.states:
+            changed += self._table.take(state, now_ms)
+        for beat in batch.beats:
+            changed += self._table.take_beat(beat, batch.sender, now_ms)
+        if changed:
+            await self._spread(changed)
+        outbox = self._links.get(batch.sender)
+        if batch.batch_id and outbox is not None:
+            ack = DirectoryAck(sender=self._own.identity, batch_id=batch.batch_id)
+            await outbox.offer(ack)
+
+    @_take.register
+    async def _(self, ack: DirectoryAck):
+        waiting = self._waiting.get(ack.batch_id)
+        if waiting is not None:
+            waiting.missing.discard(ack.sender)
+            await self._release(monotonic_ms())
+
+    @_take.register
+    async def _(self, event: LinkUp):
+        identity = event.state.replica.identity
+        is_new = identity not in self._links
+        self._links[identity] = event.outbox
+        if is_new:
+            states = self._table.states(monotonic_ms())
+            await event.outbox.offer(self._batch(states=states))
+            log.info("reaches a replica", replica=event.state.replica.name)
+            for outbox in self._links.values():
+                await outbox.offer(ReplicaNotice(replica=event.state.replica))
+
+    @_take.register
+    async def _(self, event: LinkDown):
+        if self._links.get(event.identity) is event.outbox:
+            del self._links[event.identity]
+            log.warning("loses a replica", identity=f"{event.identity:016x}")
+            for waiting in self._waiting.values():
+                waiting.missing.discard(event.identity)
+            await self._release(monotonic_ms())
+
+    @_take.register
+    async def _(self, event: ForwarderJoined):
+        self._forwarders[event.outbox] = Subscriber(
+            name=event.hello.name, configuration=None
+        )
+        log.info("serves a forwarder", name=event.hello.name)
+        await event.outbox.offer(self._state())
+        await self._push_routes(event.outbox)
+        states = self._table.states(monotonic_ms())
+        await event.outbox.offer(UpstreamsPush(whole=True, states=states))
+
+    @_take.register
+    async def _(self, event: ForwarderHeard):
+        if event.outbox in self._forwarders:
+            await event.outbox.offer(self._state())
+
+    @_take.register
+    async def _(self, event: ForwarderGone):
+        gone = self._forwarders.pop(event.outbox, None)
+        if gone is not None:
+            log.info("loses a forwarder", name=gone.name)
+
+    @_take.register
+    async def _(self, event: CoreChanged):
+        now_ms = monotonic_ms()
+        was_current = self._is_current(now_ms)
+        self._core_ms = now_ms
+        self._current = event.current
+        self._replicas = event.replicas
+        if event.configuration is not self._configuration:
+            self._configuration = event.configuration
+            self._diffs = {}
+            for outbox in self._forwarders:
+                await self._push_routes(outbox)
+        if was_current != event.current:
+            for outbox in self._forwarders:
+                await outbox.offer(self._state())
+
+    # Messages out.
+
+    def _batch(self, *, states=(), beats=(), batch_id=0):
+        return DirectoryBatch(
+            sender=self._own.identity,
+            batch_id=batch_id,
+            states=list(states),
+            beats=list(beats),
+        )
+
+    def _state(self):
+        return ControlState(
+            zone=self._zone,
+            current=self._is_current(monotonic_ms()),
+            revision=self._configuration.revision if self._configuration else 0,
+            replicas=self._replicas,
+        )
+
+    async def _to_replicas(self, message):
+        for outbox in self._links.values():
+            await outbox.offer(message)
+
+    async def _spread(self, states):
+        for state in states:
+            log.info(
+                "learns of an upstream",
+                upstream=state.upstream_id,
+                service=state.service,
+                status=state.status,
+                silent=state.silent,
+                born_ms=state.born_ms,
+                sequence=state.sequence,
+                home=f"{state.home:016x}",
+                forwarders=len(self._forwarders),
+            )
+        push = UpstreamsPush(whole=False, states=list(states))
+        for outbox in self._forwarders:
+            await outbox.offer(push)
+
+    async def _push_routes(self, outbox):
+        configuration = self._configuration
+        if configuration is None or not configuration.revision:
+            return
+        forwarder = self._forwarders[outbox]
+        known, forwarder.configuration = forwarder.configuration, configuration
+        await outbox.offer(self._routes_push(known))
+
+    def _routes_push(self, known):
+        """Return what leads from a configuration that was pushed to this one."""
+        configuration = self._configuration
+        base = known.revision if known else 0
+        if base not in self._diffs:
+            changed, dropped = diff_routes(
+                known.routes if known else [], configuration.routes
+            )
+            self._diffs[base] = RoutesPush(
+                revision=configuration.revision,
+                whole=known is None,
+                routes=changed,
+                dropped=dropped,
+            )
+        return self._diffs[base]
+
+    # Confirmations.
+
+    async def _release(self, now_ms):
+        """Confirm the reports that all linked replicas hold, or waited enough for."""
+        for batch_id, waiting in list(self._waiting.items()):
+            late = now_ms - waiting.began_ms >= REPLICATE_MS
+            if waiting.missing and not late:
+                continue
+            del self._waiting[batch_id]
+            if waiting.missing:
+                log.warning(
+                    "confirms a report that some replicas didn't acknowledge",
+                    upstream=waiting.upstream_id,
+                    missing=len(waiting.missing),
+                )
+            self._metrics.record_us(
+                "report_replication", (now_ms - waiting.began_ms) * 1000
+            )
+            await waiting.reply.put(True)
--- /dev/null
+++ b/knapweeddeal/packetupstreams.py
@@ -0,0 +1,199 @@
+"""knapweeddeal.packetupstreams: The upstreams that a forwarder knows, and its choice.
+
+A forwarder sees one direction of a flow. What it learns from it: a repeated SYN says
+that the upstream didn't answer, a later packet says that it did.
+"""
+
+import math
+import struct
+
+from knapweeddeal.messages.packets import GONE, READY
+
+__all__ = ["PacketUpstream", "UpstreamPool", "echo_of"]
+
+#: Half of a request's weight in an upstream's load is gone after this time: a
+#: request takes 5 to 40 ms at today's upstreams, and some wait for a slot.
+LOAD_HALF_MS = 60.0
+#: Weight of a flow that is open, beside that of a request that was just seen.
+OPEN_WEIGHT = 0.05
+#: Load per slot that a distant upstream must be below a near one to be chosen.
+ZONE_MARGIN = 0.35
+#: Load per slot that a cold upstream counts as having.
+COLD_LOAD = 0.5
+#: SYNs without an answer after which an upstream is chosen last.
+MAX_UNANSWERED = 1
+#: Time after which unanswered SYNs no longer count.
+UNANSWERED_MS = 3_000
+
+ID_PREFIX = struct.Struct(">Q")
+ECHO = struct.Struct("<I")
+ECHO_MASK = 2**32 - 1
+
+
+def echo_of(number):
+    """Return the bytes by which packets name an upstream; never zero."""
+    folded = (number ^ (number >> 32)) & ECHO_MASK
+    return ECHO.pack(folded or 1)
+
+
+class PacketUpstream:
+    """Hold one upstream: what was told of it, and what its flows show."""
+
+    __slots__ = (
+        "address",
+        "cold_until_ms",
+        "echo",
+        "is_near",
+        "load",
+        "load_ms",
+        "open_flows",
+        "prefix",
+        "state",
+        "suspect_until_ms",
+        "unanswered",
+    )
+
+    def __init__(self, *, state, number, zone):
+        self.echo = echo_of(number)
+        self.prefix = ID_PREFIX.pack(number)
+        self.load = 0.0
+        self.load_ms = 0
+        self.open_flows = 0
+        self.unanswered = 0
+        self.suspect_until_ms = 0
+        self.is_near = state.zone == zone
+        self.set_state(state, 0)
+
+    def set_state(self, state, now_ms):
+        """Take what was told."""
+        self.state = state
+        self.address = (state.host, state.port)
+        self.cold_until_ms = now_ms + state.cold_ms
+
+    def add_load(self, weight, now_ms):
+        """Count work that a packet brings."""
+        self.load = self._faded(now_ms) + weight
+        self.load_ms = now_ms
+
+    def _faded(self, now_ms):
+        elapsed_ms = now_ms - self.load_ms
+        return self.load * math.exp2(-elapsed_ms / LOAD_HALF_MS) if self.load else 0.0
+
+    def note_unanswered(self, now_ms):
+        """Note that a SYN got no answer in time."""
+        self.unanswered += 1
+        self.suspect_until_ms = now_ms + UNANSWERED_MS
+
+    def is_suspect(self, now_ms):
+        """Tell whether SYNs went unanswered lately."""
+        return self.unanswered >= MAX_UNANSWERED and now_ms < self.suspect_until_ms
+
+    def score(self, now_ms):
+        """Return the load per slot, with what speaks against this upstream."""
+        load = self._faded(now_ms) + OPEN_WEIGHT * self.open_flows
+        score = load / self.state.slots
+        if not self.is_near:
+            score += ZONE_MARGIN
+        if now_ms < self.cold_until_ms:
+            score += COLD_LOAD
+        return score
+
+
+class UpstreamPool:
+    """Keep upstreams by echo and by service; choose one for a new flow."""
+
+    __slots__ = ("_by_echo", "_by_id", "_by_service", "_random", "_zone", "collisions")
+
+    def __init__(self, *, zone, random):
+        self._zone = zone
+        self._random = random
+        self._by_id = {}
+        self._by_echo = {}
+        self._by_service = {}
+        self.collisions = 0
+
+    # Queries.
+
+    def by_echo(self, echo):
+        """Return the upstream that a packet names, or None."""
+        return self._by_echo.get(echo)
+
+    def ready(self, service):
+        """Return the upstreams that may take new flows of a service."""
+        return self._by_service.get(service, ())
+
+    def __len__(self):
+        """Return the number of upstreams that aren't gone."""
+        return sum(u.state.status != GONE for u in self._by_id.values())
+
+    def all(self):
+        """Return all upstreams."""
+        return self._by_id.values()
+
+    def choose(self, service, now_ms, tried=()):
+        """Return the upstream for a new flow, or None.
+
+        Suspects, silent ones and those that were tried for this flow come last.
+        """
+        best, best_rank = None, None
+        for upstream in self.ready(service):
+            rank = (
+                upstream in tried,
+                upstream.is_suspect(now_ms) or upstream.state.silent,
+                upstream.score(now_ms) + self._random() * 0.01,
+            )
+            if best_rank is None or rank < best_rank:
+                best, best_rank = upstream, rank
+        return best
+
+    # Commands.
+
+    def take(self, states, now_ms, *, current):
+        """Take what a replica told; return the states that were news.
+
+        Silence counts only from a replica that hears a leader, or the home of the
+        upstream, which the replica has sorted out; `current` tells the former.
+        """
+        news = [state for state in states if self._take_one(state, now_ms, current)]
+        if news:
+            self._rebuild()
+        return news
+
+    def _take_one(self, state, now_ms, current):
+        known = self._by_id.get(state.upstream_id)
+        if known is None:
+            self._add(state, now_ms)
+            return True
+        old = known.state
+        order = (state.born_ms, state.sequence)
+        if order < (old.born_ms, old.sequence):
+            return False
+        if old.status == GONE and state.born_ms <= old.born_ms:
+            return False
+        if state.hint and not old.hint:
+            return False
+        if state.silent and not old.silent and not current:
+            return False
+        known.set_state(state, now_ms)
+        return True
+
+    def _add(self, state, now_ms):
+        number = id_number(state.upstream_id)
+        upstream = PacketUpstream(state=state, number=number, zone=self._zone)
+        upstream.set_state(state, now_ms)
+        if upstream.echo in self._by_echo:
+            self.collisions += 1
+        self._by_echo[upstream.echo] = upstream
+        self._by_id[state.upstream_id] = upstream
+
+    def _rebuild(self):
+        pools = {}
+        for upstream in self._by_id.values():
+            if upstream.state.status == READY:
+                pools.setdefault(upstream.state.service, []).append(upstream)
+        self._by_service = pools
+
+
+def id_number(upstream_id):
+    """Return the number in an upstream's id: its hexadecimal digits."""
+    return int(upstream_id.rpartition("-")[2], 16)
--- /dev/null
+++ b/knapweeddeal/platform/api.py
@@ -0,0 +1,169 @@
+"""knapweeddeal.platform.api: The calls of upstreams and operators over HTTP."""
+
+import functools
+import json
+
+import curio
+
+from knapweeddeal.errors import (
+    BadMessageError,
+    InvalidIntentError,
+    KnapweeddealError,
+    NoQuorumError,
+    NotLeaderError,
+    error_from_code,
+)
+from knapweeddeal.httpserver import HttpResponse
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.operator import FailureAnswer
+from knapweeddeal.messages.packets import (
+    PublishAnswer,
+    PublishAsk,
+    PublishedAnswer,
+    PublishedAsk,
+)
+from knapweeddeal.packethub import UpstreamAsked, UpstreamReported
+from knapweeddeal.platform.configurations import decode_configuration
+from knapweeddeal.platform.reports import decode_departure, decode_report
+
+__all__ = ["PlatformApi"]
+
+log = Log(prefix="api")
+
+CONFIGURATION = "/-/config"
+UPSTREAMS = "/-/instances/"
+#: Longest wait for an answer: operators and upstreams try another replica after 1 s.
+ANSWER_MS = 850
+
+OK = 200
+TEMPORARY_REDIRECT = 307
+BAD_REQUEST = 400
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+UNAVAILABLE = 503
+
+
+class PlatformApi:
+    """Translate calls into messages, and answers into responses."""
+
+    __slots__ = ("_ask", "_hub_events", "_identity", "_metrics", "_port")
+
+    def __init__(self, *, ask, hub_events, identity, port, metrics):
+        #: Coroutine that gives an operator's message to the replica.
+        self._ask = ask
+        self._hub_events = hub_events
+        self._identity = identity
+        #: Port of this interface, the same on all VMs.
+        self._port = port
+        self._metrics = metrics
+
+    async def take(self, request):
+        """Return the response to a request."""
+        try:
+            async with curio.timeout_after(ANSWER_MS / 1000):
+                return await self._dispatch(request)
+        except KnapweeddealError as error:
+            return self._failure(request, error)
+        except curio.TaskTimeout:
+            return self._failure(request, NoQuorumError("no answer in time"))
+
+    async def _dispatch(self, request):
+        path = request.target.partition("?")[0]
+        if path == CONFIGURATION:
+            calls = {"PUT": self._publish, "GET": self._read}
+            argument = request.body
+        elif path.startswith(UPSTREAMS):
+            upstream_id = path[len(UPSTREAMS) :]
+            calls = {"PUT": self._report, "DELETE": self._depart}
+            argument = (upstream_id, request.body)
+        else:
+            return HttpResponse(status=NOT_FOUND, body=b"{}")
+        call = calls.get(request.method)
+        if call is None:
+            return HttpResponse(status=METHOD_NOT_ALLOWED, body=b"{}")
+        return await call(argument)
+
+    # Operators.
+
+    async def _publish(self, body):
+        configuration = decode_configuration(body)
+        answer = await self._ask(PublishAsk(configuration=configuration))
+        response = _response(answer)
+        log.info(
+            "confirms a configuration",
+            revision=configuration.revision,
+            routes=len(configuration.routes),
+            in_force=answer.revision,
+        )
+        return response
+
+    async def _read(self, _body):
+        return _response(await self._ask(PublishedAsk()))
+
+    # Upstreams.
+
+    async def _report(self, argument):
+        upstream_id, body = argument
+        state = decode_report(upstream_id, body, home=self._identity)
+        return await self._tell_hub(state)
+
+    async def _depart(self, argument):
+        upstream_id, body = argument
+        reply = curio.Queue()
+        await self._hub_events.put(UpstreamAsked(upstream_id=upstream_id, reply=reply))
+        known = await reply.get()
+        state = decode_departure(upstream_id, body, known=known)
+        if state is None:
+            return HttpResponse(status=OK, body=b"{}")
+        return await self._tell_hub(state.replace(home=self._identity))
+
+    async def _tell_hub(self, state):
+        reply = curio.Queue()
+        await self._hub_events.put(UpstreamReported(state=state, reply=reply))
+        await reply.get()
+        return HttpResponse(status=OK, body=b"{}")
+
+    # Failures.
+
+    def _failure(self, request, error):
+        self._metrics.count(f"api_{error.code}")
+        log.info(
+            "refuses a call",
+            method=request.method,
+            target=request.target,
+            error=error.describe(),
+        )
+        body = json.dumps({"error": error.describe()}).encode()
+        if isinstance(error, NotLeaderError) and error.value:
+            host = error.value.rpartition(":")[0]
+            return HttpResponse(
+                status=TEMPORARY_REDIRECT,
+                location=f"http://{host}:{self._port}{request.target}",
+                body=body,
+            )
+        refused = isinstance(error, (BadMessageError, InvalidIntentError))
+        return HttpResponse(status=BAD_REQUEST if refused else UNAVAILABLE, body=body)
+
+
+@functools.singledispatch
+def _response(answer):
+    raise KnapweeddealError("unexpected answer", field="answer", value=type(answer))
+
+
+@_response.register
+def _(answer: FailureAnswer):
+    raise error_from_code(
+        answer.code, answer.text, field=answer.field, value=answer.value
+    )
+
+
+@_response.register
+def _(_answer: PublishAnswer):
+    return HttpResponse(status=OK, body=b"{}")
+
+
+@_response.register
+def _(answer: PublishedAnswer):
+    if not answer.configuration.revision:
+        raise NoQuorumError("nothing was published yet")
+    return HttpResponse(status=OK, body=answer.configuration.document)
--- a/knapweeddeal/reload.py
+++ b/knapweeddeal/reload.py
@@ -1,12 +1,19 @@
 """knapweeddeal.reload: Settings that are read again while a process runs."""
 
+import os
+
+import curio
+
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import Log
 
-__all__ = ["reload_settings"]
+__all__ = ["reload_settings", "watch_settings"]
 
 LOG = Log(prefix="settings")
 
+#: Time between looks at the settings file, which may change without a signal.
+WATCH_MS = 1_000
+
 
 def reload_settings(settings):
     """Read settings again and log the result; return whether that went well."""
@@ -17,3 +24,25 @@
         return False
     LOG.info("Settings read again.", wait_for_restart=kept)
     return True
+
+
+async def watch_settings(settings, reloaded):
+    """Read settings again whenever their file changed; then `await reloaded()`."""
+    seen = _mark(settings.path)
+    while True:
+        await curio.sleep(WATCH_MS / 1000)
+        mark = _mark(settings.path)
+        if mark != seen:
+            seen = mark
+            if reload_settings(settings):
+                await reloaded()
+
+
+def _mark(path):
+    """Return what differs once a file was written again."""
+    try:
+        status = os.stat(path)
+    except OSError as error:
+        LOG.warning("can't look at the settings file", why=str(error))
+        return None
+    return (status.st_mtime_ns, status.st_size, status.st_ino)
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -6,7 +6,9 @@
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.options import (
     address_option,
+    addresses_option,
     choice_option,
+    flag_option,
     host_option,
     keys_option,
     name_option,
@@ -18,6 +20,7 @@
 __all__ = [
     "CONTROL",
     "ENTRY",
+    "FORWARDER",
     "OPTIONS",
     "Option",
     "Settings",
@@ -26,6 +29,9 @@
 
 ENTRY = "entry"
 CONTROL = "control"
+#: Forwards opaque packets; the platform's entries run it.
+FORWARDER = "forwarder"
+ROLES = (ENTRY, CONTROL, FORWARDER)
 
 
 class Option:
@@ -39,6 +45,7 @@
         "key",
         "maximum",
         "minimum",
+        "optional",
         "reload_roles",
         "roles",
         "section",
@@ -61,7 +68,9 @@
         choices=(),
         roles=(ENTRY, CONTROL),
         reload_roles=(),
+        optional=False,
     ):
+        self.optional = optional
         self.section = section
         self.key = key
         self.check = check
@@ -77,7 +86,9 @@
         self.reload_roles = reload_roles
 
 
-def time_option(key, default, text, *, maximum=3_600_000, reload_roles=()):
+def time_option(
+    key, default, text, *, maximum=3_600_000, reload_roles=(), roles=(ENTRY, CONTROL)
+):
     """Return an option in milliseconds."""
     return Option(
         section="timing",
@@ -88,6 +99,7 @@
         minimum=1,
         maximum=maximum,
         text=text,
+        roles=roles,
         reload_roles=reload_roles,
     )
 
@@ -97,6 +109,7 @@
     Option(
         section="daemon",
         key="name",
+        roles=ROLES,
         check=name_option,
         text="Name of this process, unique in the system.",
     ),
@@ -104,35 +117,112 @@
         section="daemon",
         key="role",
         check=choice_option,
-        choices=(ENTRY, CONTROL),
+        choices=ROLES,
+        roles=ROLES,
         text="What this process does.",
     ),
     Option(
         section="daemon",
         key="zone",
+        roles=ROLES,
         check=name_option,
         text="Availability zone of this VM.",
     ),
     Option(
         section="daemon",
         key="listen",
+        roles=ROLES,
         check=address_option,
         text="Address for streams of peers and operators.",
     ),
     Option(
         section="daemon",
         key="log_file",
+        roles=ROLES,
         check=text_option,
         default="",
         empty="",
-        text="File for the log; empty for standard error.",
+        text="File for the log; - for standard output, empty for standard error.",
+    ),
+    Option(
+        section="daemon",
+        key="metrics",
+        check=address_option,
+        default="",
+        empty=None,
+        optional=True,
+        roles=(CONTROL, FORWARDER),
+        text="Address that serves counters and latencies as text; empty for none.",
+    ),
+    Option(
+        section="daemon",
+        key="seeds",
+        check=addresses_option,
+        default="",
+        empty=(),
+        roles=(CONTROL, FORWARDER),
+        reload_roles=(CONTROL, FORWARDER),
+        text="Addresses whose hosts run control replicas, on the port of `listen`.",
     ),
     Option(
         section="daemon",
         key="control",
         check=peers_option,
+        default="",
+        empty=MappingProxyType({}),
         text="Control replicas by name; on the first start, the first membership.",
     ),
+    Option(
+        section="control",
+        key="api",
+        check=address_option,
+        default="",
+        empty=None,
+        optional=True,
+        roles=(CONTROL,),
+        text="Address of the platform's HTTP interface; empty for none.",
+    ),
+    Option(
+        section="control",
+        key="may_found",
+        check=flag_option,
+        default="true",
+        roles=(CONTROL,),
+        text="Whether empty replicas may found a new log.",
+    ),
+    Option(
+        section="control",
+        key="tolerated_losses",
+        check=whole_option,
+        default="1",
+        unit="replicas",
+        minimum=0,
+        maximum=10,
+        roles=(CONTROL,),
+        text="Disks that may be lost at once; bounds the removal of silent members.",
+    ),
+    Option(
+        section="control",
+        key="heals_itself",
+        check=flag_option,
+        default="false",
+        roles=(CONTROL,),
+        text="Whether candidates join and lost members leave without an operator.",
+    ),
+    Option(
+        section="forwarder",
+        key="packets",
+        check=address_option,
+        roles=(FORWARDER,),
+        text="UDP address for packets; callers get theirs on the same port.",
+    ),
+    Option(
+        section="forwarder",
+        key="ready",
+        check=address_option,
+        roles=(FORWARDER,),
+        text="Address that tells by HTTP whether this forwarder serves.",
+    ),
     Option(
         section="control",
         key="data_folder",
@@ -179,16 +269,32 @@
         "heartbeat_ms",
         500,
         "Time between heartbeats on a stream.",
+        roles=ROLES,
         reload_roles=(ENTRY,),
     ),
     time_option(
         "stream_timeout_ms",
         2_000,
         "Silence after which a stream is cut.",
+        roles=ROLES,
         reload_roles=(ENTRY,),
     ),
     time_option("ticket_life_ms", 86_400_000, "Life of a ticket.", maximum=10**9),
-    time_option("stop_ms", 10_000, "Longest time that a planned stop waits."),
+    time_option(
+        "stop_ms", 10_000, "Longest time that a planned stop waits.", roles=ROLES
+    ),
+    time_option(
+        "report_ms",
+        1_200,
+        "Time between status reports of an upstream for packets.",
+        roles=(CONTROL,),
+    ),
+    time_option(
+        "packet_flow_idle_ms",
+        15_000,
+        "Silence after which a packet flow is forgotten.",
+        roles=(FORWARDER,),
+    ),
     time_option("election_ms", 500, "Shortest time without a leader before a vote."),
     time_option("plan_life_ms", 600_000, "Time in which a plan can be confirmed."),
     Option(
@@ -264,6 +370,16 @@
         except KeyError:
             raise AttributeError(key) from None
 
+    @property
+    def path(self):
+        """Return the path of the file."""
+        return self._path
+
+    @property
+    def seed_addresses(self):
+        """Return where the seeds take streams: the port is the same on all VMs."""
+        return [(host, self.listen[1]) for host, _ in self.seeds]
+
     def values(self):
         """Return all settings by key."""
         return dict(self._values)
@@ -286,14 +402,22 @@
     parser = _parse(path)
     role = parser.get("daemon", "role", fallback="").strip()
     options = [option for option in OPTIONS if option.key == "role"]
-    if role in (ENTRY, CONTROL):
+    if role in ROLES:
         options = [option for option in OPTIONS if role in option.roles]
         _check_known(path, parser, options)
     values = {option.key: _read_option(path, parser, option) for option in options}
     _check_together(path, values)
+    if values["role"] == CONTROL and values["seeds"]:
+        values["control"] = _seed_replicas(values)
     return Settings(path=path, values=values)
 
 
+def _seed_replicas(values):
+    """Return the replicas that seeds stand for: each is called by its host."""
+    port = values["listen"][1]
+    return {host: (host, port) for host, _ in values["seeds"]}
+
+
 def _parse(path):
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -313,7 +437,7 @@
     text = text.strip()
     if text:
         return option.check(field, text, option)
-    if option.empty is None:
+    if option.empty is None and not option.optional:
         raise BadSettingError("must not be empty", field=field)
     return option.empty
 
@@ -336,12 +460,18 @@
 
 def _check_together(path, values):
     for smaller, larger in ORDERED:
-        if values[smaller] >= values[larger]:
+        if smaller in values and values[smaller] >= values.get(larger, 2**63):
             raise BadSettingError(
                 f"must be smaller than {larger}",
                 field=_field(path, "timing", smaller),
                 value=values[smaller],
             )
+    if values["role"] == FORWARDER:
+        _check_given(path, "daemon", "seeds", values)
+        return
+    if values["role"] == CONTROL and values["seeds"]:
+        return
+    _check_given(path, "daemon", "control", values)
     own = values["control"].get(values["name"])
     if values["role"] == CONTROL and own != values["listen"]:
         raise BadSettingError(
@@ -349,3 +479,8 @@
             field=_field(path, "daemon", "control"),
             value=own,
         )
+
+
+def _check_given(path, section, key, values):
+    if not values[key]:
+        raise BadSettingError("must not be empty", field=_field(path, section, key))
--- a/knapweeddeal/storage.py
+++ b/knapweeddeal/storage.py
@@ -39,13 +39,16 @@
     found; `records` go on from the snapshot.
     """
 
-    __slots__ = ("_lock", "_log", "_manifest", "_path", "cluster", "cut_bytes")
+    __slots__ = ("_lock", "_log", "_manifest", "_path", "_torn", "cluster")
+    __slots__ += ("cut_bytes",)
     __slots__ += ("identity", "records", "snapshot", "state")
 
     def __init__(self, *, path, mint):
         self._path = Path(path)
         self._path.mkdir(parents=True, exist_ok=True)
         self._lock = self._take_lock()
+        #: Whether a write failed, so that the log file may end in a torn record.
+        self._torn = False
         if not self._has_identity():
             self._create(mint())
         self._open()
@@ -74,9 +77,13 @@
     def append(self, records, *, commit_index=0):
         """Add records; one with an index that is taken replaces all from there."""
         data = b"".join(frame(encode(record)) for record in records)
+        if self._torn:
+            os.ftruncate(self._log.fileno(), self._manifest.synced_bytes)
+        self._torn = True
         write_all(self._log, data)
         os.fdatasync(self._log.fileno())
         self._manifest.set_synced(self._manifest.synced_bytes + len(data), commit_index)
+        self._torn = False
 
     def note_commit(self, commit_index):
         """Note how much is committed."""
--- /dev/null
+++ b/knapweeddeal/upstreamtable.py
@@ -0,0 +1,172 @@
+"""knapweeddeal.upstreamtable: What a control replica knows of upstreams for packets.
+
+Upstreams report to any one replica, their home, which hands on what changed. Nothing
+here does input or output; the time comes with each call.
+"""
+
+from knapweeddeal.messages.packets import GONE, UpstreamBeat
+from knapweeddeal.record import Record
+
+__all__ = ["SILENT_REPORTS", "UpstreamTable"]
+
+#: Missing reports after which an upstream counts as silent; one may be lost, and
+#: one may wait a second for a replica that is down.
+SILENT_REPORTS = 3
+#: Time after which a silent or removed upstream is forgotten.
+FORGET_MS = 120_000
+#: Silence on behalf of a home that is gone is told after so many silent times.
+ORPHAN_FACTOR = 2
+
+
+class Known(Record):
+    """Hold an upstream's state and when it was heard, or heard of."""
+
+    __slots__ = ("cold_until_ms", "heard_ms", "state")
+
+
+class UpstreamTable:
+    """Order reports, and tell which upstreams changed."""
+
+    __slots__ = ("_beats", "_known", "_own", "_silent_ms")
+
+    def __init__(self, *, own, report_ms):
+        self._own = own
+        self._silent_ms = report_ms * SILENT_REPORTS
+        self._known = {}
+        self._beats = {}
+
+    # Queries.
+
+    def states(self, now_ms):
+        """Return all that is known, as it stands now."""
+        return [_aged(known, now_ms) for known in self._known.values()]
+
+    def get(self, upstream_id):
+        """Return the state of an upstream, or None."""
+        known = self._known.get(upstream_id)
+        return known.state if known else None
+
+    # Commands.
+
+    def take(self, state, now_ms):
+        """Take a state; return the states that changed, the newest last.
+
+        What is older than what is known, or comes after a removal, changes nothing.
+        """
+        known = self._known.get(state.upstream_id)
+        if known is not None and not _is_news(known.state, state):
+            return []
+        if state.status != GONE and self._is_displaced(state):
+            return []
+        if known is None and state.status == GONE and state.hint:
+            return []
+        self._known[state.upstream_id] = Known(
+            state=state, heard_ms=now_ms, cold_until_ms=now_ms + state.cold_ms
+        )
+        if state.home == self._own:
+            self._beats[state.upstream_id] = state
+        changed = self._displace(state)
+        if known is None or _differs(known.state, state):
+            changed.append(state)
+        return changed
+
+    def take_beat(self, beat, home, now_ms):
+        """Note that another replica heard an upstream; return what changed."""
+        known = self._known.get(beat.upstream_id)
+        if known is None or known.state.status == GONE:
+            return []
+        if (beat.born_ms, beat.sequence) < _order(known.state):
+            return []
+        state = known.state.replace(
+            sequence=beat.sequence, silent=False, home=home, hint=False
+        )
+        if beat.born_ms != state.born_ms:
+            return []
+        return self.take(state, now_ms)
+
+    def take_beats(self):
+        """Return beats heard here since the last call, and forget them."""
+        beats = [
+            UpstreamBeat(
+                upstream_id=state.upstream_id,
+                born_ms=state.born_ms,
+                sequence=state.sequence,
+            )
+            for state in self._beats.values()
+        ]
+        self._beats = {}
+        return beats
+
+    def expire(self, *, now_ms, current, linked):
+        """Return the upstreams that became silent.
+
+        Another replica's upstreams count as silent only while a leader is heard: a
+        replica that is cut off may lack their reports. `linked` holds the replicas
+        that can be heard.
+        """
+        changed = []
+        for upstream_id, known in list(self._known.items()):
+            age_ms = now_ms - known.heard_ms
+            if age_ms >= FORGET_MS:
+                del self._known[upstream_id]
+            elif self._is_silent(known.state, age_ms, current, linked):
+                known.state = known.state.replace(silent=True)
+                changed.append(known.state)
+        return changed
+
+    def _is_silent(self, state, age_ms, current, linked):
+        if state.silent or state.status == GONE:
+            return False
+        if state.home == self._own:
+            return age_ms >= self._silent_ms
+        patience = 1 if state.home in linked else ORPHAN_FACTOR
+        return current and age_ms >= self._silent_ms * patience
+
+    def _is_displaced(self, state):
+        """Tell whether a later upstream has the address."""
+        return any(
+            _same_address(known.state, state) and known.state.born_ms > state.born_ms
+            for known in self._known.values()
+        )
+
+    def _displace(self, state):
+        """Remove the earlier upstreams at an address, and return them."""
+        if state.status == GONE:
+            return []
+        removed = []
+        for known in self._known.values():
+            old = known.state
+            if _same_address(old, state) and old.born_ms < state.born_ms:
+                known.state = old.replace(status=GONE, home=self._own)
+                removed.append(known.state)
+        return removed
+
+
+def _order(state):
+    return (state.born_ms, state.sequence)
+
+
+def _is_news(known, state):
+    if known.status == GONE and state.born_ms <= known.born_ms:
+        return False
+    if _order(state) == _order(known):
+        return _differs(known, state) and not state.hint
+    return _order(state) > _order(known)
+
+
+def _differs(known, state):
+    """Tell whether anything but the times and the sequence differs."""
+    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
+    same += ("silent", "home", "hint")
+    return any(getattr(known, name) != getattr(state, name) for name in same)
+
+
+def _same_address(old, state):
+    if old.status == GONE or old.upstream_id == state.upstream_id:
+        return False
+    return (old.host, old.port) == (state.host, state.port)
+
+
+def _aged(known, now_ms):
+    cold_ms = max(known.cold_until_ms - now_ms, 0)
+    return known.state.replace(cold_ms=cold_ms)
