--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -1,15 +1,15 @@
 """knapweeddeal.daemon: The daemon `knapweeddeald`, one process in one role."""
 
-import argparse
+import gc
 import importlib
 import os
 import signal
 import sys
 
-import curio
-
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
+from knapweeddeal.lazyimports import defer, leave_out
 from knapweeddeal.logs import open_log
+from knapweeddeal.packetport import bind_packets
 from knapweeddeal.settings import CONTROL, ENTRY, FORWARDER, read_settings
 
 __all__ = ["main"]
@@ -26,6 +26,8 @@
 
 def parser():
     """Return the parser of the daemon's arguments."""
+    import argparse
+
     result = argparse.ArgumentParser(
         prog="knapweeddeald", description="Run one process of knapweeddeal."
     )
@@ -44,28 +46,53 @@
 
 def main(arguments=None):
     """Run the daemon; return its exit status."""
-    checker = parser()
-    options = checker.parse_args(arguments)
-    if options.settings is None:
-        checker.error(f"no FILE given, and {SETTINGS_VARIABLE} isn't set")
+    path, check = _arguments(sys.argv[1:] if arguments is None else arguments)
     try:
-        settings = read_settings(options.settings)
+        settings = read_settings(path)
     except BadSettingError as error:
         print(f"knapweeddeald: {error}", file=sys.stderr)
         return error.exit_status
-    if options.check:
+    if check:
         print("settings are good")
         return 0
     signal.signal(signal.SIGINT, signal.SIG_DFL)
     try:
         open_log(settings.log_file)
-        role = importlib.import_module(ROLES[settings.role])
-        curio.run(role.run, settings)
+        _run(settings)
     except KnapweeddealError as error:
         print(f"knapweeddeald: {error}", file=sys.stderr)
         return error.exit_status
     return 0
 
 
+def _arguments(arguments):
+    """Return the settings file, and whether only to check it."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path and not arguments:
+        # The parser's import would delay the start.
+        return path, False
+    checker = parser()
+    options = checker.parse_args(arguments)
+    if options.settings is None:
+        checker.error(f"no FILE given, and {SETTINGS_VARIABLE} isn't set")
+    return options.settings, options.check
+
+
+def _run(settings):
+    """Run the role; packets wait in their socket while the rest is imported."""
+    arguments = []
+    if settings.role == FORWARDER:
+        arguments.append(bind_packets(settings.packets))
+    # curio imports these; nothing here speaks TLS or runs an asyncio loop.
+    defer("asyncio")
+    leave_out("ssl", "_hashlib")
+    import curio
+
+    role = importlib.import_module(ROLES[settings.role])
+    gc.enable()
+    gc.freeze()
+    curio.run(role.run, settings, *arguments)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -3,22 +3,19 @@
 import json
 import random
 import signal
-import socket
 from functools import singledispatchmethod
 
 import curio
 from curio.traps import _read_wait
 
 from knapweeddeal.clock import monotonic_ms
-from knapweeddeal.errors import BadMessageError, BadSettingError, KnapweeddealError
+from knapweeddeal.errors import BadMessageError, KnapweeddealError
 from knapweeddeal.forwardercore import ForwarderCore
 from knapweeddeal.forwarderlinks import LINKS, keep_link
-from knapweeddeal.httpserver import HttpResponse, serve_http
 from knapweeddeal.inspection import dump_text
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.operator import DumpAnswer, DumpAsk, MetricsAsk
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.metricsserver import serve_metrics
 from knapweeddeal.reload import reload_settings, watch_settings
 from knapweeddeal.replicachoice import ReplicaChoice
 from knapweeddeal.signals import SignalReader
@@ -31,16 +28,16 @@
 
 #: Largest datagram: an 8-byte prefix, a head of 32 bytes and 1,200 bytes of data.
 MAX_DATAGRAM_BYTES = 2_048
-#: Datagrams that the kernel keeps for this process.
-RECEIVE_BUFFER_BYTES = 512 * 1024
+#: Time for the first routes to come, before what can wait is imported.
+FIRST_MS = 300
 #: Datagrams that are taken before other tasks get their turn.
 MAX_IN_A_ROW = 64
 #: Time between sweeps of idle flows.
 SWEEP_MS = 1_000
 
 
-async def run(settings):
-    """Forward packets until SIGTERM; raise BadSettingError."""
+async def run(settings, port):
+    """Forward the packets of a socket until SIGTERM; raise BadSettingError."""
     metrics = Metrics()
     choice = ReplicaChoice(
         seeds=settings.seed_addresses, zone=settings.zone, random=random.random
@@ -48,7 +45,6 @@
     core = ForwarderCore(
         settings=settings, choice=choice, random=random.random, metrics=metrics
     )
-    port = _udp_socket(settings.packets)
 
     async def learn_seeds():
         choice.learn(settings.seed_addresses)
@@ -56,11 +52,9 @@
 
     log.info("started", name=settings.name, zone=settings.zone)
     tasks = [keep_link(core, choice, settings) for _ in range(LINKS)]
-    if settings.metrics is not None:
-        tasks.append(serve_metrics(settings.metrics, metrics))
     await run_until_first(
         _forward(port, core, metrics),
-        serve_http(settings.ready, _readiness(core)),
+        _serve_http(core, settings),
         serve(settings.listen, _Operator(core=core).take),
         _sweep(core),
         _watch_signals(core, settings, learn_seeds),
@@ -70,21 +64,6 @@
     log.info("stopped", name=settings.name, flows=core.forwarder.flow_count)
 
 
-def _udp_socket(address):
-    port = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    port.setblocking(False)
-    port.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    try:
-        port.bind(address)
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field="[forwarder] packets",
-            value=address,
-        ) from None
-    return port
-
-
 async def _forward(port, core, metrics):
     """Take what has come in one go: a wait costs more than a packet."""
     take, out = core.forwarder.take, []
@@ -123,11 +102,22 @@
             metrics.count("packets_sent")
 
 
-def _readiness(core):
-    async def answer(_request):
+async def _serve_http(core, settings):
+    """Tell whether this forwarder serves, and its metrics.
+
+    The library is imported late: packets that already come go first.
+    """
+    await curio.sleep(FIRST_MS / 1000)
+    from knapweeddeal.httpserver import HttpResponse, serve_http
+    from knapweeddeal.metricsserver import serve_metrics
+
+    async def readiness(_request):
         return HttpResponse(status=200 if core.is_ready else 503, body=b"{}")
 
-    return answer
+    servers = [serve_http(settings.ready, readiness)]
+    if settings.metrics is not None:
+        servers.append(serve_metrics(settings.metrics, core.metrics))
+    await run_until_first(*servers)
 
 
 async def _sweep(core):
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -1,11 +1,14 @@
 """knapweeddeal.messages.base: Typed messages, their field checks and their codec."""
 
+import importlib
+
 import msgpack
 
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.record import Record
 
 __all__ = [
+    "FAMILIES",
     "REGISTRY",
     "Blob",
     "Flag",
@@ -18,8 +21,21 @@
     "decode",
     "encode",
     "from_wire",
+    "load_families",
 ]
 
+#: Families of messages; a process that meets an unknown tag loads all of them.
+FAMILIES = (
+    "caller",
+    "control",
+    "member",
+    "operator",
+    "packets",
+    "peer",
+    "replication",
+    "upstream",
+)
+
 #: Message classes by wire tag.
 REGISTRY = {}
 
@@ -160,7 +176,7 @@
     def __init_subclass__(cls):
         """Register the class by its tag and prepare its codec."""
         super().__init_subclass__()
-        cls._fill = staticmethod(_filler(cls.schema))
+        cls._fill = staticmethod(_first_filler(cls))
         cls._packs = tuple(getattr(kind, "pack", None) for kind in cls.schema.values())
         cls._plain = not any(cls._packs)
         if cls.tag in REGISTRY:
@@ -180,6 +196,19 @@
         return [self.tag, *packed]
 
 
+def _first_filler(cls):
+    """Return a function that compiles the class's filler, installs and calls it.
+
+    A process uses a few of the classes that it imports.
+    """
+
+    def fill(message, wire):
+        cls._fill = staticmethod(_filler(cls.schema))
+        return cls._fill(message, wire)
+
+    return fill
+
+
 def _filler(schema):
     """Return a function that checks an unpacked list into a message's fields.
 
@@ -194,11 +223,20 @@
     return scope["fill"]
 
 
+def load_families():
+    """Register the messages of all families."""
+    for family in FAMILIES:
+        importlib.import_module(f"knapweeddeal.messages.{family}")
+
+
 def from_wire(wire):
     """Return the message in an unpacked list, or raise BadMessageError."""
     if type(wire) is not list or not wire or type(wire[0]) is not int:
         raise BadMessageError("not a tagged list")
     cls = REGISTRY.get(wire[0])
+    if cls is None:
+        load_families()
+        cls = REGISTRY.get(wire[0])
     if cls is None:
         raise BadMessageError("unknown tag", field="tag", value=wire[0])
     if len(wire) != len(cls.schema) + 1:
--- a/knapweeddeal/metrics.py
+++ b/knapweeddeal/metrics.py
@@ -2,8 +2,6 @@
 
 from collections import Counter
 
-from hdrh.histogram import HdrHistogram
-
 __all__ = ["Metrics"]
 
 #: Longest time that a histogram tells apart from longer ones.
@@ -34,6 +32,9 @@
         """Record a time in microseconds; longer than a minute counts as a minute."""
         histogram = self._histograms.get(name)
         if histogram is None:
+            # Not at the start: a forwarder's first packets go before its figures.
+            from hdrh.histogram import HdrHistogram
+
             histogram = HdrHistogram(1, MAX_US, DIGITS)
             self._histograms[name] = histogram
         histogram.record_value(min(max(1, int(value_us)), MAX_US))
--- a/knapweeddeal/record.py
+++ b/knapweeddeal/record.py
@@ -22,7 +22,7 @@
             getter if len(names) != 1 else lambda record: (getter(record),)
         )
         if "__init__" not in cls.__dict__:
-            cls.__init__ = _constructor(names)
+            cls.__init__ = _first_constructor(cls, names)
 
     def __eq__(self, other):
         """Compare class and all fields."""
@@ -44,6 +44,16 @@
         return type(self)(**values)
 
 
+def _first_constructor(cls, names):
+    """Return a constructor that compiles the real one, installs and calls it."""
+
+    def construct(self, **fields):
+        cls.__init__ = _constructor(names)
+        cls.__init__(self, **fields)
+
+    return construct
+
+
 def _constructor(names):
     """Return a constructor that takes some fields by keyword.
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -9,6 +9,8 @@
 
 __all__ = ["any_message", "broken_wire", "message_of"]
 
+base.load_families()
+
 
 @singledispatch
 def value_of(kind):
