--- /dev/null
+++ b/tests/packetfakes.py
@@ -0,0 +1,122 @@
+"""tests.packetfakes: Packets, upstreams and forwarders for tests."""
+
+import struct
+
+from knapweeddeal.messages.packets import (
+    READY,
+    PacketRoute,
+    RoutesPush,
+    ServiceShare,
+    UpstreamState,
+)
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetforwarder import Forwarder
+from knapweeddeal.packethead import FIN, SYN
+from knapweeddeal.packetroutes import RouteTable
+from knapweeddeal.packetupstreams import UpstreamPool
+
+ZONE = "zone-a"
+CALLER_PORT = 9_000
+SERVICE = "records"
+HOST, PORT = "198.18.0.1", 443
+
+
+class QuietLog:
+    """Keep what would be logged."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, text, **fields):
+        """Keep a line."""
+        self.lines.append((text, fields))
+
+    warning = info
+
+
+def packet(*, flags=0, echo=b"\0\0\0\0", copy=0, port=40_001, data=b"", to=PORT):
+    """Return a packet of a caller; `copy` counts a SYN's copies."""
+    head = struct.pack("<BB", flags, 0) + echo
+    head += struct.pack(
+        "<HIIHIHI", len(data), 7, copy, to, 0xC6120001, port, 0x64400007
+    )
+    return head + b"\xd5\xc3\xb2\xa1" + data
+
+
+def syn(**fields):
+    """Return a SYN."""
+    return packet(flags=SYN, **fields)
+
+
+def fin(**fields):
+    """Return a FIN."""
+    return packet(flags=FIN, **fields)
+
+
+def state(number=1, **changes):
+    """Return what an upstream says of itself."""
+    values = {
+        "upstream_id": f"i-{number:x}",
+        "born_ms": 1_000,
+        "sequence": 1,
+        "service": SERVICE,
+        "zone": ZONE,
+        "host": f"10.0.0.{number}",
+        "port": 80,
+        "slots": 2,
+        "status": READY,
+        "cold_ms": 0,
+        "silent": False,
+        "home": 1,
+        "hint": False,
+    }
+    return UpstreamState(**{**values, **changes})
+
+
+def route(*services, host=HOST, port=PORT, former=()):
+    """Return a route with equal shares."""
+    shares = [ServiceShare(service=name, weight=1) for name in services or (SERVICE,)]
+    return PacketRoute(host=host, port=port, shares=shares, former=list(former))
+
+
+def routes_push(*routes, revision=1, whole=True, dropped=()):
+    """Return a push of routes."""
+    return RoutesPush(
+        revision=revision, whole=whole, routes=list(routes), dropped=list(dropped)
+    )
+
+
+class World:
+    """Hold a forwarder that knows some routes and upstreams."""
+
+    def __init__(self, *, routes=None, states=(), current=True, number=lambda: 0.0):
+        self.log = QuietLog()
+        self.metrics = Metrics()
+        self.routes = RouteTable()
+        if routes is not None:
+            self.routes.apply(routes_push(*routes))
+        self.pool = UpstreamPool(zone=ZONE, random=number)
+        self.pool.take(list(states), 0, current=True)
+        self.forwarder = Forwarder(
+            routes=self.routes,
+            pool=self.pool,
+            random=number,
+            metrics=self.metrics,
+            log=self.log,
+            caller_port=CALLER_PORT,
+            flow_idle_ms=15_000,
+        )
+        self.forwarder.current = current
+
+    def take(self, data, now_ms=0):
+        """Return what a packet leads to."""
+        out = []
+        self.forwarder.take(data, now_ms, out)
+        return out
+
+    def open(self, *, port, now_ms=0, to=PORT):
+        """Open a flow and return the address of its upstream."""
+        ((data, address),) = self.take(syn(port=port, to=to), now_ms)
+        echo = data[8 + 2 : 8 + 6]
+        self.take(packet(port=port, echo=echo, data=b"x", to=to), now_ms)
+        return address, echo
--- /dev/null
+++ b/tests/test_loglines.py
@@ -0,0 +1,64 @@
+"""tests.test_loglines: Tests of bounded log lines that wait for nobody."""
+
+import json
+import os
+
+import testtools
+
+from knapweeddeal.loglines import MAX_WAITING_BYTES, LineBudget, LineSink
+
+
+class Budget(testtools.TestCase):
+    """Each kind has its own room; what is left out is counted."""
+
+    def test_flood(self):
+        budget = LineBudget(per_second=2)
+        taken = [budget.take("frequent", 0) for _ in range(5)]
+        self.assertEqual([0, 0, None, None, None], taken)
+        self.assertEqual(0, budget.take("rare", 0))
+        self.assertEqual(3, budget.take("frequent", 1_000))
+        self.assertEqual(0, budget.take("frequent", 1_000))
+
+
+class Pipe(testtools.TestCase):
+    """A reader that stops costs lines, never time."""
+
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.writer)
+        self.addCleanup(os.close, self.reader)
+        self.sink = LineSink(descriptor=self.writer, per_second=100_000)
+
+    def write(self, **fields):
+        """Write a line."""
+        self.sink.write("part", "info", "does a thing", fields)
+
+    def read(self):
+        """Return the lines that wait in the pipe."""
+        data = os.read(self.reader, 1 << 20)
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_line(self):
+        self.write(flow="1.2.3.4:5", address=("10.0.0.1", 1))
+        (line,) = self.read()
+        self.assertEqual("part: does a thing", line["text"])
+        self.assertEqual(["10.0.0.1", 1], line["address"])
+        self.assertIn("wall_ms", line)
+
+    def test_no_reader(self):
+        for number in range(5_000):
+            self.write(number=number, filler="x" * 100)
+        self.assertGreater(self.sink.dropped, 0)
+
+    def test_reader_comes_back(self):
+        for number in range(5_000):
+            self.write(number=number, filler="x" * 100)
+        dropped, data = self.sink.dropped, b""
+        for number in range(5_000, 5_010):
+            data += os.read(self.reader, 1 << 20)
+            self.write(number=number)
+        data += os.read(self.reader, MAX_WAITING_BYTES * 2)
+        lines = [json.loads(line) for line in data.splitlines()]
+        self.assertEqual(dropped, sum(line.get("dropped", 0) for line in lines))
+        self.assertEqual(5_009, lines[-1]["number"])
--- /dev/null
+++ b/tests/test_packetroutes.py
@@ -0,0 +1,81 @@
+"""tests.test_packetroutes: Tests of a forwarder's routes."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal.messages.packets import PacketRoute, ServiceShare
+from knapweeddeal.packethead import route_key
+from knapweeddeal.packetroutes import Route, RouteTable, diff_routes
+from tests.packetfakes import HOST, PORT, route, routes_push
+
+KEY = route_key(HOST, PORT)
+
+
+class Applied(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The highest revision stands; what it drops is remembered."""
+
+    scenarios = [
+        ("lower", {"push": routes_push(revision=1), "held": True, "dropped": False}),
+        ("equal", {"push": routes_push(revision=2), "held": True, "dropped": False}),
+        ("whole", {"push": routes_push(revision=3), "held": False, "dropped": True}),
+        (
+            "part",
+            {
+                "push": routes_push(revision=3, whole=False, dropped=[route()]),
+                "held": False,
+                "dropped": True,
+            },
+        ),
+        (
+            "unchanged",
+            {
+                "push": routes_push(revision=3, whole=False),
+                "held": True,
+                "dropped": False,
+            },
+        ),
+    ]
+
+    def test_apply(self):
+        table = RouteTable()
+        table.apply(routes_push(route(), revision=2))
+        table.apply(self.push)
+        self.assertEqual(self.held, table.get(KEY) is not None)
+        self.assertEqual(self.dropped, KEY in table.dropped)
+
+    def test_back(self):
+        table = RouteTable()
+        table.apply(routes_push(route(), revision=2))
+        table.apply(routes_push(revision=3))
+        table.apply(routes_push(route(), revision=4))
+        self.assertNotIn(KEY, table.dropped)
+
+
+class Split(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Shares go by weight; a share of zero gets nothing."""
+
+    scenarios = [
+        ("first", {"number": 0.0, "service": "a"}),
+        ("just below", {"number": 0.899, "service": "a"}),
+        ("second", {"number": 0.9, "service": "c"}),
+        ("last", {"number": 0.999999, "service": "c"}),
+    ]
+
+    def test_share(self):
+        weights = {"a": 90, "b": 0, "c": 10}
+        shares = [ServiceShare(service=s, weight=w) for s, w in weights.items()]
+        split = Route(
+            route=PacketRoute(host=HOST, port=PORT, shares=shares, former=["d"])
+        )
+        self.assertEqual(self.service, split.service_for(self.number))
+        self.assertEqual({"a", "b", "c", "d"}, split.services)
+
+
+class Differences(testtools.TestCase):
+    """A push holds only what changed."""
+
+    def test_diff(self):
+        stays, goes = route(), route(port=8_443)
+        comes = route(port=9_443)
+        changed, dropped = diff_routes([stays, goes], [stays, comes])
+        self.assertEqual([[comes], [goes]], [changed, dropped])
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,320 @@
+"""tests.test_platform: Tests of the platform's formats and calls."""
+
+import json
+
+import curio
+import testscenarios
+import testtools
+
+from knapweeddeal.configurationstate import ConfigurationState, failure_answer
+from knapweeddeal.errors import KnapweeddealError, NoQuorumError, NotLeaderError
+from knapweeddeal.httpserver import HttpRequest
+from knapweeddeal.messages.packets import (
+    DRAINING,
+    GONE,
+    PublishAnswer,
+    PublishAsk,
+    PublishedAnswer,
+    PublishedAsk,
+    PublishRecord,
+)
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packethub import UpstreamAsked, UpstreamReported
+from knapweeddeal.platform.api import PlatformApi
+from knapweeddeal.platform.configurations import decode_configuration
+from knapweeddeal.platform.reports import decode_departure, decode_report
+from knapweeddeal.upstreamtable import UpstreamTable
+from tests.packetfakes import state
+
+REPORT = {
+    "service": "huvo11a",
+    "addr": "10.128.0.9:8080",
+    "zone": "tt-north-pos",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "coldLeftMs": 1_500,
+    "seq": 4,
+    "born": 1_776_086_764_244,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "198.18.0.1",
+    "pathPrefix": "/8080/",
+    "type": "unsafe",
+    "timeoutMs": 3_005,
+    "sloMs": 200,
+    "priority": 1,
+    "service": "huvo11a",
+    "attempts": 2,
+}
+SPLIT = {
+    **{key: value for key, value in ROUTE.items() if key != "service"},
+    "name": "r-2",
+    "pathPrefix": "/8443/",
+    "split": [
+        {"service": "huvo11a", "weight": 90},
+        {"service": "wuno96b", "weight": 10},
+    ],
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE, SPLIT],
+    "services": [
+        {"name": "huvo11a", "healthPath": "/health", "maxConns": 4222},
+        {"name": "wuno96b", "healthPath": "/health", "maxConns": 4222},
+    ],
+    "limits": {"idleTimeoutMs": 15_000},
+}
+
+
+def encoded(value):
+    """Return a body."""
+    return value if isinstance(value, bytes) else json.dumps(value).encode()
+
+
+class Reports(testtools.TestCase):
+    """A report is read once into the project's terms."""
+
+    def test_fields(self):
+        told = decode_report("i-7f3a91c2", encoded(REPORT), home=5)
+        self.assertEqual(("10.128.0.9", 8080), (told.host, told.port))
+        self.assertEqual((REPORT["born"], 4), (told.born_ms, told.sequence))
+        self.assertEqual(("ready", 1_500, 5), (told.status, told.cold_ms, told.home))
+
+    def test_draining(self):
+        body = encoded({**REPORT, "state": "draining"})
+        self.assertEqual(DRAINING, decode_report("i-1", body, home=5).status)
+
+    def test_new_fields(self):
+        body = encoded({**REPORT, "later": [1]})
+        self.assertEqual(4, decode_report("i-1", body, home=5).sequence)
+
+
+class BadReports(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What another writer sends names no upstream."""
+
+    scenarios = [
+        ("not JSON", {"body": b"{"}),
+        ("not UTF-8", {"body": b"\xff\xfe{}"}),
+        ("a list", {"body": []}),
+        ("deep", {"body": b"[" * 100_000}),
+        *[
+            (f"no {name}", {"body": {k: v for k, v in REPORT.items() if k != name}})
+            for name in REPORT
+            if name not in ("version", "coldLeftMs")
+        ],
+        ("unknown state", {"body": {**REPORT, "state": "sleeping"}}),
+        ("text for a number", {"body": {**REPORT, "seq": "4"}}),
+        ("truth for a number", {"body": {**REPORT, "seq": True}}),
+        ("negative", {"body": {**REPORT, "seq": -1}}),
+        ("fraction", {"body": {**REPORT, "born": 1.5}}),
+        ("huge", {"body": {**REPORT, "born": 2**70}}),
+        ("no slots", {"body": {**REPORT, "slots": 0}}),
+        ("no port", {"body": {**REPORT, "addr": "10.0.0.1"}}),
+        ("a name as address", {"body": {**REPORT, "addr": "example:80"}}),
+        ("id without digits", {"body": REPORT, "upstream_id": "i-"}),
+        ("id too long", {"body": REPORT, "upstream_id": "i-" + "a" * 17}),
+        ("id not hexadecimal", {"body": REPORT, "upstream_id": "i-xyz"}),
+    ]
+    upstream_id = "i-1"
+
+    def test_refused(self):
+        error = self.assertRaises(
+            KnapweeddealError,
+            decode_report,
+            self.upstream_id,
+            encoded(self.body),
+            home=1,
+        )
+        self.assertEqual("bad_message", error.code)
+
+
+class Departures(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A departure ends what it names."""
+
+    scenarios = [
+        ("no body", {"body": b"", "born_ms": 1_000}),
+        ("own start", {"body": b'{"born": 1000, "seq": 9}', "born_ms": 1_000}),
+        ("earlier start", {"body": b'{"born": 500, "seq": 9}', "born_ms": 500}),
+    ]
+
+    def test_departure(self):
+        told = decode_departure("i-1", self.body, known=state())
+        self.assertEqual((GONE, self.born_ms), (told.status, told.born_ms))
+
+    def test_unknown(self):
+        self.assertIsNone(decode_departure("i-1", self.body, known=None))
+
+
+def changed(**changes):
+    """Return the document with changes."""
+    return {**DOCUMENT, **changes}
+
+
+class BadConfigurations(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An operator's document that can't be read, or contradicts itself."""
+
+    scenarios = [
+        ("cut short", {"body": encoded(DOCUMENT)[:-20]}),
+        ("no version", {"body": {k: v for k, v in DOCUMENT.items() if k != "version"}}),
+        ("no routes", {"body": changed(routes=None)}),
+        ("no services", {"body": changed(services="none")}),
+        ("no limits", {"body": changed(limits=[])}),
+        ("unknown service", {"body": changed(routes=[{**ROUTE, "service": "x"}])}),
+        ("same place", {"body": changed(routes=[ROUTE, {**ROUTE, "name": "r-3"}])}),
+        ("no time", {"body": changed(routes=[{**ROUTE, "timeoutMs": 0}])}),
+        ("no service", {"body": changed(routes=[{**ROUTE, "service": None}])}),
+        ("two answers", {"body": changed(routes=[{**SPLIT, "service": "huvo11a"}])}),
+        ("a name for host", {"body": changed(routes=[{**ROUTE, "host": "x.org"}])}),
+        ("a path", {"body": changed(routes=[{**ROUTE, "pathPrefix": "/a/"}])}),
+        ("no split", {"body": changed(routes=[{**SPLIT, "split": []}])}),
+        (
+            "no weight",
+            {
+                "body": changed(
+                    routes=[{**SPLIT, "split": [{"service": "huvo11a", "weight": 0}]}]
+                )
+            },
+        ),
+        (
+            "missing weight",
+            {"body": changed(routes=[{**SPLIT, "split": [{"service": "huvo11a"}]}])},
+        ),
+    ]
+
+    def test_refused(self):
+        error = self.assertRaises(
+            KnapweeddealError, decode_configuration, encoded(self.body)
+        )
+        self.assertIn(error.code, ("bad_message", "invalid_intent"))
+
+
+class FakeReplica:
+    """Stand in for the replicated log and the hub."""
+
+    def __init__(self, *, error=None):
+        self.state = ConfigurationState()
+        self.table = UpstreamTable(own=1, report_ms=1_000)
+        self.error = error
+        self.events = curio.Queue()
+        self.api = PlatformApi(
+            ask=self.ask,
+            hub_events=self.events,
+            identity=1,
+            port=8166,
+            metrics=Metrics(),
+        )
+
+    async def ask(self, message):
+        """Answer as a leader would."""
+        if self.error is not None:
+            return failure_answer(self.error)
+        if isinstance(message, PublishAsk):
+            record = PublishRecord(
+                operator="", request_id="", configuration=message.configuration
+            )
+            return self.state.apply(1, record)
+        assert isinstance(message, PublishedAsk)
+        return PublishedAnswer(configuration=self.state.packets)
+
+    async def serve_hub(self):
+        """Answer what the hub is asked."""
+        while True:
+            event = await self.events.get()
+            if isinstance(event, UpstreamAsked):
+                await event.reply.put(self.table.get(event.upstream_id))
+            elif isinstance(event, UpstreamReported):
+                self.table.take(event.state, 0)
+                await event.reply.put(True)
+
+    def call(self, *calls):
+        """Return the responses to (method, target, body) calls."""
+
+        async def run():
+            hub = await curio.spawn(self.serve_hub, daemon=True)
+            responses = [
+                await self.api.take(
+                    HttpRequest(method=method, target=target, body=encoded(body))
+                )
+                for method, target, body in calls
+            ]
+            await hub.cancel()
+            return responses
+
+        return curio.run(run)
+
+
+class Calls(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Statuses of calls, one after another."""
+
+    PUT = ("PUT", "/-/config", DOCUMENT)
+    GET = ("GET", "/-/config", b"")
+    REPORT = ("PUT", "/-/instances/i-1", REPORT)
+    LEAVE = ("DELETE", "/-/instances/i-1", b"")
+
+    scenarios = [
+        ("publish, again, older", {"calls": [PUT, PUT, PUT], "statuses": [200] * 3}),
+        ("read nothing", {"calls": [GET], "statuses": [503]}),
+        ("read", {"calls": [PUT, GET], "statuses": [200, 200]}),
+        ("invalid", {"calls": [("PUT", "/-/config", b"x")], "statuses": [400]}),
+        ("report and leave", {"calls": [REPORT, LEAVE], "statuses": [200, 200]}),
+        ("leave unknown", {"calls": [LEAVE], "statuses": [200]}),
+        (
+            "bad report",
+            {"calls": [("PUT", "/-/instances/i-1", b"x")], "statuses": [400]},
+        ),
+        ("unknown path", {"calls": [("GET", "/", b"")], "statuses": [404]}),
+        ("wrong method", {"calls": [("POST", "/-/config", b"")], "statuses": [405]}),
+        (
+            "follower",
+            {
+                "calls": [PUT, GET],
+                "statuses": [307, 307],
+                "error": NotLeaderError("", field="leader", value="10.0.0.4:7000"),
+            },
+        ),
+        (
+            "no leader known",
+            {"calls": [PUT], "statuses": [503], "error": NotLeaderError("")},
+        ),
+        (
+            "no quorum",
+            {"calls": [PUT, GET], "statuses": [503, 503], "error": NoQuorumError("")},
+        ),
+    ]
+    error = None
+
+    def test_statuses(self):
+        responses = FakeReplica(error=self.error).call(*self.calls)
+        self.assertEqual(self.statuses, [r.status for r in responses])
+        for response in responses:
+            if response.status == 307:
+                self.assertEqual("http://10.0.0.4:8166/-/config", response.location)
+
+
+class Published(testtools.TestCase):
+    """What is read back is what was sent, byte for byte."""
+
+    def test_read(self):
+        replica = FakeReplica()
+        other = changed(version=7, routes=[])
+        _, _, response = replica.call(Calls.PUT, ("PUT", "/-/config", other), Calls.GET)
+        self.assertEqual(DOCUMENT, json.loads(response.body))
+
+    def test_former(self):
+        """A route remembers the services whose flows may still be open."""
+        state = ConfigurationState()
+        second = changed(version=8, routes=[{**ROUTE, "service": "wuno96b"}])
+        for number, document in enumerate((DOCUMENT, second, DOCUMENT), 1):
+            configuration = decode_configuration(encoded(document))
+            record = PublishRecord(
+                operator="", request_id="", configuration=configuration
+            )
+            answer = state.apply(number, record)
+        self.assertEqual(PublishAnswer(revision=8), answer)
+        (route,) = state.packets.routes
+        self.assertEqual(["huvo11a"], route.former)
+        again = ConfigurationState()
+        again.restore(state.image())
+        self.assertEqual(state.packets, again.packets)
