Remember upstreams on replicas' disks; keep flows in their zone

Control replicas now keep the directory in a file, unasked by anyone, and hand it out marked as a hint until the upstreams report. In the zone cut flows that crossed zones were lost: the margin for a distant upstream is now one request per slot, and a request counts for about as long as it takes.

--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -10,6 +10,7 @@
 from knapweeddeal.controlcore import Core, own_replica
 from knapweeddeal.controlevents import SeedsChanged, StopAsk
 from knapweeddeal.controlstreams import ControlStreams
+from knapweeddeal.directoryhints import HintFile
 from knapweeddeal.errors import BadSettingError, DiskFailedError, KnapweeddealError
 from knapweeddeal.httpserver import serve_http
 from knapweeddeal.journal import Journal
@@ -89,12 +90,14 @@
         links=links,
         hub_events=hub_events,
     )
+    hints = HintFile(folder=settings.data_folder)
     hub = PacketHub(
         own=own_replica(settings, folder),
         zone=settings.zone,
         report_ms=settings.report_ms,
         events=hub_events,
         metrics=core.metrics,
+        hints=hints,
     )
     links.hello = core.hello
     keeper = JournalTask(journal=journal)
@@ -109,6 +112,7 @@
         await run_until_first(
             core.run(),
             hub.run(),
+            hints.run(),
             keeper.run(),
             _serve(settings.listen, streams),
             _watch_signals(events, settings),
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -110,6 +110,7 @@
         "_diffs",
         "_events",
         "_forwarders",
+        "_hints",
         "_links",
         "_metrics",
         "_own",
@@ -119,8 +120,9 @@
         "_zone",
     )
 
-    def __init__(self, *, own, zone, report_ms, events, metrics):
+    def __init__(self, *, own, zone, report_ms, events, metrics, hints):
         self._own = own
+        self._hints = hints
         self._zone = zone
         self._events = events
         self._metrics = metrics
@@ -158,6 +160,9 @@
 
     async def run(self):
         """Take events for ever."""
+        for state in self._hints.read():
+            self._table.take(state.replace(home=self._own.identity), monotonic_ms())
+        log.info("remembers upstreams", count=len(self._table.states(0)))
         while True:
             wait_ms = max(self._beat_ms - monotonic_ms(), 0)
             event = await curio.ignore_after(wait_ms / 1000, self._events.get)
@@ -324,6 +329,7 @@
                 home=f"{state.home:016x}",
                 forwarders=len(self._forwarders),
             )
+        await self._hints.offer(self._table.states(monotonic_ms()))
         push = UpstreamsPush(whole=False, states=list(states))
         for outbox in self._forwarders:
             await outbox.offer(push)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -13,11 +13,12 @@
 
 #: Half of a request's weight in an upstream's load is gone after this time: a
 #: request takes 5 to 40 ms at today's upstreams, and some wait for a slot.
-LOAD_HALF_MS = 60.0
+LOAD_HALF_MS = 25.0
 #: Weight of a flow that is open, beside that of a request that was just seen.
 OPEN_WEIGHT = 0.05
-#: Load per slot that a distant upstream must be below a near one to be chosen.
-ZONE_MARGIN = 0.35
+#: Load per slot that a distant upstream must be below a near one to be chosen: its
+#: flows end when availability zones lose each other, and its bytes cost more.
+ZONE_MARGIN = 1.0
 #: Load per slot that a cold upstream counts as having.
 COLD_LOAD = 0.5
 #: SYNs without an answer after which an upstream is chosen last.
