Forward packets while the event loop is still loading

Cause: after a power loss the packets of half a second waited for the import of the event loop. A forwarder now asks the seeds without waiting and forwards between the parts of that import. Ruled out: a disk or processor that delays replicas (seen with --no-cpu and with each sync timed).

--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -9,7 +9,6 @@
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.lazyimports import defer, leave_out
 from knapweeddeal.logs import open_log
-from knapweeddeal.packetport import bind_packets
 from knapweeddeal.settings import CONTROL, ENTRY, FORWARDER, read_settings
 
 __all__ = ["main"]
@@ -79,19 +78,24 @@
 
 
 def _run(settings):
-    """Run the role; packets wait in their socket while the rest is imported."""
-    arguments = []
-    if settings.role == FORWARDER:
-        arguments.append(bind_packets(settings.packets))
+    """Run the role; a forwarder begins before the event loop is loaded."""
     # curio imports these; nothing here speaks TLS or runs an asyncio loop.
     defer("asyncio")
     leave_out("ssl", "_hashlib")
+    prepared = ()
+    if settings.role == FORWARDER:
+        from knapweeddeal.forwarderstart import prepare
+
+        prepared = prepare(settings)
+    import logging
+
     import curio
 
+    logging.getLogger("curio").setLevel(logging.ERROR)
     role = importlib.import_module(ROLES[settings.role])
     gc.enable()
     gc.freeze()
-    curio.run(role.run, settings, *arguments)
+    curio.run(role.run, settings, *prepared)
 
 
 if __name__ == "__main__":
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -108,12 +108,12 @@
         """Drop what a replica doesn't send."""
         log.warning("drops a message", kind=type(message).__name__)
 
-    @take.register
-    def _(self, message: Heartbeat, subscription, now_ms):
+    @take.register(Heartbeat)
+    def _(self, message, subscription, now_ms):
         """Know that the stream lives."""
 
-    @take.register
-    def _(self, message: ControlState, subscription, now_ms):
+    @take.register(ControlState)
+    def _(self, message, subscription, now_ms):
         if message.current != subscription.current or not message.current:
             self._note_current(message, subscription, now_ms)
         self._choice.note_zone(subscription.address, message.zone)
@@ -134,8 +134,8 @@
     def _update_current(self):
         self.forwarder.current = any(s.current for s in self._subscriptions)
 
-    @take.register
-    def _(self, message: RoutesPush, subscription, now_ms):
+    @take.register(RoutesPush)
+    def _(self, message, subscription, now_ms):
         before = self.routes.revision
         if self.routes.apply(message):
             log.info(
@@ -149,8 +149,8 @@
             )
             self.metrics.count("route_changes")
 
-    @take.register
-    def _(self, message: UpstreamsPush, subscription, now_ms):
+    @take.register(UpstreamsPush)
+    def _(self, message, subscription, now_ms):
         news = self.pool.take(message.states, now_ms, current=subscription.current)
         for state in news:
             log.info(
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -1,7 +1,6 @@
 """knapweeddeal.forwarderprocess: A forwarder of packets as a process."""
 
 import json
-import random
 import signal
 from functools import singledispatchmethod
 
@@ -10,14 +9,12 @@
 
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.errors import BadMessageError, KnapweeddealError
-from knapweeddeal.forwardercore import ForwarderCore
 from knapweeddeal.forwarderlinks import LINKS, keep_link
 from knapweeddeal.inspection import dump_text
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.operator import DumpAnswer, DumpAsk, MetricsAsk
-from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetport import forward_waiting
 from knapweeddeal.reload import reload_settings, watch_settings
-from knapweeddeal.replicachoice import ReplicaChoice
 from knapweeddeal.signals import SignalReader
 from knapweeddeal.stream import serve
 from knapweeddeal.tasks import run_until_first
@@ -26,25 +23,14 @@
 
 log = Log(prefix="forwarder")
 
-#: Largest datagram: an 8-byte prefix, a head of 32 bytes and 1,200 bytes of data.
-MAX_DATAGRAM_BYTES = 2_048
 #: Time for the first routes to come, before what can wait is imported.
 FIRST_MS = 300
-#: Datagrams that are taken before other tasks get their turn.
-MAX_IN_A_ROW = 64
 #: Time between sweeps of idle flows.
 SWEEP_MS = 1_000
 
 
-async def run(settings, port):
+async def run(settings, port, core, choice):
     """Forward the packets of a socket until SIGTERM; raise BadSettingError."""
-    metrics = Metrics()
-    choice = ReplicaChoice(
-        seeds=settings.seed_addresses, zone=settings.zone, random=random.random
-    )
-    core = ForwarderCore(
-        settings=settings, choice=choice, random=random.random, metrics=metrics
-    )
 
     async def learn_seeds():
         choice.learn(settings.seed_addresses)
@@ -53,7 +39,7 @@
     log.info("started", name=settings.name, zone=settings.zone)
     tasks = [keep_link(core, choice, settings) for _ in range(LINKS)]
     await run_until_first(
-        _forward(port, core, metrics),
+        _forward(port, core),
         _serve_http(core, settings),
         serve(settings.listen, _Operator(core=core).take),
         _sweep(core),
@@ -64,42 +50,11 @@
     log.info("stopped", name=settings.name, flows=core.forwarder.flow_count)
 
 
-async def _forward(port, core, metrics):
+async def _forward(port, core):
     """Take what has come in one go: a wait costs more than a packet."""
-    take, out = core.forwarder.take, []
     while True:
         await _read_wait(port)
-        now_ms = monotonic_ms()
-        for data in _received(port, metrics):
-            take(data, now_ms, out)
-        _send_all(port, out, metrics)
-        out.clear()
-
-
-def _received(port, metrics):
-    for _ in range(MAX_IN_A_ROW):
-        try:
-            data = port.recv(MAX_DATAGRAM_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            # An earlier datagram met a closed port; the socket itself is sound.
-            metrics.count("receive_errors")
-            log.info("can't receive", why=str(error))
-            continue
-        metrics.count("packets_received")
-        yield data
-
-
-def _send_all(port, out, metrics):
-    for data, address in out:
-        try:
-            port.sendto(data, address)
-        except OSError as error:
-            metrics.count("send_errors")
-            log.info("can't send", to=address, why=str(error))
-        else:
-            metrics.count("packets_sent")
+        forward_waiting(port, core.forwarder, core.metrics)
 
 
 async def _serve_http(core, settings):
--- /dev/null
+++ b/knapweeddeal/forwarderstart.py
@@ -0,0 +1,161 @@
+"""knapweeddeal.forwarderstart: A forwarder's first moments.
+
+The event loop takes most of the start: at a small share of a core, longer than all
+else. So packets are forwarded before it is loaded, and between the parts of it.
+"""
+
+import importlib
+import random
+import select
+import socket
+
+import msgpack
+
+from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.forwardercore import ForwarderCore, Subscription
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.base import encode, from_wire
+from knapweeddeal.messages.packets import ForwarderHello, UpstreamsPush
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetport import bind_packets, forward_waiting
+from knapweeddeal.replicachoice import ReplicaChoice
+
+__all__ = ["prepare"]
+
+log = Log(prefix="forwarder")
+
+READ_BYTES = 64 * 1024
+#: Modules that the event loop imports, each a fair part of the time.
+LOOP_MODULES = (
+    "logging",
+    "concurrent.futures",
+    "inspect",
+    "pickle",
+    "multiprocessing.connection",
+    "hmac",
+    "curio",
+    "knapweeddeal.forwarderprocess",
+)
+
+
+def prepare(settings):
+    """Return what the process's tasks need; forward packets while it loads.
+
+    Raises BadSettingError if the address for packets can't be bound.
+    """
+    port = bind_packets(settings.packets)
+    metrics = Metrics()
+    choice = ReplicaChoice(
+        seeds=settings.seed_addresses, zone=settings.zone, random=random.random
+    )
+    core = ForwarderCore(
+        settings=settings, choice=choice, random=random.random, metrics=metrics
+    )
+    seeds = Seeds(settings=settings, core=core)
+    for name in LOOP_MODULES:
+        seeds.poll()
+        forward_waiting(port, core.forwarder, metrics)
+        importlib.import_module(name)
+    seeds.close()
+    return port, core, choice
+
+
+class Seeds:
+    """Ask all seeds at once, again if they refuse, until one told what it knows."""
+
+    __slots__ = ("_addresses", "_asks", "_core", "_hello")
+
+    def __init__(self, *, settings, core):
+        self._addresses = settings.seed_addresses
+        self._core = core
+        self._hello = encode(
+            ForwarderHello(name=settings.name, zone=settings.zone, revision=0)
+        )
+        self._asks = []
+
+    def poll(self):
+        """Go on with what can be done without waiting."""
+        if self._asks is None:
+            return
+        asked = {ask.address for ask in self._asks}
+        for address in self._addresses:
+            if address not in asked:
+                self._asks.append(Ask(address=address, core=self._core))
+        readable, writable, _ = select.select(self._asks, self._asks, [], 0)
+        for ask in writable:
+            ask.send(self._hello)
+        for ask in readable:
+            ask.receive()
+        for ask in [ask for ask in self._asks if ask.failed]:
+            ask.close()
+            self._asks.remove(ask)
+        if any(ask.done for ask in self._asks):
+            self.close()
+
+    def close(self):
+        """End all connections; the tasks of the process open theirs."""
+        for ask in self._asks or ():
+            ask.close()
+        self._asks = None
+
+
+class Ask:
+    """Hold one connection to a seed."""
+
+    __slots__ = ("_core", "_socket", "_subscription", "_unpacker", "address")
+    __slots__ += ("done", "failed", "sent")
+
+    def __init__(self, *, address, core):
+        self.address = address
+        self.done = self.failed = self.sent = False
+        self._core = core
+        self._subscription = Subscription(address=address, now_ms=monotonic_ms())
+        self._unpacker = msgpack.Unpacker()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.connect_ex(address)
+
+    def fileno(self):
+        """Return the descriptor to wait for."""
+        return self._socket.fileno()
+
+    def send(self, hello):
+        """Ask, once the connection stands."""
+        if self.sent:
+            return
+        self.sent = True
+        try:
+            self._socket.sendall(hello)
+        except OSError as error:
+            self._fail(error)
+
+    def receive(self):
+        """Take what has come."""
+        if self.failed:
+            return
+        try:
+            data = self._socket.recv(READ_BYTES)
+            if not data:
+                raise ConnectionResetError("end of stream")
+            self._unpacker.feed(data)
+            for wire in self._unpacker:
+                self._take(from_wire(wire))
+        except BlockingIOError:
+            return
+        except (OSError, ValueError, BadMessageError) as error:
+            self._fail(error)
+
+    def _take(self, message):
+        self._core.take(message, self._subscription, monotonic_ms())
+        self.done = self.done or isinstance(message, UpstreamsPush)
+
+    def _fail(self, error):
+        self.failed = True
+        log.info(
+            "can't ask a control replica yet", replica=self.address, why=str(error)
+        )
+
+    def close(self):
+        """End the connection."""
+        self._socket.close()
--- a/knapweeddeal/logs.py
+++ b/knapweeddeal/logs.py
@@ -1,7 +1,5 @@
 """knapweeddeal.logs: Log lines with a fixed prefix for each part."""
 
-import logging
-
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.loglines import LineSink
 
@@ -38,7 +36,6 @@
     Standard output gets bounded lines and is never waited for. Raises
     BadSettingError if the file can't be opened.
     """
-    logging.getLogger("curio").setLevel(logging.ERROR)
     if path == STANDARD_OUTPUT:
         Output.sink = LineSink(descriptor=1)
         return
--- a/knapweeddeal/packetport.py
+++ b/knapweeddeal/packetport.py
@@ -2,12 +2,20 @@
 
 import socket
 
+from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.errors import BadSettingError
+from knapweeddeal.logs import Log
 
-__all__ = ["bind_packets"]
+__all__ = ["bind_packets", "forward_waiting"]
+
+log = Log(prefix="forwarder")
 
 #: Datagrams that the kernel keeps for this process; more are lost.
 RECEIVE_BUFFER_BYTES = 512 * 1024
+#: Largest datagram: an 8-byte prefix, a head of 32 bytes and 1,200 bytes of data.
+MAX_DATAGRAM_BYTES = 2_048
+#: Datagrams that are taken before other tasks get their turn.
+MAX_IN_A_ROW = 64
 
 
 def bind_packets(address):
@@ -24,3 +32,37 @@
             value=":".join(map(str, address)),
         ) from None
     return port
+
+
+def forward_waiting(port, forwarder, metrics):
+    """Take what has come and send what it leads to, without waiting."""
+    out, now_ms = [], monotonic_ms()
+    for data in _received(port, metrics):
+        forwarder.take(data, now_ms, out)
+    for data, address in out:
+        _send(port, data, address, metrics)
+
+
+def _received(port, metrics):
+    for _ in range(MAX_IN_A_ROW):
+        try:
+            data = port.recv(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            # An earlier datagram met a closed port; the socket itself is sound.
+            metrics.count("receive_errors")
+            log.info("can't receive", why=str(error))
+            continue
+        metrics.count("packets_received")
+        yield data
+
+
+def _send(port, data, address, metrics):
+    try:
+        port.sendto(data, address)
+    except OSError as error:
+        metrics.count("send_errors")
+        log.info("can't send", to=address, why=str(error))
+    else:
+        metrics.count("packets_sent")
