Hedge a SYN after 30 ms instead of asking two upstreams at first

A SYN that isn't answered within 30 ms now goes to a second upstream, and the first one is avoided for 3 s, unless it answered a later SYN. Equal states of upstreams are no news.

--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -175,5 +175,6 @@
         "status": state.status,
         "silent": state.silent,
         "open_flows": upstream.open_flows,
-        "proven": upstream.is_proven,
+        "answered_ms": upstream.answered_ms,
+        "suspect_until_ms": upstream.suspect_until_ms,
     }
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -52,9 +52,15 @@
 
 async def _forward(port, core):
     """Take what has come in one go: a wait costs more than a packet."""
+    forwarder = core.forwarder
     while True:
-        await _read_wait(port)
-        forward_waiting(port, core.forwarder, core.metrics)
+        due_ms = forwarder.next_due_ms
+        if due_ms is None:
+            await _read_wait(port)
+        else:
+            wait_ms = max(due_ms - monotonic_ms(), 0)
+            await curio.ignore_after(wait_ms / 1000, _read_wait, port)
+        forward_waiting(port, forwarder, core.metrics)
 
 
 async def _serve_http(core, settings):
--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -16,7 +16,7 @@
 from knapweeddeal.forwardercore import ForwarderCore, Subscription
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import encode, from_wire
-from knapweeddeal.messages.packets import ForwarderHello, UpstreamsPush
+from knapweeddeal.messages.packets import ForwarderHello
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packetport import bind_packets, forward_waiting
 from knapweeddeal.replicachoice import ReplicaChoice
@@ -90,7 +90,7 @@
         for ask in [ask for ask in self._asks if ask.failed]:
             ask.close()
             self._asks.remove(ask)
-        if any(ask.done for ask in self._asks):
+        if self._core.is_ready:
             self.close()
 
     def close(self):
@@ -104,11 +104,11 @@
     """Hold one connection to a seed."""
 
     __slots__ = ("_core", "_socket", "_subscription", "_unpacker", "address")
-    __slots__ += ("done", "failed", "sent")
+    __slots__ += ("failed", "sent")
 
     def __init__(self, *, address, core):
         self.address = address
-        self.done = self.failed = self.sent = False
+        self.failed = self.sent = False
         self._core = core
         self._subscription = Subscription(address=address, now_ms=monotonic_ms())
         self._unpacker = msgpack.Unpacker()
@@ -148,7 +148,6 @@
 
     def _take(self, message):
         self._core.take(message, self._subscription, monotonic_ms())
-        self.done = self.done or isinstance(message, UpstreamsPush)
 
     def _fail(self, error):
         self.failed = True
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -3,6 +3,8 @@
 No input or output: a packet and the time go in, packets to send come out.
 """
 
+from collections import deque
+
 from knapweeddeal.messages.packets import GONE
 from knapweeddeal.packethead import (
     ECHO,
@@ -16,8 +18,14 @@
     flow_address,
     reset_for,
 )
+from knapweeddeal.record import Record
+
+__all__ = ["HEDGE_MS", "Forwarder"]
 
-__all__ = ["Forwarder"]
+#: Time after which a SYN without an answer goes to a second upstream as well.
+#: Callers are up to 3 ms away, availability zones 1.4 ms, and an upstream answers a
+#: SYN in less than 1 ms: the caller's next packet comes within 11 ms.
+HEDGE_MS = 30
 
 #: Weight of a SYN in an upstream's load: a request follows it.
 SYN_LOAD = 1.0
@@ -34,6 +42,12 @@
 MAX_FLOWS = 200_000
 
 
+class Hedge(Record):
+    """Hold a SYN that is sent to a second upstream if the first doesn't answer."""
+
+    __slots__ = ("data", "due_ms", "key", "service")
+
+
 class Flow:
     """Hold what a forwarder remembers of a flow; it could route without it."""
 
@@ -54,6 +68,7 @@
         "_caller_port",
         "_flow_idle_ms",
         "_flows",
+        "_hedges",
         "_log",
         "_metrics",
         "_pool",
@@ -73,6 +88,8 @@
         self._caller_port = caller_port
         self._flow_idle_ms = flow_idle_ms
         self._flows = {}
+        #: SYNs that wait for an answer, the oldest first.
+        self._hedges = deque()
         #: Whether the routes and upstreams come from a replica that hears a leader.
         self.current = False
 
@@ -134,7 +151,6 @@
         flow.seen_ms = now_ms
         flow.tried.append(upstream)
         upstream.add_load(SYN_LOAD, now_ms)
-        is_proven = upstream.ask(now_ms)
         self._metrics.count("flows_offered")
         self._log.info(
             "offers a flow",
@@ -147,20 +163,9 @@
             revision=self._routes.revision,
         )
         self._send_syn(data, upstream, out)
-        if not is_proven:
-            self._send_second(data, service, flow, now_ms, out)
-
-    def _send_second(self, data, service, flow, now_ms, out):
-        """Let a second upstream answer too, as the first may not.
-
-        The flow opens at the one whose answer the caller takes.
-        """
-        second = self._pool.choose(service, now_ms, flow.tried)
-        if second is None or second in flow.tried:
-            return
-        flow.tried.append(second)
-        self._metrics.count("flows_offered_twice")
-        self._send_syn(data, second, out)
+        self._hedges.append(
+            Hedge(due_ms=now_ms + HEDGE_MS, key=key, data=data, service=service)
+        )
 
     def _refuse_syn(self, data, service, out):
         """Reset if it is known that nobody serves; a copy may find somebody else."""
@@ -225,7 +230,7 @@
         if not flow.is_open:
             flow.is_open = True
             upstream.open_flows += 1
-            upstream.note_answered()
+            upstream.note_answered(now_ms)
         if data[LENGTH] != NO_DATA:
             upstream.add_load(DATA_LOAD, now_ms)
         if data[0] & (FIN | RST):
@@ -238,6 +243,42 @@
 
     # Time.
 
+    @property
+    def next_due_ms(self):
+        """Return when `take_due` has to be called, or None."""
+        while self._hedges and self._is_settled(self._hedges[0]):
+            self._hedges.popleft()
+        return self._hedges[0].due_ms if self._hedges else None
+
+    def take_due(self, now_ms, out):
+        """Send the SYNs that weren't answered in time to other upstreams."""
+        while self._hedges and self._hedges[0].due_ms <= now_ms:
+            hedge = self._hedges.popleft()
+            if not self._is_settled(hedge):
+                self._hedge(hedge, now_ms, out)
+
+    def _is_settled(self, hedge):
+        flow = self._flows.get(hedge.key)
+        return flow is None or flow.is_open
+
+    def _hedge(self, hedge, now_ms, out):
+        flow = self._flows[hedge.key]
+        flow.upstream.note_unanswered(hedge.due_ms - HEDGE_MS, now_ms)
+        second = self._pool.choose(hedge.service, now_ms, flow.tried)
+        if second is None or second in flow.tried:
+            return
+        self._metrics.count("flows_offered_again")
+        self._log.info(
+            "offers a flow again",
+            flow=describe_flow(hedge.data),
+            first=flow.upstream.state.upstream_id,
+            suspect=flow.upstream.is_suspect(now_ms),
+            upstream=second.state.upstream_id,
+        )
+        flow.upstream = second
+        flow.tried.append(second)
+        self._send_syn(hedge.data, second, out)
+
     def forget(self, now_ms):
         """Forget flows that are idle or too old."""
         idle_ms = now_ms - self._flow_idle_ms
--- a/knapweeddeal/packetport.py
+++ b/knapweeddeal/packetport.py
@@ -39,6 +39,7 @@
     out, now_ms = [], monotonic_ms()
     for data in _received(port, metrics):
         forwarder.take(data, now_ms, out)
+    forwarder.take_due(now_ms, out)
     for data, address in out:
         _send(port, data, address, metrics)
 
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -21,11 +21,7 @@
 ZONE_MARGIN = 1.0
 #: Load per slot that a cold upstream counts as having.
 COLD_LOAD = 0.5
-#: Time in which a SYN is answered and the caller's next packet comes: an upstream
-#: answers at once, and callers are at most 3 ms away, availability zones 1.4 ms.
-ANSWER_MS = 40
-#: Time for which an upstream that didn't answer is chosen last; then it is tried
-#: together with another one.
+#: Time for which an upstream that didn't answer a SYN is chosen last.
 SUSPECT_MS = 3_000
 
 ID_PREFIX = struct.Struct(">Q")
@@ -44,16 +40,16 @@
 
     __slots__ = (
         "address",
-        "asked_ms",
+        "answered_ms",
         "cold_until_ms",
         "echo",
         "is_near",
         "load",
         "load_ms",
-        "is_proven",
         "open_flows",
         "prefix",
         "state",
+        "suspect_until_ms",
     )
 
     def __init__(self, *, state, number, zone):
@@ -62,10 +58,9 @@
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
-        #: When the first SYN was sent that wasn't answered since, or None.
-        self.asked_ms = None
-        #: Whether it answered the last SYN that could show it.
-        self.is_proven = False
+        #: When a caller last showed that it had an answer to a SYN.
+        self.answered_ms = 0
+        self.suspect_until_ms = 0
         self.is_near = state.zone == zone
         self.set_state(state, 0)
 
@@ -84,30 +79,19 @@
         elapsed_ms = now_ms - self.load_ms
         return self.load * math.exp2(-elapsed_ms / LOAD_HALF_MS) if self.load else 0.0
 
-    def ask(self, now_ms):
-        """Note that a SYN is sent; return whether it is likely to be answered.
-
-        What two upstreams were asked for tells nothing of the one that lost.
-        """
-        if self.is_suspect(now_ms):
-            return False
-        if self.asked_ms is not None and now_ms - self.asked_ms >= SUSPECT_MS:
-            self.asked_ms = None
-            self.is_proven = False
-        if self.is_proven and self.asked_ms is None:
-            self.asked_ms = now_ms
-        return self.is_proven
-
-    def note_answered(self):
+    def note_answered(self, now_ms):
         """Note that a caller got an answer to a SYN."""
-        self.asked_ms = None
-        self.is_proven = True
+        self.answered_ms = now_ms
+        self.suspect_until_ms = 0
+
+    def note_unanswered(self, asked_ms, now_ms):
+        """Note that a SYN got no answer, unless a later one did."""
+        if self.answered_ms < asked_ms:
+            self.suspect_until_ms = now_ms + SUSPECT_MS
 
     def is_suspect(self, now_ms):
         """Tell whether a SYN went unanswered lately."""
-        if self.asked_ms is None:
-            return False
-        return ANSWER_MS <= now_ms - self.asked_ms < SUSPECT_MS
+        return now_ms < self.suspect_until_ms
 
     def score(self, now_ms):
         """Return the load per slot, with what speaks against this upstream."""
@@ -181,6 +165,7 @@
         return news
 
     def _take_one(self, state, now_ms, current):
+        """Take a state; return whether it changed what this forwarder does."""
         known = self._by_id.get(state.upstream_id)
         if known is None:
             self._add(state, now_ms)
@@ -196,7 +181,7 @@
         if state.silent and not old.silent and not current:
             return False
         known.set_state(state, now_ms)
-        return True
+        return _differs(old, state)
 
     def _add(self, state, now_ms):
         number = id_number(state.upstream_id)
@@ -215,6 +200,12 @@
         self._by_service = pools
 
 
+def _differs(old, state):
+    """Tell whether more than its sequence or what it is known by changed."""
+    same = ("born_ms", "service", "zone", "host", "port", "slots", "status", "silent")
+    return any(getattr(old, name) != getattr(state, name) for name in same)
+
+
 def id_number(upstream_id):
     """Return the number in an upstream's id: its hexadecimal digits."""
     return int(upstream_id.rpartition("-")[2], 16)
