Apply differences of routes only on the revision that they were made on

Cause, shown by a test that failed first: a replica that coalesced two changes pushed the way from 30 to 34; the forwarder stood at 33, from another replica, and kept a route that came with 33 and went with 34. A push now names its base; a forwarder that stands elsewhere asks for all routes. Ruled out: a restart (one incarnation), a whole push of a lower revision (refused).

--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -96,8 +96,9 @@
         await self._hub_events.put(ForwarderJoined(hello=hello, outbox=outbox))
         try:
             while True:
-                await stream.receive_within(self._timeout_ms)
-                await self._hub_events.put(ForwarderHeard(outbox=outbox))
+                message = await stream.receive_within(self._timeout_ms)
+                event = ForwarderHeard(message=message, outbox=outbox)
+                await self._hub_events.put(event)
         finally:
             await self._hub_events.put(ForwarderGone(outbox=outbox))
             await sender.cancel()
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -21,11 +21,13 @@
 class Subscription:
     """Hold what one replica told over one stream."""
 
-    __slots__ = ("address", "current", "stale_since_ms")
+    __slots__ = ("address", "current", "lacks_routes", "stale_since_ms")
 
     def __init__(self, *, address, now_ms):
         self.address = address
         self.current = False
+        #: Whether the last push was made on a revision that isn't held here.
+        self.lacks_routes = False
         #: Since when the replica hears no leader.
         self.stale_since_ms = now_ms
 
@@ -137,12 +139,21 @@
     @take.register(RoutesPush)
     def _(self, message, subscription, now_ms):
         before = self.routes.revision
+        if message.revision > before and not self.routes.can_apply(message):
+            subscription.lacks_routes = True
+            log.info(
+                "asks for all routes",
+                revision=before,
+                pushed=message.revision,
+                base=message.base,
+                replica=subscription.address,
+            )
         if self.routes.apply(message):
             log.info(
                 "applies routes",
                 revision=message.revision,
                 before=before,
-                whole=message.whole,
+                base=message.base,
                 changed=len(message.routes),
                 dropped=len(message.dropped),
                 replica=subscription.address,
--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -3,11 +3,11 @@
 import curio
 
 from knapweeddeal.clock import monotonic_ms
-from knapweeddeal.errors import KnapweeddealError, StreamClosedError
+from knapweeddeal.errors import KnapweeddealError
 from knapweeddeal.forwardercore import Subscription
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.packets import ForwarderHello
-from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.messages.packets import ForwarderHello, RoutesAsk
+from knapweeddeal.outbox import Outbox
 from knapweeddeal.stream import connect
 from knapweeddeal.tasks import run_until_first
 
@@ -79,7 +79,12 @@
         try:
             await stream.send(hello)
             core.begin(subscription)
-            await run_until_first(self._listen(stream), self._beat(stream))
+            outbox = Outbox()
+            await run_until_first(
+                self._listen(stream, outbox),
+                outbox.drain_to(stream),
+                outbox.beat(self._settings.heartbeat_ms),
+            )
             return True
         except KnapweeddealError as error:
             why = error.describe()
@@ -87,12 +92,15 @@
         finally:
             core.end(subscription, why)
 
-    async def _listen(self, stream):
+    async def _listen(self, stream, outbox):
         core, subscription = self._core, self._subscription
         timeout_ms = self._settings.stream_timeout_ms
         while not self._is_stale():
             message = await stream.receive_within(timeout_ms)
             core.take(message, subscription, monotonic_ms())
+            if subscription.lacks_routes:
+                subscription.lacks_routes = False
+                await outbox.offer(RoutesAsk())
 
     def _is_stale(self):
         """Tell whether the replica has no leader and another may have one."""
@@ -100,11 +108,3 @@
         if subscription.current or now_ms - subscription.stale_since_ms < MAX_STALE_MS:
             return False
         return self._core.has_another(subscription) and self._choice.has_other(now_ms)
-
-    async def _beat(self, stream):
-        while True:
-            await curio.sleep(self._settings.heartbeat_ms / 1000)
-            try:
-                await stream.send(Heartbeat())
-            except StreamClosedError:
-                return
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -30,6 +30,7 @@
     "PublishedAnswer",
     "PublishedAsk",
     "ReplicaNotice",
+    "RoutesAsk",
     "RoutesPush",
     "ServiceShare",
     "UpstreamBeat",
@@ -207,18 +208,26 @@
 
 
 class RoutesPush(Message):
-    """Change a forwarder's routes to a revision; `whole` replaces all of them."""
+    """Change a forwarder's routes from revision `base`; base 0 replaces all of them."""
 
     tag = 176
     schema = {
         "revision": Whole(),
-        "whole": Flag(),
+        "base": Whole(),
         "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
         "dropped": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
     }
     __slots__ = tuple(schema)
 
 
+class RoutesAsk(Message):
+    """Ask for all routes, when a difference was made on another revision."""
+
+    tag = 179
+    schema = {}
+    __slots__ = ()
+
+
 class UpstreamsPush(Message):
     """Tell a forwarder of upstreams; `whole` says that the replica knows no others."""
 
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -16,6 +16,7 @@
     DirectoryAck,
     DirectoryBatch,
     ReplicaNotice,
+    RoutesAsk,
     RoutesPush,
     UpstreamsPush,
 )
@@ -63,9 +64,9 @@
 
 
 class ForwarderHeard(Record):
-    """Tell that a forwarder's stream lives."""
+    """Carry what a forwarder sent: a heartbeat, or an ask for routes."""
 
-    __slots__ = ("outbox",)
+    __slots__ = ("message", "outbox")
 
 
 class ForwarderGone(Record):
@@ -269,8 +270,12 @@
 
     @_take.register
     async def _(self, event: ForwarderHeard):
-        if event.outbox in self._forwarders:
-            await event.outbox.offer(self._state())
+        if event.outbox not in self._forwarders:
+            return
+        if isinstance(event.message, RoutesAsk):
+            self._forwarders[event.outbox].configuration = None
+            await self._push_routes(event.outbox)
+        await event.outbox.offer(self._state())
 
     @_take.register
     async def _(self, event: ForwarderGone):
@@ -352,7 +357,7 @@
             )
             self._diffs[base] = RoutesPush(
                 revision=configuration.revision,
-                whole=known is None,
+                base=base,
                 routes=changed,
                 dropped=dropped,
             )
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -48,12 +48,16 @@
         """Return the number of routes."""
         return len(self._routes)
 
+    def can_apply(self, push):
+        """Tell whether a push is newer, and whole or made on what is held."""
+        return push.revision > self.revision and push.base in (0, self.revision)
+
     def apply(self, push):
         """Take a push; return whether it raised the revision."""
-        if push.revision <= self.revision:
+        if not self.can_apply(push):
             return False
         fresh = {route_key(r.host, r.port): Route(route=r) for r in push.routes}
-        if push.whole:
+        if not push.base:
             self.dropped |= set(self._routes) - set(fresh)
             self._routes = fresh
         else:
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -79,10 +79,10 @@
     return PacketRoute(host=host, port=port, shares=shares, former=list(former))
 
 
-def routes_push(*routes, revision=1, whole=True, dropped=()):
-    """Return a push of routes."""
+def routes_push(*routes, revision=1, base=0, dropped=()):
+    """Return a push of routes: a difference on `base`, or all of them."""
     return RoutesPush(
-        revision=revision, whole=whole, routes=list(routes), dropped=list(dropped)
+        revision=revision, base=base, routes=list(routes), dropped=list(dropped)
     )
 
 
--- /dev/null
+++ b/tests/test_forwardercore.py
@@ -0,0 +1,101 @@
+"""tests.test_forwardercore: Tests of what changes a forwarder's beliefs."""
+
+import testscenarios
+import testtools
+
+from knapweeddeal.forwardercore import ForwarderCore, Subscription
+from knapweeddeal.messages.packets import ControlState, UpstreamsPush
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.replicachoice import ReplicaChoice
+from tests.packetfakes import ZONE, route, routes_push, state
+
+FIRST, SECOND = ("10.0.0.1", 1), ("10.0.0.2", 1)
+
+
+class FakeSettings:
+    """Hold the settings that a core reads."""
+
+    zone = ZONE
+    packets = ("10.0.0.9", 9_000)
+    packet_flow_idle_ms = 15_000
+
+
+def make_core():
+    """Return a core that subscribed to two replicas, and the subscriptions."""
+    choice = ReplicaChoice(seeds=[FIRST], zone=ZONE, random=lambda: 0.0)
+    core = ForwarderCore(
+        settings=FakeSettings(), choice=choice, random=lambda: 0.0, metrics=Metrics()
+    )
+    subscriptions = [Subscription(address=a, now_ms=0) for a in (FIRST, SECOND)]
+    for subscription in subscriptions:
+        core.begin(subscription)
+    return core, subscriptions
+
+
+def control_state(*, current):
+    """Return what a replica says of itself."""
+    return ControlState(zone=ZONE, current=current, revision=1, replicas=[])
+
+
+class Ready(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A forwarder is ready once it knows routes and upstreams, until it stops."""
+
+    PUSH = routes_push(route())
+    TOLD = UpstreamsPush(whole=True, states=[state()])
+    scenarios = [
+        ("nothing", {"messages": [], "ready": False}),
+        ("routes only", {"messages": [PUSH], "ready": False}),
+        ("upstreams only", {"messages": [TOLD], "ready": False}),
+        ("both", {"messages": [PUSH, TOLD], "ready": True}),
+        ("stopping", {"messages": [PUSH, TOLD], "stop": True, "ready": False}),
+    ]
+    stop = False
+
+    def test_ready(self):
+        core, (first, _) = make_core()
+        for message in self.messages:
+            core.take(message, first, 0)
+        if self.stop:
+            core.stop()
+        self.assertEqual(self.ready, core.is_ready)
+
+
+class Current(testtools.TestCase):
+    """What is known is current while one replica at least hears a leader."""
+
+    def test_current(self):
+        core, (first, second) = make_core()
+        core.take(control_state(current=True), first, 0)
+        core.take(control_state(current=False), second, 0)
+        self.assertTrue(core.forwarder.current)
+        core.end(first, "silent")
+        self.assertFalse(core.forwarder.current)
+        self.assertEqual(0, second.stale_since_ms)
+
+    def test_since_when(self):
+        core, (first, _) = make_core()
+        core.take(control_state(current=True), first, 100)
+        core.take(control_state(current=False), first, 200)
+        core.take(control_state(current=False), first, 300)
+        self.assertEqual(200, first.stale_since_ms)
+
+
+class TwoReplicas(testtools.TestCase):
+    """Replicas that push different ways to one revision don't mix up the routes."""
+
+    def test_coalesced(self):
+        """The second replica never had the route that came and went."""
+        core, (first, second) = make_core()
+        core.take(routes_push(revision=1), first, 0)
+        core.take(routes_push(route(), revision=2, base=1), first, 0)
+        core.take(routes_push(revision=3, base=1), second, 0)
+        self.assertEqual([2, True], [core.routes.revision, second.lacks_routes])
+        core.take(routes_push(revision=3), second, 0)
+        self.assertEqual([3, 0], [core.routes.revision, len(core.routes)])
+
+    def test_late(self):
+        """A push of what is held already asks for nothing."""
+        core, (first, second) = make_core()
+        core.take(routes_push(revision=2), first, 0)
+        core.take(routes_push(revision=2, base=1), second, 0)
+        self.assertFalse(second.lacks_routes)
--- a/tests/test_packetroutes.py
+++ b/tests/test_packetroutes.py
@@ -21,7 +21,7 @@
         (
             "part",
             {
-                "push": routes_push(revision=3, whole=False, dropped=[route()]),
+                "push": routes_push(revision=3, base=2, dropped=[route()]),
                 "held": False,
                 "dropped": True,
             },
@@ -29,7 +29,7 @@
         (
             "unchanged",
             {
-                "push": routes_push(revision=3, whole=False),
+                "push": routes_push(revision=3, base=2),
                 "held": True,
                 "dropped": False,
             },
@@ -51,6 +51,28 @@
         self.assertNotIn(KEY, table.dropped)
 
 
+class Coalesced(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A difference counts only on the revision that it was made on.
+
+    One replica pushed revision 2, which has the route; another one, which hadn't,
+    pushes the way from 1 to 3. The route is in neither.
+    """
+
+    scenarios = [
+        ("made on another revision", {"base": 1, "applied": False, "revision": 2}),
+        ("made on this revision", {"base": 2, "applied": True, "revision": 3}),
+    ]
+
+    def test_apply(self):
+        table = RouteTable()
+        table.apply(routes_push(revision=1))
+        table.apply(routes_push(route(), revision=2, base=1))
+        push = routes_push(revision=3, base=self.base)
+        self.assertEqual(self.applied, table.can_apply(push))
+        self.assertEqual(self.applied, table.apply(push))
+        self.assertEqual(self.revision, table.revision)
+
+
 class Split(testscenarios.TestWithScenarios, testtools.TestCase):
     """Shares go by weight; a share of zero gets nothing."""
 
