--- a/knapweeddeal/cmdline.py
+++ b/knapweeddeal/cmdline.py
@@ -96,6 +96,8 @@
 
 async def _run(options):
     operation = OPERATIONS[options.operation]
+    if operation.reads_files:
+        return operation.read(options)
     message = operation.message(options)
     if getattr(options, "at", ""):
         address = argument_address("--at", options.at)
--- a/knapweeddeal/commands.py
+++ b/knapweeddeal/commands.py
@@ -4,7 +4,9 @@
 from knapweeddeal.intents import ACTIONS, intent_step, read_intent
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.operator import ConfirmAsk, PlanAsk, ReplicaSwapAsk
+from knapweeddeal.messages.packets import PublishAsk
 from knapweeddeal.operation import Argument, Operation, argument_address
+from knapweeddeal.publications import read_publication
 
 __all__ = ["COMMANDS"]
 
@@ -62,6 +64,19 @@
         )
 
 
+class Publish(Operation):
+    """Put packet routes in force."""
+
+    name = "publish"
+    help = "put packet routes in force; a revision that isn't higher changes nothing"
+    arguments = (Argument("file", help="INI file with one section for each route"),)
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return PublishAsk(configuration=read_publication(options.file))
+
+
 class AddReplica(Operation):
     """Take a new control replica into the membership."""
 
@@ -129,4 +144,6 @@
 
 
 #: Commands by name.
-COMMANDS = {cls.name: cls for cls in (Plan, Confirm, Drain, AddReplica, RemoveReplica)}
+COMMANDS = {
+    cls.name: cls for cls in (Plan, Confirm, Drain, Publish, AddReplica, RemoveReplica)
+}
--- a/knapweeddeal/operation.py
+++ b/knapweeddeal/operation.py
@@ -27,6 +27,8 @@
     arguments = ()
     #: Whether every control replica is asked, since each knows a part only.
     asks_each = False
+    #: Whether nobody is asked: `read` returns the answer.
+    reads_files = False
     #: Whether one process is asked, named by --at, instead of the control replicas.
     asks_process = False
 
@@ -35,6 +37,11 @@
         """Return the message that asks for the operation."""
         raise NotImplementedError
 
+    @staticmethod
+    def read(options):
+        """Return the answer of an operation that reads files."""
+        raise NotImplementedError
+
 
 def argument_address(name, text):
     """Return host and port of an argument; raise BadSettingError."""
--- a/knapweeddeal/queries.py
+++ b/knapweeddeal/queries.py
@@ -3,6 +3,7 @@
 from datetime import datetime
 
 from knapweeddeal.errors import BadSettingError
+from knapweeddeal.explain import explain
 from knapweeddeal.messages.operator import (
     DumpAsk,
     MetricsAsk,
@@ -12,6 +13,7 @@
     StatusAsk,
     UpstreamsAsk,
 )
+from knapweeddeal.messages.packets import PublishedAsk
 from knapweeddeal.operation import Argument, Operation
 
 __all__ = ["QUERIES"]
@@ -45,6 +47,35 @@
         return ServicesAsk()
 
 
+class Routes(Operation):
+    """List the packet routes in force."""
+
+    name = "routes"
+    help = "list the packet routes in force"
+
+    @staticmethod
+    def message(options):
+        """Return the message that asks for the operation."""
+        return PublishedAsk()
+
+
+class Explain(Operation):
+    """Tell from saved logs what was decided on a flow."""
+
+    name = "explain"
+    help = "tell from saved logs what was decided on a flow, and on what grounds"
+    arguments = (
+        Argument("flow", help="the caller's IP:PORT, or a whole flow id"),
+        Argument("logs", nargs="+", metavar="FILE", help="logs, one file a process"),
+    )
+    reads_files = True
+
+    @staticmethod
+    def read(options):
+        """Return the decisions."""
+        return explain(options.flow, options.logs)
+
+
 class Replicas(Operation):
     """List the members of the replicated log."""
 
@@ -156,5 +187,15 @@
 #: Queries by name.
 QUERIES = {
     cls.name: cls
-    for cls in (Status, Services, Replicas, Refusals, Upstreams, Dump, ShowMetrics)
+    for cls in (
+        Status,
+        Services,
+        Routes,
+        Replicas,
+        Refusals,
+        Upstreams,
+        Dump,
+        ShowMetrics,
+        Explain,
+    )
 }
--- a/knapweeddeal/render.py
+++ b/knapweeddeal/render.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime
 from functools import singledispatch
 
+from knapweeddeal.explain import Explanation
 from knapweeddeal.inspection import plain
 from knapweeddeal.messages.operator import (
     ConfirmAnswer,
@@ -15,6 +16,7 @@
     StatusAnswer,
     UpstreamsAnswer,
 )
+from knapweeddeal.messages.packets import PublishAnswer, PublishedAnswer
 
 __all__ = ["as_json", "as_lines"]
 
@@ -22,6 +24,8 @@
 SILENT_MS = 5_000
 #: Items of a list that an answer shows at the most.
 MAX_ITEMS = 100_000
+#: Fields of a log line that an explanation shows elsewhere or not at all.
+NOT_SHOWN = ("wall_ms", "boot_ms", "level", "text", "flow", "name")
 
 
 def as_json(answer):
@@ -85,6 +89,34 @@
     return lines
 
 
+@as_lines.register
+def _(answer: PublishAnswer):
+    return [f"revision {answer.revision} is in force"]
+
+
+@as_lines.register
+def _(answer: PublishedAnswer):
+    lines = [f"revision {answer.configuration.revision}"]
+    for route in answer.configuration.routes:
+        shares = [f"{share.service}:{share.weight}" for share in route.shares]
+        former = f", before {_listed(route.former)}" if route.former else ""
+        lines.append(f"  {route.host}:{route.port} to {_listed(shares)}{former}")
+    return lines
+
+
+@as_lines.register
+def _(answer: Explanation):
+    lines = [f"flow {answer.flow}: {len(answer.decisions)} decisions"]
+    for decision in answer.decisions:
+        lines.append(f"{_time(decision.line['wall_ms'])} {decision.process}")
+        lines.append(f"  {_fields(decision.line)}")
+        if decision.belief is not None:
+            lines.append(f"  believed then: {_fields(decision.belief)}")
+    if answer.left_out:
+        lines.append(f"{answer.left_out} lines were left out of these logs")
+    return lines
+
+
 @as_lines.register
 def _(answer: ReplicasAnswer):
     lines = [f"led by {answer.leader or 'nobody'}"]
@@ -113,6 +145,12 @@
     return json.dumps(json.loads(answer.text), indent=2).splitlines()
 
 
+def _fields(line):
+    """Return a log line's sentence and fields."""
+    shown = [f"{k}={v}" for k, v in line.items() if k not in NOT_SHOWN]
+    return ", ".join([line["text"], *shown])
+
+
 def _listed(names):
     return ", ".join(names) or "none"
 
