--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -27,6 +27,9 @@
 #: SYN in less than 1 ms: the caller's next packet comes within 11 ms.
 HEDGE_MS = 30
 
+#: Upstreams that one flow is offered without waiting for its caller's next copy: of
+#: two that ended in the same moment both may be met.
+MAX_TRIED = 3
 #: Weight of a SYN in an upstream's load: a request follows it.
 SYN_LOAD = 1.0
 #: Weight of a packet with data.
@@ -163,9 +166,8 @@
             revision=self._routes.revision,
         )
         self._send_syn(data, upstream, out)
-        self._hedges.append(
-            Hedge(due_ms=now_ms + HEDGE_MS, key=key, data=data, service=service)
-        )
+        hedge = Hedge(due_ms=now_ms + HEDGE_MS, key=key, data=data, service=service)
+        self._hedges.append(hedge)
 
     def _refuse_syn(self, data, service, out):
         """Reset if it is known that nobody serves; a copy may find somebody else."""
@@ -278,6 +280,8 @@
         flow.upstream = second
         flow.tried.append(second)
         self._send_syn(hedge.data, second, out)
+        if len(flow.tried) < MAX_TRIED:
+            self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_MS))
 
     def forget(self, now_ms):
         """Forget flows that are idle or too old."""
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -179,7 +179,8 @@
         self.assertEqual(1_000 + HEDGE_MS, self.world.forwarder.next_due_ms)
         self.assertEqual([], self.due(1_000 + HEDGE_MS - 1))
         (second,) = self.due(1_000 + HEDGE_MS)
-        self.assertNotEqual(first, second)
+        (third,) = self.due(1_000 + 2 * HEDGE_MS)
+        self.assertEqual(3, len({first, second, third}))
         self.assertIsNone(self.world.forwarder.next_due_ms)
 
     def test_answered(self):
