Import less before a forwarder's first packet

The shared field checks of messages are a module of their own, addresses are checked by the socket library, signals are set up with the event loop.

--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -3,7 +3,6 @@
 import gc
 import importlib
 import os
-import signal
 import sys
 
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
@@ -54,7 +53,6 @@
     if check:
         print("settings are good")
         return 0
-    signal.signal(signal.SIGINT, signal.SIG_DFL)
     try:
         open_log(settings.log_file)
         _run(settings)
@@ -88,9 +86,12 @@
 
         prepared = prepare(settings)
     import logging
+    import signal
 
     import curio
 
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
     logging.getLogger("curio").setLevel(logging.ERROR)
     role = importlib.import_module(ROLES[settings.role])
     gc.enable()
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -8,7 +8,6 @@
     RoutesPush,
     UpstreamsPush,
 )
-from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.packetforwarder import Forwarder
 from knapweeddeal.packetroutes import RouteTable
 from knapweeddeal.packetupstreams import UpstreamPool
@@ -110,10 +109,6 @@
         """Drop what a replica doesn't send."""
         log.warning("drops a message", kind=type(message).__name__)
 
-    @take.register(Heartbeat)
-    def _(self, message, subscription, now_ms):
-        """Know that the stream lives."""
-
     @take.register(ControlState)
     def _(self, message, subscription, now_ms):
         if message.current != subscription.current or not message.current:
--- a/knapweeddeal/messages/control.py
+++ b/knapweeddeal/messages/control.py
@@ -1,7 +1,7 @@
 """knapweeddeal.messages.control: The replicated log and the configuration."""
 
 from knapweeddeal.messages.base import Blob, Flag, ListOf, Message, Nested, Text, Whole
-from knapweeddeal.messages.upstream import HOST, NAME, PORT
+from knapweeddeal.messages.fields import HOST, NAME, PORT
 
 __all__ = [
     "AppendAnswer",
--- a/knapweeddeal/messages/member.py
+++ b/knapweeddeal/messages/member.py
@@ -1,7 +1,7 @@
 """knapweeddeal.messages.member: Datagrams by which entries know of each other."""
 
 from knapweeddeal.messages.base import Blob, ListOf, Message, Nested, OneOf, Text, Whole
-from knapweeddeal.messages.upstream import HOST, NAME, PORT
+from knapweeddeal.messages.fields import HOST, NAME, PORT
 
 __all__ = [
     "ALIVE",
--- a/knapweeddeal/messages/operator.py
+++ b/knapweeddeal/messages/operator.py
@@ -2,8 +2,8 @@
 
 from knapweeddeal.messages.base import ListOf, Message, Nested, OneOf, Text, Whole
 from knapweeddeal.messages.control import Replica, ServiceEntry
+from knapweeddeal.messages.fields import HOST, NAME, PORT, REQUEST_ID
 from knapweeddeal.messages.peer import RefusalRecord
-from knapweeddeal.messages.upstream import HOST, NAME, PORT
 
 __all__ = [
     "ConfirmAsk",
@@ -29,8 +29,6 @@
     "UpstreamsAnswer",
 ]
 
-#: Names that one operator gives to one command; a resend carries the same one.
-REQUEST_ID = Text(max_chars=64)
 LINE = Text(max_chars=1024)
 
 
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -11,8 +11,7 @@
     Whole,
 )
 from knapweeddeal.messages.control import Replica
-from knapweeddeal.messages.operator import REQUEST_ID
-from knapweeddeal.messages.upstream import HOST, NAME, PORT
+from knapweeddeal.messages.fields import HOST, NAME, PORT, REQUEST_ID
 
 __all__ = [
     "DRAINING",
--- a/knapweeddeal/messages/peer.py
+++ b/knapweeddeal/messages/peer.py
@@ -11,13 +11,8 @@
     Whole,
 )
 from knapweeddeal.messages.caller import MAX_TICKET_BYTES, NUMBER, REASON, SERVICE
-from knapweeddeal.messages.upstream import (
-    HOST,
-    MAX_ANSWER_BYTES,
-    NAME,
-    PORT,
-    Announce,
-)
+from knapweeddeal.messages.fields import HOST, NAME, PORT
+from knapweeddeal.messages.upstream import MAX_ANSWER_BYTES, Announce
 
 __all__ = [
     "AnnounceSeen",
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -2,9 +2,9 @@
 
 from knapweeddeal.messages.base import Blob, ListOf, Message, Nested, Text, Whole
 from knapweeddeal.messages.control import Configuration, Replica
-from knapweeddeal.messages.operator import REQUEST_ID, EntryStatus, IntentStep
+from knapweeddeal.messages.fields import NAME, REQUEST_ID
+from knapweeddeal.messages.operator import EntryStatus, IntentStep
 from knapweeddeal.messages.packets import PacketConfiguration
-from knapweeddeal.messages.upstream import NAME
 
 __all__ = [
     "ConfirmRecord",
--- a/knapweeddeal/messages/upstream.py
+++ b/knapweeddeal/messages/upstream.py
@@ -1,7 +1,8 @@
 """knapweeddeal.messages.upstream: Announcements and streams of upstreams."""
 
-from knapweeddeal.messages.base import Blob, Flag, Message, OneOf, Text, Whole
+from knapweeddeal.messages.base import Blob, Flag, Message, OneOf, Whole
 from knapweeddeal.messages.caller import BODY, NUMBER, REASON, SERVICE
+from knapweeddeal.messages.fields import HOST, NAME, PORT
 
 __all__ = [
     "JOINING",
@@ -31,9 +32,6 @@
 #: Largest whole answer of an upstream.
 MAX_ANSWER_BYTES = 256 * 1024
 
-NAME = Text(max_chars=64)
-HOST = Text(max_chars=64)
-PORT = Whole(maximum=65535)
 COUNT = Whole(maximum=1_000_000)
 
 
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -1,6 +1,6 @@
 """knapweeddeal.options: Helpers that check one setting and raise one clear error."""
 
-import ipaddress
+import socket
 
 from knapweeddeal.errors import BadSettingError
 
@@ -59,22 +59,16 @@
 
 def host_option(field, value, _option):
     """Return the text of an IP number."""
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        raise BadSettingError("not an IP number", field=field, value=value) from None
+    if not _is_ip(value):
+        raise BadSettingError("not an IP number", field=field, value=value)
     return value
 
 
 def address_option(field, value, _option):
     """Return host and port of an IP:PORT text."""
     host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError:
-        number = -1
-    if not 0 < number <= 65535:
+    number = int(port) if port.isdecimal() else 0
+    if not _is_ip(host) or not 0 < number <= 65535:
         raise BadSettingError("not an address IP:PORT", field=field, value=value)
     return (host, number)
 
@@ -121,3 +115,14 @@
     if not 1 <= len(keys) <= option.maximum:
         raise BadSettingError("not one or two keys", field=field, value=len(keys))
     return keys
+
+
+def _is_ip(text):
+    """Tell whether a text is an IP number; `ipaddress` would delay every start."""
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, text)
+        except OSError:
+            continue
+        return True
+    return False
