--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -8,6 +8,7 @@
 import struct
 
 from knapweeddeal.messages.packets import GONE, READY
+from knapweeddeal.record import Record
 
 __all__ = ["PacketUpstream", "UpstreamPool", "echo_of"]
 
@@ -24,6 +25,11 @@
 #: Time for which an upstream that didn't answer a SYN is chosen last.
 SUSPECT_MS = 3_000
 
+#: Spread of what decides between upstreams of equal load.
+TIE_SPREAD = 0.01
+#: The upstreams of an unknown service.
+NONE = ((), ())
+
 ID_PREFIX = struct.Struct(">Q")
 ECHO = struct.Struct("<I")
 ECHO_MASK = 2**32 - 1
@@ -104,6 +110,12 @@
         return score
 
 
+class Ranked(Record):
+    """Hold an upstream and how it compares; the lower rank is better."""
+
+    __slots__ = ("rank", "upstream")
+
+
 class UpstreamPool:
     """Keep upstreams by echo and by service; choose one for a new flow."""
 
@@ -114,6 +126,7 @@
         self._random = random
         self._by_id = {}
         self._by_echo = {}
+        #: Ready upstreams of each service: near ones, distant ones.
         self._by_service = {}
         self.collisions = 0
 
@@ -123,10 +136,6 @@
         """Return the upstream that a packet names, or None."""
         return self._by_echo.get(echo)
 
-    def ready(self, service):
-        """Return the upstreams that may take new flows of a service."""
-        return self._by_service.get(service, ())
-
     def __len__(self):
         """Return the number of upstreams that aren't gone."""
         return sum(u.state.status != GONE for u in self._by_id.values())
@@ -139,16 +148,27 @@
         """Return the upstream for a new flow, or None.
 
         Suspects, silent ones and those that were tried for this flow come last.
+        Distant ones aren't looked at while a near one has little to do.
         """
-        best, best_rank = None, None
-        for upstream in self.ready(service):
+        near, distant = self._by_service.get(service, NONE)
+        best = self._best(near, now_ms, tried)
+        if best is not None and best.rank < (False, False, ZONE_MARGIN):
+            return best.upstream
+        other = self._best(distant, now_ms, tried)
+        if best is None or (other is not None and other.rank < best.rank):
+            best = other
+        return best.upstream if best is not None else None
+
+    def _best(self, upstreams, now_ms, tried):
+        best = None
+        for upstream in upstreams:
             rank = (
                 upstream in tried,
                 upstream.is_suspect(now_ms) or upstream.state.silent,
-                upstream.score(now_ms) + self._random() * 0.01,
+                upstream.score(now_ms) + self._random() * TIE_SPREAD,
             )
-            if best_rank is None or rank < best_rank:
-                best, best_rank = upstream, rank
+            if best is None or rank < best.rank:
+                best = Ranked(rank=rank, upstream=upstream)
         return best
 
     # Commands.
@@ -196,7 +216,8 @@
         pools = {}
         for upstream in self._by_id.values():
             if upstream.state.status == READY:
-                pools.setdefault(upstream.state.service, []).append(upstream)
+                near, distant = pools.setdefault(upstream.state.service, ([], []))
+                (near if upstream.is_near else distant).append(upstream)
         self._by_service = pools
 
 
