--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: run test lint specs bench
+.PHONY: run test lint specs bench soak
 
 run: $(STAMP)
 	$(PYTHON) -m demo
@@ -17,6 +17,10 @@
 	$(PYTHON) -m bench.policy
 	$(PYTHON) -m bench.capacity
 	$(PYTHON) -m bench.streams
+	$(PYTHON) -m bench.packets
+
+soak: $(STAMP)
+	$(PYTHON) -m soak --fresh 10
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -119,13 +119,16 @@
 class UpstreamPool:
     """Keep upstreams by echo and by service; choose one for a new flow."""
 
-    __slots__ = ("_by_echo", "_by_id", "_by_service", "_random", "_zone", "collisions")
+    __slots__ = ("_by_echo", "_by_id", "_by_service", "_members", "_random")
+    __slots__ += ("_zone", "collisions")
 
     def __init__(self, *, zone, random):
         self._zone = zone
         self._random = random
         self._by_id = {}
         self._by_echo = {}
+        #: All upstreams of each service by id.
+        self._members = {}
         #: Ready upstreams of each service: near ones, distant ones.
         self._by_service = {}
         self.collisions = 0
@@ -180,8 +183,8 @@
         upstream, which the replica has sorted out; `current` tells the former.
         """
         news = [state for state in states if self._take_one(state, now_ms, current)]
-        if news:
-            self._rebuild()
+        for service in {state.service for state in news}:
+            self._rebuild(service)
         return news
 
     def _take_one(self, state, now_ms, current):
@@ -201,6 +204,10 @@
         if state.silent and not old.silent and not current:
             return False
         known.set_state(state, now_ms)
+        if old.service != state.service:
+            del self._members[old.service][state.upstream_id]
+            self._rebuild(old.service)
+            self._enrol(known)
         return _differs(old, state)
 
     def _add(self, state, now_ms):
@@ -211,14 +218,18 @@
             self.collisions += 1
         self._by_echo[upstream.echo] = upstream
         self._by_id[state.upstream_id] = upstream
+        self._enrol(upstream)
 
-    def _rebuild(self):
-        pools = {}
-        for upstream in self._by_id.values():
+    def _enrol(self, upstream):
+        members = self._members.setdefault(upstream.state.service, {})
+        members[upstream.state.upstream_id] = upstream
+
+    def _rebuild(self, service):
+        near, distant = [], []
+        for upstream in self._members.get(service, {}).values():
             if upstream.state.status == READY:
-                near, distant = pools.setdefault(upstream.state.service, ([], []))
                 (near if upstream.is_near else distant).append(upstream)
-        self._by_service = pools
+        self._by_service[service] = (near, distant)
 
 
 def _differs(old, state):
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -27,12 +27,14 @@
 class UpstreamTable:
     """Order reports, and tell which upstreams changed."""
 
-    __slots__ = ("_beats", "_known", "_own", "_silent_ms")
+    __slots__ = ("_beats", "_by_address", "_known", "_own", "_silent_ms")
 
     def __init__(self, *, own, report_ms):
         self._own = own
         self._silent_ms = report_ms * SILENT_REPORTS
         self._known = {}
+        #: The upstream that started last at an address, by address.
+        self._by_address = {}
         self._beats = {}
 
     # Queries.
@@ -105,15 +107,21 @@
         that can be heard.
         """
         changed = []
-        for upstream_id, known in list(self._known.items()):
+        for known in list(self._known.values()):
             age_ms = now_ms - known.heard_ms
             if age_ms >= FORGET_MS:
-                del self._known[upstream_id]
+                self._forget(known.state)
             elif self._is_silent(known.state, age_ms, current, linked):
                 known.state = known.state.replace(silent=True)
                 changed.append(known.state)
         return changed
 
+    def _forget(self, state):
+        del self._known[state.upstream_id]
+        address = (state.host, state.port)
+        if self._by_address.get(address) == state.upstream_id:
+            del self._by_address[address]
+
     def _is_silent(self, state, age_ms, current, linked):
         if state.silent or state.status == GONE:
             return False
@@ -124,22 +132,28 @@
 
     def _is_displaced(self, state):
         """Tell whether a later upstream has the address."""
-        return any(
-            _same_address(known.state, state) and known.state.born_ms > state.born_ms
-            for known in self._known.values()
-        )
+        holder = self._holder(state)
+        return holder is not None and holder.state.born_ms > state.born_ms
 
     def _displace(self, state):
-        """Remove the earlier upstreams at an address, and return them."""
+        """Remove the earlier upstream at an address, and return it."""
         if state.status == GONE:
             return []
-        removed = []
-        for known in self._known.values():
-            old = known.state
-            if _same_address(old, state) and old.born_ms < state.born_ms:
-                known.state = old.replace(status=GONE, home=self._own)
-                removed.append(known.state)
-        return removed
+        holder = self._holder(state)
+        self._by_address[(state.host, state.port)] = state.upstream_id
+        if holder is None or holder.state.born_ms >= state.born_ms:
+            return []
+        holder.state = holder.state.replace(status=GONE, home=self._own)
+        return [holder.state]
+
+    def _holder(self, state):
+        """Return the other upstream that is known at an address, or None."""
+        address = (state.host, state.port)
+        holder = self._known.get(self._by_address.get(address))
+        if holder is None or holder.state.upstream_id == state.upstream_id:
+            return None
+        is_there = (holder.state.host, holder.state.port) == address
+        return holder if is_there and holder.state.status != GONE else None
 
 
 def _order(state):
@@ -161,12 +175,6 @@
     return any(getattr(known, name) != getattr(state, name) for name in same)
 
 
-def _same_address(old, state):
-    if old.status == GONE or old.upstream_id == state.upstream_id:
-        return False
-    return (old.host, old.port) == (state.host, state.port)
-
-
 def _aged(known, now_ms):
     cold_ms = max(known.cold_until_ms - now_ms, 0)
     return known.state.replace(cold_ms=cold_ms)
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,142 @@
+"""soak.__main__: Run the soak for some seeds; the exit status counts what was found."""
+
+import argparse
+import random
+import sys
+import time
+
+from soak.cluster import API, KNOWN, PACKETS, Cluster, wait_until
+from soak.faults import Faults
+from soak.peers import Callers, Calls, Operator, Problems, Upstream
+
+SERVICES = ("records", "archive")
+UPSTREAMS_PER_SERVICE = 3
+SERVICE_HOST = "198.18.0.1"
+FIRST_PORT = 443
+#: Time for the system to start, and to serve after the last fault.
+READY_S = 20.0
+RECOVER_S = 12.0
+#: Second numbers of the loopback addresses of runs.
+BASES = range(150, 198)
+
+
+def document(revision):
+    """Return an operator's document: the routes stay, another one comes and goes."""
+    ports = {FIRST_PORT + n: service for n, service in enumerate(SERVICES)}
+    if revision % 2:
+        ports[8_000 + revision % 50] = SERVICES[0]
+    return {
+        "version": revision,
+        "routes": [
+            {
+                "name": f"r-{port}",
+                "host": SERVICE_HOST,
+                "pathPrefix": f"/{port}/",
+                "type": "safe",
+                "timeoutMs": 1_000,
+                "service": service,
+            }
+            for port, service in ports.items()
+        ],
+        "services": [{"name": name} for name in SERVICES],
+        "limits": {},
+    }
+
+
+def run(seed, *, base, seconds):
+    """Run one seed; return what was found, faults and figures."""
+    problems = Problems()
+    cluster = Cluster(base=base)
+    rng = random.Random(seed)
+    calls = Calls(hosts=cluster.hosts, port=API, seed=seed)
+    callers = Callers(
+        address=(cluster.host(KNOWN, 21), PACKETS),
+        forwarders=[(host, PACKETS) for host in cluster.forwarders],
+        routes={FIRST_PORT + n: service for n, service in enumerate(SERVICES)},
+        service_host=SERVICE_HOST,
+        problems=problems,
+        seed=seed,
+    )
+    upstreams = []
+    for number in range(UPSTREAMS_PER_SERVICE * len(SERVICES)):
+        host = cluster.host(KNOWN, 31 + number)
+        upstreams.append(
+            Upstream(
+                name=f"i-{number + 1:x}",
+                service=SERVICES[number % len(SERVICES)],
+                address=(host, 7_005),
+                caller=callers,
+                problems=problems,
+                calls=calls,
+            )
+        )
+        callers.upstreams[host] = upstreams[-1]
+    faults = Faults(cluster=cluster, callers=callers, upstreams=upstreams, random=rng)
+    operator = Operator(calls=calls, make=document, problems=problems, seed=seed)
+    try:
+        cluster.start()
+        if not wait_until(lambda: callers.served > 20, timeout_s=READY_S):
+            problems.add("never served")
+        faults.run(seconds)
+        check_recovery(callers, operator, problems)
+        for process in cluster.processes:
+            if process.ended_by_itself():
+                problems.add("ended by itself", process=process.name)
+    finally:
+        operator.close()
+        callers.close()
+        for upstream in upstreams:
+            upstream.crash()
+        cluster.close(keep=bool(problems.found))
+    figures = {
+        "opened": callers.opened,
+        "served": callers.served,
+        "confirmed": operator.confirmed,
+        "reads": operator.reads,
+    }
+    return problems.found, faults.injected, figures, cluster.folder
+
+
+def check_recovery(callers, operator, problems):
+    """Check that flows open and what was confirmed is read, soon after all faults."""
+    opened, wanted = callers.opened, operator.confirmed
+    if not wait_until(lambda: callers.opened > opened + 20, timeout_s=RECOVER_S):
+        problems.add("doesn't serve after faults", opened=callers.opened - opened)
+    if not wait_until(lambda: operator.read_once() >= wanted, timeout_s=RECOVER_S):
+        problems.add("not read after faults", confirmed=wanted)
+
+
+def main():
+    """Run seeds one after another."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seeds", nargs="*", type=int, help="seeds; fresh ones if none")
+    parser.add_argument("--fresh", type=int, default=1, help="number of fresh seeds")
+    parser.add_argument("--seconds", type=float, default=12, help="time of faults")
+    parser.add_argument(
+        "--base", type=int, default=0, help="second number of addresses"
+    )
+    options = parser.parse_args()
+    fresh = random.SystemRandom()
+    seeds = options.seeds or [fresh.getrandbits(32) for _ in range(options.fresh)]
+    first = fresh.randrange(len(BASES))
+    failed = 0
+    for place, seed in enumerate(seeds):
+        # Sockets of the run before may still be closing.
+        base = options.base or BASES[(first + place) % len(BASES)]
+        began_s = time.monotonic()
+        found, injected, figures, folder = run(seed, base=base, seconds=options.seconds)
+        spent_s = time.monotonic() - began_s
+        verdict = "FAILED" if found else "passed"
+        print(f"seed {seed}: {verdict} in {spent_s:.0f} s, {figures}", flush=True)
+        if found:
+            failed += 1
+            print("  faults:", ", ".join(injected))
+            print("  logs:", folder)
+            for line in found:
+                print(" ", line)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
