Let a reload that comes during the start end no process

Cause, shown by a test that failed first: until the role reads signals, SIGHUP ends the process. It is ignored from the first line on; the settings are read later. A change of the file between that reading and the watch is seen now too. Not covered: the interpreter's own start, before our first line.

--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -3,6 +3,7 @@
 import gc
 import importlib
 import os
+import signal
 import sys
 
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
@@ -44,6 +45,9 @@
 
 def main(arguments=None):
     """Run the daemon; return its exit status."""
+    # Until the role reads signals, a reload must not end the process: the settings
+    # are read later anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path, check = _arguments(sys.argv[1:] if arguments is None else arguments)
     try:
         settings = read_settings(path)
@@ -86,7 +90,6 @@
 
         prepared = prepare(settings)
     import logging
-    import signal
 
     import curio
 
--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -70,7 +70,7 @@
     async def _use(self, stream):
         subscription = Subscription(address=self._address, now_ms=monotonic_ms())
         self._subscription = subscription
-        core, why = self._core, "it hears no leader"
+        core, why = self._core, "this process ends"
         hello = ForwarderHello(
             name=self._settings.name,
             zone=self._settings.zone,
@@ -85,6 +85,7 @@
                 outbox.drain_to(stream),
                 outbox.beat(self._settings.heartbeat_ms),
             )
+            why = "it hears no leader"
             return True
         except KnapweeddealError as error:
             why = error.describe()
--- a/knapweeddeal/reload.py
+++ b/knapweeddeal/reload.py
@@ -1,7 +1,5 @@
 """knapweeddeal.reload: Settings that are read again while a process runs."""
 
-import os
-
 import curio
 
 from knapweeddeal.errors import BadSettingError
@@ -28,21 +26,7 @@
 
 async def watch_settings(settings, reloaded):
     """Read settings again whenever their file changed; then `await reloaded()`."""
-    seen = _mark(settings.path)
     while True:
         await curio.sleep(WATCH_MS / 1000)
-        mark = _mark(settings.path)
-        if mark != seen:
-            seen = mark
-            if reload_settings(settings):
-                await reloaded()
-
-
-def _mark(path):
-    """Return what differs once a file was written again."""
-    try:
-        status = os.stat(path)
-    except OSError as error:
-        LOG.warning("can't look at the settings file", why=str(error))
-        return None
-    return (status.st_mtime_ns, status.st_size, status.st_ino)
+        if settings.is_outdated() and reload_settings(settings):
+            await reloaded()
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -1,6 +1,7 @@
 """knapweeddeal.settings: Settings of a daemon, read from INI and checked."""
 
 import configparser
+import os
 from types import MappingProxyType
 
 from knapweeddeal.errors import BadSettingError
@@ -359,9 +360,11 @@
 class Settings:
     """Hold checked settings; each option is an attribute by its key."""
 
-    def __init__(self, *, path, values):
+    def __init__(self, *, path, values, mark=None):
         self._path = path
         self._values = values
+        #: What the file looked like before it was read.
+        self._mark = mark
 
     def __getattr__(self, key):
         """Return a setting."""
@@ -370,10 +373,9 @@
         except KeyError:
             raise AttributeError(key) from None
 
-    @property
-    def path(self):
-        """Return the path of the file."""
-        return self._path
+    def is_outdated(self):
+        """Tell whether the file changed since it was read."""
+        return _file_mark(self._path) != self._mark
 
     @property
     def seed_addresses(self):
@@ -389,6 +391,7 @@
 
         Raises BadSettingError; all settings stay as they are then.
         """
+        self._mark = _file_mark(self._path)
         fresh = read_settings(self._path).values()
         changed = {key for key, value in fresh.items() if self._values[key] != value}
         may_change = {o.key for o in OPTIONS if self.role in o.reload_roles}
@@ -399,6 +402,7 @@
 
 def read_settings(path):
     """Return the settings in a file, or raise BadSettingError."""
+    mark = _file_mark(path)
     parser = _parse(path)
     role = parser.get("daemon", "role", fallback="").strip()
     options = [option for option in OPTIONS if option.key == "role"]
@@ -409,7 +413,17 @@
     _check_together(path, values)
     if values["role"] == CONTROL and values["seeds"]:
         values["control"] = _seed_replicas(values)
-    return Settings(path=path, values=values)
+    return Settings(path=path, values=values, mark=mark)
+
+
+def _file_mark(path):
+    """Return what differs once a file was written again; None if it isn't there."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        # Reading it gives the reason.
+        return None
+    return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
 def _seed_replicas(values):
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,8 +1,11 @@
 """tests.test_daemon: A daemon that can't start ends with a status and one line."""
 
+import os
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import testscenarios
@@ -57,3 +60,47 @@
         self.assertIn("knapweeddeald: bad_setting: can't be", done.stderr)
         self.assertIn(self.new.split(" = ")[1], done.stderr)
         self.assertNotIn("Traceback", done.stderr)
+
+
+FORWARDER = """
+[daemon]
+name = front-1
+role = forwarder
+zone = zone-a
+listen = 127.251.0.3:7000
+seeds = 127.251.0.4:7001
+log_file = -
+[forwarder]
+packets = 127.251.0.3:7002
+ready = 127.251.0.3:7003
+"""
+
+
+class EarlyReload(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A reload that comes before the process reads signals doesn't end it."""
+
+    scenarios = [
+        ("module", {"words": ["-m", "knapweeddeal.daemon"]}),
+        ("checkout", {"words": ["deploy/knapweeddeald.py"]}),
+    ]
+
+    def test_reload(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "front.ini"
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [sys.executable, *self.words, str(path)],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        # Opens once the process opens it too: it is about to read its settings.
+        with open(path, "w", encoding="utf-8") as settings:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+            self.assertIsNone(process.poll())
+            settings.write(FORWARDER)
+        time.sleep(0.3)
+        self.assertIsNone(process.poll())
--- /dev/null
+++ b/tests/test_packethub.py
@@ -0,0 +1,228 @@
+"""tests.test_packethub: Tests of the task that serves forwarders."""
+
+import curio
+import testscenarios
+import testtools
+
+from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.packets import (
+    DRAINING,
+    ControlState,
+    DirectoryAck,
+    DirectoryBatch,
+    ForwarderHello,
+    PacketConfiguration,
+    RoutesAsk,
+    RoutesPush,
+    UpstreamsPush,
+)
+from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packethub import (
+    CoreChanged,
+    ForwarderGone,
+    ForwarderHeard,
+    ForwarderJoined,
+    PacketHub,
+    UpstreamReported,
+)
+from knapweeddeal.replicalink import LinkDown, LinkUp
+from tests.packetfakes import route, state
+
+OWN = Replica(name="own", identity=1, host="10.0.0.1", port=1)
+OTHER = Replica(name="other", identity=2, host="10.0.0.2", port=1)
+
+
+class FakeOutbox:
+    """Keep what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def offer(self, message):
+        """Keep a message."""
+        self.sent.append(message)
+        return True
+
+    def of(self, kind):
+        """Return what was sent of a kind."""
+        return [message for message in self.sent if isinstance(message, kind)]
+
+
+class FakeHints:
+    """Remember nothing, or some upstreams."""
+
+    def __init__(self, states=()):
+        self.states = list(states)
+        self.offered = []
+
+    def read(self):
+        """Return what was kept."""
+        return self.states
+
+    async def offer(self, states):
+        """Keep states."""
+        self.offered = states
+
+
+class HubTest(testtools.TestCase):
+    """Run a hub and feed it events."""
+
+    def play(self, *events, hints=(), wait_s=0.02):
+        """Let a hub take events, and some time pass; return its hints."""
+        kept = FakeHints(hints)
+
+        async def run():
+            queue = curio.Queue()
+            hub = PacketHub(
+                own=OWN,
+                zone="zone-a",
+                report_ms=1_000,
+                events=queue,
+                metrics=Metrics(),
+                hints=kept,
+            )
+            task = await curio.spawn(hub.run, daemon=True)
+            for event in events:
+                await queue.put(event)
+                await curio.sleep(0.005)
+            await curio.sleep(wait_s)
+            await task.cancel()
+
+        curio.run(run)
+        return kept
+
+    @staticmethod
+    def link(outbox):
+        """Return the event that another replica can be reached."""
+        told = ReplicaState(replica=OTHER, cluster=5, listed=[])
+        return LinkUp(state=told, outbox=outbox)
+
+    @staticmethod
+    def join(outbox):
+        """Return the event that a forwarder subscribed."""
+        hello = ForwarderHello(name="f", zone="zone-a", revision=0)
+        return ForwarderJoined(hello=hello, outbox=outbox)
+
+    @staticmethod
+    def changed(revision, *routes, current=True):
+        """Return the event that other routes are in force."""
+        configuration = PacketConfiguration(
+            revision=revision, routes=list(routes), document=b""
+        )
+        return CoreChanged(
+            configuration=configuration, current=current, replicas=[OWN, OTHER]
+        )
+
+
+class Confirmed(testscenarios.TestWithScenarios, HubTest):
+    """A report that changes something is confirmed once other replicas hold it."""
+
+    ACK = DirectoryAck(sender=2, batch_id=1)
+    scenarios = [
+        ("alone", {"linked": False, "after": [], "confirmed": True}),
+        ("acknowledged", {"linked": True, "after": [ACK], "confirmed": True}),
+        ("not yet", {"linked": True, "after": [], "confirmed": False}),
+        (
+            "other's acknowledgement",
+            {
+                "linked": True,
+                "after": [DirectoryAck(sender=2, batch_id=9)],
+                "confirmed": False,
+            },
+        ),
+        ("too slow", {"linked": True, "after": [], "wait_s": 0.95, "confirmed": True}),
+        ("lost replica", {"linked": True, "after": ["down"], "confirmed": True}),
+    ]
+    wait_s = 0.02
+
+    def test_reply(self):
+        outbox, reply = FakeOutbox(), curio.Queue()
+        events = [self.link(outbox)] if self.linked else []
+        events.append(UpstreamReported(state=state(status=DRAINING), reply=reply))
+        down = LinkDown(identity=2, outbox=outbox)
+        events += [down if event == "down" else event for event in self.after]
+        self.play(*events, wait_s=self.wait_s)
+        self.assertEqual(self.confirmed, not reply.empty())
+
+    def test_unchanged(self):
+        """A report with nothing new waits for nobody."""
+        outbox, replies = FakeOutbox(), [curio.Queue(), curio.Queue()]
+        self.play(
+            self.link(outbox),
+            UpstreamReported(state=state(), reply=replies[0]),
+            DirectoryAck(sender=2, batch_id=1),
+            UpstreamReported(state=state(sequence=2), reply=replies[1]),
+        )
+        self.assertFalse(replies[1].empty())
+
+
+class Spread(HubTest):
+    """Changes reach forwarders and replicas."""
+
+    def test_forwarder(self):
+        outbox = FakeOutbox()
+        reply = curio.Queue()
+        kept = self.play(
+            self.changed(3, route()),
+            self.join(outbox),
+            UpstreamReported(state=state(), reply=reply),
+            self.changed(4, route(), route(port=8_443)),
+        )
+        whole, change = outbox.of(RoutesPush)
+        self.assertEqual(
+            [(3, 0), (4, 3)], [(p.revision, p.base) for p in (whole, change)]
+        )
+        self.assertEqual([8_443], [r.port for r in change.routes])
+        self.assertEqual(2, len(outbox.of(UpstreamsPush)))
+        self.assertEqual(["i-1"], [s.upstream_id for s in kept.offered])
+
+    def test_asks(self):
+        """A forwarder that asks gets all routes."""
+        outbox = FakeOutbox()
+        self.play(
+            self.changed(3, route()),
+            self.join(outbox),
+            ForwarderHeard(message=RoutesAsk(), outbox=outbox),
+        )
+        self.assertEqual([0, 0], [push.base for push in outbox.of(RoutesPush)])
+
+    def test_leader_lost(self):
+        """A forwarder learns at once that this replica hears no leader."""
+        outbox = FakeOutbox()
+        self.play(
+            self.changed(3, route()),
+            self.join(outbox),
+            self.changed(3, route(), current=False),
+        )
+        told = [message.current for message in outbox.of(ControlState)]
+        self.assertEqual([True, False], told)
+
+    def test_gone(self):
+        outbox = FakeOutbox()
+        self.play(
+            self.join(outbox),
+            ForwarderGone(outbox=outbox),
+            UpstreamReported(state=state(), reply=curio.Queue()),
+        )
+        self.assertEqual(1, len(outbox.of(UpstreamsPush)))
+
+    def test_replicas(self):
+        """A replica that comes is told all, acknowledged, and not told its own news."""
+        outbox = FakeOutbox()
+        batch = DirectoryBatch(sender=2, batch_id=7, states=[state(2)], beats=[])
+        self.play(
+            UpstreamReported(state=state(1), reply=curio.Queue()),
+            self.link(outbox),
+            batch,
+        )
+        (told,) = outbox.of(DirectoryBatch)
+        self.assertEqual(["i-1"], [s.upstream_id for s in told.states])
+        self.assertEqual([DirectoryAck(sender=1, batch_id=7)], outbox.of(DirectoryAck))
+
+    def test_hints(self):
+        """What was remembered is handed out, marked."""
+        outbox = FakeOutbox()
+        self.play(self.join(outbox), hints=[state(hint=True)])
+        (push,) = outbox.of(UpstreamsPush)
+        self.assertEqual([True], [s.hint for s in push.states])
