--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -5,7 +5,6 @@
 
 from collections import deque
 
-from knapweeddeal.messages.packets import GONE
 from knapweeddeal.packethead import (
     ECHO,
     FIN,
@@ -205,7 +204,7 @@
                 upstream=upstream.state.upstream_id,
             )
             return
-        if upstream.state.status == GONE and not data[0] & RST:
+        if upstream.has_ended(now_ms) and not data[0] & RST:
             self._reset(
                 data,
                 out,
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -25,6 +25,8 @@
 #: Time for which an upstream that didn't answer a SYN is chosen last.
 SUSPECT_MS = 3_000
 
+#: Time that an upstream may take to end after it said that it leaves for good.
+ENDING_MS = 1_000
 #: Spread of what decides between upstreams of equal load.
 TIE_SPREAD = 0.01
 #: The upstreams of an unknown service.
@@ -49,6 +51,7 @@
         "answered_ms",
         "cold_until_ms",
         "echo",
+        "gone_since_ms",
         "is_near",
         "load",
         "load_ms",
@@ -64,6 +67,8 @@
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
+        #: Since when it is known to be gone, or None.
+        self.gone_since_ms = None
         #: When a caller last showed that it had an answer to a SYN.
         self.answered_ms = 0
         self.suspect_until_ms = 0
@@ -73,6 +78,10 @@
     def set_state(self, state, now_ms):
         """Take what was told."""
         self.state = state
+        if state.status != GONE:
+            self.gone_since_ms = None
+        elif self.gone_since_ms is None:
+            self.gone_since_ms = now_ms
         self.address = (state.host, state.port)
         self.cold_until_ms = now_ms + state.cold_ms
 
@@ -95,6 +104,11 @@
         if self.answered_ms < asked_ms:
             self.suspect_until_ms = now_ms + SUSPECT_MS
 
+    def has_ended(self, now_ms):
+        """Tell whether its process is gone: it says so just before it ends."""
+        since_ms = self.gone_since_ms
+        return since_ms is not None and now_ms - since_ms >= ENDING_MS
+
     def is_suspect(self, now_ms):
         """Tell whether a SYN went unanswered lately."""
         return now_ms < self.suspect_until_ms
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -6,7 +6,7 @@
 from knapweeddeal.messages.packets import DRAINING, GONE
 from knapweeddeal.packetforwarder import HEDGE_MS
 from knapweeddeal.packethead import ACK, FIN, RST, reset_for
-from knapweeddeal.packetupstreams import SUSPECT_MS, echo_of
+from knapweeddeal.packetupstreams import ENDING_MS, SUSPECT_MS, echo_of
 from tests.packetfakes import (
     CALLER_PORT,
     SERVICE,
@@ -71,9 +71,20 @@
             {
                 "world": {"routes": (route(),), "states": [state(status=GONE)]},
                 "data": packet(echo=ECHO, data=b"x"),
+                "now_ms": ENDING_MS,
                 "reset": True,
             },
         ),
+        (
+            "upstream that is about to end",
+            {
+                "world": {"routes": (route(),), "states": [state(status=GONE)]},
+                "data": packet(echo=ECHO, data=b"x"),
+                "now_ms": ENDING_MS - 1,
+                "reset": False,
+                "forwarded": True,
+            },
+        ),
         (
             "reset for an upstream that is gone",
             {
@@ -95,9 +106,10 @@
     ]
     cur = True
     forwarded = False
+    now_ms = ENDING_MS
 
     def test_answer(self):
-        out = World(current=self.cur, **self.world).take(self.data)
+        out = World(current=self.cur, **self.world).take(self.data, self.now_ms)
         expected = [(reset_for(self.data), CALLER)] if self.reset else []
         if self.forwarded:
             expected = [((1).to_bytes(8, "big") + self.data, ("10.0.0.1", 80))]
