--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -25,6 +25,13 @@
 
 log = Log(prefix="forwarder")
 
+#: Longest time for which packets are forwarded before the event loop is loaded: the
+#: rush after an outage is over by then, and streams of replicas can wait so long.
+FIRST_MS = 1_000
+#: Time without a packet after which there is no rush.
+QUIET_MS = 100
+#: Time between looks at connections that are being opened.
+POLL_MS = 10
 READ_BYTES = 64 * 1024
 #: Modules that the event loop imports, each a fair part of the time.
 LOOP_MODULES = (
@@ -53,6 +60,7 @@
         settings=settings, choice=choice, random=random.random, metrics=metrics
     )
     seeds = Seeds(settings=settings, core=core)
+    _forward_first(port, core, seeds)
     for name in LOOP_MODULES:
         seeds.poll()
         forward_waiting(port, core.forwarder, metrics)
@@ -61,6 +69,26 @@
     return port, core, choice
 
 
+def _forward_first(port, core, seeds):
+    """Forward packets for a while, as long as they come.
+
+    Each part of the event loop takes as long to load as a request may take, so they
+    are loaded after the rush that follows an outage.
+    """
+    forwarder = core.forwarder
+    now_ms = monotonic_ms()
+    until_ms, quiet_until_ms = now_ms + FIRST_MS, now_ms + QUIET_MS
+    while now_ms < min(until_ms, quiet_until_ms):
+        due_ms = forwarder.next_due_ms or now_ms + POLL_MS
+        wait_ms = max(min(due_ms - now_ms, POLL_MS), 0)
+        select.select([port, *seeds.open_asks], [], [], wait_ms / 1000)
+        seeds.poll()
+        taken = forward_waiting(port, forwarder, core.metrics)
+        now_ms = monotonic_ms()
+        if taken:
+            quiet_until_ms = now_ms + QUIET_MS
+
+
 class Seeds:
     """Ask all seeds at once, again if they refuse, until one told what it knows."""
 
@@ -74,6 +102,11 @@
         )
         self._asks = []
 
+    @property
+    def open_asks(self):
+        """Return the connections that may bring something."""
+        return self._asks or ()
+
     def poll(self):
         """Go on with what can be done without waiting."""
         if self._asks is None:
--- a/knapweeddeal/packetport.py
+++ b/knapweeddeal/packetport.py
@@ -35,13 +35,15 @@
 
 
 def forward_waiting(port, forwarder, metrics):
-    """Take what has come and send what it leads to, without waiting."""
-    out, now_ms = [], monotonic_ms()
+    """Take what has come and send what it leads to; return how much came."""
+    out, now_ms, taken = [], monotonic_ms(), 0
     for data in _received(port, metrics):
         forwarder.take(data, now_ms, out)
+        taken += 1
     forwarder.take_due(now_ms, out)
     for data, address in out:
         _send(port, data, address, metrics)
+    return taken
 
 
 def _received(port, metrics):
