--- a/knapweeddeal/metrics.py
+++ b/knapweeddeal/metrics.py
@@ -8,6 +8,8 @@
 MAX_US = 60_000_000
 #: Decimal digits that a histogram keeps.
 DIGITS = 2
+#: Times that wait for a histogram.
+MAX_RECORDED = 1_000
 #: Percentiles that a summary gives.
 PERCENTILES = (50.0, 99.0, 99.9)
 #: What each name of the text format begins with.
@@ -18,11 +20,13 @@
 class Metrics:
     """Count events and record times by name."""
 
-    __slots__ = ("_counters", "_histograms")
+    __slots__ = ("_counters", "_histograms", "_recorded")
 
     def __init__(self):
         self._counters = Counter()
         self._histograms = {}
+        #: Names and times that no histogram holds yet.
+        self._recorded = []
 
     def count(self, name, number=1):
         """Add to a counter."""
@@ -30,14 +34,24 @@
 
     def record_us(self, name, value_us):
         """Record a time in microseconds; longer than a minute counts as a minute."""
-        histogram = self._histograms.get(name)
-        if histogram is None:
-            # Not at the start: a forwarder's first packets go before its figures.
-            from hdrh.histogram import HdrHistogram
+        self._recorded.append((name, value_us))
+        if len(self._recorded) >= MAX_RECORDED:
+            self._sort_in()
 
-            histogram = HdrHistogram(1, MAX_US, DIGITS)
-            self._histograms[name] = histogram
-        histogram.record_value(min(max(1, int(value_us)), MAX_US))
+    def _sort_in(self):
+        """Give what was recorded to the histograms.
+
+        Their library is loaded here: a forwarder's first packets go before it.
+        """
+        from hdrh.histogram import HdrHistogram
+
+        recorded, self._recorded = self._recorded, []
+        for name, value_us in recorded:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = HdrHistogram(1, MAX_US, DIGITS)
+                self._histograms[name] = histogram
+            histogram.record_value(min(max(1, int(value_us)), MAX_US))
 
     def get(self, name):
         """Return a counter."""
@@ -45,6 +59,7 @@
 
     def summary(self):
         """Return counters and latencies as a JSON-ready map."""
+        self._sort_in()
         latencies = {
             name: _describe(histogram)
             for name, histogram in sorted(self._histograms.items())
@@ -53,6 +68,7 @@
 
     def text(self):
         """Return counters and latencies in the text format of monitoring tools."""
+        self._sort_in()
         lines = []
         for name, value in sorted(self._counters.items()):
             metric = f"{TEXT_PREFIX}{name}_total"
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -33,6 +33,7 @@
 SYN_LOAD = 1.0
 #: Weight of a packet with data.
 DATA_LOAD = 1.0
+US_PER_MS = 1_000
 #: Offset of the count of data bytes in a head.
 LENGTH = slice(6, 8)
 NO_DATA = b"\0\0"
@@ -231,7 +232,11 @@
         if not flow.is_open:
             flow.is_open = True
             upstream.open_flows += 1
-            upstream.note_answered(now_ms)
+            if flow.tried:
+                # A flow whose SYN went elsewhere may be sending to a dead upstream.
+                upstream.note_answered(now_ms)
+                wait_us = (now_ms - flow.opened_ms) * US_PER_MS
+                self._metrics.record_us("flow_open", wait_us)
         if data[LENGTH] != NO_DATA:
             upstream.add_load(DATA_LOAD, now_ms)
         if data[0] & (FIN | RST):
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from knapweeddeal.clock import monotonic_us
 from knapweeddeal.errors import (
     BadMessageError,
     InvalidIntentError,
@@ -59,6 +60,13 @@
 
     async def take(self, request):
         """Return the response to a request."""
+        began_us = monotonic_us()
+        response = await self._answer(request)
+        spent_us = monotonic_us() - began_us
+        self._metrics.record_us(f"api_{request.method.lower()}", spent_us)
+        return response
+
+    async def _answer(self, request):
         try:
             async with curio.timeout_after(ANSWER_MS / 1000):
                 return await self._dispatch(request)
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -213,11 +213,22 @@
 
     def test_lost_packet(self):
         """An upstream that answered a later SYN is not silent: a packet was lost."""
-        ((data, first),) = self.world.take(syn(port=1), 1_000)
-        self.world.take(packet(port=9, echo=data[10:14]), 1_005)
-        self.due(1_000 + HEDGE_MS)
-        upstream = self.world.pool.by_echo(data[10:14])
-        self.assertFalse(upstream.is_suspect(1_000 + HEDGE_MS))
+        self.assertFalse(self.is_suspect(syn(port=9), packet(port=9, echo=echo_of(1))))
+
+    def test_moved_flow(self):
+        """A flow that another forwarder opened says nothing of its upstream."""
+        self.assertTrue(self.is_suspect(packet(port=9, echo=echo_of(1), data=b"x")))
+
+    @staticmethod
+    def is_suspect(*packets):
+        """Tell what is thought of an upstream that left a SYN unanswered."""
+        told = [state(1), state(2, zone="zone-b")]
+        world = World(routes=[route()], states=told)
+        world.take(syn(port=1), 1_000)
+        for data in packets:
+            world.take(data, 1_005)
+        world.forwarder.take_due(1_000 + HEDGE_MS, [])
+        return world.pool.by_echo(echo_of(1)).is_suspect(1_000 + HEDGE_MS)
 
     def test_one_upstream(self):
         """Without another upstream, the first one is left to the caller's copies."""
