--- /dev/null
+++ b/tests/test_forwarderstart.py
@@ -0,0 +1,141 @@
+"""tests.test_forwarderstart: Tests of a forwarder's first moments."""
+
+import os
+import random
+import socket
+import threading
+
+import testtools
+
+from demo.cluster import BASE_VARIABLE, default_base
+from knapweeddeal.forwardercore import ForwarderCore
+from knapweeddeal.forwarderstart import Seeds, _forward_first
+from knapweeddeal.messages.base import encode
+from knapweeddeal.messages.packets import ControlState, UpstreamsPush
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetport import bind_packets
+from knapweeddeal.replicachoice import ReplicaChoice
+from tests.packetfakes import ZONE, packet, route, routes_push, state
+from tests.processes import wait_until
+
+PORT = 7_000
+BASE = int(os.environ.get(BASE_VARIABLE, 0)) or default_base()
+FIRST, SECOND = f"127.{BASE}.91.1", f"127.{BASE}.91.2"
+PACKETS = (f"127.{BASE}.91.9", 7_002)
+ROUTES = routes_push(route(), revision=4)
+TOLD = UpstreamsPush(whole=True, states=[state(1, host=f"127.{BASE}.91.8", port=7_005)])
+HEARD = ControlState(zone=ZONE, current=True, revision=4, replicas=[])
+
+
+class FakeSettings:
+    """Hold the settings that the start reads."""
+
+    name = "front-1"
+    zone = ZONE
+    packets = PACKETS
+    packet_flow_idle_ms = 15_000
+    seed_addresses = ((FIRST, PORT), (SECOND, PORT))
+
+
+def make_core():
+    """Return a core that knows nothing."""
+    choice = ReplicaChoice(
+        seeds=FakeSettings.seed_addresses, zone=ZONE, random=random.random
+    )
+    return ForwarderCore(
+        settings=FakeSettings(), choice=choice, random=random.random, metrics=Metrics()
+    )
+
+
+class FakeReplica:
+    """Answer one connection with some messages."""
+
+    def __init__(self, *, host, messages):
+        self._listener = socket.create_server((host, PORT))
+        self._data = b"".join(map(encode, messages))
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        with connection:
+            connection.recv(1_024)
+            connection.sendall(self._data)
+            connection.recv(1_024)
+
+    def close(self):
+        """Wait for the end of the connection."""
+        self._thread.join(5)
+        self._listener.close()
+
+
+class FirstBeliefs(testtools.TestCase):
+    """The seeds are asked without waiting, again while they refuse."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core()
+        self.seeds = Seeds(settings=FakeSettings(), core=self.core)
+        self.addCleanup(self.seeds.close)
+
+    def replica(self, host, *messages):
+        """Start a replica."""
+        replica = FakeReplica(host=host, messages=messages)
+        self.addCleanup(replica.close)
+        return replica
+
+    def is_ready(self):
+        """Poll once; tell whether enough is known."""
+        self.seeds.poll()
+        return self.core.is_ready
+
+    def test_nobody(self):
+        for _ in range(10):
+            self.assertFalse(self.is_ready())
+
+    def test_late_replica(self):
+        self.assertFalse(self.is_ready())
+        self.replica(SECOND, HEARD, ROUTES, TOLD)
+        wait_until(self.is_ready, "beliefs")
+        self.assertEqual(4, self.core.routes.revision)
+
+    def test_empty_replica(self):
+        """One that lost its disk knows upstreams and no routes: others are asked on."""
+        self.replica(FIRST, HEARD, TOLD)
+        wait_until(lambda: self.is_ready() or len(self.core.pool), "upstreams")
+        self.assertFalse(self.core.is_ready)
+        self.replica(SECOND, HEARD, ROUTES, TOLD)
+        wait_until(self.is_ready, "routes")
+
+    def test_nonsense(self):
+        """A seed that sends something else is asked again later."""
+        listener = socket.create_server((FIRST, PORT))
+        self.addCleanup(listener.close)
+        self.is_ready()
+        connection, _ = listener.accept()
+        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        connection.close()
+        self.replica(SECOND, HEARD, ROUTES, TOLD)
+        wait_until(self.is_ready, "beliefs")
+
+
+class Rush(testtools.TestCase):
+    """Packets that wait are forwarded before the event loop is loaded."""
+
+    def test_forwarded(self):
+        upstream = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(upstream.close)
+        upstream.bind((f"127.{BASE}.91.8", 7_005))
+        upstream.settimeout(2)
+        port = bind_packets(PACKETS)
+        self.addCleanup(port.close)
+        waiting = packet(echo=(1).to_bytes(4, "little"), data=b"x")
+        upstream.sendto(waiting, PACKETS)
+        core = make_core()
+        replica = FakeReplica(host=FIRST, messages=(HEARD, ROUTES, TOLD))
+        self.addCleanup(replica.close)
+        seeds = Seeds(settings=FakeSettings(), core=core)
+        self.addCleanup(seeds.close)
+        wait_until(lambda: seeds.poll() or core.is_ready, "beliefs")
+        _forward_first(port, core, seeds)
+        self.assertEqual((1).to_bytes(8, "big") + waiting, upstream.recv(2_048))
