--- a/knapweeddeal/controlclient.py
+++ b/knapweeddeal/controlclient.py
@@ -15,12 +15,15 @@
 from knapweeddeal.record import Record
 from knapweeddeal.stream import connect
 
-__all__ = ["FoundRefusals", "ask", "ask_one", "ask_refusals"]
+__all__ = ["FoundRefusals", "Search", "ask", "ask_one", "ask_refusals"]
 
 #: Longest wait for a connection.
 CONNECT_MS = 1_000
 #: Longest wait for one replica; one that works answers or says why not before it.
 TRY_MS = 3_000
+#: Times that all replicas in a row must fail before the search gives up: an election
+#: or a pause of the VMs fails all of them once.
+MAX_FAILED_ROUNDS = 2
 #: Pause before all replicas are asked once more.
 PAUSE_MS = 50
 
@@ -30,7 +33,7 @@
 
     A command may be sent more than once; its request id makes that safe.
     """
-    search = _Search(addresses=list(addresses), until_ms=monotonic_ms() + timeout_ms)
+    search = Search(addresses=list(addresses), until_ms=monotonic_ms() + timeout_ms)
     while True:
         address = search.next_address()
         try:
@@ -109,17 +112,20 @@
         await stream.close()
 
 
-class _Search:
+class Search:
     """Choose whom to ask next, and remember the failure that says most."""
 
-    __slots__ = ("_addresses", "_error", "_failed", "_hint", "_place", "_until_ms")
+    __slots__ = ("_addresses", "_error", "_failed", "_failed_rounds", "_hint")
+    __slots__ += ("_place", "_until_ms")
 
     def __init__(self, *, addresses, until_ms):
         self._addresses = addresses
         self._until_ms = until_ms
         self._hint = None
         self._place = 0
+        #: Replicas that failed since the last round of failures, or a named leader.
         self._failed = set()
+        self._failed_rounds = 0
         self._error = None
 
     def next_address(self):
@@ -136,7 +142,11 @@
         self._failed.add(address)
         if isinstance(error, NotLeaderError):
             self._failed = set()
+            self._failed_rounds = 0
             self._follow(address, error)
+        elif self._failed >= set(self._addresses):
+            self._failed = set()
+            self._failed_rounds += 1
         if not isinstance(error, NotLeaderError) or self._error is None:
             keep = isinstance(self._error, NoQuorumError)
             self._error = self._error if keep else error
@@ -161,8 +171,8 @@
         """Tell whether to give up: at the end, or when no replica knows a leader."""
         if monotonic_ms() >= self._until_ms:
             return True
-        all_failed = self._failed >= set(self._addresses)
-        return all_failed and isinstance(self._error, NoQuorumError)
+        has_failed = self._failed_rounds >= MAX_FAILED_ROUNDS
+        return has_failed and isinstance(self._error, NoQuorumError)
 
     def error(self):
         """Return the failure to raise."""
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -339,6 +339,39 @@
             return None
 
 
+class Stalled(testscenarios.TestWithScenarios, GroupTest):
+    """A pause of all VMs at once costs an operator time, not the answer."""
+
+    scenarios = [
+        (f"{pause_ms} ms", {"pause_ms": pause_ms}) for pause_ms in (400, 700, 1_000)
+    ]
+
+    def test_changes(self):
+        group = self.start_group()
+        changes = threading.Thread(target=self.change_some)
+        self.versions = []
+        changes.start()
+        for _ in range(4):
+            time.sleep(0.4)
+            self.signal_all(signal.SIGSTOP)
+            time.sleep(self.pause_ms / 1000)
+            self.signal_all(signal.SIGCONT)
+        changes.join()
+        self.assertEqual(list(range(1, 41)), self.versions)
+        self.assertEqual(40, group.ask(StatusAsk()).version)
+
+    def change_some(self):
+        """Make changes one after another."""
+        for number in range(1, 41):
+            time.sleep(0.03)
+            self.versions.append(self.change(number))
+
+    def signal_all(self, number):
+        """Send a signal to all replicas."""
+        for daemon in self.group.daemons.values():
+            daemon.signal(number)
+
+
 class Stopped(GroupTest):
     """A replica that sleeps through changes neither answers stale nor undoes any."""
 
