Send all routes to a starting forwarder once, not five times

A starting forwarder got all routes from each of three seeds and again over both of its streams: 5 times 72 KB over a link of 175 KB/s. A subscription now says which revision is held, and seeds are asked one after another.

--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -30,6 +30,8 @@
 FIRST_MS = 1_000
 #: Time without a packet after which there is no rush.
 QUIET_MS = 100
+#: Time in which a seed that is there answers, also over a link of 1.4 Mbit/s.
+ASK_MS = 100
 #: Time between looks at connections that are being opened.
 POLL_MS = 10
 READ_BYTES = 64 * 1024
@@ -90,9 +92,9 @@
 
 
 class Seeds:
-    """Ask all seeds at once, again if they refuse, until one told what it knows."""
+    """Connect to all seeds, and ask one after another until routes are known."""
 
-    __slots__ = ("_addresses", "_asks", "_core", "_hello")
+    __slots__ = ("_addresses", "_asks", "_core", "_hello", "_next_ms")
 
     def __init__(self, *, settings, core):
         self._addresses = settings.seed_addresses
@@ -101,6 +103,8 @@
             ForwarderHello(name=settings.name, zone=settings.zone, revision=0)
         )
         self._asks = []
+        #: When the next seed is asked: all routes may fill a link for some time.
+        self._next_ms = 0
 
     @property
     def open_asks(self):
@@ -116,8 +120,7 @@
             if address not in asked:
                 self._asks.append(Ask(address=address, core=self._core))
         readable, writable, _ = select.select(self._asks, self._asks, [], 0)
-        for ask in writable:
-            ask.send(self._hello)
+        self._ask_next(writable)
         for ask in readable:
             ask.receive()
         for ask in [ask for ask in self._asks if ask.failed]:
@@ -126,6 +129,15 @@
         if self._core.is_ready:
             self.close()
 
+    def _ask_next(self, writable):
+        """Ask one seed, unless another one was asked just now and may answer."""
+        unasked = [ask for ask in writable if not ask.sent]
+        waits = any(ask.sent and not ask.failed for ask in self._asks)
+        if not unasked or (waits and monotonic_ms() < self._next_ms):
+            return
+        unasked[0].send(self._hello)
+        self._next_ms = monotonic_ms() + ASK_MS
+
     def close(self):
         """End all connections; the tasks of the process open theirs."""
         for ask in self._asks or ():
@@ -155,8 +167,6 @@
 
     def send(self, hello):
         """Ask, once the connection stands."""
-        if self.sent:
-            return
         self.sent = True
         try:
             self._socket.sendall(hello)
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -259,12 +259,14 @@
 
     @_take.register
     async def _(self, event: ForwarderJoined):
+        held = self._configuration if self._is_held(event.hello) else None
         self._forwarders[event.outbox] = Subscriber(
-            name=event.hello.name, configuration=None
+            name=event.hello.name, configuration=held
         )
         log.info("serves a forwarder", name=event.hello.name)
         await event.outbox.offer(self._state())
-        await self._push_routes(event.outbox)
+        if held is None:
+            await self._push_routes(event.outbox)
         states = self._table.states(monotonic_ms())
         await event.outbox.offer(UpstreamsPush(whole=True, states=states))
 
@@ -339,6 +341,11 @@
         for outbox in self._forwarders:
             await outbox.offer(push)
 
+    def _is_held(self, hello):
+        """Tell whether a forwarder has the routes already, from another replica."""
+        configuration = self._configuration
+        return configuration is not None and hello.revision == configuration.revision
+
     async def _push_routes(self, outbox):
         configuration = self._configuration
         if configuration is None or not configuration.revision:
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -99,9 +99,9 @@
         return LinkUp(state=told, outbox=outbox)
 
     @staticmethod
-    def join(outbox):
-        """Return the event that a forwarder subscribed."""
-        hello = ForwarderHello(name="f", zone="zone-a", revision=0)
+    def join(outbox, *, revision=0):
+        """Return the event that a forwarder with some routes subscribed."""
+        hello = ForwarderHello(name="f", zone="zone-a", revision=revision)
         return ForwarderJoined(hello=hello, outbox=outbox)
 
     @staticmethod
@@ -187,6 +187,17 @@
         )
         self.assertEqual([0, 0], [push.base for push in outbox.of(RoutesPush)])
 
+    def test_holds_routes(self):
+        """A forwarder that has the routes gets only what changes."""
+        outbox = FakeOutbox()
+        self.play(
+            self.changed(3, route()),
+            self.join(outbox, revision=3),
+            self.changed(4, route(), route(port=8_443)),
+        )
+        (change,) = outbox.of(RoutesPush)
+        self.assertEqual([4, 3], [change.revision, change.base])
+
     def test_leader_lost(self):
         """A forwarder learns at once that this replica hears no leader."""
         outbox = FakeOutbox()
