--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -43,14 +43,16 @@
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.pendingasks import Pending, PendingAsks
 from knapweeddeal.replicaswap import ReplicaSwap
-from knapweeddeal.snapshotturns import SNAPSHOT_RECORDS, is_snapshot_due
+from knapweeddeal.snapshotturns import (
+    SNAPSHOT_RECORDS,
+    is_snapshot_due,
+    records_to_keep,
+)
 
 __all__ = ["ControlReplica"]
 
 #: An operator waits this many election timeouts for a quorum.
 ASK_TIMEOUT_ELECTIONS = 2
-#: Records before a snapshot that stay in memory for followers that lag a little.
-KEEP_RECORDS = 500
 #: Time between reports of a follower's entries to the leader.
 REPORT_MS = 1_000
 
@@ -186,7 +188,7 @@
             replicas=list(node.log.replicas_at(node.applied_index)),
             data=self.state.image(),
         )
-        node.compact(snapshot, KEEP_RECORDS)
+        node.compact(snapshot, records_to_keep(node.log, node.applied_index))
         return snapshot
 
     def take_report(self):
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -85,6 +85,7 @@
     while True:
         await curio.sleep(SWEEP_MS / 1000)
         core.forwarder.forget(monotonic_ms())
+        core.pool.forget(monotonic_ms())
 
 
 async def _watch_signals(core, settings, learn_seeds):
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -27,6 +27,9 @@
 
 #: Time that an upstream may take to end after it said that it leaves for good.
 ENDING_MS = 1_000
+#: Time after which a gone or silent upstream is forgotten: twice the longest life of a
+#: flow that is remembered.
+FORGET_MS = 120_000
 #: Spread of what decides between upstreams of equal load.
 TIE_SPREAD = 0.01
 #: The upstreams of an unknown service.
@@ -47,11 +50,11 @@
     """Hold one upstream: what was told of it, and what its flows show."""
 
     __slots__ = (
+        "absent_since_ms",
         "address",
         "answered_ms",
         "cold_until_ms",
         "echo",
-        "gone_since_ms",
         "is_near",
         "load",
         "load_ms",
@@ -67,8 +70,8 @@
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
-        #: Since when it is known to be gone, or None.
-        self.gone_since_ms = None
+        #: Since when it is known to be gone or silent, or None.
+        self.absent_since_ms = None
         #: When a caller last showed that it had an answer to a SYN.
         self.answered_ms = 0
         self.suspect_until_ms = 0
@@ -78,10 +81,10 @@
     def set_state(self, state, now_ms):
         """Take what was told."""
         self.state = state
-        if state.status != GONE:
-            self.gone_since_ms = None
-        elif self.gone_since_ms is None:
-            self.gone_since_ms = now_ms
+        if state.status != GONE and not state.silent:
+            self.absent_since_ms = None
+        elif self.absent_since_ms is None:
+            self.absent_since_ms = now_ms
         self.address = (state.host, state.port)
         self.cold_until_ms = now_ms + state.cold_ms
 
@@ -106,8 +109,12 @@
 
     def has_ended(self, now_ms):
         """Tell whether its process is gone: it says so just before it ends."""
-        since_ms = self.gone_since_ms
-        return since_ms is not None and now_ms - since_ms >= ENDING_MS
+        return self.state.status == GONE and self.is_absent(now_ms, ENDING_MS)
+
+    def is_absent(self, now_ms, duration_ms):
+        """Tell whether it has been gone or silent for some time."""
+        since_ms = self.absent_since_ms
+        return since_ms is not None and now_ms - since_ms >= duration_ms
 
     def is_suspect(self, now_ms):
         """Tell whether a SYN went unanswered lately."""
@@ -218,6 +225,7 @@
         if state.silent and not old.silent and not current:
             return False
         known.set_state(state, now_ms)
+        known.is_near = state.zone == self._zone
         if old.service != state.service:
             del self._members[old.service][state.upstream_id]
             self._rebuild(old.service)
@@ -234,6 +242,20 @@
         self._by_id[state.upstream_id] = upstream
         self._enrol(upstream)
 
+    def forget(self, now_ms):
+        """Forget upstreams that have been gone or silent for long."""
+        for upstream in list(self._by_id.values()):
+            if upstream.is_absent(now_ms, FORGET_MS):
+                self._drop(upstream)
+
+    def _drop(self, upstream):
+        upstream_id, service = upstream.state.upstream_id, upstream.state.service
+        del self._by_id[upstream_id]
+        del self._members[service][upstream_id]
+        if self._by_echo.get(upstream.echo) is upstream:
+            del self._by_echo[upstream.echo]
+        self._rebuild(service)
+
     def _enrol(self, upstream):
         members = self._members.setdefault(upstream.state.service, {})
         members[upstream.state.upstream_id] = upstream
--- a/knapweeddeal/snapshotturns.py
+++ b/knapweeddeal/snapshotturns.py
@@ -1,11 +1,34 @@
 """knapweeddeal.snapshotturns: When a member writes a snapshot of its state."""
 
-__all__ = ["SNAPSHOT_RECORDS", "is_snapshot_due", "is_snapshot_turn"]
+__all__ = [
+    "SNAPSHOT_RECORDS",
+    "is_snapshot_due",
+    "is_snapshot_turn",
+    "records_to_keep",
+]
 
 #: Records after which the state is written as a snapshot.
 SNAPSHOT_RECORDS = 1_000
 #: Size of the log file after which a snapshot is written at once.
 SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
+#: Records before a snapshot that stay in memory for followers that lag a little.
+KEEP_RECORDS = 500
+#: Most bytes of these: a document with some thousand routes has a quarter of a MB.
+KEEP_BYTES = 8 * 1024 * 1024
+
+
+def records_to_keep(log, last_index, *, most=KEEP_RECORDS, max_bytes=KEEP_BYTES):
+    """Return how many records before a snapshot stay in memory."""
+    kept, size = 0, 0
+    while kept < most:
+        record = log.get(last_index - kept)
+        if record is None:
+            break
+        size += len(record.command)
+        if size > max_bytes:
+            break
+        kept += 1
+    return kept
 
 
 def is_snapshot_due(node, *, log_bytes, every):
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -6,7 +6,12 @@
 from knapweeddeal.messages.packets import DRAINING, GONE
 from knapweeddeal.packetforwarder import HEDGE_MS
 from knapweeddeal.packethead import ACK, FIN, RST, reset_for
-from knapweeddeal.packetupstreams import ENDING_MS, SUSPECT_MS, echo_of
+from knapweeddeal.packetupstreams import (
+    ENDING_MS,
+    FORGET_MS,
+    SUSPECT_MS,
+    echo_of,
+)
 from tests.packetfakes import (
     CALLER_PORT,
     SERVICE,
@@ -332,3 +337,33 @@
         (upstream,) = world.pool.all()
         self.assertEqual(self.status, upstream.state.status)
         self.assertEqual(self.silent, upstream.state.silent)
+
+
+class Forgotten(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Upstreams that are gone for long take no memory."""
+
+    scenarios = [
+        ("gone", {"told": {"status": GONE}, "known": 0}),
+        ("silent", {"told": {"silent": True}, "known": 0}),
+        ("leaving", {"told": {"status": DRAINING}, "known": 1}),
+        ("back", {"told": {"silent": True}, "then": {"sequence": 2}, "known": 1}),
+    ]
+    then = None
+
+    def test_forget(self):
+        world = World(routes=[route()], states=[state(1)])
+        world.pool.take([state(**self.told)], 0, current=True)
+        if self.then:
+            world.pool.take([state(**self.then)], 1, current=True)
+        world.pool.forget(FORGET_MS - 1)
+        self.assertEqual(1, len(list(world.pool.all())))
+        world.pool.forget(FORGET_MS)
+        self.assertEqual(self.known, len(list(world.pool.all())))
+        self.assertEqual(self.known, world.pool.by_echo(echo_of(1)) is not None)
+
+    def test_other_zone(self):
+        """An upstream that starts again elsewhere is no longer near."""
+        world = World(routes=[route()], states=[state(1)])
+        world.pool.take([state(born_ms=2_000, zone="zone-b")], 0, current=True)
+        (upstream,) = world.pool.all()
+        self.assertFalse(upstream.is_near)
