--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -150,6 +150,10 @@
         """Return what this replica tells others of itself."""
         return self._cluster.state_message()
 
+    def add_section(self, name, look):
+        """Let the dump show what a function returns."""
+        self._replica.sections[name] = look
+
     # The loop.
 
     async def run(self):
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -99,6 +99,7 @@
         metrics=core.metrics,
         hints=hints,
     )
+    core.add_section("packets", hub.dump)
     links.hello = core.hello
     keeper = JournalTask(journal=journal)
     streams = ControlStreams(
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -78,6 +78,7 @@
         "node",
         "own",
         "plan_life_ms",
+        "sections",
         "state",
     )
 
@@ -99,6 +100,8 @@
         self.flow_counts = FlowCountTable()
         self.metrics = Metrics()
         self.connected = {}
+        #: What other parts of the process add to the dump: functions by name.
+        self.sections = {}
         self._election_ms = election_ms
         self.plan_life_ms = plan_life_ms
         self._snapshot_records = snapshot_records
@@ -248,6 +251,7 @@
             **self._pending.counts(),
             "entries": len(self.entry_statuses()),
             **self.state.counts(),
+            **{name: look() for name, look in self.sections.items()},
         }
 
     # Asks.
--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -11,8 +11,8 @@
 import curio
 
 from demo.cluster import BASE_VARIABLE, default_base
-from knapweeddeal.messages.operator import ReplicasAsk
-from tests.processes import Daemon, ask, wait_until
+from knapweeddeal.messages.operator import DumpAsk, ReplicasAsk
+from tests.processes import Daemon, ask, ask_one, wait_until
 
 __all__ = ["PacketCluster"]
 
@@ -198,6 +198,11 @@
         """Return the text of the forwarder's metrics."""
         return self.call("GET", "/", host=self.host(11), port=METRICS)[1].decode()
 
+    def dump(self, host):
+        """Return the state dump of a process."""
+        answer = curio.run(ask_one, (host, STREAMS), DumpAsk(max_bytes=1 << 20), 5_000)
+        return json.loads(answer.text)
+
     def members(self):
         """Return the identities of the committed members, or nothing."""
         addresses = [(host, STREAMS) for host in self.replicas]
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -60,6 +60,10 @@
         self.assertEqual(200, cluster.call("PUT", "/-/config", document(4))[0])
         self.assertEqual(6, cluster.published())
         self.assertIn("knapweeddeal_flows_offered_total", cluster.metrics())
+        packets = cluster.dump(cluster.replicas[0])["packets"]
+        self.assertEqual(["forwarder"], packets["forwarders"])
+        self.assertEqual("i-ab12", packets["upstreams"][0]["upstream_id"])
+        self.assertEqual(6, cluster.dump(cluster.host(11))["revision"])
 
     def _reaches(self, to):
         self.cluster.send(self.packet(SYN, to=to, port=4_100))
