--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from knapweeddeal.forwarderlinks import LINKS
 from knapweeddeal.packethead import RST, SYN
 from tests.packetcluster import ROUTE_HOST, ROUTE_PORT, PacketCluster, document
 from tests.processes import wait_until
@@ -60,11 +61,17 @@
         self.assertEqual(200, cluster.call("PUT", "/-/config", document(4))[0])
         self.assertEqual(6, cluster.published())
         self.assertIn("knapweeddeal_flows_offered_total", cluster.metrics())
+        wait_until(lambda: len(self._subscriptions()) == LINKS, "subscriptions")
+        self.assertEqual({"forwarder"}, set(self._subscriptions()))
         packets = cluster.dump(cluster.replicas[0])["packets"]
-        self.assertEqual(["forwarder"], packets["forwarders"])
         self.assertEqual("i-ab12", packets["upstreams"][0]["upstream_id"])
         self.assertEqual(6, cluster.dump(cluster.host(11))["revision"])
 
+    def _subscriptions(self):
+        """Return the forwarders that replicas serve; each has two of the three."""
+        dumps = [self.cluster.dump(host) for host in self.cluster.replicas]
+        return [name for dump in dumps for name in dump["packets"]["forwarders"]]
+
     def _reaches(self, to):
         self.cluster.send(self.packet(SYN, to=to, port=4_100))
         return self.cluster.at_upstream()
