--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -232,8 +232,8 @@
         self._told_hub = told
         self._hub_ms = now_ms + HUB_MS
         packets, current = told
-        known = {(r.host, r.port): r for r in replica.connected.values()}
-        members = [*replica.node.log.replicas, *known.values(), self._own]
+        connected = replica.connected.values()
+        members = [*replica.node.log.replicas, *connected, self._own]
         await self._hub_events.put(
             CoreChanged(
                 configuration=packets,
