Remember routes on a replica's disk; ask refusing seeds after a pause

Ruled out: the start of the VMs (first replica at 47.01 s). singledispatch imports typing: about a tenth of the start. Hints hold what forwarders were told, routes and upstreams; a log behind them is no news. The connections of the start go on listening for later routes.

--- a/knapweeddeal/directoryhints.py
+++ b/knapweeddeal/directoryhints.py
@@ -1,7 +1,8 @@
-"""knapweeddeal.directoryhints: The directory of upstreams on a replica's disk.
+"""knapweeddeal.directoryhints: What a replica last told forwarders, on its disk.
 
-Upstreams outlive the system's processes, so after all of them were killed the last
-known ones are a better guess than none until all have reported again.
+Upstreams outlive the system's processes, and a log proves nothing before an election:
+after all replicas were killed, the last routes and upstreams are a better guess than
+none.
 """
 
 from pathlib import Path
@@ -13,7 +14,7 @@
 from knapweeddeal.frames import frame, read_message, write_atomically
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import encode
-from knapweeddeal.messages.packets import GONE, DirectoryBatch
+from knapweeddeal.messages.packets import PacketHints
 
 __all__ = ["HintFile"]
 
@@ -24,29 +25,28 @@
 
 
 class HintFile:
-    """Keep the last states; its task alone waits for the disk."""
+    """Keep the last hints; its task alone waits for the disk."""
 
-    __slots__ = ("_event", "_path", "_states")
+    __slots__ = ("_event", "_hints", "_path")
 
     def __init__(self, *, folder):
-        self._path = Path(folder) / "upstreams"
-        self._states = []
+        self._path = Path(folder) / "hints"
+        self._hints = None
         self._event = curio.Event()
 
     def read(self):
-        """Return what was kept, marked as hints; nothing if it is damaged."""
+        """Return the `PacketHints` that were kept; None if there are no good ones."""
         if not self._path.exists():
-            return []
+            return None
         try:
-            batch = read_message(self._path, DirectoryBatch)
+            return read_message(self._path, PacketHints)
         except (CorruptStorageError, OSError) as error:
-            log.warning("starts without the last directory", why=str(error))
-            return []
-        return [state.replace(hint=True, silent=False) for state in batch.states]
+            log.warning("starts without hints", why=str(error))
+            return None
 
-    async def offer(self, states):
-        """Let states be written soon."""
-        self._states = [state for state in states if state.status != GONE]
+    async def offer(self, hints):
+        """Let hints be written soon."""
+        self._hints = hints
         await self._event.set()
 
     async def run(self):
@@ -54,9 +54,9 @@
         while True:
             await self._event.wait()
             self._event.clear()
-            batch = DirectoryBatch(sender=0, batch_id=0, states=self._states, beats=[])
+            data = frame(encode(self._hints))
             try:
-                await in_thread(write_atomically, self._path, frame(encode(batch)))
+                await in_thread(write_atomically, self._path, data)
             except DiskFailedError as error:
-                log.warning("can't keep the directory", error=error.describe())
+                log.warning("can't keep hints", error=error.describe())
             await curio.sleep(WRITE_MS / 1000)
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -1,6 +1,6 @@
 """knapweeddeal.forwardercore: What a forwarder believes, and what changes that."""
 
-from functools import singledispatchmethod
+from types import MappingProxyType
 
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
@@ -104,35 +104,36 @@
         """Turn not ready; packets are still forwarded."""
         self.stopping = True
 
-    @singledispatchmethod
     def take(self, message, subscription, now_ms):
-        """Drop what a replica doesn't send."""
-        log.warning("drops a message", kind=type(message).__name__)
+        """Take what a replica sent; drop what it doesn't send."""
+        take = self.TAKES.get(type(message))
+        if take is None:
+            log.warning("drops a message", kind=type(message).__name__)
+            return
+        take(self, message, subscription, now_ms)
 
-    @take.register(ControlState)
-    def _(self, message, subscription, now_ms):
-        if message.current != subscription.current or not message.current:
-            self._note_current(message, subscription, now_ms)
+    def _take_state(self, message, subscription, now_ms):
+        self._note_current(message, subscription, now_ms)
         self._choice.note_zone(subscription.address, message.zone)
         self._choice.learn((r.host, r.port) for r in message.replicas)
 
     def _note_current(self, message, subscription, now_ms):
-        if message.current != subscription.current:
-            subscription.stale_since_ms = now_ms
-            subscription.current = message.current
-            log.info(
-                "hears whether a replica has a leader",
-                replica=subscription.address,
-                current=message.current,
-                revision=message.revision,
-            )
+        if message.current == subscription.current:
+            return
+        subscription.stale_since_ms = now_ms
+        subscription.current = message.current
+        log.info(
+            "hears whether a replica has a leader",
+            replica=subscription.address,
+            current=message.current,
+            revision=message.revision,
+        )
         self._update_current()
 
     def _update_current(self):
         self.forwarder.current = any(s.current for s in self._subscriptions)
 
-    @take.register(RoutesPush)
-    def _(self, message, subscription, now_ms):
+    def _take_routes(self, message, subscription, now_ms):
         before = self.routes.revision
         if message.revision > before and not self.routes.can_apply(message):
             subscription.lacks_routes = True
@@ -155,8 +156,7 @@
             )
             self.metrics.count("route_changes")
 
-    @take.register(UpstreamsPush)
-    def _(self, message, subscription, now_ms):
+    def _take_upstreams(self, message, subscription, now_ms):
         news = self.pool.take(message.states, now_ms, current=subscription.current)
         for state in news:
             log.info(
@@ -171,6 +171,16 @@
                 replica=subscription.address,
             )
 
+    #: What takes each message; `singledispatch` imports `typing`, which a start at a
+    #: small share of a core has no time for.
+    TAKES = MappingProxyType(
+        {
+            ControlState: _take_state,
+            RoutesPush: _take_routes,
+            UpstreamsPush: _take_upstreams,
+        }
+    )
+
 
 def _upstream(upstream):
     state = upstream.state
--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -32,6 +32,8 @@
 QUIET_MS = 100
 #: Time in which a seed that is there answers, also over a link of 1.4 Mbit/s.
 ASK_MS = 100
+#: Pause after a seed refused: its VM is up, and its process begins within 0.3 s.
+RETRY_MS = 20
 #: Time between looks at connections that are being opened.
 POLL_MS = 10
 READ_BYTES = 64 * 1024
@@ -92,9 +94,9 @@
 
 
 class Seeds:
-    """Connect to all seeds, and ask one after another until routes are known."""
+    """Connect to all seeds, ask one after another until enough is known, and listen."""
 
-    __slots__ = ("_addresses", "_asks", "_core", "_hello", "_next_ms")
+    __slots__ = ("_addresses", "_asks", "_core", "_hello", "_next_ms", "_retry_ms")
 
     def __init__(self, *, settings, core):
         self._addresses = settings.seed_addresses
@@ -105,6 +107,8 @@
         self._asks = []
         #: When the next seed is asked: all routes may fill a link for some time.
         self._next_ms = 0
+        #: When a seed that failed is tried again, by its address.
+        self._retry_ms = {}
 
     @property
     def open_asks(self):
@@ -115,24 +119,38 @@
         """Go on with what can be done without waiting."""
         if self._asks is None:
             return
-        asked = {ask.address for ask in self._asks}
-        for address in self._addresses:
-            if address not in asked:
-                self._asks.append(Ask(address=address, core=self._core))
+        if not self._core.is_ready:
+            self._connect(monotonic_ms())
         readable, writable, _ = select.select(self._asks, self._asks, [], 0)
-        self._ask_next(writable)
+        if not self._core.is_ready:
+            self._ask_next(writable)
         for ask in readable:
             ask.receive()
-        for ask in [ask for ask in self._asks if ask.failed]:
-            ask.close()
-            self._asks.remove(ask)
-        if self._core.is_ready:
-            self.close()
+        for ask in [ask for ask in self._asks if ask.failure]:
+            self._give_up(ask, monotonic_ms())
+
+    def _connect(self, now_ms):
+        asked = {ask.address for ask in self._asks}
+        for address in self._addresses:
+            if address not in asked and self._retry_ms.get(address, 0) <= now_ms:
+                self._asks.append(Ask(address=address, core=self._core))
+
+    def _give_up(self, ask, now_ms):
+        """End a connection that failed; say so the first time."""
+        if ask.address not in self._retry_ms:
+            log.info(
+                "can't ask a control replica yet",
+                replica=ask.address,
+                why=ask.failure,
+            )
+        self._retry_ms[ask.address] = now_ms + RETRY_MS
+        ask.close()
+        self._asks.remove(ask)
 
     def _ask_next(self, writable):
         """Ask one seed, unless another one was asked just now and may answer."""
         unasked = [ask for ask in writable if not ask.sent]
-        waits = any(ask.sent and not ask.failed for ask in self._asks)
+        waits = any(ask.sent for ask in self._asks)
         if not unasked or (waits and monotonic_ms() < self._next_ms):
             return
         unasked[0].send(self._hello)
@@ -149,11 +167,13 @@
     """Hold one connection to a seed."""
 
     __slots__ = ("_core", "_socket", "_subscription", "_unpacker", "address")
-    __slots__ += ("failed", "sent")
+    __slots__ += ("failure", "sent")
 
     def __init__(self, *, address, core):
         self.address = address
-        self.failed = self.sent = False
+        self.sent = False
+        #: Why nothing more comes, or "".
+        self.failure = ""
         self._core = core
         self._subscription = Subscription(address=address, now_ms=monotonic_ms())
         self._unpacker = msgpack.Unpacker()
@@ -171,11 +191,11 @@
         try:
             self._socket.sendall(hello)
         except OSError as error:
-            self._fail(error)
+            self.failure = str(error)
 
     def receive(self):
         """Take what has come."""
-        if self.failed:
+        if self.failure:
             return
         try:
             data = self._socket.recv(READ_BYTES)
@@ -187,17 +207,11 @@
         except BlockingIOError:
             return
         except (OSError, ValueError, BadMessageError) as error:
-            self._fail(error)
+            self.failure = str(error)
 
     def _take(self, message):
         self._core.take(message, self._subscription, monotonic_ms())
 
-    def _fail(self, error):
-        self.failed = True
-        log.info(
-            "can't ask a control replica yet", replica=self.address, why=str(error)
-        )
-
     def close(self):
         """End the connection."""
         self._socket.close()
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -22,6 +22,7 @@
     "DirectoryBatch",
     "ForwarderHello",
     "PacketConfiguration",
+    "PacketHints",
     "PacketRoute",
     "PublishAnswer",
     "PublishAsk",
@@ -235,6 +236,18 @@
     __slots__ = tuple(schema)
 
 
+class PacketHints(Message):
+    """Keep on disk what forwarders were told, for a replica's next start."""
+
+    tag = 180
+    schema = {
+        "revision": Whole(),
+        "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
+        "states": ListOf(Nested(UpstreamState)),
+    }
+    __slots__ = tuple(schema)
+
+
 class ReplicaNotice(Message):
     """Tell a replica of another one that it may not know."""
 
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -12,9 +12,12 @@
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
+    GONE,
     ControlState,
     DirectoryAck,
     DirectoryBatch,
+    PacketConfiguration,
+    PacketHints,
     ReplicaNotice,
     RoutesAsk,
     RoutesPush,
@@ -161,9 +164,7 @@
 
     async def run(self):
         """Take events for ever."""
-        for state in self._hints.read():
-            self._table.take(state.replace(home=self._own.identity), monotonic_ms())
-        log.info("remembers upstreams", count=len(self._table.states(0)))
+        self._remember(self._hints.read())
         while True:
             wait_ms = max(self._beat_ms - monotonic_ms(), 0)
             event = await curio.ignore_after(wait_ms / 1000, self._events.get)
@@ -172,6 +173,35 @@
             if monotonic_ms() >= self._beat_ms:
                 await self._tick(monotonic_ms())
 
+    def _remember(self, hints):
+        """Begin with what was told before this start."""
+        if hints is None:
+            log.info("remembers nothing")
+            return
+        now_ms, home = monotonic_ms(), self._own.identity
+        for state in hints.states:
+            self._table.take(state.replace(home=home, hint=True, silent=False), now_ms)
+        if hints.revision:
+            self._configuration = PacketConfiguration(
+                revision=hints.revision, routes=hints.routes, document=b""
+            )
+        log.info(
+            "remembers routes and upstreams",
+            revision=hints.revision,
+            routes=len(hints.routes),
+            upstreams=len(hints.states),
+        )
+
+    async def _keep_hints(self):
+        configuration = self._configuration
+        states = self._table.states(monotonic_ms())
+        hints = PacketHints(
+            revision=configuration.revision if configuration else 0,
+            routes=configuration.routes if configuration else [],
+            states=[state for state in states if state.status != GONE],
+        )
+        await self._hints.offer(hints)
+
     async def _tick(self, now_ms):
         self._beat_ms = now_ms + BEAT_MS
         beats = self._table.take_beats()
@@ -292,15 +322,23 @@
         self._core_ms = now_ms
         self._current = event.current
         self._replicas = event.replicas
-        if event.configuration is not self._configuration:
+        if self._is_later(event.configuration):
             self._configuration = event.configuration
             self._diffs = {}
             for outbox in self._forwarders:
                 await self._push_routes(outbox)
+            await self._keep_hints()
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._state())
 
+    def _is_later(self, configuration):
+        """Tell whether to take routes: the log may still be behind a hint of it."""
+        held = self._configuration
+        if held is None or configuration is held:
+            return configuration is not held
+        return configuration.revision > held.revision
+
     # Messages out.
 
     def _batch(self, *, states=(), beats=(), batch_id=0):
@@ -336,7 +374,7 @@
                 home=f"{state.home:016x}",
                 forwarders=len(self._forwarders),
             )
-        await self._hints.offer(self._table.states(monotonic_ms()))
+        await self._keep_hints()
         push = UpstreamsPush(whole=False, states=list(states))
         for outbox in self._forwarders:
             await outbox.offer(push)
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -6,10 +6,13 @@
 import threading
 
 import testtools
+from testtools.matchers import LessThan
 
 from demo.cluster import BASE_VARIABLE, default_base
+from knapweeddeal import forwarderstart
+from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.forwardercore import ForwarderCore
-from knapweeddeal.forwarderstart import Seeds, _forward_first
+from knapweeddeal.forwarderstart import RETRY_MS, Ask, Seeds, _forward_first
 from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.packets import ControlState, UpstreamsPush
 from knapweeddeal.metrics import Metrics
@@ -69,6 +72,18 @@
         self._listener.close()
 
 
+class CountedConnects:
+    """Count the connections that seeds are asked for."""
+
+    def __init__(self, case):
+        self.count = 0
+        case.patch(forwarderstart, "Ask", self._ask)
+
+    def _ask(self, **fields):
+        self.count += 1
+        return Ask(**fields)
+
+
 class FirstBeliefs(testtools.TestCase):
     """The seeds are asked without waiting, again while they refuse."""
 
@@ -82,6 +97,7 @@
         """Start a replica."""
         replica = FakeReplica(host=host, messages=messages)
         self.addCleanup(replica.close)
+        self.addCleanup(self.seeds.close)
         return replica
 
     def is_ready(self):
@@ -107,6 +123,33 @@
         self.replica(SECOND, HEARD, ROUTES, TOLD)
         wait_until(self.is_ready, "routes")
 
+    def test_refused(self):
+        """A seed that refuses isn't asked again at once: that would take the core."""
+        began_ms, polls = monotonic_ms(), 0
+        refused = CountedConnects(self)
+        while monotonic_ms() - began_ms < 10 * RETRY_MS:
+            self.is_ready()
+            polls += 1
+        self.assertGreater(polls, 40)
+        self.assertThat(refused.count, LessThan(2 * 11))
+
+    def test_later_routes(self):
+        """Routes that come after a remembered revision are taken from the same seed."""
+        listener = socket.create_server((FIRST, PORT))
+        self.addCleanup(listener.close)
+        self.is_ready()
+        connection, _ = listener.accept()
+        self.addCleanup(connection.close)
+        for message in (ROUTES, TOLD):
+            connection.sendall(encode(message))
+        wait_until(self.is_ready, "beliefs")
+        connection.sendall(encode(routes_push(route(), revision=5)))
+        wait_until(lambda: self.is_ready() and self.revision() == 5, "later routes")
+
+    def revision(self):
+        """Return the revision of the routes that are held."""
+        return self.core.routes.revision
+
     def test_nonsense(self):
         """A seed that sends something else is asked again later."""
         listener = socket.create_server((FIRST, PORT))
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -12,6 +12,7 @@
     DirectoryBatch,
     ForwarderHello,
     PacketConfiguration,
+    PacketHints,
     RoutesAsk,
     RoutesPush,
     UpstreamsPush,
@@ -52,23 +53,23 @@
 class FakeHints:
     """Remember nothing, or some upstreams."""
 
-    def __init__(self, states=()):
-        self.states = list(states)
-        self.offered = []
+    def __init__(self, hints=None):
+        self.hints = hints
+        self.offered = None
 
     def read(self):
         """Return what was kept."""
-        return self.states
+        return self.hints
 
-    async def offer(self, states):
-        """Keep states."""
-        self.offered = states
+    async def offer(self, hints):
+        """Keep hints."""
+        self.offered = hints
 
 
 class HubTest(testtools.TestCase):
     """Run a hub and feed it events."""
 
-    def play(self, *events, hints=(), wait_s=0.02):
+    def play(self, *events, hints=None, wait_s=0.02):
         """Let a hub take events, and some time pass; return its hints."""
         kept = FakeHints(hints)
 
@@ -175,7 +176,7 @@
         )
         self.assertEqual([8_443], [r.port for r in change.routes])
         self.assertEqual(2, len(outbox.of(UpstreamsPush)))
-        self.assertEqual(["i-1"], [s.upstream_id for s in kept.offered])
+        self.assertEqual(["i-1"], [s.upstream_id for s in kept.offered.states])
 
     def test_asks(self):
         """A forwarder that asks gets all routes."""
@@ -231,9 +232,33 @@
         self.assertEqual(["i-1"], [s.upstream_id for s in told.states])
         self.assertEqual([DirectoryAck(sender=1, batch_id=7)], outbox.of(DirectoryAck))
 
-    def test_hints(self):
-        """What was remembered is handed out, marked."""
+
+class Remembered(testscenarios.TestWithScenarios, HubTest):
+    """After all replicas were killed, forwarders get what was told before."""
+
+    HINTS = PacketHints(revision=7, routes=[route()], states=[state()])
+    scenarios = [
+        ("no leader yet", {"core": [], "revisions": [7]}),
+        ("log behind the hint", {"core": [3], "revisions": [7]}),
+        ("log at the hint", {"core": [7], "revisions": [7]}),
+        ("log ahead of the hint", {"core": [3, 9], "revisions": [7, 9]}),
+    ]
+
+    def test_pushed(self):
         outbox = FakeOutbox()
-        self.play(self.join(outbox), hints=[state(hint=True)])
+        changes = [self.changed(revision, route()) for revision in self.core]
+        kept = self.play(self.join(outbox), *changes, hints=self.HINTS)
+        self.assertEqual(
+            self.revisions, [push.revision for push in outbox.of(RoutesPush)]
+        )
         (push,) = outbox.of(UpstreamsPush)
         self.assertEqual([True], [s.hint for s in push.states])
+        if len(self.revisions) > 1:
+            self.assertEqual(9, kept.offered.revision)
+
+    def test_nothing_current(self):
+        """A remembered route says nothing of a leader."""
+        outbox = FakeOutbox()
+        self.play(self.join(outbox), hints=self.HINTS)
+        (told,) = outbox.of(ControlState)
+        self.assertFalse(told.current)
