--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -113,7 +113,7 @@
         await run_until_first(
             core.run(),
             hub.run(),
-            hints.run(),
+            hints.run(hub.hints),
             keeper.run(),
             _serve(settings.listen, streams),
             _watch_signals(events, settings),
--- a/knapweeddeal/directoryhints.py
+++ b/knapweeddeal/directoryhints.py
@@ -27,11 +27,10 @@
 class HintFile:
     """Keep the last hints; its task alone waits for the disk."""
 
-    __slots__ = ("_event", "_hints", "_path")
+    __slots__ = ("_event", "_path")
 
     def __init__(self, *, folder):
         self._path = Path(folder) / "hints"
-        self._hints = None
         self._event = curio.Event()
 
     def read(self):
@@ -44,17 +43,16 @@
             log.warning("starts without hints", why=str(error))
             return None
 
-    async def offer(self, hints):
-        """Let hints be written soon."""
-        self._hints = hints
+    async def mark(self):
+        """Note that the hints changed: they are written soon."""
         await self._event.set()
 
-    async def run(self):
-        """Write whatever was offered last, for ever."""
+    async def run(self, collect):
+        """Write the hints that `collect` returns after each change, for ever."""
         while True:
             await self._event.wait()
             self._event.clear()
-            data = frame(encode(self._hints))
+            data = frame(encode(collect()))
             try:
                 await in_thread(write_atomically, self._path, data)
             except DiskFailedError as error:
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -164,6 +164,16 @@
             "waiting": len(self._waiting),
         }
 
+    def hints(self):
+        """Return what the next start of this replica tells forwarders at first."""
+        configuration = self._configuration
+        states = self._table.states(monotonic_ms())
+        return PacketHints(
+            revision=configuration.revision if configuration else 0,
+            routes=configuration.routes if configuration else [],
+            states=[state for state in states if state.status != GONE],
+        )
+
     def _is_current(self, now_ms):
         return self._current and now_ms - self._core_ms < CORE_SILENT_MS
 
@@ -188,6 +198,7 @@
         now_ms, home = monotonic_ms(), self._own.identity
         for state in hints.states:
             self._table.take(state.replace(home=home, hint=True, silent=False), now_ms)
+        self._table.take_untold(self._table.states(now_ms))
         if hints.revision:
             self._configuration = PacketConfiguration(
                 revision=hints.revision, routes=hints.routes, document=b""
@@ -199,16 +210,6 @@
             upstreams=len(hints.states),
         )
 
-    async def _keep_hints(self):
-        configuration = self._configuration
-        states = self._table.states(monotonic_ms())
-        hints = PacketHints(
-            revision=configuration.revision if configuration else 0,
-            routes=configuration.routes if configuration else [],
-            states=[state for state in states if state.status != GONE],
-        )
-        await self._hints.offer(hints)
-
     async def _tick(self, now_ms):
         self._beat_ms = now_ms + BEAT_MS
         beats = self._table.take_beats()
@@ -333,7 +334,7 @@
             self._diffs = {}
             for outbox in self._forwarders:
                 await self._push_routes(outbox)
-            await self._keep_hints()
+            await self._hints.mark()
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._state())
@@ -381,8 +382,11 @@
                 home=f"{state.home:016x}",
                 forwarders=len(self._forwarders),
             )
-        await self._keep_hints()
-        push = Encoded(message=UpstreamsPush(whole=False, states=list(states)))
+        await self._hints.mark()
+        untold = self._table.take_untold(states)
+        if not untold:
+            return
+        push = Encoded(message=UpstreamsPush(whole=False, states=untold))
         for outbox in self._forwarders:
             await outbox.offer(push)
 
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -19,9 +19,12 @@
 
 
 class Known(Record):
-    """Hold an upstream's state and when it was heard, or heard of."""
+    """Hold an upstream's state and when it was heard, or heard of.
 
-    __slots__ = ("cold_until_ms", "heard_ms", "state")
+    `told` is the last state of it that forwarders were told, or None.
+    """
+
+    __slots__ = ("cold_until_ms", "heard_ms", "state", "told")
 
 
 class UpstreamTable:
@@ -63,7 +66,10 @@
         if known is None and state.status == GONE and state.hint:
             return []
         self._known[state.upstream_id] = Known(
-            state=state, heard_ms=now_ms, cold_until_ms=now_ms + state.cold_ms
+            state=state,
+            heard_ms=now_ms,
+            cold_until_ms=now_ms + state.cold_ms,
+            told=known.told if known else None,
         )
         if state.home == self._own:
             self._beats[state.upstream_id] = state
@@ -72,6 +78,20 @@
             changed.append(state)
         return changed
 
+    def take_untold(self, states):
+        """Return those states that are news to forwarders, which are told now.
+
+        Which replica heard an upstream, and that a hint was right, is no news to them.
+        """
+        untold = []
+        for state in states:
+            known = self._known.get(state.upstream_id)
+            if known is None or known.told is None or _routes_differ(known.told, state):
+                untold.append(state)
+            if known is not None:
+                known.told = state
+        return untold
+
     def take_beat(self, beat, home, now_ms):
         """Note that another replica heard an upstream; return what changed."""
         known = self._known.get(beat.upstream_id)
@@ -170,8 +190,14 @@
 
 def _differs(known, state):
     """Tell whether anything but the times and the sequence differs."""
-    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
-    same += ("silent", "home", "hint")
+    if known.home != state.home or known.hint != state.hint:
+        return True
+    return _routes_differ(known, state)
+
+
+def _routes_differ(known, state):
+    """Tell whether flows would be routed in another way."""
+    same = ("born_ms", "service", "zone", "host", "port", "slots", "status", "silent")
     return any(getattr(known, name) != getattr(state, name) for name in same)
 
 
--- /dev/null
+++ b/soak/faultydaemon.py
@@ -0,0 +1,77 @@
+"""soak.faultydaemon: The daemon, with a disk and a clock whose faults a file names.
+
+The file holds the settings of `Faults` as JSON; without it the daemon is as it is.
+"""
+
+import errno
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+__all__ = ["FAULTS_VARIABLE", "main", "write_faults"]
+
+#: Variable that names the file of faults.
+FAULTS_VARIABLE = "KNAPWEEDDEAL_FAULTS"
+#: Time between looks whether a stall is over.
+POLL_S = 0.01
+NS_PER_MS = 1_000_000
+
+
+class Faults:
+    """Read which faults are on; each call of the daemon looks anew."""
+
+    __slots__ = ("_path",)
+
+    def __init__(self, *, path):
+        self._path = path
+
+    def get(self, name):
+        """Return the value of a fault, or 0."""
+        try:
+            return json.loads(self._path.read_text(encoding="utf-8")).get(name, 0)
+        except (OSError, ValueError):
+            return 0
+
+
+def write_faults(path, **faults):
+    """Turn on these faults and no others.
+
+    `sync_ms` delays each sync, `stalled` holds syncs until it is off, `full` refuses
+    them, `wall_ms` shifts the time of day.
+    """
+    temporary = path.with_suffix(".new")
+    temporary.write_text(json.dumps(faults), encoding="utf-8")
+    temporary.replace(path)
+
+
+def _with_disk_faults(faults, sync):
+    def faulty_sync(descriptor):
+        while faults.get("stalled"):
+            time.sleep(POLL_S)
+        time.sleep(faults.get("sync_ms") / 1000)
+        if faults.get("full"):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return sync(descriptor)
+
+    return faulty_sync
+
+
+def _with_clock_faults(faults, clock_ns):
+    return lambda: clock_ns() + faults.get("wall_ms") * NS_PER_MS
+
+
+def main():
+    """Run the daemon with faults; return its exit status."""
+    faults = Faults(path=Path(os.environ[FAULTS_VARIABLE]))
+    os.fsync = _with_disk_faults(faults, os.fsync)
+    os.fdatasync = _with_disk_faults(faults, os.fdatasync)
+    time.time_ns = _with_clock_faults(faults, time.time_ns)
+    from knapweeddeal.daemon import main as run_daemon
+
+    return run_daemon()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,6 +15,7 @@
 from knapweeddeal import controlclient
 from knapweeddeal.errors import NoQuorumError, UnreachableError
 from knapweeddeal.messages.operator import StatusAsk
+from soak.faultydaemon import FAULTS_VARIABLE, write_faults
 
 ROOT = Path(__file__).resolve().parent.parent
 #: Longest wait for a condition.
@@ -51,6 +52,7 @@
         self.error_path = Path(folder) / f"{name}.err"
         self.sections = sections
         self.sections["daemon"]["log_file"] = self.log_path
+        self.faults_path = Path(folder) / f"{name}.faults"
         self.process = None
 
     def start(self):
@@ -62,11 +64,16 @@
         self.settings_path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         with open(self.error_path, "ab") as error:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "knapweeddeal.daemon", self.settings_path],
+                [sys.executable, "-m", "soak.faultydaemon", self.settings_path],
                 cwd=ROOT,
                 stderr=error,
+                env={**os.environ, FAULTS_VARIABLE: str(self.faults_path)},
             )
 
+    def set_faults(self, **faults):
+        """Turn on some faults of disk and clock, and no others."""
+        write_faults(self.faults_path, **faults)
+
     def signal(self, number):
         """Send a signal to this process only."""
         os.kill(self.process.pid, number)
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -372,6 +372,78 @@
             daemon.signal(number)
 
 
+class StalledDisks(testscenarios.TestWithScenarios, GroupTest):
+    """Disks that stand still for a while cost an operator time, not the answer."""
+
+    scenarios = [
+        ("leader, 800 ms", {"whose": "leader", "stall_ms": 800}),
+        ("leader, 2,000 ms", {"whose": "leader", "stall_ms": 2_000}),
+        ("followers, 2,000 ms", {"whose": "followers", "stall_ms": 2_000}),
+        ("all, 800 ms", {"whose": "all", "stall_ms": 800}),
+        ("all, 2,000 ms", {"whose": "all", "stall_ms": 2_000}),
+        ("all, 4,000 ms", {"whose": "all", "stall_ms": 4_000}),
+    ]
+
+    def test_changes(self):
+        group = self.start_group()
+        self.change(1)
+        leader = self.leader()
+        names = {
+            "leader": [leader],
+            "followers": self.followers(),
+            "all": list(group.daemons),
+        }[self.whose]
+        for name in names:
+            group.daemons[name].set_faults(stalled=True)
+        ending = threading.Timer(self.stall_ms / 1000, self.end_stall, [names])
+        ending.start()
+        versions = [self.change(number) for number in (2, 3, 4)]
+        ending.join()
+        self.assertEqual([2, 3, 4], versions)
+        self.assertEqual(4, group.ask(StatusAsk()).version)
+
+    def end_stall(self, names):
+        """Let the disks go on."""
+        for name in names:
+            self.group.daemons[name].set_faults()
+
+
+class PausedWithSlowDisks(testscenarios.TestWithScenarios, GroupTest):
+    """A pause of all VMs while their disks are slow: elections take several rounds.
+
+    A search that gave up after one round of failures lost the first change here, as
+    `Restart.test_300_changes` once did.
+    """
+
+    scenarios = [
+        (f"{sync_ms} ms a sync", {"sync_ms": sync_ms}) for sync_ms in (150, 300)
+    ]
+
+    def test_changes(self):
+        group = self.start_group()
+        self.change(1)
+        for daemon in group.daemons.values():
+            daemon.set_faults(sync_ms=self.sync_ms)
+        trouble = threading.Thread(target=self.pause_all)
+        trouble.start()
+        versions = [self.change(number) for number in (2, 3, 4)]
+        trouble.join()
+        self.assertEqual([2, 3, 4], versions)
+
+    def pause_all(self):
+        """Pause all replicas for half a second; end the slowness later."""
+        daemons = self.group.daemons.values()
+        time.sleep(0.2)
+        for daemon in daemons:
+            daemon.signal(signal.SIGSTOP)
+        time.sleep(0.5)
+        for daemon in daemons:
+            daemon.signal(signal.SIGCONT)
+        time.sleep(3.0)
+        for daemon in daemons:
+            daemon.set_faults()
+
+
 class Stopped(GroupTest):
     """A replica that sleeps through changes neither answers stale nor undoes any."""
 
--- a/tests/test_directoryhints.py
+++ b/tests/test_directoryhints.py
@@ -31,9 +31,11 @@
 
         async def run():
             file = HintFile(folder=self.folder)
-            task = await curio.spawn(file.run, daemon=True)
+            last = []
+            task = await curio.spawn(file.run, last.pop, daemon=True)
             for one in offered:
-                await file.offer(one)
+                last[:] = [one]
+                await file.mark()
                 await curio.sleep(pause_s)
             await curio.sleep(0.1)
             await task.cancel()
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -58,15 +58,16 @@
 
     def __init__(self, hints=None):
         self.hints = hints
-        self.offered = None
+        self.collected = None
+        self.marked = 0
 
     def read(self):
         """Return what was kept."""
         return self.hints
 
-    async def offer(self, hints):
-        """Keep hints."""
-        self.offered = hints
+    async def mark(self):
+        """Count a change."""
+        self.marked += 1
 
 
 class HubTest(testtools.TestCase):
@@ -92,6 +93,7 @@
                 await curio.sleep(0.005)
             await curio.sleep(wait_s)
             await task.cancel()
+            kept.collected = hub.hints()
 
         curio.run(run)
         return kept
@@ -181,10 +183,10 @@
             [join_keys([route(port=8_443)])], [g.keys for g in change.groups]
         )
         self.assertEqual(2, len(outbox.of(UpstreamsPush)))
-        self.assertEqual(["i-1"], [s.upstream_id for s in kept.offered.states])
+        self.assertEqual(["i-1"], [s.upstream_id for s in kept.collected.states])
 
     def test_many_forwarders(self):
-        """All routes and upstreams are encoded once for forwarders that come at once."""
+        """Routes and upstreams are encoded once for forwarders that come together."""
         outboxes = [FakeOutbox() for _ in range(20)]
         self.play(
             self.changed(3, route()),
@@ -275,8 +277,17 @@
         )
         (push,) = outbox.of(UpstreamsPush)
         self.assertEqual([True], [s.hint for s in push.states])
-        if len(self.revisions) > 1:
-            self.assertEqual(9, kept.offered.revision)
+        self.assertEqual(self.revisions[-1], kept.collected.revision)
+        self.assertEqual(len(self.revisions) - 1, kept.marked)
+
+    def test_hint_was_right(self):
+        """Forwarders that got the hint get no push when the upstream reports."""
+        outbox = FakeOutbox()
+        report = UpstreamReported(
+            state=state(born_ms=1_000, sequence=9), reply=curio.Queue()
+        )
+        self.play(self.join(outbox), report, hints=self.HINTS)
+        self.assertEqual(1, len(outbox.of(UpstreamsPush)))
 
     def test_nothing_current(self):
         """A remembered route says nothing of a leader."""
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -42,6 +42,31 @@
             self.assertEqual(self.sequence, table.get("i-1").sequence)
 
 
+class Told(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Forwarders get what changes their routing, and nothing else.
+
+    After all replicas were killed each upstream reports anew, to some replica: 100
+    reports would go to 100 forwarders each while these ask for everything.
+    """
+
+    scenarios = [
+        ("again", {"change": {"sequence": 6}, "told": 0}),
+        ("moved home", {"change": {"sequence": 6, "home": OTHER}, "told": 0}),
+        ("draining", {"change": {"sequence": 6, "status": DRAINING}, "told": 1}),
+        ("silent", {"change": {"sequence": 6, "silent": True}, "told": 1}),
+        ("born anew", {"change": {"born_ms": 2_000, "sequence": 1}, "told": 1}),
+        ("other service", {"change": {"sequence": 6, "service": "b"}, "told": 1}),
+    ]
+
+    def test_untold(self):
+        table = UpstreamTable(own=OWN, report_ms=1_000)
+        first = table.take(state(sequence=5, hint=True), 0)
+        self.assertEqual(1, len(table.take_untold(first)))
+        changed = table.take(state(**{"sequence": 5, **self.change}), 10)
+        self.assertEqual(self.told, len(table.take_untold(changed)))
+        self.assertEqual(0, len(table.take_untold(changed)))
+
+
 class Removed(testscenarios.TestWithScenarios, testtools.TestCase):
     """What follows a removal counts only from a new start."""
 
