Reset flows at once when another upstream has the address; reopen silent connections

The address tells that the earlier process is gone. A forwarder that started before its seeds' VMs had power waited 1 s for the kernel to open the connection again; now 150 ms. Both have tests that failed before.

--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -32,6 +32,9 @@
 QUIET_MS = 100
 #: Time in which a seed that is there answers, also over a link of 1.4 Mbit/s.
 ASK_MS = 100
+#: Longest wait for a connection: a VM without power drops what opens it, and the
+#: kernel sends it again only after 1 s.
+CONNECT_MS = 150
 #: Pause after a seed refused: its VM is up, and its process begins within 0.3 s.
 RETRY_MS = 20
 #: Time between looks at connections that are being opened.
@@ -124,10 +127,13 @@
         readable, writable, _ = select.select(self._asks, self._asks, [], 0)
         if not self._core.is_ready:
             self._ask_next(writable)
+        now_ms = monotonic_ms()
         for ask in readable:
             ask.receive()
+        for ask in self._asks:
+            ask.check(now_ms, is_connected=ask in writable)
         for ask in [ask for ask in self._asks if ask.failure]:
-            self._give_up(ask, monotonic_ms())
+            self._give_up(ask, now_ms)
 
     def _connect(self, now_ms):
         asked = {ask.address for ask in self._asks}
@@ -166,8 +172,8 @@
 class Ask:
     """Hold one connection to a seed."""
 
-    __slots__ = ("_core", "_socket", "_subscription", "_unpacker", "address")
-    __slots__ += ("failure", "sent")
+    __slots__ = ("_began_ms", "_core", "_socket", "_subscription", "_unpacker")
+    __slots__ += ("address", "failure", "sent")
 
     def __init__(self, *, address, core):
         self.address = address
@@ -175,7 +181,8 @@
         #: Why nothing more comes, or "".
         self.failure = ""
         self._core = core
-        self._subscription = Subscription(address=address, now_ms=monotonic_ms())
+        self._began_ms = monotonic_ms()
+        self._subscription = Subscription(address=address, now_ms=self._began_ms)
         self._unpacker = msgpack.Unpacker()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
@@ -193,6 +200,12 @@
         except OSError as error:
             self.failure = str(error)
 
+    def check(self, now_ms, *, is_connected):
+        """Fail if the connection doesn't stand in time."""
+        is_late = now_ms - self._began_ms >= CONNECT_MS
+        if is_late and not is_connected and not self.sent and not self.failure:
+            self.failure = "no connection in time"
+
     def receive(self):
         """Take what has come."""
         if self.failure:
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -52,6 +52,7 @@
     __slots__ = (
         "absent_since_ms",
         "address",
+        "address_is_taken",
         "answered_ms",
         "cold_until_ms",
         "echo",
@@ -70,6 +71,8 @@
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
+        #: Whether an upstream that started later has its address.
+        self.address_is_taken = False
         #: Since when it is known to be gone or silent, or None.
         self.absent_since_ms = None
         #: When a caller last showed that it had an answer to a SYN.
@@ -109,7 +112,9 @@
 
     def has_ended(self, now_ms):
         """Tell whether its process is gone: it says so just before it ends."""
-        return self.state.status == GONE and self.is_absent(now_ms, ENDING_MS)
+        if self.state.status != GONE:
+            return False
+        return self.address_is_taken or self.is_absent(now_ms, ENDING_MS)
 
     def is_absent(self, now_ms, duration_ms):
         """Tell whether it has been gone or silent for some time."""
@@ -140,7 +145,8 @@
 class UpstreamPool:
     """Keep upstreams by echo and by service; choose one for a new flow."""
 
-    __slots__ = ("_by_echo", "_by_id", "_by_service", "_members", "_random")
+    __slots__ = ("_by_address", "_by_echo", "_by_id", "_by_service", "_members")
+    __slots__ += ("_random",)
     __slots__ += ("_zone", "collisions")
 
     def __init__(self, *, zone, random):
@@ -148,6 +154,8 @@
         self._random = random
         self._by_id = {}
         self._by_echo = {}
+        #: The upstream that started last at each address.
+        self._by_address = {}
         #: All upstreams of each service by id.
         self._members = {}
         #: Ready upstreams of each service: near ones, distant ones.
@@ -226,6 +234,7 @@
             return False
         known.set_state(state, now_ms)
         known.is_near = state.zone == self._zone
+        self._settle(known)
         if old.service != state.service:
             del self._members[old.service][state.upstream_id]
             self._rebuild(old.service)
@@ -241,6 +250,21 @@
         self._by_echo[upstream.echo] = upstream
         self._by_id[state.upstream_id] = upstream
         self._enrol(upstream)
+        self._settle(upstream)
+
+    def _settle(self, upstream):
+        """Note who has an upstream's address: a process that has it ended the other."""
+        holder = self._by_address.get(upstream.address)
+        if holder in (None, upstream) or holder.address != upstream.address:
+            self._by_address[upstream.address] = upstream
+            return
+        born_ms = upstream.state.born_ms
+        later, earlier = upstream, holder
+        if born_ms < holder.state.born_ms:
+            later, earlier = holder, upstream
+        self._by_address[upstream.address] = later
+        later.address_is_taken = False
+        earlier.address_is_taken = True
 
     def forget(self, now_ms):
         """Forget upstreams that have been gone or silent for long."""
@@ -254,6 +278,8 @@
         del self._members[service][upstream_id]
         if self._by_echo.get(upstream.echo) is upstream:
             del self._by_echo[upstream.echo]
+        if self._by_address.get(upstream.address) is upstream:
+            del self._by_address[upstream.address]
         self._rebuild(service)
 
     def _enrol(self, upstream):
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -133,6 +133,23 @@
         self.assertGreater(polls, 40)
         self.assertThat(refused.count, LessThan(2 * 11))
 
+    def test_silent_seeds(self):
+        """A VM without power drops what opens connections: they are opened anew."""
+        for host in (FIRST, SECOND):
+            self.fill_backlog(host)
+        opened = CountedConnects(self)
+        wait_until(lambda: self.is_ready() or opened.count >= 6, "new connections")
+
+    def fill_backlog(self, host):
+        """Listen at a host in a way that lets no connection through."""
+        listener = socket.create_server((host, PORT), backlog=0)
+        self.addCleanup(listener.close)
+        for _ in range(2):
+            waiting = socket.socket()
+            self.addCleanup(waiting.close)
+            waiting.setblocking(False)
+            waiting.connect_ex((host, PORT))
+
     def test_later_routes(self):
         """Routes that come after a remembered revision are taken from the same seed."""
         listener = socket.create_server((FIRST, PORT))
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -31,6 +31,10 @@
     """A packet that no upstream may get is reset, or dropped in silence."""
 
     ECHO = echo_of(1)
+    #: An upstream of another service at the same address, which started later.
+    TAKER = state(2, born_ms=5_000, service="other").replace(
+        host=state().host, port=state().port
+    )
     scenarios = [
         ("no route", {"world": {"routes": ()}, "data": syn(), "reset": True}),
         ("not known yet", {"world": {}, "data": syn(), "reset": False, "cur": False}),
@@ -90,6 +94,43 @@
                 "forwarded": True,
             },
         ),
+        (
+            "upstream whose address another one has",
+            {
+                "world": {
+                    "routes": (route(),),
+                    "states": [state(status=GONE), TAKER],
+                },
+                "data": packet(echo=ECHO, data=b"x"),
+                "now_ms": 0,
+                "reset": True,
+            },
+        ),
+        (
+            "leaving upstream whose address nobody has",
+            {
+                "world": {
+                    "routes": (route(),),
+                    "states": [state(status=GONE), TAKER.replace(host="10.0.0.99")],
+                },
+                "data": packet(echo=ECHO, data=b"x"),
+                "now_ms": 0,
+                "reset": False,
+                "forwarded": True,
+            },
+        ),
+        (
+            "earlier upstream at the address",
+            {
+                "world": {
+                    "routes": (route(),),
+                    "states": [state(born_ms=9_000), TAKER.replace(status=GONE)],
+                },
+                "data": packet(echo=ECHO, data=b"x"),
+                "reset": False,
+                "forwarded": True,
+            },
+        ),
         (
             "reset for an upstream that is gone",
             {
