Show the packet path in make run; soak with faults of disks and clocks

make run: control replicas and forwarders, routes published by the command-line tool, flows opened while a forwarder is killed. Soak: slow, stalled and full disks, jumps of the time of day, through a launcher that patches syncs and the time of day.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from demo import packets
 from demo.cluster import Cluster, wait_until
 from knapweeddeal.caller import ANSWER, open_flow
 
@@ -100,8 +101,8 @@
                 await tasks.spawn(use_flow, service, address, rng, report)
 
 
-def main():
-    """Run, report, and return 0 if every request had its whole answer."""
+def run():
+    """Run, report, and return whether every request had its whole answer."""
     logging.getLogger("curio").setLevel(logging.CRITICAL)
     began_s = time.monotonic()
     report = Report()
@@ -121,7 +122,15 @@
     print(f"other outcomes: {report.other or 'none'}")
     print(f"flows that got a push: {report.pushes} of {flows}")
     print(f"time: {time.monotonic() - began_s:.1f} s")
-    return 0 if report.answered == expected and report.pushes == flows else 1
+    return report.answered == expected and report.pushes == flows
+
+
+def main():
+    """Run flows of requests, then opaque packets; return 0 if all was well."""
+    good = run()
+    print()
+    good = packets.run() and good
+    return 0 if good else 1
 
 
 if __name__ == "__main__":
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 import time
 
 from soak.cluster import API, KNOWN, PACKETS, Cluster, wait_until
-from soak.faults import Faults
+from soak.faults import FAULTS, Faults
 from soak.peers import Callers, Calls, Operator, Problems, Upstream
 
 SERVICES = ("records", "archive")
@@ -43,7 +43,7 @@
     }
 
 
-def run(seed, *, base, seconds):
+def run(seed, *, base, seconds, kinds):
     """Run one seed; return what was found, faults and figures."""
     problems = Problems()
     cluster = Cluster(base=base)
@@ -71,7 +71,9 @@
             )
         )
         callers.upstreams[host] = upstreams[-1]
-    faults = Faults(cluster=cluster, callers=callers, upstreams=upstreams, random=rng)
+    faults = Faults(
+        cluster=cluster, callers=callers, upstreams=upstreams, random=rng, kinds=kinds
+    )
     operator = Operator(calls=calls, make=document, problems=problems, seed=seed)
     try:
         cluster.start()
@@ -115,6 +117,13 @@
     parser.add_argument(
         "--base", type=int, default=0, help="second number of addresses"
     )
+    parser.add_argument(
+        "--kinds",
+        nargs="+",
+        choices=FAULTS,
+        default=list(FAULTS),
+        help="faults to draw from; a seed means the same with the same ones",
+    )
     options = parser.parse_args()
     fresh = random.SystemRandom()
     seeds = options.seeds or [fresh.getrandbits(32) for _ in range(options.fresh)]
@@ -124,7 +133,9 @@
         # Sockets of the run before may still be closing.
         base = options.base or BASES[(first + place) % len(BASES)]
         began_s = time.monotonic()
-        found, injected, figures, folder = run(seed, base=base, seconds=options.seconds)
+        found, injected, figures, folder = run(
+            seed, base=base, seconds=options.seconds, kinds=options.kinds
+        )
         spent_s = time.monotonic() - began_s
         verdict = "FAILED" if found else "passed"
         print(f"seed {seed}: {verdict} in {spent_s:.0f} s, {figures}", flush=True)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -9,9 +9,10 @@
 import time
 from pathlib import Path
 
+from soak.faultydaemon import FAULTS_VARIABLE, write_faults
 from soak.proxy import Proxy
 
-__all__ = ["API", "PACKETS", "Cluster"]
+__all__ = ["API", "KNOWN", "PACKETS", "STREAMS", "Cluster", "wait_until"]
 
 ROOT = Path(__file__).resolve().parent.parent
 STREAMS, API, PACKETS, READY = 7_000, 7_001, 7_002, 7_003
@@ -27,6 +28,7 @@
     def __init__(self, *, folder, name, text):
         self.name = name
         self.path = folder / f"{name}.ini"
+        self.faults_path = folder / f"{name}.faults"
         self.log_path = folder / f"{name}.log"
         self.path.write_text(text, encoding="utf-8")
         #: Whether it is not running on purpose.
@@ -38,12 +40,17 @@
         self.expected = False
         with open(self.log_path, "ab") as log:
             self.running = subprocess.Popen(
-                [sys.executable, "-m", "knapweeddeal.daemon", self.path],
+                [sys.executable, "-m", "soak.faultydaemon", self.path],
                 cwd=ROOT,
+                env={**os.environ, FAULTS_VARIABLE: str(self.faults_path)},
                 stdout=log,
                 stderr=log,
             )
 
+    def set_faults(self, **faults):
+        """Turn on some faults of disk and clock, and no others."""
+        write_faults(self.faults_path, **faults)
+
     def send_signal(self, number):
         """Send a signal to this process."""
         if self.running.poll() is None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,12 +10,17 @@
 
 #: A removed disk counts as lost until its successor is a member: one at a time.
 WIPE_GAP_S = 6.0
+#: Faults of a disk: each sync takes long, waits for the end, or is refused.
+DISK_FAULTS = ({"sync_ms": 50}, {"sync_ms": 300}, {"stalled": True}, {"full": True})
+#: Jumps of the time of day, and back after the fault.
+CLOCK_SHIFTS_MS = (-3_600_000, -2_000, 2_000, 3_600_000)
 
 
 class Faults:
     """Inject faults one after another; some overlap."""
 
-    def __init__(self, *, cluster, callers, upstreams, random):
+    def __init__(self, *, cluster, callers, upstreams, random, kinds):
+        self._kinds = kinds
         self.cluster = cluster
         self.random = random
         self.injected = []
@@ -28,7 +33,7 @@
         """Inject faults for some time, then heal everything."""
         until_s = time.monotonic() + seconds
         while time.monotonic() < until_s:
-            name = self.random.choice(list(FAULTS))
+            name = self.random.choice(self._kinds)
             for_s = self.random.uniform(0.2, 2.0)
             self.injected.append(f"{name} {for_s:.2f}")
             thread = threading.Thread(target=self._inject, args=(name, for_s))
@@ -98,6 +103,28 @@
         time.sleep(for_s)
         proxy.set_mode(PASS)
 
+    def disk(self, for_s):
+        """Slow, stall or fill the disks of some replicas."""
+        faults = self.random.choice(DISK_FAULTS)
+        replicas = list(self.cluster.replicas.values())
+        self._with_faults(self.random.sample(replicas, self._some()), for_s, faults)
+
+    def clock(self, for_s):
+        """Shift the time of day of some processes, forward or back."""
+        shift_ms = self.random.choice(CLOCK_SHIFTS_MS)
+        chosen = self.random.sample(self.cluster.processes, self._some())
+        self._with_faults(chosen, for_s, {"wall_ms": shift_ms})
+
+    def _some(self):
+        return self.random.randint(1, len(self.cluster.hosts))
+
+    def _with_faults(self, processes, for_s, faults):
+        for process in processes:
+            process.set_faults(**faults)
+        time.sleep(for_s)
+        for process in processes:
+            process.set_faults()
+
     def wipe(self, for_s):
         """Lose one replica's disk."""
         if time.monotonic() - self._wiped_s < WIPE_GAP_S:
@@ -144,4 +171,6 @@
     "wipe": Faults.wipe,
     "drain": Faults.drain,
     "crash": Faults.crash,
+    "disk": Faults.disk,
+    "clock": Faults.clock,
 }
