Notice upstreams that take flows and answer nothing, by sums over forwarders

What it sees: a request repeated twice, or nothing after a request on a route whose flows end as soon as they are answered (answerwatch).

--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -22,6 +22,7 @@
 from knapweeddeal.messages.control import ConfigurationAsk, FlowCounts, ReplicaHello
 from knapweeddeal.messages.operator import RefusalsAsk
 from knapweeddeal.messages.packets import (
+    AnswerCounts,
     DirectoryAck,
     DirectoryBatch,
     ForwarderHello,
@@ -206,6 +207,7 @@
     await streams.pass_on(message, link)
 
 
+@_from_replica.register(AnswerCounts)
 @_from_replica.register(DirectoryBatch)
 @_from_replica.register(DirectoryAck)
 async def _(message, streams, link):
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -5,6 +5,8 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
     KEY_BYTES,
+    AnswerCount,
+    AnswerCounts,
     ControlState,
     RoutesPush,
     UpstreamsPush,
@@ -41,7 +43,8 @@
     def __init__(self, *, settings, choice, random, metrics):
         self._choice = choice
         self.metrics = metrics
-        self._subscriptions = set()
+        #: Streams from replicas, the oldest first.
+        self._subscriptions = []
         self.routes = RouteTable()
         self.pool = UpstreamPool(zone=settings.zone, random=random)
         self.forwarder = Forwarder(
@@ -82,17 +85,21 @@
         """Tell whether another replica's stream is up."""
         return any(other is not subscription for other in self._subscriptions)
 
+    def reports_to(self, subscription):
+        """Tell whether a replica is the one that gets what flows show."""
+        return self._subscriptions[:1] == [subscription]
+
     # Commands.
 
     def begin(self, subscription):
         """Use a stream from a replica."""
-        self._subscriptions.add(subscription)
+        self._subscriptions.append(subscription)
 
     def end(self, subscription, why):
         """Stop using a stream; what it told stays."""
         if subscription not in self._subscriptions:
             return
-        self._subscriptions.discard(subscription)
+        self._subscriptions.remove(subscription)
         self._update_current()
         log.warning(
             "loses a control replica",
@@ -101,6 +108,21 @@
             left=len(self._subscriptions),
         )
 
+    def take_answer_counts(self, now_ms):
+        """Return a message with what flows showed since the last call, or None."""
+        counts = self.forwarder.take_answer_counts(now_ms)
+        if not counts:
+            return None
+        return AnswerCounts(
+            sender=0,
+            counts=[
+                AnswerCount(
+                    upstream_id=upstream_id, answered=answered, unanswered=unanswered
+                )
+                for upstream_id, (answered, unanswered) in counts.items()
+            ],
+        )
+
     def stop(self):
         """Turn not ready; packets are still forwarded."""
         self.stopping = True
@@ -166,6 +188,7 @@
                 service=state.service,
                 status=state.status,
                 silent=state.silent,
+                failing=state.failing,
                 hint=state.hint,
                 born_ms=state.born_ms,
                 sequence=state.sequence,
@@ -191,6 +214,7 @@
         "address": upstream.address,
         "status": state.status,
         "silent": state.silent,
+        "failing": state.failing,
         "open_flows": upstream.open_flows,
         "answered_ms": upstream.answered_ms,
         "suspect_until_ms": upstream.suspect_until_ms,
--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -22,6 +22,8 @@
 CONNECT_MS = 300
 #: Pause when there is no replica left to try, or after one failed.
 RETRY_MS = 150
+#: Time between reports of what flows show.
+REPORT_MS = 500
 #: Time without a leader after which another replica is tried.
 MAX_STALE_MS = 1_500
 
@@ -85,6 +87,7 @@
                 self._listen(stream, outbox),
                 outbox.drain_to(stream),
                 outbox.beat(self._settings.heartbeat_ms),
+                self._report(outbox),
             )
             why = "it hears no leader"
             return True
@@ -104,6 +107,15 @@
                 subscription.lacks_routes = False
                 await outbox.offer(RoutesAsk())
 
+    async def _report(self, outbox):
+        """Tell one replica what flows show of upstreams."""
+        while True:
+            await curio.sleep(REPORT_MS / 1000)
+            if self._core.reports_to(self._subscription):
+                counts = self._core.take_answer_counts(monotonic_ms())
+                if counts is not None:
+                    await outbox.offer(counts)
+
     def _is_stale(self):
         """Tell whether the replica has no leader and another may have one."""
         subscription, now_ms = self._subscription, monotonic_ms()
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -18,6 +18,8 @@
     "GONE",
     "KEY_BYTES",
     "READY",
+    "AnswerCount",
+    "AnswerCounts",
     "ControlState",
     "DirectoryAck",
     "DirectoryBatch",
@@ -138,8 +140,9 @@
     """Tell what an upstream last said of itself.
 
     Of one upstream the higher (`born_ms`, `sequence`) wins. `silent` tells that
-    nothing was heard for longer than reports may take; `home` is the replica that
-    heard it last. `hint` marks what a replica remembers from before its start.
+    nothing was heard for longer than reports may take; `failing` that forwarders saw
+    too many requests there without an answer; `home` is the replica that heard it
+    last. `hint` marks what a replica remembers from before its start.
     """
 
     tag = 170
@@ -155,6 +158,7 @@
         "status": OneOf(READY, DRAINING, GONE),
         "cold_ms": Whole(),
         "silent": Flag(),
+        "failing": Flag(),
         "home": Whole(),
         "hint": Flag(),
     }
@@ -190,6 +194,26 @@
     __slots__ = tuple(schema)
 
 
+class AnswerCount(Message):
+    """Count requests to an upstream with and without an answer."""
+
+    tag = 182
+    schema = {"upstream_id": NAME, "answered": Whole(), "unanswered": Whole()}
+    __slots__ = tuple(schema)
+
+
+class AnswerCounts(Message):
+    """Tell what a forwarder saw since its last message, or all of a replica's did.
+
+    `sender` is the replica's identity, or 0 for a forwarder. A replica gives sums over
+    some seconds, of upstreams with requests that went unanswered.
+    """
+
+    tag = 183
+    schema = {"sender": Whole(), "counts": ListOf(Nested(AnswerCount))}
+    __slots__ = tuple(schema)
+
+
 class ForwarderHello(Message):
     """Open a forwarder's subscription to routes and upstreams."""
 
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -5,6 +5,7 @@
 
 from collections import deque
 
+from knapweeddeal.answerwatch import AnswerWatch
 from knapweeddeal.packethead import (
     ECHO,
     FIN,
@@ -39,6 +40,8 @@
 NO_DATA = b"\0\0"
 #: Offset of the byte in which a SYN counts its copies.
 COPY = 12
+#: Offset of the sequence number in a head.
+SEQUENCE = slice(8, 12)
 #: Longest age of a flow that is remembered.
 MAX_FLOW_AGE_MS = 60_000
 #: Flows that are remembered at once; over it the oldest are forgotten.
@@ -54,7 +57,7 @@
 class Flow:
     """Hold what a forwarder remembers of a flow; it could route without it."""
 
-    __slots__ = ("is_open", "opened_ms", "seen_ms", "tried", "upstream")
+    __slots__ = ("is_open", "opened_ms", "request", "seen_ms", "tried", "upstream")
 
     def __init__(self, *, upstream, now_ms):
         self.upstream = upstream
@@ -62,6 +65,8 @@
         self.opened_ms = now_ms
         self.seen_ms = now_ms
         self.is_open = False
+        #: The last request, as `AnswerWatch` keeps it.
+        self.request = None
 
 
 class Forwarder:
@@ -77,6 +82,7 @@
         "_pool",
         "_random",
         "_routes",
+        "_watch",
         "current",
     )
 
@@ -91,6 +97,7 @@
         self._caller_port = caller_port
         self._flow_idle_ms = flow_idle_ms
         self._flows = {}
+        self._watch = AnswerWatch()
         #: SYNs that wait for an answer, the oldest first.
         self._hedges = deque()
         #: Whether the routes and upstreams come from a replica that hears a leader.
@@ -235,14 +242,34 @@
             if flow.tried:
                 # A flow whose SYN went elsewhere may be sending to a dead upstream.
                 upstream.note_answered(now_ms)
+                self._watch.note_opened(data[ROUTE])
                 wait_us = (now_ms - flow.opened_ms) * US_PER_MS
                 self._metrics.record_us("flow_open", wait_us)
         if data[LENGTH] != NO_DATA:
             upstream.add_load(DATA_LOAD, now_ms)
+        self._note_request(data, flow, now_ms)
         if data[0] & (FIN | RST):
             self._close(flow)
             del self._flows[key]
 
+    def _note_request(self, data, flow, now_ms):
+        """Watch whether the upstream of a flow answers."""
+        if data[0] & FIN:
+            age_ms = now_ms - flow.opened_ms if flow.tried else None
+            self._watch.note_end(
+                flow.request, route_key=data[ROUTE], age_ms=age_ms, now_ms=now_ms
+            )
+        elif data[LENGTH] != NO_DATA:
+            flow.request = self._watch.note_data(
+                flow.request,
+                route_key=data[ROUTE],
+                upstream_id=flow.upstream.state.upstream_id,
+                sequence=int.from_bytes(data[SEQUENCE], "little"),
+                now_ms=now_ms,
+            )
+        else:
+            self._watch.note_other(flow.request, now_ms)
+
     def _close(self, flow):
         flow.is_open = False
         flow.upstream.open_flows -= 1
@@ -287,6 +314,11 @@
         if len(flow.tried) < MAX_TRIED:
             self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_MS))
 
+    def take_answer_counts(self, now_ms):
+        """Return (answered, unanswered) by upstream since the last call."""
+        self._watch.expire(now_ms)
+        return self._watch.take_counts()
+
     def forget(self, now_ms):
         """Forget flows that are idle or too old."""
         idle_ms = now_ms - self._flow_idle_ms
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -9,11 +9,14 @@
 
 import curio
 
+from knapweeddeal.answerjudge import AnswerJudge, AnswerSum
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import Encoded
 from knapweeddeal.messages.packets import (
     GONE,
+    AnswerCount,
+    AnswerCounts,
     ControlState,
     DirectoryAck,
     DirectoryBatch,
@@ -117,10 +120,12 @@
         "_events",
         "_forwarders",
         "_hints",
+        "_judge",
         "_links",
         "_metrics",
         "_own",
         "_replicas",
+        "_sums_sent",
         "_table",
         "_waiting",
         "_whole",
@@ -135,6 +140,9 @@
         self._events = events
         self._metrics = metrics
         self._table = UpstreamTable(own=own.identity, report_ms=report_ms)
+        self._judge = AnswerJudge()
+        #: Whether the other replicas hold sums of this one that aren't empty.
+        self._sums_sent = False
         self._configuration = None
         self._current = False
         self._core_ms = 0
@@ -197,7 +205,7 @@
             return
         now_ms, home = monotonic_ms(), self._own.identity
         for state in hints.states:
-            self._table.take(state.replace(home=home, hint=True, silent=False), now_ms)
+            self._table.take(_as_hint(state, home), now_ms)
         self._table.take_untold(self._table.states(now_ms))
         if hints.revision:
             self._configuration = PacketConfiguration(
@@ -221,8 +229,30 @@
         )
         if silent:
             await self._spread(silent)
+        await self._judge_answers(now_ms)
         await self._release(now_ms)
 
+    async def _judge_answers(self, now_ms):
+        """Share what forwarders saw, and mark the upstreams that fail."""
+        sums = self._judge.sums()
+        if sums or self._sums_sent:
+            self._sums_sent = bool(sums)
+            await self._to_replicas(_counts_message(self._own.identity, sums))
+        failing = self._judge.judge(self._table.ready_by_service(), now_ms)
+        changed = self._table.mark_failing(failing)
+        for state in changed:
+            total = self._judge.last_total(state.upstream_id)
+            log.info(
+                "judges an upstream by its answers",
+                upstream=state.upstream_id,
+                failing=state.failing,
+                answered=total.answered,
+                unanswered=total.unanswered,
+            )
+        if changed:
+            await self._spread(changed)
+            await self._to_replicas(self._batch(states=changed))
+
     # Events.
 
     @functools.singledispatchmethod
@@ -307,10 +337,35 @@
             await self._push_routes(event.outbox)
         await event.outbox.offer(self._all_upstreams(monotonic_ms()))
 
+    @_take.register
+    async def _(self, message: AnswerCounts):
+        sums = {
+            one.upstream_id: AnswerSum(answered=one.answered, unanswered=one.unanswered)
+            for one in message.counts
+            if not self._is_failing(one.upstream_id)
+        }
+        self._judge.take_sums(message.sender, sums, monotonic_ms())
+
+    def _is_failing(self, upstream_id):
+        """Tell whether an upstream is marked: what comes then was asked before."""
+        state = self._table.get(upstream_id)
+        return state is not None and state.failing
+
+    def _take_answers(self, message, now_ms):
+        counts = {
+            one.upstream_id: (one.answered, one.unanswered)
+            for one in message.counts
+            if not self._is_failing(one.upstream_id)
+        }
+        self._judge.take_counts(counts, now_ms)
+
     @_take.register
     async def _(self, event: ForwarderHeard):
         if event.outbox not in self._forwarders:
             return
+        if isinstance(event.message, AnswerCounts):
+            self._take_answers(event.message, monotonic_ms())
+            return
         if isinstance(event.message, RoutesAsk):
             self._forwarders[event.outbox].configuration = None
             await self._push_routes(event.outbox)
@@ -371,12 +426,15 @@
     async def _spread(self, states):
         self._whole = None
         for state in states:
+            if state.failing:
+                self._judge.clear(state.upstream_id)
             log.info(
                 "learns of an upstream",
                 upstream=state.upstream_id,
                 service=state.service,
                 status=state.status,
                 silent=state.silent,
+                failing=state.failing,
                 born_ms=state.born_ms,
                 sequence=state.sequence,
                 home=f"{state.home:016x}",
@@ -438,3 +496,18 @@
                 "report_replication", (now_ms - waiting.began_ms) * 1000
             )
             await waiting.reply.put(True)
+
+
+def _as_hint(state, home):
+    """Return a state as it is remembered."""
+    return state.replace(home=home, hint=True, silent=False, failing=False)
+
+
+def _counts_message(sender, sums):
+    counts = [
+        AnswerCount(
+            upstream_id=upstream_id, answered=one.answered, unanswered=one.unanswered
+        )
+        for upstream_id, one in sums.items()
+    ]
+    return AnswerCounts(sender=sender, counts=counts)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -125,6 +125,10 @@
         """Tell whether a SYN went unanswered lately."""
         return now_ms < self.suspect_until_ms
 
+    def is_avoided(self, now_ms):
+        """Tell whether it is chosen only if all others are avoided too."""
+        return self.is_suspect(now_ms) or self.state.silent or self.state.failing
+
     def score(self, now_ms):
         """Return the load per slot, with what speaks against this upstream."""
         load = self._faded(now_ms) + OPEN_WEIGHT * self.open_flows
@@ -179,7 +183,7 @@
     def choose(self, service, now_ms, tried=()):
         """Return the upstream for a new flow, or None.
 
-        Suspects, silent ones and those that were tried for this flow come last.
+        Avoided ones and those that were tried for this flow come last.
         Distant ones aren't looked at while a near one has little to do.
         """
         near, distant = self._by_service.get(service, NONE)
@@ -196,7 +200,7 @@
         for upstream in upstreams:
             rank = (
                 upstream in tried,
-                upstream.is_suspect(now_ms) or upstream.state.silent,
+                upstream.is_avoided(now_ms),
                 upstream.score(now_ms) + self._random() * TIE_SPREAD,
             )
             if best is None or rank < best.rank:
@@ -296,7 +300,8 @@
 
 def _differs(old, state):
     """Tell whether more than its sequence or what it is known by changed."""
-    same = ("born_ms", "service", "zone", "host", "port", "slots", "status", "silent")
+    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
+    same += ("silent", "failing")
     return any(getattr(old, name) != getattr(state, name) for name in same)
 
 
--- a/knapweeddeal/platform/reports.py
+++ b/knapweeddeal/platform/reports.py
@@ -41,6 +41,7 @@
         # Time that is left, not a point in time.
         cold_ms=min(optional_number(report, "coldLeftMs", default=0), MAX_COLD_MS),
         silent=False,
+        failing=False,
         home=home,
         hint=False,
     )
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -4,7 +4,7 @@
 here does input or output; the time comes with each call.
 """
 
-from knapweeddeal.messages.packets import GONE, UpstreamBeat
+from knapweeddeal.messages.packets import GONE, READY, UpstreamBeat
 from knapweeddeal.record import Record
 
 __all__ = ["SILENT_REPORTS", "UpstreamTable"]
@@ -46,6 +46,15 @@
         """Return all that is known, as it stands now."""
         return [_aged(known, now_ms) for known in self._known.values()]
 
+    def ready_by_service(self):
+        """Return the ids of ready upstreams by service."""
+        services = {}
+        for known in self._known.values():
+            state = known.state
+            if state.status == READY and not state.silent:
+                services.setdefault(state.service, []).append(state.upstream_id)
+        return services
+
     def get(self, upstream_id):
         """Return the state of an upstream, or None."""
         known = self._known.get(upstream_id)
@@ -65,6 +74,8 @@
             return []
         if known is None and state.status == GONE and state.hint:
             return []
+        if self._keeps_failing(known, state):
+            state = state.replace(failing=True)
         self._known[state.upstream_id] = Known(
             state=state,
             heard_ms=now_ms,
@@ -78,6 +89,24 @@
             changed.append(state)
         return changed
 
+    def mark_failing(self, failing):
+        """Mark the upstreams whose home this is, given the ids of those that fail."""
+        changed = []
+        for known in self._known.values():
+            state = known.state
+            is_failing = state.upstream_id in failing
+            if state.home == self._own and state.failing != is_failing:
+                known.state = state.replace(failing=is_failing)
+                changed.append(known.state)
+        return changed
+
+    def _keeps_failing(self, known, state):
+        """Tell whether a report came from an upstream that was marked here."""
+        if known is None or not known.state.failing:
+            return False
+        own = state.home == self._own == known.state.home
+        return own and state.born_ms == known.state.born_ms
+
     def take_untold(self, states):
         """Return those states that are news to forwarders, which are told now.
 
@@ -197,7 +226,8 @@
 
 def _routes_differ(known, state):
     """Tell whether flows would be routed in another way."""
-    same = ("born_ms", "service", "zone", "host", "port", "slots", "status", "silent")
+    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
+    same += ("silent", "failing")
     return any(getattr(known, name) != getattr(state, name) for name in same)
 
 
--- a/soak/faultydaemon.py
+++ b/soak/faultydaemon.py
@@ -3,12 +3,17 @@
 The file holds the settings of `Faults` as JSON; without it the daemon is as it is.
 """
 
-import errno
-import json
-import os
-import sys
-import time
-from pathlib import Path
+import signal
+
+# As deploy/knapweeddeald.py does: a reload during the imports must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import errno  # noqa: E402
+import json  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 __all__ = ["FAULTS_VARIABLE", "main", "write_faults"]
 
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -67,6 +67,7 @@
         "status": READY,
         "cold_ms": 0,
         "silent": False,
+        "failing": False,
         "home": 1,
         "hint": False,
     }
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -300,6 +300,42 @@
         self.assertLessEqual(delayed, 4 * 7)
 
 
+class Failing(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A failing upstream gets no new flow while another one can take it."""
+
+    scenarios = [
+        ("one of two", {"failing": [True, False], "chosen": {2}}),
+        ("all", {"failing": [True, True], "chosen": {1, 2}}),
+        ("none", {"failing": [False, False], "chosen": {1, 2}}),
+    ]
+
+    def test_choice(self):
+        states = [state(n, failing=f) for n, f in enumerate(self.failing, 1)]
+        world = World(routes=(route(),), states=states)
+        chosen = set()
+        for port in range(40_000, 40_020):
+            (data, _), *_ = world.take(syn(port=port))
+            chosen.add(int.from_bytes(data[:8], "big"))
+        self.assertEqual(self.chosen, chosen)
+
+
+class Answered(testtools.TestCase):
+    """Requests with and without an answer are counted by upstream."""
+
+    def test_counts(self):
+        world = World(routes=(route(),), states=[state()])
+        for port in range(40_000, 40_010):
+            _, echo = world.open(port=port)
+            world.take(fin(port=port, echo=echo), 40)
+        world.open(port=41_000, now_ms=100)
+        self.assertEqual(
+            {"i-1": (10, 0)}, world.forwarder.take_answer_counts(now_ms=499)
+        )
+        self.assertEqual(
+            {"i-1": (0, 1)}, world.forwarder.take_answer_counts(now_ms=500)
+        )
+
+
 class Load(testtools.TestCase):
     """Load patterns, and where flows go in them."""
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -8,6 +8,8 @@
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import (
     DRAINING,
+    AnswerCount,
+    AnswerCounts,
     ControlState,
     DirectoryAck,
     DirectoryBatch,
@@ -21,6 +23,7 @@
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packethub import (
+    BEAT_MS,
     CoreChanged,
     ForwarderGone,
     ForwarderHeard,
@@ -89,6 +92,9 @@
             )
             task = await curio.spawn(hub.run, daemon=True)
             for event in events:
+                if event == "wait":
+                    await curio.sleep(BEAT_MS * 1.2 / 1000)
+                    continue
                 await queue.put(event)
                 await curio.sleep(0.005)
             await curio.sleep(wait_s)
@@ -257,6 +263,72 @@
         self.assertEqual([DirectoryAck(sender=1, batch_id=7)], outbox.of(DirectoryAck))
 
 
+class Judged(HubTest):
+    """An upstream that takes flows and doesn't answer is marked by its home."""
+
+    NAMES = [f"i-{number:x}" for number in range(1, 9)]
+
+    def counts(self, *, sender=0, **unanswered):
+        """Return what was seen: ten answers each, or some requests unanswered."""
+        told = {name: (10, 0) for name in self.NAMES}
+        told.update({f"i-{n[1:]}": (0, count) for n, count in unanswered.items()})
+        counts = [
+            AnswerCount(upstream_id=name, answered=one, unanswered=other)
+            for name, (one, other) in told.items()
+        ]
+        return AnswerCounts(sender=sender, counts=counts)
+
+    def reports(self):
+        """Return the events that all upstreams reported here."""
+        return [
+            UpstreamReported(state=state(n, home=1, sequence=5), reply=curio.Queue())
+            for n in range(1, len(self.NAMES) + 1)
+        ]
+
+    def marked(self, outbox):
+        """Return the upstreams that a forwarder was told to be failing."""
+        return {
+            one.upstream_id
+            for push in outbox.of(UpstreamsPush)
+            for one in push.states
+            if one.failing
+        }
+
+    def test_marked(self):
+        outbox, replica = FakeOutbox(), FakeOutbox()
+        heard = ForwarderHeard(message=self.counts(_3=4), outbox=outbox)
+        self.play(
+            self.link(replica), *self.reports(), self.join(outbox), heard, wait_s=0.6
+        )
+        self.assertEqual({"i-3"}, self.marked(outbox))
+        (told,) = replica.of(AnswerCounts)[-1:]
+        self.assertIn(told.sender, (OWN.identity,))
+        failing = [s for b in replica.of(DirectoryBatch) for s in b.states if s.failing]
+        self.assertEqual(["i-3"], [one.upstream_id for one in failing])
+
+    def test_sum(self):
+        """Two unanswered here and two at another replica's forwarders are enough."""
+        outbox = FakeOutbox()
+        heard = ForwarderHeard(message=self.counts(_3=2), outbox=outbox)
+        told = AnswerCounts(
+            sender=2,
+            counts=[AnswerCount(upstream_id="i-3", answered=0, unanswered=2)],
+        )
+        self.play(*self.reports(), self.join(outbox), heard, told, wait_s=0.6)
+        self.assertEqual({"i-3"}, self.marked(outbox))
+
+    def test_report_keeps_the_mark(self):
+        outbox = FakeOutbox()
+        heard = ForwarderHeard(message=self.counts(_3=4), outbox=outbox)
+        again = UpstreamReported(
+            state=state(3, home=1, sequence=6), reply=curio.Queue()
+        )
+        self.play(*self.reports(), self.join(outbox), heard, "wait", again, wait_s=0.1)
+        self.assertEqual({"i-3"}, self.marked(outbox))
+        last = outbox.of(UpstreamsPush)[-1]
+        self.assertTrue(last.states[-1].failing)
+
+
 class Remembered(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get what was told before."""
 
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -42,6 +42,24 @@
             self.assertEqual(self.sequence, table.get("i-1").sequence)
 
 
+class Marked(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Only its home marks an upstream as failing, until it starts anew."""
+
+    scenarios = [
+        ("own", {"home": OWN, "marked": True, "kept": True}),
+        ("other's", {"home": OTHER, "marked": False, "kept": False}),
+        ("born anew", {"home": OWN, "born_ms": 9_000, "marked": True, "kept": False}),
+    ]
+    born_ms = 1_000
+
+    def test_mark(self):
+        table = table_with(state(home=self.home, sequence=5))
+        self.assertEqual(self.marked, bool(table.mark_failing({"i-1"})))
+        table.take(state(home=self.home, sequence=6, born_ms=self.born_ms), 10)
+        self.assertEqual(self.kept, table.get("i-1").failing)
+        self.assertEqual(self.kept, bool(table.mark_failing(set())))
+
+
 class Told(testscenarios.TestWithScenarios, testtools.TestCase):
     """Forwarders get what changes their routing, and nothing else.
 
@@ -54,6 +72,7 @@
         ("moved home", {"change": {"sequence": 6, "home": OTHER}, "told": 0}),
         ("draining", {"change": {"sequence": 6, "status": DRAINING}, "told": 1}),
         ("silent", {"change": {"sequence": 6, "silent": True}, "told": 1}),
+        ("failing", {"change": {"sequence": 6, "failing": True}, "told": 1}),
         ("born anew", {"change": {"born_ms": 2_000, "sequence": 1}, "told": 1}),
         ("other service", {"change": {"sequence": 6, "service": "b"}, "told": 1}),
     ]
