--- a/knapweeddeal/answerjudge.py
+++ b/knapweeddeal/answerjudge.py
@@ -11,7 +11,7 @@
 __all__ = ["AnswerJudge", "AnswerSum"]
 
 #: Time over which requests are summed.
-WINDOW_MS = 4_000
+WINDOW_MS = 2_000
 #: Longest use of another replica's sums: it sends them twice a second.
 FRESH_MS = 1_500
 #: Unanswered requests, and their share, from which an upstream counts as failing.
