--- a/knapweeddeal/answerjudge.py
+++ b/knapweeddeal/answerjudge.py
@@ -93,6 +93,13 @@
 
     # Queries.
 
+    def suspects(self):
+        """Return the upstreams that a verdict may change: few of all."""
+        found = set(self._verdicts) | set(self.sums())
+        for _, sums in self._others.values():
+            found |= set(sums)
+        return found
+
     def last_total(self, upstream_id):
         """Return the sum that led to the last verdict on an upstream."""
         return self._last.get(upstream_id, NOTHING)
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -238,8 +238,10 @@
         if sums or self._sums_sent:
             self._sums_sent = bool(sums)
             await self._to_replicas(_counts_message(self._own.identity, sums))
-        failing = self._judge.judge(self._table.ready_by_service(), now_ms)
-        changed = self._table.mark_failing(failing)
+        suspects = self._judge.suspects()
+        services = self._table.peers_by_service(suspects)
+        failing = self._judge.judge(services, now_ms)
+        changed = self._table.mark_failing(failing, suspects)
         for state in changed:
             total = self._judge.last_total(state.upstream_id)
             log.info(
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -46,13 +46,17 @@
         """Return all that is known, as it stands now."""
         return [_aged(known, now_ms) for known in self._known.values()]
 
-    def ready_by_service(self):
-        """Return the ids of ready upstreams by service."""
-        services = {}
+    def peers_by_service(self, upstream_ids):
+        """Return the ids of ready upstreams by service, for services of some."""
+        known = [self._known[one] for one in upstream_ids if one in self._known]
+        services = {one.state.service: [] for one in known}
+        if not services:
+            return services
         for known in self._known.values():
             state = known.state
-            if state.status == READY and not state.silent:
-                services.setdefault(state.service, []).append(state.upstream_id)
+            is_ready = state.status == READY and not state.silent
+            if is_ready and state.service in services:
+                services[state.service].append(state.upstream_id)
         return services
 
     def get(self, upstream_id):
@@ -89,13 +93,15 @@
             changed.append(state)
         return changed
 
-    def mark_failing(self, failing):
-        """Mark the upstreams whose home this is, given the ids of those that fail."""
+    def mark_failing(self, failing, suspects):
+        """Mark those suspects whose home this is, given the ids of those that fail."""
         changed = []
-        for known in self._known.values():
-            state = known.state
-            is_failing = state.upstream_id in failing
-            if state.home == self._own and state.failing != is_failing:
+        for upstream_id in suspects:
+            known = self._known.get(upstream_id)
+            is_failing = upstream_id in failing
+            state = known.state if known else None
+            is_own = state is not None and state.home == self._own
+            if is_own and state.failing != is_failing:
                 known.state = state.replace(failing=is_failing)
                 changed.append(known.state)
         return changed
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -54,10 +54,10 @@
 
     def test_mark(self):
         table = table_with(state(home=self.home, sequence=5))
-        self.assertEqual(self.marked, bool(table.mark_failing({"i-1"})))
+        self.assertEqual(self.marked, bool(table.mark_failing({"i-1"}, {"i-1"})))
         table.take(state(home=self.home, sequence=6, born_ms=self.born_ms), 10)
         self.assertEqual(self.kept, table.get("i-1").failing)
-        self.assertEqual(self.kept, bool(table.mark_failing(set())))
+        self.assertEqual(self.kept, bool(table.mark_failing(set(), {"i-1"})))
 
 
 class Told(testscenarios.TestWithScenarios, testtools.TestCase):
