Hold a failing upstream back for 5 s, as ejection does

Ruled out for dark upstreams: resets by unanswered requests with an overdue report; after a loss of replicas reports are overdue everywhere, and a busy upstream lives.

--- a/knapweeddeal/answerjudge.py
+++ b/knapweeddeal/answerjudge.py
@@ -24,11 +24,12 @@
 FACTOR = 3.0
 #: Share of a service's upstreams that count as failing at once, at most.
 MAX_SHARE = 0.25
-#: Time for which an upstream gets no new flows; it doubles while it fails again.
-FIRST_MS = 4_000
-MAX_MS = 16_000
+#: Time for which an upstream gets no new flows, as in `ejection`; it doubles while it
+#: fails again.
+FIRST_MS = 5_000
+MAX_MS = 60_000
 #: Time without a verdict after which the next one is a first one.
-FORGIVE_MS = 30_000
+FORGIVE_MS = 300_000
 
 
 class AnswerSum(Record):
