--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,8 +6,16 @@
 import time
 
 from soak.cluster import API, KNOWN, PACKETS, Cluster, wait_until
-from soak.faults import FAULTS, Faults
-from soak.peers import Callers, Calls, Operator, Problems, Upstream
+from soak.faults import FAULTS, Faults, can_spare
+from soak.peers import (
+    CALM_S,
+    DRAIN_S,
+    Callers,
+    Calls,
+    Operator,
+    Problems,
+    Upstream,
+)
 
 SERVICES = ("records", "archive")
 UPSTREAMS_PER_SERVICE = 3
@@ -16,6 +24,8 @@
 #: Time for the system to start, and to serve after the last fault.
 READY_S = 20.0
 RECOVER_S = 12.0
+#: Time for which flows are watched after a departure must be in force.
+WATCH_S = 1.0
 #: Second numbers of the loopback addresses of runs.
 BASES = range(150, 198)
 
@@ -81,6 +91,7 @@
             problems.add("never served")
         faults.run(seconds)
         check_recovery(callers, operator, problems)
+        check_departure(callers, upstreams, problems)
         for process in cluster.processes:
             if process.ended_by_itself():
                 problems.add("ended by itself", process=process.name)
@@ -108,6 +119,20 @@
         problems.add("not read after faults", confirmed=wanted)
 
 
+def check_departure(callers, upstreams, problems):
+    """Check that an upstream which leaves now gets no new flow after a while."""
+    staying = [upstream for upstream in upstreams if upstream.is_staying]
+    leaving = next((u for u in staying if can_spare(u, staying)), None)
+    if leaving is None:
+        return
+    callers.faults_until_s = time.monotonic() - CALM_S
+    leaving.drain()
+    if not wait_until(lambda: leaving.drained_s, timeout_s=RECOVER_S):
+        problems.add("departure isn't confirmed", upstream=leaving.name)
+        return
+    time.sleep(DRAIN_S + WATCH_S)
+
+
 def main():
     """Run seeds one after another."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from soak.proxy import MODES, PASS
 
-__all__ = ["FAULTS", "Faults"]
+__all__ = ["FAULTS", "Faults", "can_spare"]
 
 #: A removed disk counts as lost until its successor is a member: one at a time.
 WIPE_GAP_S = 6.0
@@ -142,21 +142,23 @@
     def drain(self, _for_s):
         """Let one upstream leave, if its service keeps another one."""
         upstream = self.random.choice(self._upstreams)
-        if self._can_spare(upstream):
+        if can_spare(upstream, self._upstreams):
             upstream.drain()
 
     def crash(self, _for_s):
         """Let one upstream fall silent, if its service keeps another one."""
         upstream = self.random.choice(self._upstreams)
-        if self._can_spare(upstream):
+        if can_spare(upstream, self._upstreams):
             upstream.crash()
 
-    def _can_spare(self, upstream):
-        return any(
-            other.is_staying
-            for other in self._upstreams
-            if other is not upstream and other.service == upstream.service
-        )
+
+def can_spare(upstream, upstreams):
+    """Tell whether another upstream of the same service stays."""
+    return any(
+        other.is_staying
+        for other in upstreams
+        if other is not upstream and other.service == upstream.service
+    )
 
 
 #: Faults by name.
--- a/soak/peers.py
+++ b/soak/peers.py
@@ -10,7 +10,7 @@
 
 from knapweeddeal.packethead import ACK, FIN, RST, SYN
 
-__all__ = ["Callers", "Calls", "Operator", "Problems", "Upstream"]
+__all__ = ["CALM_S", "DRAIN_S", "Callers", "Calls", "Operator", "Problems", "Upstream"]
 
 HEAD = struct.Struct("<BBIHIIHIHII")
 #: Time between packets of an open flow.
@@ -19,6 +19,8 @@
 FLOW_S = 5.0
 #: Time in which a confirmed departure must be in force, without faults.
 DRAIN_S = 3.0
+#: Time without faults after which the system has no excuse.
+CALM_S = 4.0
 CALL_S = 1.0
 #: What an upstream writes into `sum`; the system's own resets hold 0.
 SUM = 7
@@ -189,8 +191,8 @@
         return self._routes.get(port)
 
     def calm_since_s(self):
-        """Return since when no fault has been in force for 4 s."""
-        return self.faults_until_s + 4.0
+        """Return since when no fault has been in force for some time."""
+        return self.faults_until_s + CALM_S
 
     def close(self):
         """Stop."""
