--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,8 @@
 #: Time for the system to start, and to serve after the last fault.
 READY_S = 20.0
 RECOVER_S = 12.0
+#: Longest pause of the operator between revisions, and some more.
+PUBLISH_GAP_S = 1.0
 #: Time for which flows are watched after a departure must be in force.
 WATCH_S = 1.0
 #: Second numbers of the loopback addresses of runs.
@@ -92,6 +94,7 @@
         faults.run(seconds)
         check_recovery(callers, operator, problems)
         check_departure(callers, upstreams, problems)
+        check_kept(cluster, operator, problems)
         for process in cluster.processes:
             if process.ended_by_itself():
                 problems.add("ended by itself", process=process.name)
@@ -119,6 +122,24 @@
         problems.add("not read after faults", confirmed=wanted)
 
 
+def check_kept(cluster, operator, problems):
+    """Check that what is confirmed last survives a kill of all replicas at once."""
+    operator.close()
+    time.sleep(PUBLISH_GAP_S)
+    before = operator.confirmed
+    operator.publish_once()
+    for replica in cluster.replicas.values():
+        replica.kill()
+    for replica in cluster.replicas.values():
+        replica.end()
+        replica.start()
+    wanted = operator.confirmed
+    if wanted == before:
+        problems.add("not confirmed after faults", confirmed=before)
+    if not wait_until(lambda: operator.read_once() >= wanted, timeout_s=RECOVER_S):
+        problems.add("lost after a kill of all", confirmed=wanted)
+
+
 def check_departure(callers, upstreams, problems):
     """Check that an upstream which leaves now gets no new flow after a while."""
     staying = [upstream for upstream in upstreams if upstream.is_staying]
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -56,6 +56,11 @@
         if self.running.poll() is None:
             os.kill(self.running.pid, number)
 
+    def kill(self):
+        """Kill the process without waiting for its end."""
+        self.expected = True
+        self.send_signal(signal.SIGKILL)
+
     def end(self, number=signal.SIGKILL):
         """End the process and wait for that."""
         self.expected = True
--- a/soak/peers.py
+++ b/soak/peers.py
@@ -353,14 +353,18 @@
 
     def _publish(self):
         while self._running:
-            self._revision += self._random.randint(1, 4)
-            body = self._make(self._revision)
-            self._sent[self._revision] = body
-            self._confirm(body)
+            self.publish_once()
             if self._random.random() < 0.2:
                 self._send_invalid()
             time.sleep(self._random.uniform(0.05, 0.6))
 
+    def publish_once(self):
+        """Send the next revision until it is confirmed or that takes too long."""
+        self._revision += self._random.randint(1, 4)
+        body = self._make(self._revision)
+        self._sent[self._revision] = body
+        self._confirm(body)
+
     def _confirm(self, body):
         for _ in range(30):
             status, _ = self._calls.one("PUT", "/-/config", body)
