Say once what routes flows, what counts answers and how long upstreams are held

From a reading of the whole change; behaviour stays as it is. - Forwarders and replicas compared upstreams by two copies of one list of fields, and must agree on it: UpstreamState.routes_like and .order. - The message of answer counts was built twice: AnswerCounts.of. Its filter stood twice in the hub. - The judge copied three times from ejection, kept verdicts and their sums in two dictionaries, and never dropped the sums of a replica that was gone, so that every upstream was looked at twice a second from then on. - A starting forwarder counted all upstreams with each packet to learn whether it knew any.

--- a/knapweeddeal/answerjudge.py
+++ b/knapweeddeal/answerjudge.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 
+from knapweeddeal.ejection import FIRST_MS, FORGIVE_MS, MAX_MS
 from knapweeddeal.record import Record
 
 __all__ = ["AnswerJudge", "AnswerSum"]
@@ -24,12 +25,6 @@
 FACTOR = 3.0
 #: Share of a service's upstreams that count as failing at once, at most.
 MAX_SHARE = 0.25
-#: Time for which an upstream gets no new flows, as in `ejection`; it doubles while it
-#: fails again.
-FIRST_MS = 5_000
-MAX_MS = 60_000
-#: Time without a verdict after which the next one is a first one.
-FORGIVE_MS = 300_000
 
 
 class AnswerSum(Record):
@@ -47,15 +42,15 @@
 
 
 class Verdict(Record):
-    """Hold until when an upstream counts as failing, and how often it did."""
+    """Hold until when an upstream counts as failing, how often it did, and why."""
 
-    __slots__ = ("times", "until_ms")
+    __slots__ = ("times", "total", "until_ms")
 
 
 class AnswerJudge:
     """Sum what forwarders saw, and tell which upstreams fail."""
 
-    __slots__ = ("_heard", "_last", "_others", "_verdicts")
+    __slots__ = ("_heard", "_others", "_verdicts")
 
     def __init__(self):
         #: (time, answered, unanswered) of this replica's forwarders, by upstream.
@@ -63,8 +58,6 @@
         #: Sums of other replicas with the time they came, by replica.
         self._others = {}
         self._verdicts = {}
-        #: The sums that led to each verdict.
-        self._last = {}
 
     # Commands.
 
@@ -103,20 +96,18 @@
 
     def last_total(self, upstream_id):
         """Return the sum that led to the last verdict on an upstream."""
-        return self._last.get(upstream_id, NOTHING)
+        verdict = self._verdicts.get(upstream_id)
+        return verdict.total if verdict else NOTHING
 
     def sums(self):
         """Return the sums of this replica's forwarders, where any went unanswered."""
         own = {upstream_id: self._own(upstream_id) for upstream_id in self._heard}
         return {upstream_id: one for upstream_id, one in own.items() if one.unanswered}
 
-    def total(self, upstream_id, now_ms):
+    def total(self, upstream_id):
         """Return the sum of all replicas for one upstream."""
-        parts = [self._own(upstream_id)]
-        for heard_ms, sums in self._others.values():
-            if now_ms - heard_ms < FRESH_MS and upstream_id in sums:
-                parts.append(sums[upstream_id])
-        return _add(parts)
+        others = [sums.get(upstream_id, NOTHING) for _, sums in self._others.values()]
+        return _add([self._own(upstream_id), *others])
 
     def _own(self, upstream_id):
         heard = self._heard.get(upstream_id, ())
@@ -128,7 +119,7 @@
     # One service.
 
     def _judge_service(self, upstream_ids, now_ms):
-        totals = {one: self.total(one, now_ms) for one in upstream_ids}
+        totals = {one: self.total(one) for one in upstream_ids}
         room = int(MAX_SHARE * len(upstream_ids))
         held = [one for one in upstream_ids if self._is_held(one, now_ms)]
         worst = sorted(totals, key=lambda one: totals[one].unanswered, reverse=True)
@@ -137,8 +128,7 @@
                 break
             others = _add(total for other, total in totals.items() if other != one)
             if one not in held and self._fails(one, totals[one], others):
-                self._last[one] = totals[one]
-                self._condemn(one, now_ms)
+                self._condemn(one, totals[one], now_ms)
                 held.append(one)
         return set(held)
 
@@ -152,15 +142,20 @@
         verdict = self._verdicts.get(upstream_id)
         return verdict is not None and now_ms < verdict.until_ms
 
-    def _condemn(self, upstream_id, now_ms):
+    def _condemn(self, upstream_id, total, now_ms):
         """Hold an upstream back; what was seen before counts no more."""
         before = self._verdicts.get(upstream_id)
         times = before.times + 1 if before else 0
         until_ms = now_ms + min(FIRST_MS << times, MAX_MS)
-        self._verdicts[upstream_id] = Verdict(times=times, until_ms=until_ms)
+        self._verdicts[upstream_id] = Verdict(
+            times=times, total=total, until_ms=until_ms
+        )
         self.clear(upstream_id)
 
     def _forget(self, now_ms):
+        for replica, (heard_ms, _) in list(self._others.items()):
+            if now_ms - heard_ms >= FRESH_MS:
+                del self._others[replica]
         for upstream_id, heard in list(self._heard.items()):
             while heard and now_ms - heard[0][0] >= WINDOW_MS:
                 heard.popleft()
@@ -169,7 +164,6 @@
         for upstream_id, verdict in list(self._verdicts.items()):
             if now_ms - verdict.until_ms >= FORGIVE_MS:
                 del self._verdicts[upstream_id]
-                del self._last[upstream_id]
 
 
 def _add(parts):
--- a/knapweeddeal/ejection.py
+++ b/knapweeddeal/ejection.py
@@ -2,7 +2,7 @@
 
 from knapweeddeal.record import Record
 
-__all__ = ["Ejection"]
+__all__ = ["FIRST_MS", "FORGIVE_MS", "MAX_MS", "Ejection"]
 
 #: Failures in a row that eject an upstream.
 MAX_FAILURES = 3
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -5,7 +5,6 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
     KEY_BYTES,
-    AnswerCount,
     AnswerCounts,
     ControlState,
     RoutesPush,
@@ -63,7 +62,7 @@
     @property
     def is_ready(self):
         """Tell whether new flows may come: routes and upstreams are known."""
-        known = self.routes.revision > 0 and len(self.pool) > 0
+        known = self.routes.revision > 0 and self.pool.has_upstreams
         return known and not self.stopping
 
     def dump(self):
@@ -111,17 +110,7 @@
     def take_answer_counts(self, now_ms):
         """Return a message with what flows showed since the last call, or None."""
         counts = self.forwarder.take_answer_counts(now_ms)
-        if not counts:
-            return None
-        return AnswerCounts(
-            sender=0,
-            counts=[
-                AnswerCount(
-                    upstream_id=upstream_id, answered=answered, unanswered=unanswered
-                )
-                for upstream_id, (answered, unanswered) in counts.items()
-            ],
-        )
+        return AnswerCounts.of(sender=0, counts=counts) if counts else None
 
     def stop(self):
         """Turn not ready; packets are still forwarded."""
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -136,6 +136,20 @@
     __slots__ = tuple(schema)
 
 
+#: Fields of an upstream's state that decide how flows are routed.
+ROUTING = (
+    "born_ms",
+    "service",
+    "zone",
+    "host",
+    "port",
+    "slots",
+    "status",
+    "silent",
+    "failing",
+)
+
+
 class UpstreamState(Message):
     """Tell what an upstream last said of itself.
 
@@ -164,6 +178,15 @@
     }
     __slots__ = tuple(schema)
 
+    @property
+    def order(self):
+        """Return what orders the states of one upstream."""
+        return (self.born_ms, self.sequence)
+
+    def routes_like(self, other):
+        """Tell whether flows are routed alike by two states of one upstream."""
+        return all(getattr(self, name) == getattr(other, name) for name in ROUTING)
+
 
 class UpstreamBeat(Message):
     """Tell that an upstream was heard, with nothing new to say."""
@@ -213,6 +236,19 @@
     schema = {"sender": Whole(), "counts": ListOf(Nested(AnswerCount))}
     __slots__ = tuple(schema)
 
+    @classmethod
+    def of(cls, *, sender, counts):
+        """Return a message of (answered, unanswered) by upstream."""
+        return cls(
+            sender=sender,
+            counts=[
+                AnswerCount(
+                    upstream_id=upstream_id, answered=answered, unanswered=unanswered
+                )
+                for upstream_id, (answered, unanswered) in counts.items()
+            ],
+        )
+
 
 class ForwarderHello(Message):
     """Open a forwarder's subscription to routes and upstreams."""
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -15,7 +15,6 @@
 from knapweeddeal.messages.base import Encoded
 from knapweeddeal.messages.packets import (
     GONE,
-    AnswerCount,
     AnswerCounts,
     ControlState,
     DirectoryAck,
@@ -237,7 +236,9 @@
         sums = self._judge.sums()
         if sums or self._sums_sent:
             self._sums_sent = bool(sums)
-            await self._to_replicas(_counts_message(self._own.identity, sums))
+            counts = {name: (s.answered, s.unanswered) for name, s in sums.items()}
+            message = AnswerCounts.of(sender=self._own.identity, counts=counts)
+            await self._to_replicas(message)
         suspects = self._judge.suspects()
         services = self._table.peers_by_service(suspects)
         failing = self._judge.judge(services, now_ms)
@@ -343,21 +344,26 @@
     async def _(self, message: AnswerCounts):
         sums = {
             one.upstream_id: AnswerSum(answered=one.answered, unanswered=one.unanswered)
-            for one in message.counts
-            if not self._is_failing(one.upstream_id)
+            for one in self._unmarked(message)
         }
         self._judge.take_sums(message.sender, sums, monotonic_ms())
 
-    def _is_failing(self, upstream_id):
-        """Tell whether an upstream is marked: what comes then was asked before."""
-        state = self._table.get(upstream_id)
-        return state is not None and state.failing
+    def _unmarked(self, message):
+        """Return the counts of upstreams that aren't marked as failing.
+
+        What comes of a marked one was asked before.
+        """
+        states = [self._table.get(one.upstream_id) for one in message.counts]
+        return [
+            one
+            for one, state in zip(message.counts, states, strict=True)
+            if state is None or not state.failing
+        ]
 
     def _take_answers(self, message, now_ms):
         counts = {
             one.upstream_id: (one.answered, one.unanswered)
-            for one in message.counts
-            if not self._is_failing(one.upstream_id)
+            for one in self._unmarked(message)
         }
         self._judge.take_counts(counts, now_ms)
 
@@ -399,9 +405,7 @@
     def _is_later(self, configuration):
         """Tell whether to take routes: the log may still be behind a hint of it."""
         held = self._configuration
-        if held is None or configuration is held:
-            return configuration is not held
-        return configuration.revision > held.revision
+        return held is None or configuration.revision > held.revision
 
     # Messages out.
 
@@ -503,13 +507,3 @@
 def _as_hint(state, home):
     """Return a state as it is remembered."""
     return state.replace(home=home, hint=True, silent=False, failing=False)
-
-
-def _counts_message(sender, sums):
-    counts = [
-        AnswerCount(
-            upstream_id=upstream_id, answered=one.answered, unanswered=one.unanswered
-        )
-        for upstream_id, one in sums.items()
-    ]
-    return AnswerCounts(sender=sender, counts=counts)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -176,6 +176,11 @@
         """Return the number of upstreams that aren't gone."""
         return sum(u.state.status != GONE for u in self._by_id.values())
 
+    @property
+    def has_upstreams(self):
+        """Tell whether any isn't gone; a forwarder's start asks with each packet."""
+        return any(u.state.status != GONE for u in self._by_id.values())
+
     def all(self):
         """Return all upstreams."""
         return self._by_id.values()
@@ -227,8 +232,7 @@
             self._add(state, now_ms)
             return True
         old = known.state
-        order = (state.born_ms, state.sequence)
-        if order < (old.born_ms, old.sequence):
+        if state.order < old.order:
             return False
         if old.status == GONE and state.born_ms <= old.born_ms:
             return False
@@ -243,7 +247,7 @@
             del self._members[old.service][state.upstream_id]
             self._rebuild(old.service)
             self._enrol(known)
-        return _differs(old, state)
+        return not state.routes_like(old)
 
     def _add(self, state, now_ms):
         number = id_number(state.upstream_id)
@@ -298,13 +302,6 @@
         self._by_service[service] = (near, distant)
 
 
-def _differs(old, state):
-    """Tell whether more than its sequence or what it is known by changed."""
-    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
-    same += ("silent", "failing")
-    return any(getattr(old, name) != getattr(state, name) for name in same)
-
-
 def id_number(upstream_id):
     """Return the number in an upstream's id: its hexadecimal digits."""
     return int(upstream_id.rpartition("-")[2], 16)
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -98,11 +98,11 @@
         changed = []
         for upstream_id in suspects:
             known = self._known.get(upstream_id)
+            if known is None or known.state.home != self._own:
+                continue
             is_failing = upstream_id in failing
-            state = known.state if known else None
-            is_own = state is not None and state.home == self._own
-            if is_own and state.failing != is_failing:
-                known.state = state.replace(failing=is_failing)
+            if known.state.failing != is_failing:
+                known.state = known.state.replace(failing=is_failing)
                 changed.append(known.state)
         return changed
 
@@ -121,7 +121,8 @@
         untold = []
         for state in states:
             known = self._known.get(state.upstream_id)
-            if known is None or known.told is None or _routes_differ(known.told, state):
+            told = known.told if known else None
+            if told is None or not state.routes_like(told):
                 untold.append(state)
             if known is not None:
                 known.told = state
@@ -132,7 +133,7 @@
         known = self._known.get(beat.upstream_id)
         if known is None or known.state.status == GONE:
             return []
-        if (beat.born_ms, beat.sequence) < _order(known.state):
+        if (beat.born_ms, beat.sequence) < known.state.order:
             return []
         state = known.state.replace(
             sequence=beat.sequence, silent=False, home=home, hint=False
@@ -211,30 +212,19 @@
         return holder if is_there and holder.state.status != GONE else None
 
 
-def _order(state):
-    return (state.born_ms, state.sequence)
-
-
 def _is_news(known, state):
     if known.status == GONE and state.born_ms <= known.born_ms:
         return False
-    if _order(state) == _order(known):
+    if state.order == known.order:
         return _differs(known, state) and not state.hint
-    return _order(state) > _order(known)
+    return state.order > known.order
 
 
 def _differs(known, state):
     """Tell whether anything but the times and the sequence differs."""
     if known.home != state.home or known.hint != state.hint:
         return True
-    return _routes_differ(known, state)
-
-
-def _routes_differ(known, state):
-    """Tell whether flows would be routed in another way."""
-    same = ("born_ms", "service", "zone", "host", "port", "slots", "status")
-    same += ("silent", "failing")
-    return any(getattr(known, name) != getattr(state, name) for name in same)
+    return not state.routes_like(known)
 
 
 def _aged(known, now_ms):
