Start daemons with faults only where faults are wanted; build a run's traffic once

Every real-process test and make run went through the launcher that patches syncs and the clock, and read its file at each sync; now only the soak and the two tests that set faults do, the rest run the daemon as it is. Two copies of that start became soak.launch, two copies of callers and upstreams soak.traffic.

--- a/demo/packets.py
+++ b/demo/packets.py
@@ -5,8 +5,9 @@
 import time
 
 from demo.cluster import ROOT, default_base
-from soak.cluster import API, KNOWN, PACKETS, STREAMS, Cluster, wait_until
-from soak.peers import Callers, Calls, Problems, Upstream
+from soak.cluster import STREAMS, Cluster, wait_until
+from soak.peers import Problems
+from soak.traffic import Traffic
 
 __all__ = ["run"]
 
@@ -17,7 +18,6 @@
 #: Flows that are opened while a forwarder is killed and started again.
 WANTED_FLOWS = 50
 START_S = 20.0
-UPSTREAM_PORT = 7_005
 
 
 def publication(revision):
@@ -50,36 +50,22 @@
     """Run, report, and return whether all was as promised."""
     began_s = time.monotonic()
     problems = Problems()
-    cluster = Cluster(base=default_base())
-    calls = Calls(hosts=cluster.hosts, port=API, seed=1)
-    callers = Callers(
-        address=(cluster.host(KNOWN, 21), PACKETS),
-        forwarders=[(host, PACKETS) for host in cluster.forwarders],
+    cluster = Cluster(base=default_base(), faulty=False)
+    traffic = Traffic(
+        cluster=cluster,
         routes=ROUTES,
         service_host=SERVICE_HOST,
+        per_service=UPSTREAMS_PER_SERVICE,
         problems=problems,
         seed=1,
     )
-    upstreams = []
-    for number in range(UPSTREAMS_PER_SERVICE * len(ROUTES)):
-        host = cluster.host(KNOWN, 31 + number)
-        callers.upstreams[host] = Upstream(
-            name=f"i-{number + 1:x}",
-            service=list(ROUTES.values())[number % len(ROUTES)],
-            address=(host, UPSTREAM_PORT),
-            caller=callers,
-            problems=problems,
-            calls=calls,
-        )
-        upstreams.append(callers.upstreams[host])
+    callers = traffic.callers
     try:
         cluster.start()
         done = wait_until(lambda: publish(cluster), timeout_s=START_S)
         done = done and _use(cluster, callers)
     finally:
-        callers.close()
-        for upstream in upstreams:
-            upstream.crash()
+        traffic.close()
         cluster.close(keep=False)
     print(f"packets: {callers.opened} flows opened, {callers.served} answers")
     print(f"broken promises: {problems.found or 'none'}")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,17 +5,10 @@
 import sys
 import time
 
-from soak.cluster import API, KNOWN, PACKETS, Cluster, wait_until
+from soak.cluster import Cluster, wait_until
 from soak.faults import FAULTS, Faults, can_spare
-from soak.peers import (
-    CALM_S,
-    DRAIN_S,
-    Callers,
-    Calls,
-    Operator,
-    Problems,
-    Upstream,
-)
+from soak.peers import CALM_S, DRAIN_S, Operator, Problems
+from soak.traffic import Traffic
 
 SERVICES = ("records", "archive")
 UPSTREAMS_PER_SERVICE = 3
@@ -60,33 +53,21 @@
     problems = Problems()
     cluster = Cluster(base=base)
     rng = random.Random(seed)
-    calls = Calls(hosts=cluster.hosts, port=API, seed=seed)
-    callers = Callers(
-        address=(cluster.host(KNOWN, 21), PACKETS),
-        forwarders=[(host, PACKETS) for host in cluster.forwarders],
+    traffic = Traffic(
+        cluster=cluster,
         routes={FIRST_PORT + n: service for n, service in enumerate(SERVICES)},
         service_host=SERVICE_HOST,
+        per_service=UPSTREAMS_PER_SERVICE,
         problems=problems,
         seed=seed,
     )
-    upstreams = []
-    for number in range(UPSTREAMS_PER_SERVICE * len(SERVICES)):
-        host = cluster.host(KNOWN, 31 + number)
-        upstreams.append(
-            Upstream(
-                name=f"i-{number + 1:x}",
-                service=SERVICES[number % len(SERVICES)],
-                address=(host, 7_005),
-                caller=callers,
-                problems=problems,
-                calls=calls,
-            )
-        )
-        callers.upstreams[host] = upstreams[-1]
+    callers, upstreams = traffic.callers, traffic.upstreams
     faults = Faults(
         cluster=cluster, callers=callers, upstreams=upstreams, random=rng, kinds=kinds
     )
-    operator = Operator(calls=calls, make=document, problems=problems, seed=seed)
+    operator = Operator(
+        calls=traffic.calls, make=document, problems=problems, seed=seed
+    )
     try:
         cluster.start()
         if not wait_until(lambda: callers.served > 20, timeout_s=READY_S):
@@ -100,9 +81,7 @@
                 problems.add("ended by itself", process=process.name)
     finally:
         operator.close()
-        callers.close()
-        for upstream in upstreams:
-            upstream.crash()
+        traffic.close()
         cluster.close(keep=bool(problems.found))
     figures = {
         "opened": callers.opened,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -3,18 +3,15 @@
 import os
 import shutil
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
 
-from soak.faultydaemon import FAULTS_VARIABLE, write_faults
+from soak.launch import start_daemon, write_faults
 from soak.proxy import Proxy
 
 __all__ = ["API", "KNOWN", "PACKETS", "STREAMS", "Cluster", "wait_until"]
 
-ROOT = Path(__file__).resolve().parent.parent
 STREAMS, API, PACKETS, READY = 7_000, 7_001, 7_002, 7_003
 #: Groups of loopback addresses: what processes are known by, and where they listen.
 KNOWN, HIDDEN = 81, 82
@@ -25,10 +22,11 @@
 class Process:
     """Run one daemon; ends only what it started."""
 
-    def __init__(self, *, folder, name, text):
+    def __init__(self, *, folder, name, text, faulty):
         self.name = name
         self.path = folder / f"{name}.ini"
-        self.faults_path = folder / f"{name}.faults"
+        #: File that names faults of disk and clock; None for the daemon as it is.
+        self.faults_path = folder / f"{name}.faults" if faulty else None
         self.log_path = folder / f"{name}.log"
         self.path.write_text(text, encoding="utf-8")
         #: Whether it is not running on purpose.
@@ -39,12 +37,8 @@
         """Start, or continue after a kill."""
         self.expected = False
         with open(self.log_path, "ab") as log:
-            self.running = subprocess.Popen(
-                [sys.executable, "-m", "soak.faultydaemon", self.path],
-                cwd=ROOT,
-                env={**os.environ, FAULTS_VARIABLE: str(self.faults_path)},
-                stdout=log,
-                stderr=log,
+            self.running = start_daemon(
+                self.path, faults_path=self.faults_path, stdout=log, stderr=log
             )
 
     def set_faults(self, **faults):
@@ -76,8 +70,9 @@
 class Cluster:
     """Hold replicas behind proxies, and forwarders."""
 
-    def __init__(self, *, base):
+    def __init__(self, *, base, faulty=True):
         self.base = base
+        self._faulty = faulty
         self.folder = Path(tempfile.mkdtemp(prefix="soak-"))
         self.hosts = [self.host(KNOWN, n) for n in range(1, REPLICAS + 1)]
         self.proxies = {}
@@ -121,7 +116,7 @@
 election_ms = 400
 report_ms = 500
 """
-        return Process(folder=self.folder, name=f"replica-{host}", text=text)
+        return self._process(f"replica-{host}", text)
 
     def _forwarder(self, host):
         text = f"""[daemon]
@@ -139,7 +134,10 @@
 stream_timeout_ms = 1000
 stop_ms = 500
 """
-        return Process(folder=self.folder, name=f"forwarder-{host}", text=text)
+        return self._process(f"forwarder-{host}", text)
+
+    def _process(self, name, text):
+        return Process(folder=self.folder, name=name, text=text, faulty=self._faulty)
 
     def start(self):
         """Start all processes."""
--- a/soak/faultydaemon.py
+++ b/soak/faultydaemon.py
@@ -1,6 +1,6 @@
 """soak.faultydaemon: The daemon, with a disk and a clock whose faults a file names.
 
-The file holds the settings of `Faults` as JSON; without it the daemon is as it is.
+`soak.launch` writes the file; without it the daemon is as it is.
 """
 
 import signal
@@ -15,7 +15,7 @@
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
 
-__all__ = ["FAULTS_VARIABLE", "main", "write_faults"]
+__all__ = ["FAULTS_VARIABLE", "main"]
 
 #: Variable that names the file of faults.
 FAULTS_VARIABLE = "KNAPWEEDDEAL_FAULTS"
@@ -40,17 +40,6 @@
             return 0
 
 
-def write_faults(path, **faults):
-    """Turn on these faults and no others.
-
-    `sync_ms` delays each sync, `stalled` holds syncs until it is off, `full` refuses
-    them, `wall_ms` shifts the time of day.
-    """
-    temporary = path.with_suffix(".new")
-    temporary.write_text(json.dumps(faults), encoding="utf-8")
-    temporary.replace(path)
-
-
 def _with_disk_faults(faults, sync):
     def faulty_sync(descriptor):
         while faults.get("stalled"):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,8 +4,6 @@
 import shutil
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -15,7 +13,7 @@
 from knapweeddeal import controlclient
 from knapweeddeal.errors import NoQuorumError, UnreachableError
 from knapweeddeal.messages.operator import StatusAsk
-from soak.faultydaemon import FAULTS_VARIABLE, write_faults
+from soak.launch import start_daemon, write_faults
 
 ROOT = Path(__file__).resolve().parent.parent
 #: Longest wait for a condition.
@@ -45,14 +43,15 @@
 class Daemon:
     """Start, stop and end one daemon; `sections` are its settings."""
 
-    def __init__(self, *, folder, name, sections):
+    def __init__(self, *, folder, name, sections, faulty=False):
         self.name = name
         self.settings_path = Path(folder) / f"{name}.ini"
         self.log_path = Path(folder) / f"{name}.log"
         self.error_path = Path(folder) / f"{name}.err"
         self.sections = sections
         self.sections["daemon"]["log_file"] = self.log_path
-        self.faults_path = Path(folder) / f"{name}.faults"
+        #: File that names faults of disk and clock; None for the daemon as it is.
+        self.faults_path = Path(folder) / f"{name}.faults" if faulty else None
         self.process = None
 
     def start(self):
@@ -63,11 +62,8 @@
             lines.extend(f"{key} = {value}" for key, value in values.items())
         self.settings_path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         with open(self.error_path, "ab") as error:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "soak.faultydaemon", self.settings_path],
-                cwd=ROOT,
-                stderr=error,
-                env={**os.environ, FAULTS_VARIABLE: str(self.faults_path)},
+            self.process = start_daemon(
+                self.settings_path, faults_path=self.faults_path, stderr=error
             )
 
     def set_faults(self, **faults):
@@ -98,8 +94,9 @@
 class ControlGroup:
     """Run control replicas in a folder of their own."""
 
-    def __init__(self, *, count=3, timing=None, start=True):
+    def __init__(self, *, count=3, timing=None, start=True, faulty=False):
         self.folder = Path(tempfile.mkdtemp(prefix="control-"))
+        self._faulty = faulty
         self.addresses = {}
         self.daemons = {}
         self.timing = {"election_ms": 300, "heartbeat_ms": 100, **(timing or {})}
@@ -126,7 +123,9 @@
             "control": {"data_folder": self.data_folder(name)},
             "timing": self.timing,
         }
-        return Daemon(folder=self.folder, name=name, sections=sections)
+        return Daemon(
+            folder=self.folder, name=name, sections=sections, faulty=self._faulty
+        )
 
     def data_folder(self, name):
         """Return the data folder of a replica."""
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -385,7 +385,7 @@
     ]
 
     def test_changes(self):
-        group = self.start_group()
+        group = self.start_group(faulty=True)
         self.change(1)
         leader = self.leader()
         names = {
@@ -420,7 +420,7 @@
     ]
 
     def test_changes(self):
-        group = self.start_group()
+        group = self.start_group(faulty=True)
         self.change(1)
         for daemon in group.daemons.values():
             daemon.set_faults(sync_ms=self.sync_ms)
