Mend three listed tests: what they wait for and count

UpstreamKilled began its load when one upstream served; an upstream that was held at its start got no flow, and the test failed ('0 not greater than 0', 1 of 1 with upstream-1 held for 2 s).

SeedPolling.test_refused counted openings over a time that a pause could stretch. It now checks the time between two openings at one seed, and that there are several.

Pipe.test_reader_comes_back depended on the length of the lines. It now compares lines written with lines read plus drops reported, for eight lengths.

--- a/tests/load.py
+++ b/tests/load.py
@@ -2,9 +2,12 @@
 
 import json
 import random
+import signal
+import threading
 import time
 from collections import Counter
 from pathlib import Path
+from types import MappingProxyType
 
 import curio
 
@@ -29,11 +32,22 @@
 class SmallCluster:
     """Run one service on a few real processes."""
 
-    def __init__(self, *, folder, entries=3, upstreams=2, drain_ms=4_000, work_ms=20):
+    def __init__(
+        self,
+        *,
+        folder,
+        entries=3,
+        upstreams=2,
+        drain_ms=4_000,
+        work_ms=20,
+        held_s=MappingProxyType({}),
+    ):
         self.cluster = Cluster(folder=folder, entries=entries)
         self.folder = Path(folder)
         self._drain_ms = drain_ms
         self._work_ms = work_ms
+        #: How long some upstreams are suspended at their start, by name.
+        self._held_s = held_s
         self._upstream_count = 0
         try:
             self._start(upstreams)
@@ -79,8 +93,16 @@
             *("--drain-ms", str(self._drain_ms), "--work-ms", str(self._work_ms)),
             *("--slots", "8"),
         )
+        if name in self._held_s:
+            self._hold(name, self._held_s[name])
         return name
 
+    def _hold(self, name, held_s):
+        """Suspend a process; resume it later from another thread."""
+        self.cluster.signal(name, signal.SIGSTOP)
+        arguments = (name, signal.SIGCONT)
+        threading.Timer(held_s, self.cluster.signal, arguments).start()
+
     def counters(self, entry):
         """Return an entry's counters; raise UnreachableError if it doesn't answer."""
         return self._query(entry, MetricsRequest())["counters"]
@@ -94,6 +116,18 @@
         streams = [upstream["stream"] for upstream in state["upstreams"]]
         return state["version"] > 0 and any(streams) and all(streams)
 
+    def wait_until_connected(self):
+        """Wait until every entry has streams to all upstreams that were started."""
+        wait_until(lambda: all(map(self._has_all_upstreams, self.cluster.entries)))
+
+    def _has_all_upstreams(self, entry):
+        try:
+            state = self._query(entry, DumpRequest(max_bytes=100_000))
+        except UnreachableError:
+            return False
+        streams = [upstream["stream"] for upstream in state["upstreams"]]
+        return sum(map(bool, streams)) >= self._upstream_count
+
     def _query(self, entry, message):
         host, _, port = self.cluster.entry_address(entry).rpartition(":")
         address = (host, int(port))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,6 +7,7 @@
 import tempfile
 
 import curio
+import testscenarios
 import testtools
 
 from demo.cluster import wait_until
@@ -31,14 +32,16 @@
 
     def setUp(self):
         super().setUp()
-        folder = self.new_folder()
-        self.small = SmallCluster(
-            folder=folder, entries=self.ENTRIES, upstreams=self.UPSTREAMS
-        )
+        self.small = self.new_cluster(self.new_folder())
         self.addCleanup(self.small.close)
         self.cluster = self.small.cluster
         self.load = Load(address=self.small.address)
 
+    def new_cluster(self, folder):
+        return SmallCluster(
+            folder=folder, entries=self.ENTRIES, upstreams=self.UPSTREAMS
+        )
+
     def new_folder(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -81,9 +84,25 @@
         self.run_load(script)
 
 
-class UpstreamKilled(Case):
+class UpstreamKilled(testscenarios.TestWithScenarios, Case):
     """A killed upstream may lose only its requests in progress, and no flow."""
 
+    scenarios = [
+        ("both upstreams start at once", {"held_s": 0.0}),
+        ("the killed one starts late", {"held_s": 2.0}),
+    ]
+
+    def new_cluster(self, folder):
+        held_s = {"upstream-1": self.held_s} if self.held_s else {}
+        cluster = SmallCluster(
+            folder=folder,
+            entries=self.ENTRIES,
+            upstreams=self.UPSTREAMS,
+            held_s=held_s,
+        )
+        cluster.wait_until_connected()
+        return cluster
+
     def test_killed(self):
         async def script(load):
             await load.wait_for_answers()
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -4,9 +4,10 @@
 import random
 import socket
 import threading
+from itertools import pairwise
 
 import testtools
-from testtools.matchers import LessThan
+from testtools.matchers import GreaterThan, LessThan, Not
 
 from demo.cluster import BASE_VARIABLE, default_base
 from knapweeddeal import forwarderstart
@@ -83,16 +84,21 @@
         self._listener.close()
 
 
-class CountedConnections:
-    """Count the connections opened to seeds."""
+class RecordedConnections:
+    """Record when connections are opened to each seed."""
 
     def __init__(self, case):
-        self.count = 0
+        self.opened_ms = {}
         case.patch(forwarderstart, "SeedConnection", self._open)
 
-    def _open(self, **fields):
-        self.count += 1
-        return SeedConnection(**fields)
+    @property
+    def count(self):
+        """Return the number of connections to all seeds."""
+        return sum(map(len, self.opened_ms.values()))
+
+    def _open(self, *, address, core):
+        self.opened_ms.setdefault(address, []).append(monotonic_ms())
+        return SeedConnection(address=address, core=core)
 
 
 class SeedPolling(testtools.TestCase):
@@ -141,18 +147,22 @@
     def test_refused(self):
         """A seed that refuses isn't retried at once, which would use up the CPU."""
         began_ms, polls = monotonic_ms(), 0
-        opened = CountedConnections(self)
+        opened = RecordedConnections(self)
         while monotonic_ms() - began_ms < 10 * RETRY_MS:
             self.is_ready()
             polls += 1
         self.assertGreater(polls, 40)
-        self.assertThat(opened.count, LessThan(2 * 11))
+        self.assertEqual({(FIRST, PORT), (SECOND, PORT)}, set(opened.opened_ms))
+        for times_ms in opened.opened_ms.values():
+            gaps_ms = [after - before for before, after in pairwise(times_ms)]
+            self.assertThat(len(gaps_ms), GreaterThan(2))
+            self.assertThat(min(gaps_ms), Not(LessThan(RETRY_MS)))
 
     def test_silent_seeds(self):
         """Connections to VMs without power, which drop each SYN, are opened anew."""
         for host in (FIRST, SECOND):
             self.fill_backlog(host)
-        opened = CountedConnections(self)
+        opened = RecordedConnections(self)
         wait_until(lambda: self.is_ready() or opened.count >= 6, "new connections")
 
     def fill_backlog(self, host):
--- a/tests/test_loglines.py
+++ b/tests/test_loglines.py
@@ -3,6 +3,7 @@
 import json
 import os
 
+import testscenarios
 import testtools
 
 from knapweeddeal.loglines import MAX_PENDING_BYTES, LineRateLimiter, LineSink
@@ -20,8 +21,8 @@
         self.assertEqual(0, limiter.acquire("frequent", 1_000))
 
 
-class Pipe(testtools.TestCase):
-    """Lines that a full pipe rejects are dropped; the writer never blocks."""
+class PipeCase(testtools.TestCase):
+    """Base of tests that write log lines into a pipe."""
 
     def setUp(self):
         super().setUp()
@@ -40,6 +41,10 @@
         data = os.read(self.reader, 1 << 20)
         return [json.loads(line) for line in data.splitlines()]
 
+
+class Pipe(PipeCase):
+    """Lines that a full pipe rejects are dropped; the writer never blocks."""
+
     def test_fields_of_a_line(self):
         self.write(flow="1.2.3.4:5", address=("10.0.0.1", 1))
         (line,) = self.read()
@@ -52,17 +57,29 @@
             self.write(number=number, filler="x" * 100)
         self.assertGreater(self.sink.dropped, 0)
 
+
+class ReturningReader(testscenarios.TestWithScenarios, PipeCase):
+    """Once a reader is back, each line is read or counted as dropped.
+
+    How much room a full buffer leaves depends on the length of the lines.
+    """
+
+    scenarios = [(f"{extra} bytes more", {"extra": "x" * extra}) for extra in range(8)]
+    LINES = 5_120
+
     def test_reader_comes_back(self):
-        """Lines are written again once a reader is back, also after a full buffer."""
         for number in range(5_000):
-            self.write(number=number, filler="x" * 100)
+            self.write(number=number, filler="x" * 100 + self.extra)
         for size in range(100, 0, -1):
-            self.write(number=number, filler="x" * size)
-        dropped, data = self.sink.dropped, b""
-        for number in range(5_000, 5_010):
+            self.write(number=number, filler="x" * size + self.extra)
+        self.assertGreater(self.sink.dropped, 0)
+        data = b""
+        for number in range(5_100, self.LINES):
             data += os.read(self.reader, 1 << 20)
             self.write(number=number)
         data += os.read(self.reader, MAX_PENDING_BYTES * 2)
         lines = [json.loads(line) for line in data.splitlines()]
-        self.assertEqual(dropped, sum(line.get("dropped", 0) for line in lines))
-        self.assertEqual(5_009, lines[-1]["number"])
+        dropped = sum(line.get("dropped", 0) for line in lines)
+        self.assertEqual(0, self.sink.dropped)
+        self.assertEqual(self.LINES, len(lines) + dropped)
+        self.assertEqual(self.LINES - 1, lines[-1]["number"])
