Pace a forwarder's packets at its VM's link rate, in a fair order

Change: egressqueue holds packets back at 95 % of the link's rate (token bucket, burst of 15 ms), flows take turns (deficit round robin, new flows first), a copy of a packet that waits takes its place, packets that nobody repeats for 1.8 s are dropped, the backlog is bounded, and new flows of routes with long requests are reset at once behind a backlog of 2 s. Setting link_mbps, rendered from the platform's limits, reloadable. Hedges and answer counts don't blame an upstream for what hasn't left yet. A stop sends the backlog first.

--- a/bench/packets.py
+++ b/bench/packets.py
@@ -14,12 +14,14 @@
 import curio
 from curio import socket as curio_socket
 
-from knapweeddeal.packetsocket import bind_packet_socket, forward_pending
+from knapweeddeal.packetsocket import PacketSocket
 from tests.packetfakes import ForwarderHarness, packet, route, state, syn
 
 HOST = "127.0.0.1"
 BURST = 60
 BURSTS = 300
+#: Rate of a link that is wider than the load.
+WIDE_LINK_MBPS = 400_000
 
 
 def bound_socket():
@@ -60,21 +62,29 @@
 
             return await self._timed(sock.getsockname(), forward_burst)
 
-    async def forward(self, *, upstreams):
+    async def forward(self, *, upstreams, link_mbps=None):
         """Return the microseconds per datagram through a forwarder."""
         host, number = self._sink.getsockname()
         upstream_states = [
             state(n, host=host, port=number) for n in range(1, upstreams + 1)
         ]
         harness = ForwarderHarness(
-            routes=[route()], states=upstream_states, number=random.Random(1).random
+            routes=[route()],
+            states=upstream_states,
+            number=random.Random(1).random,
+            link_mbps=link_mbps,
+        )
+        packet_socket = PacketSocket(
+            address=(HOST, 0),
+            forwarder=harness.forwarder,
+            egress=harness.egress,
+            metrics=harness.metrics,
         )
-        sock = bind_packet_socket((HOST, 0))
 
         async def forward_burst():
-            forward_pending(sock, harness.forwarder, harness.metrics)
+            packet_socket.forward_pending()
 
-        return await self._timed(sock.getsockname(), forward_burst)
+        return await self._timed(packet_socket.address, forward_burst)
 
     async def _timed(self, address, forward_burst):
         spent_s = 0.0
@@ -105,6 +115,13 @@
     rows = [("bare relay", baseline)]
     established = Trial(make_packet=established_packet)
     rows.append(("later packet", curio.run(lambda: established.forward(upstreams=7))))
+    paced = Trial(make_packet=established_packet)
+    rows.append(
+        (
+            "later packet, paced to a wide link",
+            curio.run(lambda: paced.forward(upstreams=7, link_mbps=WIDE_LINK_MBPS)),
+        )
+    )
     rows += [open_row(upstreams) for upstreams in (7, 17, 72)]
     return rows
 
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -2,6 +2,7 @@
 
 from types import MappingProxyType
 
+from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
     ROUTE_KEY_BYTES,
@@ -37,7 +38,14 @@
 class ForwarderCore:
     """Own routes and upstreams; its methods don't block."""
 
-    __slots__ = ("_selector", "_subscriptions", "forwarder", "metrics", "pool")
+    __slots__ = (
+        "_selector",
+        "_subscriptions",
+        "egress",
+        "forwarder",
+        "metrics",
+        "pool",
+    )
     __slots__ += ("routes", "stopping")
 
     def __init__(self, *, settings, selector, random, metrics):
@@ -47,9 +55,13 @@
         self._subscriptions = []
         self.routes = RouteTable()
         self.pool = UpstreamPool(zone=settings.zone, random=random)
+        self.egress = EgressQueue(
+            metrics=metrics, log=log, link_mbps=settings.link_mbps
+        )
         self.forwarder = Forwarder(
             routes=self.routes,
             pool=self.pool,
+            egress=self.egress,
             random=random,
             metrics=metrics,
             log=log,
@@ -77,6 +89,7 @@
             "subscriptions": [s.address for s in self._subscriptions],
             "replicas": self._selector.addresses,
             "flows": self.forwarder.flow_count,
+            "egress": self.egress.dump(),
             "upstreams": [_dump_upstream(upstream) for upstream in self.pool.all()],
             "metrics": self.metrics.summary(),
         }
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -12,7 +12,6 @@
 from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT, maintain_subscription
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.operator import DumpAnswer, DumpRequest, MetricsRequest
-from knapweeddeal.packetsocket import forward_pending
 from knapweeddeal.record import printed_name
 from knapweeddeal.reload import reload_settings, watch_settings
 from knapweeddeal.signals import SignalReader
@@ -26,14 +25,20 @@
 
 #: Delay of the HTTP servers' import, so that the first routes are received before.
 HTTP_DELAY_MS = 300
+#: Longest wait for the egress queue at a stop, and the time between checks.
+MAX_DRAIN_MS = 1_000
+DRAIN_CHECK_INTERVAL_MS = 20
+#: Backlog in link time that is logged.
+LOGGED_BACKLOG_MS = 100
 #: Time between removals of expired flows and upstreams.
 EXPIRE_INTERVAL_MS = 1_000
 
 
-async def run(settings, udp_socket, core, selector):
+async def run(settings, packet_socket, core, selector):
     """Forward the packets of a socket until SIGTERM; raise BadSettingError."""
 
-    async def update_seeds():
+    async def apply_settings():
+        core.egress.set_rate(settings.link_mbps)
         selector.add_addresses(settings.seed_addresses)
         selector.remove_failed(set(settings.seed_addresses), monotonic_ms())
 
@@ -43,28 +48,28 @@
         for _ in range(SUBSCRIPTION_COUNT)
     ]
     await run_until_first(
-        _forward(udp_socket, core),
+        _forward(packet_socket),
         _serve_http(core, settings),
         serve(settings.listen, _OperatorQueries(core=core).handle_stream),
         _expire_periodically(core),
-        _watch_signals(core, settings, update_seeds),
-        watch_settings(settings, update_seeds),
+        _watch_signals(core, settings, apply_settings),
+        watch_settings(settings, apply_settings),
         *tasks,
     )
     log.info("stopped", name=settings.name, flows=core.forwarder.flow_count)
 
 
-async def _forward(udp_socket, core):
+async def _forward(packet_socket):
     """Forward pending packets in batches, as a wait costs more than a packet."""
-    forwarder = core.forwarder
     while True:
-        due_ms = forwarder.next_due_ms
+        now_ms = monotonic_ms()
+        due_ms = packet_socket.next_due_ms(now_ms)
         if due_ms is None:
-            await _read_wait(udp_socket)
+            await _read_wait(packet_socket)
         else:
-            wait_ms = max(due_ms - monotonic_ms(), 0)
-            await curio.ignore_after(wait_ms / 1000, _read_wait, udp_socket)
-        forward_pending(udp_socket, forwarder, core.metrics)
+            wait_ms = max(due_ms - now_ms, 0)
+            await curio.ignore_after(wait_ms / 1000, _read_wait, packet_socket)
+        packet_socket.forward_pending()
 
 
 async def _serve_http(core, settings):
@@ -90,17 +95,25 @@
         await curio.sleep(EXPIRE_INTERVAL_MS / 1000)
         core.forwarder.expire_flows(monotonic_ms())
         core.pool.expire_upstreams(monotonic_ms())
+        if core.egress.backlog_ms >= LOGGED_BACKLOG_MS:
+            log.info("egress backlog", **core.egress.dump())
 
 
-async def _watch_signals(core, settings, update_seeds):
-    """Become not ready at SIGTERM; return after `stop_ms`, for routers to notice."""
+async def _watch_signals(core, settings, apply_settings):
+    """Become not ready at SIGTERM; return after `stop_ms`, for routers to notice.
+
+    What then still waits for the link is sent first.
+    """
     signals = SignalReader(numbers=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     while await signals.next() == signal.SIGHUP:
         if reload_settings(settings):
-            await update_seeds()
+            await apply_settings()
     core.stop()
     log.info("stopping", flows=core.forwarder.flow_count, stop_ms=settings.stop_ms)
     await curio.sleep(settings.stop_ms / 1000)
+    deadline_ms = monotonic_ms() + MAX_DRAIN_MS
+    while core.egress.backlog_bytes and monotonic_ms() < deadline_ms:
+        await curio.sleep(DRAIN_CHECK_INTERVAL_MS / 1000)
 
 
 class _OperatorQueries:
--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -18,7 +18,7 @@
 from knapweeddeal.messages.base import encode, from_wire
 from knapweeddeal.messages.packets import ForwarderHello
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packetsocket import bind_packet_socket, forward_pending
+from knapweeddeal.packetsocket import PacketSocket
 from knapweeddeal.replicaselector import ReplicaSelector
 
 __all__ = ["prepare"]
@@ -60,7 +60,6 @@
     Forwards packets during the imports. Raises BadSettingError if the address for
     packets can't be bound.
     """
-    udp_socket = bind_packet_socket(settings.packets)
     metrics = Metrics()
     selector = ReplicaSelector(
         seeds=settings.seed_addresses, zone=settings.zone, random=random.random
@@ -68,32 +67,37 @@
     core = ForwarderCore(
         settings=settings, selector=selector, random=random.random, metrics=metrics
     )
+    packet_socket = PacketSocket(
+        address=settings.packets,
+        forwarder=core.forwarder,
+        egress=core.egress,
+        metrics=metrics,
+    )
     seeds = SeedConnections(settings=settings, core=core)
-    _forward_until_idle(udp_socket, core, seeds)
+    _forward_until_idle(packet_socket, core, seeds)
     for name in LOOP_MODULES:
         seeds.poll()
-        forward_pending(udp_socket, core.forwarder, metrics)
+        packet_socket.forward_pending()
         importlib.import_module(name)
     seeds.close()
-    return udp_socket, core, selector
+    return packet_socket, core, selector
 
 
-def _forward_until_idle(udp_socket, core, seeds):
+def _forward_until_idle(packet_socket, core, seeds):
     """Poll the seeds and forward packets until the core is ready and none arrive.
 
     Returns after `MAX_EARLY_FORWARDING_MS` at the latest. Importing one module of the
     event loop takes as long as a request may take, so the modules are imported after
     the burst that follows an outage.
     """
-    forwarder = core.forwarder
     now_ms = monotonic_ms()
     deadline_ms, idle_deadline_ms = now_ms + MAX_EARLY_FORWARDING_MS, now_ms + IDLE_MS
     while now_ms < min(deadline_ms, idle_deadline_ms):
-        due_ms = forwarder.next_due_ms or now_ms + POLL_INTERVAL_MS
+        due_ms = packet_socket.next_due_ms(now_ms) or now_ms + POLL_INTERVAL_MS
         wait_ms = max(min(due_ms - now_ms, POLL_INTERVAL_MS), 0)
-        select.select([udp_socket, *seeds.open_connections], [], [], wait_ms / 1000)
+        select.select([packet_socket, *seeds.open_connections], [], [], wait_ms / 1000)
         seeds.poll()
-        received = forward_pending(udp_socket, forwarder, core.metrics)
+        received = packet_socket.forward_pending()
         now_ms = monotonic_ms()
         if received or not core.is_ready:
             idle_deadline_ms = now_ms + IDLE_MS
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -8,6 +8,7 @@
     "address_option",
     "addresses_option",
     "choice_option",
+    "decimal_option",
     "flag_option",
     "host_option",
     "keys_option",
@@ -43,12 +44,27 @@
         raise BadSettingError(
             "expected a whole number", field=field, value=value
         ) from None
+    _check_range(field, value, number, option)
+    return number
+
+
+def decimal_option(field, value, option):
+    """Return a decimal number in the option's range."""
+    try:
+        number = float(value)
+    except ValueError:
+        raise BadSettingError("expected a number", field=field, value=value) from None
+    _check_range(field, value, number, option)
+    return number
+
+
+def _check_range(field, value, number, option):
+    """Raise BadSettingError for a number out of the option's range, or not a number."""
     if not option.minimum <= number <= option.maximum:
         limits = f"{option.minimum} to {option.maximum}"
         raise BadSettingError(
             f"expected {limits} {option.unit}", field=field, value=value
         )
-    return number
 
 
 def choice_option(field, value, option):
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -75,6 +75,7 @@
 
     __slots__ = (
         "_caller_port",
+        "_egress",
         "_flow_idle_ms",
         "_flows",
         "_hedges",
@@ -88,10 +89,11 @@
     )
 
     def __init__(
-        self, *, routes, pool, random, metrics, log, caller_port, flow_idle_ms
+        self, *, routes, pool, egress, random, metrics, log, caller_port, flow_idle_ms
     ):
         self._routes = routes
         self._pool = pool
+        self._egress = egress
         self._random = random
         self._metrics = metrics
         self._log = log
@@ -153,6 +155,10 @@
             # The network duplicated the first SYN.
             self._send_syn(data, flow.upstream, out)
             return
+        if flow is None and self._egress.refuses(data[ROUTE_SLICE], now_ms):
+            backlog_ms = round(self._egress.backlog_ms)
+            self._reset(data, out, "egress backlog", backlog_ms=backlog_ms)
+            return
         tried = flow.tried if flow is not None else ()
         service = route.pick_service(self._random())
         upstream = self._pool.choose(service, now_ms, tried)
@@ -259,7 +265,9 @@
             del self._flows[key]
 
     def _track_request(self, data, flow, now_ms):
-        """Record a packet in the answer tracker."""
+        """Record a packet in the answer tracker, unless the upstream lacks others."""
+        if self._egress.holds_flow(data[FLOW_SLICE]):
+            return
         if data[0] & FIN:
             age_ms = now_ms - flow.opened_ms if flow.tried else None
             self._answer_tracker.record_fin(
@@ -301,6 +309,10 @@
         return flow is None or flow.is_open
 
     def _hedge(self, hedge, now_ms, out):
+        if self._egress.holds_flow(hedge.key):
+            # The SYN hasn't left yet.
+            self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_DELAY_MS))
+            return
         flow = self._flows[hedge.key]
         flow.upstream.note_unanswered(hedge.due_ms - HEDGE_DELAY_MS, now_ms)
         next_upstream = self._pool.choose(hedge.service, now_ms, flow.tried)
--- a/knapweeddeal/packetheader.py
+++ b/knapweeddeal/packetheader.py
@@ -12,6 +12,7 @@
     "ROUTE_SLICE",
     "RST",
     "SYN",
+    "UPSTREAM_PREFIX_BYTES",
     "describe_flow",
     "flow_caller_host",
     "build_reset",
@@ -27,6 +28,8 @@
 #: of the destination and then of the source, checksum.
 HEADER = struct.Struct("<BBIHIIHIHII")
 PACKET_HEADER_BYTES = HEADER.size
+#: Bytes before a packet that name the upstream it is for.
+UPSTREAM_PREFIX_BYTES = 8
 
 #: Positions in the header of the upstream's echo, the route key and the flow key.
 ECHO_SLICE = slice(2, 6)
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -6,7 +6,7 @@
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import Log
 
-__all__ = ["bind_packet_socket", "forward_pending"]
+__all__ = ["PacketSocket"]
 
 log = Log(prefix="forwarder")
 
@@ -19,7 +19,75 @@
 MAX_PACKETS_PER_TURN = 64
 
 
-def bind_packet_socket(address):
+class PacketSocket:
+    """Receive and send datagrams as the forwarder and its egress queue decide."""
+
+    __slots__ = ("_egress", "_forwarder", "_metrics", "_socket")
+
+    def __init__(self, *, address, forwarder, egress, metrics):
+        self._forwarder = forwarder
+        self._egress = egress
+        self._metrics = metrics
+        self._socket = _bind(address)
+
+    @property
+    def address(self):
+        """Return the bound address."""
+        return self._socket.getsockname()
+
+    def fileno(self):
+        """Return the file descriptor, for `select`."""
+        return self._socket.fileno()
+
+    def close(self):
+        """Close the socket."""
+        self._socket.close()
+
+    def next_due_ms(self, now_ms):
+        """Return when `forward_pending` must be called next, or None."""
+        hedge_ms = self._forwarder.next_due_ms
+        egress_ms = self._egress.next_due_ms(now_ms)
+        if hedge_ms is None or egress_ms is None:
+            return hedge_ms if egress_ms is None else egress_ms
+        return min(hedge_ms, egress_ms)
+
+    def forward_pending(self):
+        """Forward the datagrams received so far; return how many there were."""
+        out, now_ms, received = [], monotonic_ms(), 0
+        for data in self._receive_pending():
+            self._forwarder.handle_packet(data, now_ms, out)
+            received += 1
+        self._forwarder.send_due_hedges(now_ms, out)
+        for data, address in self._egress.release(out, now_ms):
+            self._send(data, address)
+        return received
+
+    def _receive_pending(self):
+        for _ in range(MAX_PACKETS_PER_TURN):
+            try:
+                data = self._socket.recv(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # ICMP error for an earlier datagram sent to a closed port; the socket
+                # stays usable.
+                self._metrics.count("receive_errors")
+                log.info("failed to receive a datagram", why=str(error))
+                continue
+            self._metrics.count("packets_received")
+            yield data
+
+    def _send(self, data, address):
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            self._metrics.count("send_errors")
+            log.info("failed to send a datagram", to=address, why=str(error))
+        else:
+            self._metrics.count("packets_sent")
+
+
+def _bind(address):
     """Return a non-blocking UDP socket bound to an address; raise BadSettingError."""
     udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     udp_socket.setblocking(False)
@@ -33,41 +101,3 @@
             value=":".join(map(str, address)),
         ) from None
     return udp_socket
-
-
-def forward_pending(udp_socket, forwarder, metrics):
-    """Forward the datagrams received so far; return how many there were."""
-    out, now_ms, received = [], monotonic_ms(), 0
-    for data in _receive_pending(udp_socket, metrics):
-        forwarder.handle_packet(data, now_ms, out)
-        received += 1
-    forwarder.send_due_hedges(now_ms, out)
-    for data, address in out:
-        _send(udp_socket, data, address, metrics)
-    return received
-
-
-def _receive_pending(udp_socket, metrics):
-    for _ in range(MAX_PACKETS_PER_TURN):
-        try:
-            data = udp_socket.recv(MAX_DATAGRAM_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            # ICMP error for an earlier datagram sent to a closed port; the socket
-            # stays usable.
-            metrics.count("receive_errors")
-            log.info("failed to receive a datagram", why=str(error))
-            continue
-        metrics.count("packets_received")
-        yield data
-
-
-def _send(udp_socket, data, address, metrics):
-    try:
-        udp_socket.sendto(data, address)
-    except OSError as error:
-        metrics.count("send_errors")
-        log.info("failed to send a datagram", to=address, why=str(error))
-    else:
-        metrics.count("packets_sent")
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -2,6 +2,7 @@
 
 import struct
 
+from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.messages.packets import (
     READY,
     PacketRoute,
@@ -34,11 +35,20 @@
     warning = info
 
 
-def packet(*, flags=0, echo=b"\0\0\0\0", copy=0, port=40_001, data=b"", to=PORT):
+def packet(
+    *,
+    flags=0,
+    echo=b"\0\0\0\0",
+    copy=0,
+    port=40_001,
+    data=b"",
+    to=PORT,
+    sequence=7,
+):
     """Return a packet of a caller; `copy` counts a SYN's retransmissions."""
     header = struct.pack("<BB", flags, 0) + echo
     header += struct.pack(
-        "<HIIHIHI", len(data), 7, copy, to, 0xC6120001, port, 0x64400007
+        "<HIIHIHI", len(data), sequence, copy, to, 0xC6120001, port, 0x64400007
     )
     return header + b"\xd5\xc3\xb2\xa1" + data
 
@@ -93,7 +103,15 @@
 class ForwarderHarness:
     """Hold a forwarder with some routes and upstreams."""
 
-    def __init__(self, *, routes=None, states=(), current=True, number=lambda: 0.0):
+    def __init__(
+        self,
+        *,
+        routes=None,
+        states=(),
+        current=True,
+        number=lambda: 0.0,
+        link_mbps=None,
+    ):
         self.log = QuietLog()
         self.metrics = Metrics()
         self.routes = RouteTable()
@@ -101,9 +119,13 @@
             self.routes.apply(routes_push(*routes))
         self.pool = UpstreamPool(zone=ZONE, random=number)
         self.pool.apply_states(list(states), 0, current=True)
+        self.egress = EgressQueue(
+            metrics=self.metrics, log=self.log, link_mbps=link_mbps
+        )
         self.forwarder = Forwarder(
             routes=self.routes,
             pool=self.pool,
+            egress=self.egress,
             random=number,
             metrics=self.metrics,
             log=self.log,
--- a/tests/test_forwardercore.py
+++ b/tests/test_forwardercore.py
@@ -18,6 +18,7 @@
     zone = ZONE
     packets = ("10.0.0.9", 9_000)
     packet_flow_idle_ms = 15_000
+    link_mbps = None
 
 
 def make_core():
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -23,7 +23,7 @@
 from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.packets import ControlState, UpstreamsPush
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packetsocket import bind_packet_socket
+from knapweeddeal.packetsocket import PacketSocket
 from knapweeddeal.replicaselector import ReplicaSelector
 from tests.packetfakes import ZONE, packet, route, routes_push, state
 from tests.processes import wait_until
@@ -45,6 +45,7 @@
     name = "front-1"
     zone = ZONE
     packets = PACKETS
+    link_mbps = None
     packet_flow_idle_ms = 15_000
     seed_addresses = ((FIRST, PORT), (SECOND, PORT))
 
@@ -62,6 +63,18 @@
     )
 
 
+def open_socket(case, core):
+    """Return the packet socket of a core."""
+    packet_socket = PacketSocket(
+        address=PACKETS,
+        forwarder=core.forwarder,
+        egress=core.egress,
+        metrics=core.metrics,
+    )
+    case.addCleanup(packet_socket.close)
+    return packet_socket
+
+
 class FakeReplica:
     """Answer the first data of one connection with some messages."""
 
@@ -209,14 +222,13 @@
 
     def test_late_seed(self):
         """A seed may start later than the forwarder, as after a power loss."""
-        udp_socket = bind_packet_socket(PACKETS)
-        self.addCleanup(udp_socket.close)
         core = make_core()
+        packet_socket = open_socket(self, core)
         seeds = SeedConnections(settings=FakeSettings(), core=core)
         self.addCleanup(seeds.close)
         timer = threading.Timer(3 * IDLE_MS / 1000, self.start_replica)
         timer.start()
-        _forward_until_idle(udp_socket, core, seeds)
+        _forward_until_idle(packet_socket, core, seeds)
         timer.join()
         seeds.close()
         self.assertTrue(core.is_ready)
@@ -231,15 +243,14 @@
         self.addCleanup(upstream.close)
         upstream.bind((f"127.{BASE}.91.8", 7_005))
         upstream.settimeout(2)
-        udp_socket = bind_packet_socket(PACKETS)
-        self.addCleanup(udp_socket.close)
+        core = make_core()
+        packet_socket = open_socket(self, core)
         pending = packet(echo=(1).to_bytes(4, "little"), data=b"x")
         upstream.sendto(pending, PACKETS)
-        core = make_core()
         replica = FakeReplica(host=FIRST, messages=(CONTROL_STATE, ROUTES, UPSTREAMS))
         self.addCleanup(replica.close)
         seeds = SeedConnections(settings=FakeSettings(), core=core)
         self.addCleanup(seeds.close)
         wait_until(lambda: seeds.poll() or core.is_ready, "routes and upstreams")
-        _forward_until_idle(udp_socket, core, seeds)
+        _forward_until_idle(packet_socket, core, seeds)
         self.assertEqual((1).to_bytes(8, "big") + pending, upstream.recv(2_048))
