--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -48,12 +48,12 @@
 class PacketCluster:
     """Run replicas and a forwarder; hold the sockets of a caller and an upstream."""
 
-    def __init__(self, *, replicas=3):
+    def __init__(self, *, replicas=3, link_mbps=""):
         self.folder = Path(tempfile.mkdtemp(prefix="packets-"))
         self.base = int(os.environ.get(BASE_VARIABLE, 0)) or default_base()
         self.replicas = [self.host(n) for n in range(1, replicas + 1)]
         self.daemons = {host: self._replica(host) for host in self.replicas}
-        self.forwarder = self._forwarder(self.host(11))
+        self.forwarder = self._forwarder(self.host(11), link_mbps)
         self.daemons["forwarder"] = self.forwarder
         self.caller = self._udp(self.host(21), PACKETS)
         self.upstream = self._udp(self.host(31), UPSTREAM_PORT)
@@ -93,7 +93,7 @@
         }
         return Daemon(folder=self.folder, name=f"control-{host}", sections=sections)
 
-    def _forwarder(self, host):
+    def _forwarder(self, host, link_mbps):
         sections = {
             "daemon": {
                 "name": "forwarder",
@@ -103,7 +103,11 @@
                 "metrics": f"{host}:{METRICS}",
                 "seeds": self.seeds,
             },
-            "forwarder": {"packets": f"{host}:{PACKETS}", "ready": f"{host}:{READY}"},
+            "forwarder": {
+                "packets": f"{host}:{PACKETS}",
+                "ready": f"{host}:{READY}",
+                "link_mbps": link_mbps,
+            },
             "timing": {"heartbeat_ms": 100, "stop_ms": 600},
         }
         return Daemon(folder=self.folder, name="forwarder", sections=sections)
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -13,23 +13,25 @@
 ID_PREFIX = bytes.fromhex("000000000000ab12")
 
 
-class PacketPath(testtools.TestCase):
-    """Flows open and continue through restarts, kills and a lost disk."""
+class PacketCase(testtools.TestCase):
+    """Base of tests with a cluster that forwards packets to an upstream."""
+
+    LINK_MBPS = ""
 
     def setUp(self):
         super().setUp()
-        self.cluster = PacketCluster()
+        self.cluster = PacketCluster(link_mbps=self.LINK_MBPS)
         self.addCleanup(self.cluster.close)
         self.cluster.start()
         self.cluster.publish(5)
         wait_until(lambda: self.cluster.report() == 200, "a confirmed report")
         wait_until(lambda: self.cluster.readiness() == 200, "a ready forwarder")
 
-    def packet(self, flags, *, echo=0, port=4_000, to=ROUTE_PORT, data=b""):
+    def packet(self, flags, *, echo=0, port=4_000, to=ROUTE_PORT, data=b"", sequence=7):
         """Return a caller's packet."""
         source = socket.inet_aton(self.cluster.host(21))
         target = socket.inet_aton(ROUTE_HOST)
-        header = struct.pack("<BBIHII", flags, 0, echo, len(data), 7, 0)
+        header = struct.pack("<BBIHII", flags, 0, echo, len(data), sequence, 0)
         header += struct.pack("<H", to) + target[::-1]
         return header + struct.pack("<H", port) + source[::-1] + bytes(4) + data
 
@@ -47,6 +49,10 @@
         self.cluster.send(packet)
         self.assertEqual(ID_PREFIX + packet, self.cluster.receive_at_upstream())
 
+
+class PacketPath(PacketCase):
+    """Flows open and continue through restarts, kills and a lost disk."""
+
     def test_path(self):
         """Flows are forwarded while routes change; SYNs without a route are reset."""
         cluster = self.cluster
@@ -120,3 +126,45 @@
     def _replaced_members(self, before):
         members = self.cluster.members()
         return members if len(members) == 3 and members != before else None
+
+
+class NarrowLink(PacketCase):
+    """Packets wait for a narrow link; a stop and a reload lose none of them."""
+
+    #: 20 packets take 1.2 s, twice the forwarder's `stop_ms`.
+    LINK_MBPS = "0.16"
+    PACKETS = 20
+
+    def send_burst(self):
+        """Send an upload's packets at once."""
+        echo = self.open(4_001)
+        self.sent = [
+            self.packet(0, echo=echo, port=4_001, data=b"x" * 1_200, sequence=number)
+            for number in range(self.PACKETS)
+        ]
+        for packet in self.sent:
+            self.cluster.send(packet)
+
+    def receive_burst(self):
+        """Return the upload's packets as they arrive."""
+        return [self.cluster.receive_at_upstream() for _ in self.sent]
+
+    def expected(self):
+        """Return the upload's packets as they should arrive."""
+        return [ID_PREFIX + packet for packet in self.sent]
+
+    def test_stop(self):
+        self.send_burst()
+        self.cluster.forwarder.signal(15)
+        self.assertEqual(self.expected(), self.receive_burst())
+        self.assertEqual(0, self.cluster.forwarder.process.wait(10))
+
+    def test_reload(self):
+        self.send_burst()
+        path = self.cluster.forwarder.settings_path
+        text = path.read_text(encoding="utf-8")
+        path.write_text(text.replace("link_mbps = 0.16", "link_mbps = "))
+        self.cluster.forwarder.signal(1)
+        self.assertEqual(self.expected(), self.receive_burst())
+        egress = self.cluster.dump(self.cluster.host(11))["egress"]
+        self.assertEqual((None, 0), (egress["rate_bytes_per_ms"], egress["flows"]))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -33,6 +33,19 @@
 data_folder = data
 """
 
+FORWARDER = """
+[daemon]
+name = front-1
+role = forwarder
+zone = zone-a
+listen = 127.0.0.1:7000
+seeds = 127.0.0.1:7001
+[forwarder]
+packets = 127.0.0.1:7002
+ready = 127.0.0.1:7003
+link_mbps = 1.4
+"""
+
 
 class SettingsFile(testtools.TestCase):
     """Base of tests with a settings file of their own."""
@@ -117,6 +130,11 @@
             + (["heartbeat_ms", "stream_timeout_ms"],),
             ("other address for own name", CONTROL, "control-1=127.0.0.1:7001")
             + ("control-1=127.0.0.1:7002", ["control", "7002"]),
+            *(
+                (f"link of {rate} Mbit/s", FORWARDER, "= 1.4", f"= {rate}")
+                + (["[forwarder] link_mbps", f"'{rate}'"],)
+                for rate in ("0", "-1.4", "nan", "inf", "1e9", "wide", "1.4 Mbit/s")
+            ),
             ("no data folder", CONTROL, "data_folder = data", "", ["data_folder"]),
         )
     ]
@@ -158,6 +176,15 @@
         self.assertEqual([2, 1], list(settings.ticket_keys))
         self.assertEqual("zone-a", settings.zone)
 
+    def test_link_rate(self):
+        """The rate of the link is optional and reloadable."""
+        self.write(FORWARDER)
+        settings = read_settings(str(self.path))
+        self.assertEqual(1.4, settings.link_mbps)
+        self.write(FORWARDER.replace("= 1.4", "="))
+        self.assertEqual([], settings.reload())
+        self.assertIsNone(settings.link_mbps)
+
     def test_bad_file_changes_nothing(self):
         self.write(ENTRY)
         settings = read_settings(str(self.path))
