--- a/bench/packets.py
+++ b/bench/packets.py
@@ -14,7 +14,7 @@
 import curio
 from curio import socket as curio_socket
 
-from knapweeddeal.packetsocket import PacketSocket
+from knapweeddeal.packetsocket import PacketSocket, bind_packet_socket
 from tests.packetfakes import ForwarderHarness, packet, route, state, syn
 
 HOST = "127.0.0.1"
@@ -74,8 +74,9 @@
             number=random.Random(1).random,
             link_mbps=link_mbps,
         )
+        udp_socket = bind_packet_socket((HOST, 0))
         packet_socket = PacketSocket(
-            address=(HOST, 0),
+            udp_socket=udp_socket,
             forwarder=harness.forwarder,
             egress=harness.egress,
             metrics=harness.metrics,
@@ -84,7 +85,7 @@
         async def forward_burst():
             packet_socket.forward_pending()
 
-        return await self._timed(packet_socket.address, forward_burst)
+        return await self._timed(udp_socket.getsockname(), forward_burst)
 
     async def _timed(self, address, forward_burst):
         spent_s = 0.0
--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -86,9 +86,13 @@
     defer_unused_by_curio()
     prepared = ()
     if settings.role == FORWARDER:
+        from knapweeddeal.packetsocket import bind_packet_socket
+
+        # Packets wait in the socket while the rest is imported.
+        udp_socket = bind_packet_socket(settings.packets)
         from knapweeddeal.forwarderstart import prepare
 
-        prepared = prepare(settings)
+        prepared = prepare(settings, udp_socket)
     import logging
 
     import curio
--- a/knapweeddeal/egressqueue.py
+++ b/knapweeddeal/egressqueue.py
@@ -24,6 +24,7 @@
     ROUTE_SLICE,
     UPSTREAM_PREFIX_BYTES,
     describe_flow,
+    packet_identity,
 )
 from knapweeddeal.record import Record
 from knapweeddeal.tokenbucket import TokenBucket
@@ -192,7 +193,7 @@
     def _enqueue(self, payload, address, now_ms):
         header = _header(payload)
         flow = self._flow(header[FLOW_SLICE])
-        identity = _identity(header)
+        identity = packet_identity(header)
         waiting = flow.packets.get(identity)
         if waiting is not None:
             waiting.payload, waiting.address = payload, address
@@ -292,8 +293,3 @@
     if len(payload) == PACKET_HEADER_BYTES:
         return payload
     return payload[UPSTREAM_PREFIX_BYTES:]
-
-
-def _identity(header):
-    """Return what a packet shares with its copies: flags, length and sequence."""
-    return header[:1] + header[6:12]
--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -51,11 +51,10 @@
 )
 
 
-def prepare(settings):
-    """Return the socket, core and selector for `forwarderprocess.run`.
+def prepare(settings, udp_socket):
+    """Return the packet socket, core and selector for `forwarderprocess.run`.
 
-    Forwards packets during the imports. Raises BadSettingError if the address for
-    packets can't be bound.
+    Forwards the packets of a bound UDP socket during the imports.
     """
     metrics = Metrics()
     selector = ReplicaSelector(
@@ -65,7 +64,7 @@
         settings=settings, selector=selector, random=random.random, metrics=metrics
     )
     packet_socket = PacketSocket(
-        address=settings.packets,
+        udp_socket=udp_socket,
         forwarder=core.forwarder,
         egress=core.egress,
         metrics=metrics,
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -7,6 +7,7 @@
 from collections import deque
 
 from knapweeddeal.answertracker import AnswerTracker
+from knapweeddeal.heldpackets import HeldPackets
 from knapweeddeal.packetheader import (
     ECHO_SLICE,
     FIN,
@@ -79,6 +80,7 @@
         "_flow_idle_ms",
         "_flows",
         "_hedges",
+        "_held",
         "_log",
         "_metrics",
         "_pool",
@@ -103,6 +105,8 @@
         self._answer_tracker = AnswerTracker()
         #: SYNs without an answer, the oldest first.
         self._hedges = deque()
+        #: Packets that arrived before routes and upstreams; None once these are known.
+        self._held = HeldPackets()
         #: Whether a replica that has a leader supplies the routes and upstreams.
         self.has_leader = False
 
@@ -116,6 +120,10 @@
         if len(data) < PACKET_HEADER_BYTES:
             self._metrics.count("packets_short")
             return
+        if self._held is not None and not self._is_informed:
+            self._held.hold(data, now_ms)
+            self._metrics.count("packets_held")
+            return
         route = self._routes.get(data[ROUTE_SLICE])
         if route is None:
             self._handle_unrouted(data, out)
@@ -124,6 +132,28 @@
         else:
             self._handle_later_packet(data, route, now_ms, out)
 
+    # Packets before the first routes and upstreams.
+
+    @property
+    def _is_informed(self):
+        """Return whether routes are known, and upstreams or that there are none."""
+        if not self._routes.revision:
+            return False
+        is_empty = self.has_leader and self._pool.is_pushed
+        return is_empty or self._pool.has_upstreams
+
+    def release_held(self, now_ms, out):
+        """Forward the packets that waited for the first routes and upstreams."""
+        if self._held is None or not self._is_informed:
+            return
+        held, self._held = self._held, None
+        if not held:
+            return
+        packets = held.pop_all(now_ms)
+        self._log.info("released held packets", packets=len(packets), held=len(held))
+        for data in packets:
+            self.handle_packet(data, now_ms, out)
+
     # Packets without a route.
 
     def _handle_unrouted(self, data, out):
--- a/knapweeddeal/packetheader.py
+++ b/knapweeddeal/packetheader.py
@@ -16,6 +16,7 @@
     "describe_flow",
     "flow_caller_host",
     "build_reset",
+    "packet_identity",
     "route_key",
 ]
 
@@ -57,6 +58,11 @@
     return f"{_int_to_ip(caller)}:{caller_port}>{_int_to_ip(host)}:{port}#{sequence}"
 
 
+def packet_identity(data):
+    """Return what a packet shares with its copies: flags, length and sequence."""
+    return data[:1] + data[6:12]
+
+
 def build_reset(data):
     """Return the packet that resets the flow of a caller's packet."""
     ack = int.from_bytes(data[12:16], "little")
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -6,7 +6,7 @@
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import Log
 
-__all__ = ["PacketSocket"]
+__all__ = ["PacketSocket", "bind_packet_socket"]
 
 log = Log(prefix="forwarder")
 
@@ -19,21 +19,32 @@
 MAX_PACKETS_PER_TURN = 64
 
 
+def bind_packet_socket(address):
+    """Return a non-blocking UDP socket bound to an address; raise BadSettingError."""
+    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    udp_socket.setblocking(False)
+    udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    try:
+        udp_socket.bind(address)
+    except OSError as error:
+        raise BadSettingError(
+            f"can't be bound: {error.strerror}",
+            field="[forwarder] packets",
+            value=":".join(map(str, address)),
+        ) from None
+    return udp_socket
+
+
 class PacketSocket:
     """Receive and send datagrams as the forwarder and its egress queue decide."""
 
     __slots__ = ("_egress", "_forwarder", "_metrics", "_socket")
 
-    def __init__(self, *, address, forwarder, egress, metrics):
+    def __init__(self, *, udp_socket, forwarder, egress, metrics):
         self._forwarder = forwarder
         self._egress = egress
         self._metrics = metrics
-        self._socket = _bind(address)
-
-    @property
-    def address(self):
-        """Return the bound address."""
-        return self._socket.getsockname()
+        self._socket = udp_socket
 
     def fileno(self):
         """Return the file descriptor, for `select`."""
@@ -54,6 +65,7 @@
     def forward_pending(self):
         """Forward the datagrams received so far; return how many there were."""
         out, now_ms, received = [], monotonic_ms(), 0
+        self._forwarder.release_held(now_ms, out)
         for data in self._receive_pending():
             self._forwarder.handle_packet(data, now_ms, out)
             received += 1
@@ -85,19 +97,3 @@
             log.info("failed to send a datagram", to=address, why=str(error))
         else:
             self._metrics.count("packets_sent")
-
-
-def _bind(address):
-    """Return a non-blocking UDP socket bound to an address; raise BadSettingError."""
-    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    udp_socket.setblocking(False)
-    udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    try:
-        udp_socket.bind(address)
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field="[forwarder] packets",
-            value=":".join(map(str, address)),
-        ) from None
-    return udp_socket
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -159,7 +159,7 @@
         "_all_by_service",
     )
     __slots__ += ("_random",)
-    __slots__ += ("_zone", "collisions")
+    __slots__ += ("_zone", "collisions", "is_pushed")
 
     def __init__(self, *, zone, random):
         self._zone = zone
@@ -173,6 +173,8 @@
         #: Ready upstreams of each service: in this zone, in other zones.
         self._ready_by_service = {}
         self.collisions = 0
+        #: Whether a replica has sent states, or that it has none.
+        self.is_pushed = False
 
     # Queries.
 
@@ -230,6 +232,7 @@
         replica has a leader (`current`), as a partitioned one may lack reports.
         Replicas apply the same rule, except to upstreams whose home they are.
         """
+        self.is_pushed = True
         changed = [
             state for state in states if self._apply_state(state, now_ms, current)
         ]
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -23,7 +23,7 @@
 from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.packets import ControlState, UpstreamsPush
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packetsocket import PacketSocket
+from knapweeddeal.packetsocket import PacketSocket, bind_packet_socket
 from knapweeddeal.replicaselector import ReplicaSelector
 from tests.packetfakes import ZONE, packet, route, routes_push, state
 from tests.processes import wait_until
@@ -66,7 +66,7 @@
 def open_socket(case, core):
     """Return the packet socket of a core."""
     packet_socket = PacketSocket(
-        address=PACKETS,
+        udp_socket=bind_packet_socket(PACKETS),
         forwarder=core.forwarder,
         egress=core.egress,
         metrics=core.metrics,
