--- a/knapweeddeal/clock.py
+++ b/knapweeddeal/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["boot_ms", "monotonic_ms", "monotonic_us", "wall_ms"]
+__all__ = ["boot_ms", "earliest", "monotonic_ms", "monotonic_us", "wall_ms"]
 
 
 def boot_ms():
@@ -23,3 +23,8 @@
 def wall_ms():
     """Return milliseconds since the epoch, for records and tickets."""
     return time.time_ns() // 1_000_000
+
+
+def earliest(*times_ms):
+    """Return the earliest of some times, None among them for never."""
+    return min((time_ms for time_ms in times_ms if time_ms is not None), default=None)
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -7,6 +7,7 @@
 from collections import deque
 
 from knapweeddeal.answertracker import AnswerTracker
+from knapweeddeal.clock import earliest
 from knapweeddeal.heldpackets import HeldPackets
 from knapweeddeal.packetheader import (
     ECHO_SLICE,
@@ -81,6 +82,7 @@
         "_flows",
         "_hedges",
         "_held",
+        "_is_informed",
         "_log",
         "_metrics",
         "_pool",
@@ -105,8 +107,9 @@
         self._answer_tracker = AnswerTracker()
         #: SYNs without an answer, the oldest first.
         self._hedges = deque()
-        #: Packets that arrived before routes and upstreams; None once these are known.
+        #: Packets that arrived before routes and upstreams; None once all went on.
         self._held = HeldPackets()
+        self._is_informed = False
         #: Whether a replica that has a leader supplies the routes and upstreams.
         self.has_leader = False
 
@@ -120,9 +123,7 @@
         if len(data) < PACKET_HEADER_BYTES:
             self._metrics.count("packets_short")
             return
-        if self._held is not None and not self._is_informed:
-            self._held.hold(data, now_ms)
-            self._metrics.count("packets_held")
+        if self._held is not None and self._hold(data, now_ms):
             return
         route = self._routes.get(data[ROUTE_SLICE])
         if route is None:
@@ -134,8 +135,16 @@
 
     # Packets before the first routes and upstreams.
 
-    @property
-    def _is_informed(self):
+    def _hold(self, data, now_ms):
+        """Hold a packet that can't be routed yet; return whether it is held."""
+        if self._is_informed or self._has_state():
+            self._held.discard_copy(data)
+            return False
+        self._held.hold(data, now_ms)
+        self._metrics.count("packets_held")
+        return True
+
+    def _has_state(self):
         """Return whether routes are known, and upstreams or that there are none."""
         if not self._routes.revision:
             return False
@@ -143,16 +152,20 @@
         return is_empty or self._pool.has_upstreams
 
     def release_held(self, now_ms, out):
-        """Forward the packets that waited for the first routes and upstreams."""
-        if self._held is None or not self._is_informed:
+        """Forward held packets that are due, once routes and upstreams are known."""
+        if self._held is None:
             return
-        held, self._held = self._held, None
-        if not held:
-            return
-        packets = held.pop_all(now_ms)
-        self._log.info("released held packets", packets=len(packets), held=len(held))
-        for data in packets:
+        if not self._is_informed:
+            if not self._has_state():
+                return
+            self._is_informed = True
+            if self._held:
+                self._log.info("releases held packets", packets=len(self._held))
+            self._held.start_release(now_ms)
+        for data in self._held.pop_due(now_ms):
             self.handle_packet(data, now_ms, out)
+        if self._held.next_due_ms is None:
+            self._held = None
 
     # Packets without a route.
 
@@ -322,10 +335,12 @@
 
     @property
     def next_due_ms(self):
-        """Return when `send_due_hedges` must be called next, or None."""
+        """Return when packets must be sent next, or None."""
         while self._hedges and self._is_resolved(self._hedges[0]):
             self._hedges.popleft()
-        return self._hedges[0].due_ms if self._hedges else None
+        hedge_ms = self._hedges[0].due_ms if self._hedges else None
+        held_ms = self._held.next_due_ms if self._held is not None else None
+        return earliest(hedge_ms, held_ms)
 
     def send_due_hedges(self, now_ms, out):
         """Send SYNs unanswered for `HEDGE_DELAY_MS` to further upstreams."""
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.clock import earliest, monotonic_ms
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.logs import Log
 
@@ -56,11 +56,7 @@
 
     def next_due_ms(self, now_ms):
         """Return when `forward_pending` must be called next, or None."""
-        hedge_ms = self._forwarder.next_due_ms
-        egress_ms = self._egress.next_due_ms(now_ms)
-        if hedge_ms is None or egress_ms is None:
-            return hedge_ms if egress_ms is None else egress_ms
-        return min(hedge_ms, egress_ms)
+        return earliest(self._forwarder.next_due_ms, self._egress.next_due_ms(now_ms))
 
     def forward_pending(self):
         """Forward the datagrams received so far; return how many there were."""
