Refuse only first SYNs behind a backlog

The first SYN of a copy may have opened the flow through another forwarder just before the rotation changed, and a reset would end an open flow.

--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -198,7 +198,7 @@
             # The network duplicated the first SYN.
             self._send_syn(data, flow.upstream, out)
             return
-        if flow is None and self._egress.refuses(data[ROUTE_SLICE], now_ms):
+        if flow is None and self._is_behind_backlog(data, now_ms):
             backlog_ms = round(self._egress.backlog_ms)
             self._reset(data, out, "egress backlog", backlog_ms=backlog_ms)
             return
@@ -231,6 +231,14 @@
         )
         self._hedges.append(hedge)
 
+    def _is_behind_backlog(self, data, now_ms):
+        """Return whether a new flow would wait too long for the link.
+
+        The first SYN of a copy may have opened the flow through another forwarder.
+        """
+        is_first = not data[COPY_OFFSET]
+        return is_first and self._egress.refuses(data[ROUTE_SLICE], now_ms)
+
     def _refuse_syn(self, data, service, out):
         """Reset a SYN without an upstream; drop it if a retransmission may get one."""
         if self.has_leader:
--- a/tests/test_egressqueue.py
+++ b/tests/test_egressqueue.py
@@ -324,6 +324,7 @@
         self.fill(REFUSAL_BACKLOG_MS)
         self.assertEqual([SYN], self.offer(syn(port=8, to=444)))
         self.assertEqual([SYN], self.offer(syn(port=7, copy=1)))
+        self.assertEqual([SYN], self.offer(syn(port=9, copy=1)))
 
     def test_refused_no_longer(self):
         self.fill(REFUSAL_BACKLOG_MS)
