Let held packets go on over some time, fresh ones first

Change: packets of the last 100 ms go on at once, older ones over 400 ms; the first of them at once.

--- a/knapweeddeal/heldpackets.py
+++ b/knapweeddeal/heldpackets.py
@@ -22,7 +22,7 @@
 #: Age up to which a packet goes on at once, as its answer may still be in time.
 FRESH_MS = 100
 #: Time over which older packets go on.
-SPREAD_MS = 300
+SPREAD_MS = 400
 #: Packets held at most, over 1 MB; the oldest ones give way.
 MAX_HELD = 1_000
 
@@ -69,7 +69,7 @@
                 older.append(key)
         self._due = deque(fresh)
         for number, key in enumerate(older):
-            due_ms = now_ms + SPREAD_MS * (number + 1) // len(older)
+            due_ms = now_ms + SPREAD_MS * number // len(older)
             self._due.append((due_ms, key))
 
     def pop_due(self, now_ms):
