--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -32,7 +32,7 @@
 )
 from knapweeddeal.messages.packets import ReplicaNotice
 from knapweeddeal.messages.replication import InitialMembership, ReplicaState
-from knapweeddeal.packethub import ReplicatedStateChanged
+from knapweeddeal.packetevents import ReplicatedStateChanged
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from knapweeddeal.replicareconciler import ReplicaReconciler
 
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -31,7 +31,7 @@
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.outbox import Outbox
-from knapweeddeal.packethub import (
+from knapweeddeal.packetevents import (
     ForwarderDisconnected,
     ForwarderMessageReceived,
     ForwarderSubscribed,
--- /dev/null
+++ b/knapweeddeal/packetevents.py
@@ -0,0 +1,48 @@
+"""knapweeddeal.packetevents: Events for the task that serves forwarders."""
+
+from knapweeddeal.record import Record
+
+__all__ = [
+    "ForwarderDisconnected",
+    "ForwarderMessageReceived",
+    "ForwarderSubscribed",
+    "ReplicatedStateChanged",
+    "UpstreamReported",
+    "UpstreamStateRequested",
+]
+
+
+class UpstreamReported(Record):
+    """Carry an upstream's report; `reply` receives True once it may be confirmed."""
+
+    __slots__ = ("reply", "state")
+
+
+class UpstreamStateRequested(Record):
+    """Request the state of an upstream; `reply` receives it, or None."""
+
+    __slots__ = ("reply", "upstream_id")
+
+
+class ForwarderSubscribed(Record):
+    """Signal that a forwarder subscribed."""
+
+    __slots__ = ("hello", "outbox")
+
+
+class ForwarderMessageReceived(Record):
+    """Carry a forwarder's message: heartbeat, answer counts or request for routes."""
+
+    __slots__ = ("message", "outbox")
+
+
+class ForwarderDisconnected(Record):
+    """Signal that a forwarder's stream ended."""
+
+    __slots__ = ("outbox",)
+
+
+class ReplicatedStateChanged(Record):
+    """Carry routes and members of the replicated log; `current` if it has a leader."""
+
+    __slots__ = ("configuration", "current", "replicas")
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
@@ -24,21 +25,20 @@
     RoutesRequest,
     UpstreamsPush,
 )
-from knapweeddeal.outlierdetector import AnswerTotal, OutlierDetector
+from knapweeddeal.packetevents import (
+    ForwarderDisconnected,
+    ForwarderMessageReceived,
+    ForwarderSubscribed,
+    ReplicatedStateChanged,
+    UpstreamReported,
+    UpstreamStateRequested,
+)
 from knapweeddeal.packetroutes import diff_routes
 from knapweeddeal.record import Record
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from knapweeddeal.upstreamtable import UpstreamTable
 
-__all__ = [
-    "ReplicatedStateChanged",
-    "ForwarderDisconnected",
-    "ForwarderMessageReceived",
-    "ForwarderSubscribed",
-    "PacketHub",
-    "UpstreamStateRequested",
-    "UpstreamReported",
-]
+__all__ = ["PacketHub"]
 
 log = Log(prefix="directory")
 
@@ -52,42 +52,6 @@
 STATE_STALE_MS = 1_500
 
 
-class UpstreamReported(Record):
-    """Carry an upstream's report; `reply` receives True once it may be confirmed."""
-
-    __slots__ = ("reply", "state")
-
-
-class UpstreamStateRequested(Record):
-    """Request the state of an upstream; `reply` receives it, or None."""
-
-    __slots__ = ("reply", "upstream_id")
-
-
-class ForwarderSubscribed(Record):
-    """Signal that a forwarder subscribed."""
-
-    __slots__ = ("hello", "outbox")
-
-
-class ForwarderMessageReceived(Record):
-    """Carry a forwarder's message: heartbeat, answer counts or request for routes."""
-
-    __slots__ = ("message", "outbox")
-
-
-class ForwarderDisconnected(Record):
-    """Signal that a forwarder's stream ended."""
-
-    __slots__ = ("outbox",)
-
-
-class ReplicatedStateChanged(Record):
-    """Carry routes and members of the replicated log; `current` if it has a leader."""
-
-    __slots__ = ("configuration", "current", "replicas")
-
-
 class PendingConfirmation:
     """Hold a report until all replicas linked at its receipt have acknowledged it."""
 
@@ -119,12 +83,11 @@
         "_events",
         "_forwarders",
         "_hints",
-        "_detector",
+        "_answers",
         "_links",
         "_metrics",
         "_own_replica",
         "_replicas",
-        "_totals_sent",
         "_table",
         "_pending",
         "_full_push",
@@ -141,9 +104,7 @@
         self._table = UpstreamTable(
             own_identity=own_replica.identity, report_ms=report_ms
         )
-        self._detector = OutlierDetector()
-        #: Whether the last answer totals sent to the other replicas weren't empty.
-        self._totals_sent = False
+        self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
         self._configuration = None
         self._current = False
         self._state_received_ms = 0
@@ -235,25 +196,10 @@
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
-        totals = self._detector.local_totals()
-        if totals or self._totals_sent:
-            self._totals_sent = bool(totals)
-            counts = {name: (s.answered, s.unanswered) for name, s in totals.items()}
-            message = AnswerCounts.of(sender=self._own_replica.identity, counts=counts)
-            await self._send_to_replicas(message)
-        suspects = self._detector.suspects()
-        services = self._table.peers_by_service(suspects)
-        failing = self._detector.detect_failing(services, now_ms)
-        changed = self._table.mark_failing(failing, suspects)
-        for state in changed:
-            total = self._detector.last_total(state.upstream_id)
-            log.info(
-                "changed the failing mark of an upstream",
-                upstream=state.upstream_id,
-                failing=state.failing,
-                answered=total.answered,
-                unanswered=total.unanswered,
-            )
+        totals = self._answers.pop_totals()
+        if totals is not None:
+            await self._send_to_replicas(totals)
+        changed = self._answers.mark_failing(now_ms)
         if changed:
             await self._push_states(changed)
             await self._send_to_replicas(self._batch(states=changed))
@@ -350,39 +296,14 @@
 
     @_handle.register
     async def _(self, message: AnswerCounts):
-        totals = {
-            entry.upstream_id: AnswerTotal(
-                answered=entry.answered, unanswered=entry.unanswered
-            )
-            for entry in self._exclude_failing(message)
-        }
-        self._detector.set_replica_totals(message.sender, totals, monotonic_ms())
-
-    def _exclude_failing(self, message):
-        """Return the counts of upstreams that aren't marked as failing.
-
-        Counts of a marked one are of requests sent before it was marked.
-        """
-        states = [self._table.get(entry.upstream_id) for entry in message.counts]
-        return [
-            entry
-            for entry, state in zip(message.counts, states, strict=True)
-            if state is None or not state.failing
-        ]
-
-    def _add_answer_counts(self, message, now_ms):
-        counts = {
-            entry.upstream_id: (entry.answered, entry.unanswered)
-            for entry in self._exclude_failing(message)
-        }
-        self._detector.add_counts(counts, now_ms)
+        self._answers.set_replica_totals(message, monotonic_ms())
 
     @_handle.register
     async def _(self, event: ForwarderMessageReceived):
         if event.outbox not in self._forwarders:
             return
         if isinstance(event.message, AnswerCounts):
-            self._add_answer_counts(event.message, monotonic_ms())
+            self._answers.add_counts(event.message, monotonic_ms())
             return
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
@@ -443,7 +364,7 @@
         self._full_push = None
         for state in states:
             if state.failing:
-                self._detector.clear(state.upstream_id)
+                self._answers.clear(state.upstream_id)
             log.info(
                 "received a new state of an upstream",
                 upstream=state.upstream_id,
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -23,7 +23,7 @@
     PublishedRoutesRequest,
     PublishRequest,
 )
-from knapweeddeal.packethub import UpstreamReported, UpstreamStateRequested
+from knapweeddeal.packetevents import UpstreamReported, UpstreamStateRequested
 from knapweeddeal.platform.configurations import decode_configuration
 from knapweeddeal.platform.reports import decode_departure, decode_report
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -22,15 +22,14 @@
 )
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packethub import (
-    TICK_INTERVAL_MS,
+from knapweeddeal.packetevents import (
     ForwarderDisconnected,
     ForwarderMessageReceived,
     ForwarderSubscribed,
-    PacketHub,
     ReplicatedStateChanged,
     UpstreamReported,
 )
+from knapweeddeal.packethub import TICK_INTERVAL_MS, PacketHub
 from knapweeddeal.packetroutes import pack_route_keys
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from tests.packetfakes import route, state
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,7 +19,7 @@
     PublishRequest,
 )
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packethub import UpstreamReported, UpstreamStateRequested
+from knapweeddeal.packetevents import UpstreamReported, UpstreamStateRequested
 from knapweeddeal.platform.api import PlatformApi
 from knapweeddeal.platform.configurations import decode_configuration
 from knapweeddeal.platform.reports import decode_departure, decode_report
