--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -193,6 +193,7 @@
                 "received a new state of an upstream",
                 upstream=state.upstream_id,
                 service=state.service,
+                zone=state.zone,
                 status=state.status,
                 silent=state.silent,
                 failing=state.failing,
