--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(PYTHON) -m bench.capacity
 	$(PYTHON) -m bench.streams
 	$(PYTHON) -m bench.packets
+	$(PYTHON) -m bench.egress
 
 soak: $(STAMP)
 	$(PYTHON) -m soak --fresh 10
