Apply departures that come with a silent mark from a replica without a leader

Forwarders ignore a silent mark from a replica without a leader, and dropped the whole state with it, also that the upstream is gone; replicas don't send it twice.

Change: forwarders drop only the mark and apply the rest; a replica that gets a leader sends its silent upstreams again. Three tests, which failed first.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -332,6 +332,8 @@
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._control_state())
+            if event.current:
+                await self._push_silent(now_ms)
 
     def _is_newer(self, configuration):
         """Return whether a configuration is newer: hints may be ahead of the log."""
@@ -386,6 +388,15 @@
         for outbox in self._forwarders:
             await outbox.offer(push)
 
+    async def _push_silent(self, now_ms):
+        """Push silent upstreams again: forwarders ignore them without a leader."""
+        states = [state for state in self._table.states(now_ms) if state.silent]
+        if not states:
+            return
+        push = EncodedMessage(message=UpstreamsPush(whole=False, states=states))
+        for outbox in self._forwarders:
+            await outbox.offer(push)
+
     def _all_upstreams_push(self, now_ms):
         """Return a push of all upstreams, reused when many forwarders subscribe."""
         if self._full_push is None or now_ms - self._full_push_ms >= FULL_PUSH_REUSE_MS:
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -238,9 +238,9 @@
     def apply_states(self, states, now_ms, *, current):
         """Apply states from a replica; return those that changed the routing.
 
-        A state that newly marks an upstream as silent is ignored unless the sending
-        replica has a leader (`current`), as a partitioned one may lack reports.
-        Replicas apply the same rule, except to upstreams whose home they are.
+        A new silent mark is ignored unless the sending replica has a leader
+        (`current`), as a partitioned one may lack reports; the rest of the state is
+        applied. Replicas apply the same rule, except to upstreams whose home they are.
         """
         self.is_pushed = True
         changed = [
@@ -264,7 +264,7 @@
         if state.hint and not old.hint:
             return False
         if state.silent and not old.silent and not current:
-            return False
+            state = state.replace(silent=False)
         upstream.set_state(state, now_ms)
         upstream.is_same_zone = state.zone == self._zone
         self._resolve_address(upstream)
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -474,6 +474,22 @@
             "silent, from a replica without a leader",
             {"update": {"silent": True}, "current": False},
         ),
+        (
+            "gone after it was silent, from a replica without a leader",
+            {
+                "update": {"status": GONE, "silent": True},
+                "current": False,
+                "status": GONE,
+            },
+        ),
+        (
+            "restarted and silent, from a replica without a leader",
+            {
+                "update": {"born_ms": 2_000, "status": DRAINING, "silent": True},
+                "current": False,
+                "status": DRAINING,
+            },
+        ),
     ]
     status = "ready"
     silent = False
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -242,6 +242,21 @@
         current = [message.current for message in outbox.messages_of(ControlState)]
         self.assertEqual([True, False], current)
 
+    def test_leader_back(self):
+        """Forwarders ignored silent marks without a leader, so they get them again."""
+        outbox = RecordingOutbox()
+        batch = DirectoryBatch(
+            sender=2, batch_id=0, states=[state(1, silent=True), state(2)], beats=[]
+        )
+        self.run_hub(
+            self.replicated(3, route(), current=False),
+            self.subscribe(outbox),
+            batch,
+            self.replicated(3, route(), current=True),
+        )
+        last_states, *_ = reversed(outbox.messages_of((ControlState, UpstreamsPush)))
+        self.assertEqual(["i-1"], [one.upstream_id for one in last_states.states])
+
     def test_disconnected(self):
         outbox = RecordingOutbox()
         self.run_hub(
