--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -23,7 +23,7 @@
 )
 from knapweeddeal.record import Record
 
-__all__ = ["HEDGE_DELAY_MS", "Forwarder"]
+__all__ = ["HEDGE_DELAY_MS", "SHORT_FLOW_IDLE_MS", "Forwarder"]
 
 #: Time after which an unanswered SYN is also sent to a second upstream. Callers are
 #: up to 3 ms away, availability zones 1.4 ms apart, and an upstream answers a SYN in
--- a/tests/test_egressqueue.py
+++ b/tests/test_egressqueue.py
@@ -173,16 +173,18 @@
         self.assertEqual([], queue.release([request], 0))
         self.assertEqual([request], drain(queue, 0)[0][:1])
 
-    def test_flow_that_is_always_new(self):
-        """A flow whose packets come one by one can't hold up the others."""
+    def test_flows_that_are_often_new(self):
+        """Flows that send packets one by one can't keep an upload from its turns."""
         queue = make_queue()
-        queue.release(burst(1, 16), 0)
+        queue.release(burst(1, 40), 0)
         sent = []
-        for now_ms in range(200):
-            single = data_packet(port=2, number=now_ms)
-            sent += queue.release([single], now_ms)
-        ports = ports_of(sent)
-        self.assertLessEqual(ports.count(2), ports.count(1) + 2)
+        for now_ms in range(600):
+            single = []
+            if now_ms % 17 in (0, 8):
+                port = 2 + now_ms % 17 // 8
+                single = [data_packet(port=port, number=now_ms)]
+            sent += queue.release(single, now_ms)
+        self.assertGreaterEqual(ports_of(sent).count(1), 20)
 
 
 class Rate(testscenarios.TestWithScenarios, testtools.TestCase):
@@ -351,6 +353,15 @@
         self.queue.release([request], 0)
         self.assertIn(request, drain(self.queue, 0)[0][:3])
 
+    def test_full(self):
+        """A flow that waits can't push out what waits already."""
+        for number in range(1_000):
+            self.queue.release([data_packet(port=1, number=number)], 0)
+        before_bytes = self.queue.backlog_bytes
+        late = data_packet(port=1, number=1_000, size_bytes=1_199)
+        self.queue.release([late], 0)
+        self.assertEqual(before_bytes, self.queue.backlog_bytes)
+
     def test_upstream_not_blamed(self):
         """A caller's repeats of what waits here don't count against the upstream."""
         address, echo = self.harness.open(port=5)
--- a/tests/test_heldpackets.py
+++ b/tests/test_heldpackets.py
@@ -99,6 +99,13 @@
         self.assertEqual(self.flags, payload[8])
         self.assertEqual([], self.release(1_000))
 
+    def test_copy_after_the_start(self):
+        """A copy goes on at once, and what was held of it doesn't follow."""
+        self.harness.routes.apply(routes_push(route()))
+        self.harness.pool.apply_states([state()], 350, current=False)
+        self.assertEqual(1, len(self.harness.handle_packet(self.data, 350)))
+        self.assertEqual([], self.release(351))
+
     def test_too_late(self):
         self.harness.routes.apply(routes_push(route()))
         self.harness.pool.apply_states([state()], 350, current=False)
