--- a/knapweeddeal/answertracker.py
+++ b/knapweeddeal/answertracker.py
@@ -63,7 +63,6 @@
         "sent_ms",
         "retransmissions",
         "is_pending",
-        "is_timed",
         "seen_ms",
         "sequence",
         "upstream_id",
@@ -76,19 +75,6 @@
         self.seen_ms = now_ms
         self.retransmissions = 0
         self.is_pending = True
-        #: Whether its response time was returned.
-        self.is_timed = False
-
-    def pop_response_ms(self, now_ms):
-        """Return the time since the request, or None if it shows no response time.
-
-        It does so once, and not for a request that was repeated.
-        """
-        response_ms = now_ms - self.sent_ms
-        if self.is_timed or self.retransmissions or response_ms < MIN_ANSWER_MS:
-            return None
-        self.is_timed = True
-        return response_ms
 
 
 class AnswerTracker:
@@ -103,13 +89,6 @@
         #: Requests on routes with short flows, the oldest first.
         self._pending = deque()
 
-    # Queries.
-
-    def has_short_flows(self, route_key):
-        """Return whether flows of a route carry one request each."""
-        stats = self._route_stats.get(route_key)
-        return stats is not None and stats.has_short_flows()
-
     # Commands.
 
     def record_opened(self, route_key):
@@ -130,36 +109,27 @@
         if request is not None:
             self._resolve(request, now_ms)
         request = Request(upstream_id=upstream_id, sequence=sequence, now_ms=now_ms)
-        is_short = self.has_short_flows(route_key)
-        if is_short and len(self._pending) < MAX_PENDING:
+        stats = self._route_stats.get(route_key)
+        if (
+            stats is not None
+            and stats.has_short_flows()
+            and len(self._pending) < MAX_PENDING
+        ):
             self._pending.append(request)
         return request
 
     def record_empty(self, request, now_ms):
-        """Record a packet without data: the caller is alive and received a packet.
-
-        Returns the response time that it shows, or None.
-        """
-        if request is None:
-            return None
-        request.seen_ms = now_ms
-        return request.pop_response_ms(now_ms)
+        """Record a packet without data: the caller is alive and received a packet."""
+        if request is not None:
+            request.seen_ms = now_ms
 
     def record_fin(self, request, *, route_key, age_ms, now_ms):
-        """Record that the caller ended the flow; an age of None is unknown.
-
-        Returns the response time that it shows, or None: the end of a long flow may
-        come long after the last answer.
-        """
+        """Record that the caller ended the flow; an age of None is unknown."""
         stats = self._route_stats.get(route_key)
         if stats is not None and age_ms is not None and age_ms <= SHORT_FLOW_MS:
             stats.short_flows += 1
-        if request is None:
-            return None
-        self._resolve(request, now_ms)
-        if not self.has_short_flows(route_key):
-            return None
-        return request.pop_response_ms(now_ms)
+        if request is not None:
+            self._resolve(request, now_ms)
 
     def expire(self, now_ms):
         """Count as unanswered the requests that no packet followed in time."""
--- a/knapweeddeal/lazyimports.py
+++ b/knapweeddeal/lazyimports.py
@@ -59,8 +59,8 @@
 def defer_unused_by_curio():
     """Defer or block what curio imports for subprocesses, TLS and asyncio.
 
-    Subprocesses and authenticated channels take 2 MB and a quarter of the time in which
-    curio is imported. Its modules read a few values when they are imported.
+    What subprocesses and authenticated channels need is a large part of curio's memory
+    and import time. Its modules read a few values when they are imported.
     """
     defer_imports("asyncio", "hmac", "pickle")
     block_imports("ssl", "_hashlib")
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -23,7 +23,7 @@
 )
 from knapweeddeal.record import Record
 
-__all__ = ["HEDGE_DELAY_MS", "SHORT_FLOW_IDLE_MS", "Forwarder"]
+__all__ = ["HEDGE_DELAY_MS", "Forwarder"]
 
 #: Time after which an unanswered SYN is also sent to a second upstream. Callers are
 #: up to 3 ms away, availability zones 1.4 ms apart, and an upstream answers a SYN in
@@ -47,9 +47,6 @@
 SEQUENCE_SLICE = slice(8, 12)
 #: Longest age of an entry in the flow table.
 MAX_FLOW_AGE_MS = 60_000
-#: Time without a packet after which a flow of one request leaves the flow table: its
-#: end may have gone through another forwarder.
-SHORT_FLOW_IDLE_MS = 3_000
 #: Size limit of the flow table; beyond it the oldest flows are removed.
 MAX_FLOWS = 200_000
 
@@ -63,15 +60,7 @@
 class Flow:
     """Hold an entry of the flow table; packets are routed correctly without it."""
 
-    __slots__ = (
-        "is_open",
-        "is_short",
-        "opened_ms",
-        "request",
-        "seen_ms",
-        "tried",
-        "upstream",
-    )
+    __slots__ = ("is_open", "opened_ms", "request", "seen_ms", "tried", "upstream")
 
     def __init__(self, *, upstream, now_ms):
         self.upstream = upstream
@@ -79,8 +68,6 @@
         self.opened_ms = now_ms
         self.seen_ms = now_ms
         self.is_open = False
-        #: Whether flows of its route carried one request each when it was opened.
-        self.is_short = False
         #: The last request, as returned by `AnswerTracker`.
         self.request = None
 
@@ -315,8 +302,6 @@
         if not flow.is_open:
             flow.is_open = True
             upstream.open_flows += 1
-            flow.is_short = self._answer_tracker.has_short_flows(data[ROUTE_SLICE])
-            upstream.open_short_flows += flow.is_short
             if flow.tried:
                 # Flows opened by another forwarder may be sending to a dead upstream.
                 upstream.note_answered(now_ms)
@@ -336,11 +321,10 @@
             return
         if data[0] & FIN:
             age_ms = now_ms - flow.opened_ms if flow.tried else None
-            response_ms = self._answer_tracker.record_fin(
+            self._answer_tracker.record_fin(
                 flow.request, route_key=data[ROUTE_SLICE], age_ms=age_ms, now_ms=now_ms
             )
         elif data[LENGTH_SLICE] != NO_DATA:
-            response_ms = None
             flow.request = self._answer_tracker.record_data(
                 flow.request,
                 route_key=data[ROUTE_SLICE],
@@ -349,15 +333,11 @@
                 now_ms=now_ms,
             )
         else:
-            response_ms = self._answer_tracker.record_empty(flow.request, now_ms)
-        if response_ms is not None:
-            self._pool.record_response(flow.upstream, response_ms, now_ms)
-            self._metrics.record_us("response", response_ms * US_PER_MS)
+            self._answer_tracker.record_empty(flow.request, now_ms)
 
     def _close(self, flow):
         flow.is_open = False
         flow.upstream.open_flows -= 1
-        flow.upstream.open_short_flows -= flow.is_short
 
     # Timers.
 
@@ -413,12 +393,10 @@
     def expire_flows(self, now_ms):
         """Remove flows that are idle, too old, or beyond `MAX_FLOWS`."""
         idle_ms = now_ms - self._flow_idle_ms
-        short_idle_ms = now_ms - SHORT_FLOW_IDLE_MS
         old_ms = now_ms - MAX_FLOW_AGE_MS
         surplus = len(self._flows) - MAX_FLOWS
         for key, flow in list(self._flows.items()):
-            flow_idle_ms = short_idle_ms if flow.is_short else idle_ms
-            if flow.seen_ms < flow_idle_ms or flow.opened_ms < old_ms or surplus > 0:
+            if flow.seen_ms < idle_ms or flow.opened_ms < old_ms or surplus > 0:
                 surplus -= 1
                 if flow.is_open:
                     self._close(flow)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -9,7 +9,6 @@
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
-from knapweeddeal.responsetimes import ResponseTimes
 
 __all__ = ["PacketUpstream", "UpstreamPool", "echo_from_number"]
 
@@ -18,8 +17,6 @@
 LOAD_HALF_LIFE_MS = 25.0
 #: Load of an open flow; a request that just arrived adds 1.
 OPEN_FLOW_LOAD = 0.05
-#: Load of an open flow on a route whose flows carry one request each.
-SHORT_FLOW_LOAD = 0.5
 #: Load per slot that is added for an upstream in another availability zone: its flows
 #: break when the zones lose their connection, and its traffic costs more.
 OTHER_ZONE_PENALTY = 1.0
@@ -63,7 +60,6 @@
         "load",
         "load_ms",
         "open_flows",
-        "open_short_flows",
         "prefix",
         "state",
         "suspect_until_ms",
@@ -75,8 +71,6 @@
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
-        #: Open flows that carry one request each.
-        self.open_short_flows = 0
         #: Whether an upstream that started later uses the same address.
         self.is_address_reused = False
         #: Since when it has been gone or silent, or None.
@@ -140,7 +134,6 @@
     def score(self, now_ms):
         """Return the load per slot plus penalties; lower is better."""
         load = self._decayed_load(now_ms) + OPEN_FLOW_LOAD * self.open_flows
-        load += SHORT_FLOW_LOAD * self.open_short_flows
         score = load / self.state.slots
         if not self.is_same_zone:
             score += OTHER_ZONE_PENALTY
@@ -165,13 +158,12 @@
         "_ready_by_service",
         "_all_by_service",
     )
-    __slots__ += ("_random", "_response_times")
+    __slots__ += ("_random",)
     __slots__ += ("_zone", "collisions", "is_pushed")
 
     def __init__(self, *, zone, random):
         self._zone = zone
         self._random = random
-        self._response_times = ResponseTimes()
         self._by_id = {}
         self._by_echo = {}
         #: The latest-started upstream at each address.
@@ -225,9 +217,7 @@
             rank = (
                 upstream in tried,
                 upstream.is_avoided(now_ms),
-                upstream.score(now_ms)
-                + self._response_times.slowness(upstream.state.upstream_id, now_ms)
-                + self._random() * TIE_BREAK_SPREAD,
+                upstream.score(now_ms) + self._random() * TIE_BREAK_SPREAD,
             )
             if best is None or rank < best.rank:
                 best = RankedUpstream(rank=rank, upstream=upstream)
@@ -299,13 +289,6 @@
         newer.is_address_reused = False
         older.is_address_reused = True
 
-    def record_response(self, upstream, response_ms, now_ms):
-        """Record how long an upstream took for an answer."""
-        state = upstream.state
-        self._response_times.record(
-            state.service, state.upstream_id, response_ms, now_ms
-        )
-
     def expire_upstreams(self, now_ms):
         """Remove upstreams gone or silent for `UPSTREAM_RETENTION_MS`."""
         for upstream in list(self._by_id.values()):
@@ -315,7 +298,6 @@
     def _remove(self, upstream):
         upstream_id, service = upstream.state.upstream_id, upstream.state.service
         del self._by_id[upstream_id]
-        self._response_times.forget(upstream_id)
         del self._all_by_service[service][upstream_id]
         if self._by_echo.get(upstream.echo) is upstream:
             del self._by_echo[upstream.echo]
