--- a/knapweeddeal/heldpackets.py
+++ b/knapweeddeal/heldpackets.py
@@ -20,9 +20,9 @@
 #: repeated other packets.
 MAX_HOLD_MS = 1_400
 #: Age up to which a packet goes on at once, as its answer may still be in time.
-FRESH_MS = 100
+FRESH_MS = 50
 #: Time over which older packets go on.
-SPREAD_MS = 400
+SPREAD_MS = 1_000
 #: Packets held at most, over 1 MB; the oldest ones give way.
 MAX_HELD = 1_000
 
--- a/tests/test_heldpackets.py
+++ b/tests/test_heldpackets.py
@@ -85,7 +85,7 @@
         """Return the packets that are sent from a time on without new ones."""
         out, forwarder = [], self.harness.forwarder
         forwarder.release_held(now_ms, out)
-        while (due_ms := forwarder.next_due_ms) is not None and due_ms < now_ms + 500:
+        while (due_ms := forwarder.next_due_ms) is not None and due_ms < now_ms + 1_100:
             forwarder.release_held(due_ms, out)
             forwarder.send_due_hedges(due_ms, out)
         return out
