--- a/knapweeddeal/heldpackets.py
+++ b/knapweeddeal/heldpackets.py
@@ -28,7 +28,7 @@
 
 
 class HeldPackets:
-    """Hold packets in the order of their arrival, the last of copies; then let go."""
+    """Hold packets in the order of their arrival, the last of copies; then release."""
 
     __slots__ = ("_due", "_packets")
 
@@ -73,12 +73,13 @@
             self._due.append((due_ms, key))
 
     def pop_due(self, now_ms):
-        """Remove and return the packets that are due."""
+        """Remove the packets that are due; return those that callers wait for."""
         packets = []
         while self._due and self._due[0][0] <= now_ms:
             _, key = self._due.popleft()
-            if key in self._packets:
-                packets.append(self._packets.pop(key)[0])
+            data, held_ms = self._packets.pop(key, (None, now_ms - MAX_HOLD_MS))
+            if now_ms - held_ms < MAX_HOLD_MS:
+                packets.append(data)
         return packets
 
 
--- a/tests/test_heldpackets.py
+++ b/tests/test_heldpackets.py
@@ -34,7 +34,10 @@
     def release(self, now_ms):
         """Return the packets that go on from a time on."""
         self.held.start_release(now_ms)
-        return self.held.pop_due(now_ms + SPREAD_MS)
+        packets = self.held.pop_due(now_ms)
+        while (due_ms := self.held.next_due_ms) is not None:
+            packets += self.held.pop_due(due_ms)
+        return packets
 
     def test_order(self):
         packets = [syn(port=number) for number in (3, 1, 2)]
@@ -54,6 +57,14 @@
         self.held.hold(syn(port=2), 1)
         self.assertEqual([syn(port=2)], self.release(MAX_HOLD_MS))
 
+    def test_age_while_going_on(self):
+        """A packet that gets too old before its turn isn't sent."""
+        for port in (1, 2):
+            self.held.hold(syn(port=port), 0)
+        self.held.start_release(MAX_HOLD_MS - 100)
+        self.assertEqual([syn(port=1)], self.held.pop_due(MAX_HOLD_MS - 100))
+        self.assertEqual([], self.held.pop_due(MAX_HOLD_MS + SPREAD_MS))
+
     def test_number(self):
         for number in range(MAX_HELD + 10):
             self.held.hold(syn(port=number + 1), 0)
