--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -46,6 +46,7 @@
     "logging",
     "concurrent.futures",
     "inspect",
+    "hmac",
     "curio",
     "knapweeddeal.forwarderprocess",
 )
--- a/knapweeddeal/lazyimports.py
+++ b/knapweeddeal/lazyimports.py
@@ -62,7 +62,7 @@
     What subprocesses and authenticated channels need is a large part of curio's memory
     and import time. Its modules read a few values when they are imported.
     """
-    defer_imports("asyncio", "hmac", "pickle")
+    defer_imports("asyncio", "pickle")
     block_imports("ssl", "_hashlib")
     connection = defer_import("multiprocessing.connection", **CONNECTION_CONSTANTS)
     defer_import("multiprocessing", connection=connection, cpu_count=os.cpu_count)
