Reserve the loopback address of test_daemon.EarlyReload

Cause: its address was fixed, so two whole runs at the same time took it from each other (1 of 2 runs side by side failed in both rows, exit status 4, bad_setting). Shown by holding the address: both rows fail each time. It now uses the second octet that each run reserves, as the other tests do.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -11,6 +11,8 @@
 import testscenarios
 import testtools
 
+from demo.cluster import BASE_VARIABLE, default_base
+
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 20
 #: An address that no interface of this VM has.
@@ -72,17 +74,18 @@
         self.assertNotIn("Traceback", done.stderr)
 
 
-FORWARDER = """
+BASE = int(os.environ.get(BASE_VARIABLE, 0)) or default_base()
+FORWARDER = f"""
 [daemon]
 name = front-1
 role = forwarder
 zone = zone-a
-listen = 127.251.0.3:7000
-seeds = 127.251.0.4:7001
+listen = 127.{BASE}.93.3:7000
+seeds = 127.{BASE}.93.4:7001
 log_file = -
 [forwarder]
-packets = 127.251.0.3:7002
-ready = 127.251.0.3:7003
+packets = 127.{BASE}.93.3:7002
+ready = 127.{BASE}.93.3:7003
 """
 
 
