Keep the terms of routes and services of packet configurations

The kind, time-out, objective and priority of a route and the connections and cold start of a service were checked or ignored when a configuration was decoded, so no decision under load could use them. They are replicated, remembered as hints, pushed to forwarders and read from INI files now; stored messages may lack their last fields, which then have defaults.

--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -59,7 +59,9 @@
 
     def __init__(self):
         self.configuration = Configuration(version=0, services=[])
-        self.packets = PacketConfiguration(revision=0, routes=[], document=b"")
+        self.packets = PacketConfiguration(
+            revision=0, routes=[], document=b"", services=[]
+        )
         self._clock_ms = 0
         self._plans = {}
         self._results = {}
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -173,6 +173,8 @@
 
     A subclass sets `tag`, `schema` and `__slots__ = tuple(schema)`. Constructors
     take every field by keyword and check only the names: decoding checks values.
+    Fields that were added to a stored message are its last ones and have `defaults`,
+    so that what was written without them can still be read.
     """
 
     __slots__ = ()
@@ -181,6 +183,8 @@
     tag = 0
     #: Field checks by field name, in wire order.
     schema = {}
+    #: Wire values of the last fields that may be missing, in wire order.
+    defaults = ()
 
     def __init_subclass__(cls):
         """Register the class under its tag and prepare its codec."""
@@ -251,7 +255,10 @@
         cls = REGISTRY.get(wire[0])
     if cls is None:
         raise BadMessageError("unknown message tag", field="tag", value=wire[0])
-    if len(wire) != len(cls.schema) + 1:
+    missing = len(cls.schema) + 1 - len(wire)
+    if 0 < missing <= len(cls.defaults):
+        wire = [*wire, *cls.defaults[-missing:]]
+    elif missing:
         raise BadMessageError("wrong number of fields", field="tag", value=wire[0])
     message = cls.__new__(cls)
     cls._set_fields(message, wire)
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -16,6 +16,7 @@
 __all__ = [
     "DRAINING",
     "GONE",
+    "NO_ROUTE_TERMS",
     "ROUTE_KEY_BYTES",
     "READY",
     "AnswerCount",
@@ -34,9 +35,11 @@
     "PublishedRoutesRequest",
     "ReplicaNotice",
     "RouteGroup",
+    "RouteTerms",
     "RoutesRequest",
     "RoutesPush",
     "ServiceShare",
+    "ServiceTerms",
     "UpstreamHeartbeat",
     "UpstreamState",
     "UpstreamsPush",
@@ -61,6 +64,44 @@
     __slots__ = tuple(schema)
 
 
+class RouteTerms(Message):
+    """Describe the requests on a route; an empty `kind` states nothing about them.
+
+    `timeout_ms`: the longest time for an answer. `objective_ms`: the time in which an
+    answer should arrive. `priority`: 0 is the highest.
+    """
+
+    tag = 184
+    schema = {
+        "kind": Text(max_chars=64),
+        "timeout_ms": Integer(),
+        "objective_ms": Integer(),
+        "priority": Integer(),
+    }
+    __slots__ = tuple(schema)
+
+
+#: Terms of a route that states none.
+NO_ROUTE_TERMS = RouteTerms(kind="", timeout_ms=0, objective_ms=0, priority=0)
+
+
+class ServiceTerms(Message):
+    """Describe what an upstream of a service bears; 0 states no limit.
+
+    An upstream is cold for `cold_start_ms` after its start, and then bears
+    `cold_per_s_milli` thousandths of a request a second.
+    """
+
+    tag = 185
+    schema = {
+        "name": NAME,
+        "max_connections": Integer(),
+        "cold_start_ms": Integer(),
+        "cold_per_s_milli": Integer(),
+    }
+    __slots__ = tuple(schema)
+
+
 class PacketRoute(Message):
     """Route packets for one address to services.
 
@@ -73,8 +114,10 @@
         "port": PORT,
         "shares": ListOf(Nested(ServiceShare), max_items=64),
         "former": ListOf(NAME, max_items=256),
+        "terms": Nested(RouteTerms),
     }
     __slots__ = tuple(schema)
+    defaults = (NO_ROUTE_TERMS.to_wire(),)
 
 
 class PacketConfiguration(Message):
@@ -88,8 +131,10 @@
         "revision": Integer(),
         "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
         "document": Blob(max_bytes=MAX_DOCUMENT_BYTES),
+        "services": ListOf(Nested(ServiceTerms), max_items=MAX_ROUTES),
     }
     __slots__ = tuple(schema)
+    defaults = ([],)
 
 
 class PublishRequest(Message):
@@ -283,6 +328,7 @@
         "keys": Blob(max_bytes=ROUTE_KEY_BYTES * MAX_ROUTES),
         "shares": ListOf(Nested(ServiceShare), max_items=64),
         "former": ListOf(NAME, max_items=256),
+        "terms": Nested(RouteTerms),
     }
     __slots__ = tuple(schema)
 
@@ -290,7 +336,8 @@
 class RoutesPush(Message):
     """Send a forwarder the changes since revision `base`; 0 replaces all routes.
 
-    `dropped` holds the concatenated keys of removed routes.
+    `dropped` holds the concatenated keys of removed routes. `services` holds the terms
+    of all services.
     """
 
     tag = 176
@@ -299,6 +346,7 @@
         "base": Integer(),
         "groups": ListOf(Nested(RouteGroup), max_items=MAX_ROUTES),
         "dropped": Blob(max_bytes=ROUTE_KEY_BYTES * MAX_ROUTES),
+        "services": ListOf(Nested(ServiceTerms), max_items=MAX_ROUTES),
     }
     __slots__ = tuple(schema)
 
@@ -327,8 +375,10 @@
         "revision": Integer(),
         "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
         "states": ListOf(Nested(UpstreamState)),
+        "services": ListOf(Nested(ServiceTerms), max_items=MAX_ROUTES),
     }
     __slots__ = tuple(schema)
+    defaults = ([],)
 
 
 class ReplicaNotice(Message):
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -142,6 +142,7 @@
             revision=configuration.revision if configuration else 0,
             routes=configuration.routes if configuration else [],
             states=[state for state in states if state.status != GONE],
+            services=configuration.services if configuration else [],
         )
 
     def _is_current(self, now_ms):
@@ -171,7 +172,10 @@
         self._table.pop_unsent(self._table.states(now_ms))
         if hints.revision:
             self._configuration = PacketConfiguration(
-                revision=hints.revision, routes=hints.routes, document=b""
+                revision=hints.revision,
+                routes=hints.routes,
+                document=b"",
+                services=hints.services,
             )
         log.info(
             "restored routes and upstreams from hints",
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -9,15 +9,16 @@
 
 
 class Route:
-    """Hold the weighted services, and the former services, of a group of routes."""
+    """Hold the weighted services, former services and terms of a group of routes."""
 
-    __slots__ = ("bounds", "services", "shares")
+    __slots__ = ("bounds", "services", "shares", "terms")
 
     def __init__(self, *, group):
         self.shares = [share.service for share in group.shares]
         #: Cumulative weights, in the order of `shares`.
         self.bounds = list(accumulate(share.weight for share in group.shares))
         self.services = frozenset([*self.shares, *group.former])
+        self.terms = group.terms
 
     def pick_service(self, number):
         """Return the service for a random number from 0 to 1, by weight."""
@@ -33,13 +34,15 @@
 class RouteTable:
     """Hold the routes of the highest revision that was pushed."""
 
-    __slots__ = ("_routes", "dropped", "revision")
+    __slots__ = ("_routes", "dropped", "revision", "services")
 
     def __init__(self):
         self._routes = {}
         #: Keys of routes that a push has removed since the start of the process.
         self.dropped = set()
         self.revision = 0
+        #: The `ServiceTerms` by service.
+        self.services = {}
 
     def get(self, key):
         """Return the route for a packet's route key, or None."""
@@ -70,6 +73,7 @@
                 self._routes.pop(key, None)
             self._routes.update(updated)
         self.dropped -= set(updated)
+        self.services = {terms.name: terms for terms in push.services}
         self.revision = push.revision
         return True
 
@@ -87,6 +91,7 @@
         base=old.revision if old else 0,
         groups=group_routes(changed),
         dropped=pack_route_keys(dropped),
+        services=new.services,
     )
 
 
@@ -95,16 +100,20 @@
 
 
 def group_routes(routes):
-    """Group routes to the same services, as most lead to one of a few services."""
+    """Group routes that differ only in their address, as most have a few others."""
     by_destination = {}
     for route in routes:
         shares = tuple((share.service, share.weight) for share in route.shares)
-        by_destination.setdefault((shares, tuple(route.former)), []).append(route)
+        key = (shares, tuple(route.former), route.terms)
+        by_destination.setdefault(key, []).append(route)
     return [
         RouteGroup(
-            keys=pack_route_keys(group), shares=group[0].shares, former=list(former)
+            keys=pack_route_keys(group),
+            shares=group[0].shares,
+            former=list(former),
+            terms=terms,
         )
-        for (_, former), group in by_destination.items()
+        for (_, former, terms), group in by_destination.items()
     ]
 
 
--- a/knapweeddeal/platform/configurations.py
+++ b/knapweeddeal/platform/configurations.py
@@ -4,10 +4,20 @@
 from knapweeddeal.messages.packets import (
     PacketConfiguration,
     PacketRoute,
+    RouteTerms,
     ServiceShare,
+    ServiceTerms,
 )
 from knapweeddeal.packetconfigurations import check_routes
-from knapweeddeal.platform.fields import decode_object, number, split_address, text
+from knapweeddeal.platform.fields import (
+    decode_object,
+    number,
+    optional_number,
+    optional_text,
+    optional_thousandths,
+    split_address,
+    text,
+)
 
 __all__ = ["decode_configuration"]
 
@@ -21,8 +31,9 @@
     inconsistent one.
     """
     document = decode_object(body)
-    services = {text(entry, "name") for entry in _object_list(document, "services")}
-    routes = [_route(entry, services) for entry in _object_list(document, "routes")]
+    services = [_service(entry) for entry in _object_list(document, "services")]
+    names = {service.name for service in services}
+    routes = [_route(entry, names) for entry in _object_list(document, "routes")]
     check_routes(routes)
     if type(document.get("limits")) is not dict:
         raise BadMessageError("expected an object", field="limits")
@@ -31,12 +42,28 @@
         revision=number(document, "version", minimum=1),
         routes=routes,
         document=body,
+        services=services,
+    )
+
+
+def _service(entry):
+    return ServiceTerms(
+        name=text(entry, "name"),
+        max_connections=optional_number(entry, "maxConns", default=0),
+        # Thousandths of a second are milliseconds.
+        cold_start_ms=optional_thousandths(entry, "coldStartS"),
+        cold_per_s_milli=optional_thousandths(entry, "coldPerS"),
     )
 
 
 def _route(entry, services):
     text(entry, "name")
-    number(entry, "timeoutMs", minimum=1)
+    terms = RouteTerms(
+        kind=optional_text(entry, "type"),
+        timeout_ms=number(entry, "timeoutMs", minimum=1),
+        objective_ms=optional_number(entry, "sloMs", default=0),
+        priority=optional_number(entry, "priority", default=0),
+    )
     # The fields are called host and path, but hold a fabric address and port.
     host, port = split_address(
         "host", f"{text(entry, 'host')}:{_port_from_prefix(entry)}"
@@ -49,7 +76,7 @@
                 field="service",
                 value=share.service,
             )
-    return PacketRoute(host=host, port=port, shares=shares, former=[])
+    return PacketRoute(host=host, port=port, shares=shares, former=[], terms=terms)
 
 
 def _port_from_prefix(entry):
--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -4,10 +4,19 @@
 
 from knapweeddeal.errors import BadMessageError
 
-__all__ = ["decode_object", "number", "optional_number", "split_address", "text"]
+__all__ = [
+    "decode_object",
+    "number",
+    "optional_number",
+    "optional_text",
+    "optional_thousandths",
+    "split_address",
+    "text",
+]
 
 MAX_TEXT_CHARS = 64
 MAX_NUMBER = 2**53
+MAX_FRACTION = 10**9
 
 
 def decode_object(body):
@@ -46,6 +55,21 @@
     return number(body, name) if name in body else default
 
 
+def optional_text(body, name):
+    """Return a text, or "" if the field is missing; raise BadMessageError."""
+    return text(body, name) if name in body else ""
+
+
+def optional_thousandths(body, name):
+    """Return thousandths of a number, or 0 if it is missing; raise BadMessageError."""
+    value = body.get(name, 0)
+    if type(value) not in (int, float) or not 0 <= value <= MAX_FRACTION:
+        raise BadMessageError(
+            "expected a number in the allowed range", field=name, value=value
+        )
+    return round(value * 1_000)
+
+
 def split_address(name, value):
     """Return host and port of `IP:PORT`; raise BadMessageError."""
     host, _, port = value.rpartition(":")
--- a/knapweeddeal/publications.py
+++ b/knapweeddeal/publications.py
@@ -6,7 +6,9 @@
 from knapweeddeal.messages.packets import (
     PacketConfiguration,
     PacketRoute,
+    RouteTerms,
     ServiceShare,
+    ServiceTerms,
 )
 from knapweeddeal.options import address_option, name_option
 from knapweeddeal.packetconfigurations import check_routes
@@ -14,13 +16,18 @@
 __all__ = ["read_publication"]
 
 HEADER_SECTION = "publication"
+#: First word of a section with the terms of a service, before its name.
+SERVICE_SECTION = "service"
 
 
 def read_publication(path):
     """Return the configuration in an INI file; raise InvalidIntentError.
 
-    `[publication]` holds `revision`; every other section is a route, with `address`
-    and `services`, a list of names with weights such as `records:9, archive:1`.
+    `[publication]` holds `revision`; `[service NAME]` may hold `max_connections`,
+    `cold_start_ms` and `cold_per_s_milli`. Every other section is a route, with
+    `address` and `services`, a list of names with weights such as
+    `records:9, archive:1`, and perhaps `kind`, `timeout_ms`, `objective_ms` and
+    `priority`.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -30,15 +37,29 @@
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         reason = " ".join(str(error).split())
         raise InvalidIntentError(f"can't be read: {reason}", field=path) from None
-    routes = [
-        _route(parser[name]) for name in parser.sections() if name != HEADER_SECTION
-    ]
+    services, routes = [], []
+    for name in parser.sections():
+        kind, _, service = name.partition(" ")
+        if kind == SERVICE_SECTION and service:
+            services.append(_service(service, parser[name]))
+        elif name != HEADER_SECTION:
+            routes.append(_route(parser[name]))
     check_routes(routes)
     revision = parser.get(HEADER_SECTION, "revision", fallback="")
     return PacketConfiguration(
         revision=_whole_number("revision", revision, minimum=1),
         routes=routes,
         document=data.encode(),
+        services=services,
+    )
+
+
+def _service(name, section):
+    return ServiceTerms(
+        name=name_option("service", name, None),
+        max_connections=_optional_number(section, "max_connections"),
+        cold_start_ms=_optional_number(section, "cold_start_ms"),
+        cold_per_s_milli=_optional_number(section, "cold_per_s_milli"),
     )
 
 
@@ -46,7 +67,13 @@
     host, port = address_option("address", section.get("address", ""), None)
     items = [item.strip() for item in section.get("services", "").split(",")]
     shares = [_share(item) for item in items]
-    return PacketRoute(host=host, port=port, shares=shares, former=[])
+    terms = RouteTerms(
+        kind=section.get("kind", ""),
+        timeout_ms=_optional_number(section, "timeout_ms"),
+        objective_ms=_optional_number(section, "objective_ms"),
+        priority=_optional_number(section, "priority"),
+    )
+    return PacketRoute(host=host, port=port, shares=shares, former=[], terms=terms)
 
 
 def _share(item):
@@ -57,6 +84,10 @@
     )
 
 
+def _optional_number(section, field):
+    return _whole_number(field, section.get(field, "0"), minimum=0)
+
+
 def _whole_number(field, text, *, minimum):
     if not text.isdecimal() or int(text) < minimum:
         raise InvalidIntentError(
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.messages.packets import (
+    NO_ROUTE_TERMS,
     READY,
     PacketRoute,
     RoutesPush,
@@ -84,19 +85,22 @@
     return UpstreamState(**{**values, **changes})
 
 
-def route(*services, host=HOST, port=PORT, former=()):
+def route(*services, host=HOST, port=PORT, former=(), terms=NO_ROUTE_TERMS):
     """Return a route with equal shares."""
     shares = [ServiceShare(service=name, weight=1) for name in services or (SERVICE,)]
-    return PacketRoute(host=host, port=port, shares=shares, former=list(former))
+    return PacketRoute(
+        host=host, port=port, shares=shares, former=list(former), terms=terms
+    )
 
 
-def routes_push(*routes, revision=1, base=0, dropped=()):
+def routes_push(*routes, revision=1, base=0, dropped=(), services=()):
     """Return a push of routes: a difference from `base`, or all if it is 0."""
     return RoutesPush(
         revision=revision,
         base=base,
         groups=group_routes(routes),
         dropped=pack_route_keys(dropped),
+        services=list(services),
     )
 
 
--- a/tests/test_directoryhints.py
+++ b/tests/test_directoryhints.py
@@ -14,7 +14,9 @@
 
 def hints(revision=3):
     """Return hints of one route and one upstream."""
-    return PacketHints(revision=revision, routes=[route()], states=[state()])
+    return PacketHints(
+        revision=revision, routes=[route()], states=[state()], services=[]
+    )
 
 
 class HintTest(testtools.TestCase):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,7 +6,7 @@
 
 from knapweeddeal import messages
 from knapweeddeal.errors import BadMessageError
-from knapweeddeal.messages import caller, control
+from knapweeddeal.messages import caller, control, packets
 
 
 class RoundTrip(testtools.TestCase):
@@ -19,6 +19,25 @@
         self.assertEqual(configuration, messages.decode(wire).configuration)
 
 
+class MissingFields(testtools.TestCase):
+    """Stored messages of an earlier version must stay readable after an update."""
+
+    def test_defaults_are_filled_in(self):
+        route = packets.PacketRoute(
+            host="198.18.0.1",
+            port=1,
+            shares=[],
+            former=[],
+            terms=packets.NO_ROUTE_TERMS,
+        )
+        wire = route.to_wire()[:-1]
+        self.assertEqual(route, messages.decode(msgpack.packb(wire)))
+
+    def test_field_without_default_raises(self):
+        data = msgpack.packb([packets.PacketRoute.tag, "198.18.0.1", 1, []])
+        self.assertRaises(BadMessageError, messages.decode, data)
+
+
 class BadInput(testscenarios.TestWithScenarios, testtools.TestCase):
     """Any malformed input raises BadMessageError, never another error."""
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -119,7 +119,7 @@
     def replicated(revision, *routes, current=True):
         """Return the event of a replicated configuration with some routes."""
         configuration = PacketConfiguration(
-            revision=revision, routes=list(routes), document=b""
+            revision=revision, routes=list(routes), document=b"", services=[]
         )
         return ReplicatedStateChanged(
             configuration=configuration, current=current, replicas=[OWN, OTHER]
@@ -364,7 +364,7 @@
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get the last stored hints."""
 
-    HINTS = PacketHints(revision=7, routes=[route()], states=[state()])
+    HINTS = PacketHints(revision=7, routes=[route()], states=[state()], services=[])
     scenarios = [
         ("no leader yet", {"log_revisions": [], "revisions": [7]}),
         ("log behind the hint", {"log_revisions": [3], "revisions": [7]}),
--- a/tests/test_packetroutes.py
+++ b/tests/test_packetroutes.py
@@ -6,6 +6,7 @@
 
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.packets import (
+    NO_ROUTE_TERMS,
     PacketConfiguration,
     RouteGroup,
     ServiceShare,
@@ -108,14 +109,17 @@
     def test_share(self):
         weights = {"a": 90, "b": 0, "c": 10}
         shares = [ServiceShare(service=s, weight=w) for s, w in weights.items()]
-        weighted_route = Route(group=RouteGroup(keys=KEY, shares=shares, former=["d"]))
+        group = RouteGroup(keys=KEY, shares=shares, former=["d"], terms=NO_ROUTE_TERMS)
+        weighted_route = Route(group=group)
         self.assertEqual(self.service, weighted_route.pick_service(self.number))
         self.assertEqual({"a", "b", "c", "d"}, weighted_route.services)
 
 
 def configuration(revision, *routes):
     """Return a configuration with some routes."""
-    return PacketConfiguration(revision=revision, routes=list(routes), document=b"")
+    return PacketConfiguration(
+        revision=revision, routes=list(routes), document=b"", services=[]
+    )
 
 
 class Differences(testtools.TestCase):
@@ -166,6 +170,7 @@
                     keys=KEY + b"\0\0",
                     shares=[ServiceShare(service="a", weight=1)],
                     former=[],
+                    terms=NO_ROUTE_TERMS,
                 )
             ]
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,8 @@
     PublishedRoutesRequest,
     PublishRecord,
     PublishRequest,
+    RouteTerms,
+    ServiceTerms,
 )
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packetevents import UpstreamReported, UpstreamStateRequested
@@ -154,6 +156,36 @@
     return {**DOCUMENT, **changes}
 
 
+class Terms(testtools.TestCase):
+    """Terms of routes and services reach the decisions under load."""
+
+    def test_route(self):
+        (route,) = decode_configuration(encoded(with_changes(routes=[ROUTE]))).routes
+        terms = RouteTerms(
+            kind="unsafe", timeout_ms=3_005, objective_ms=200, priority=1
+        )
+        self.assertEqual(terms, route.terms)
+
+    def test_service(self):
+        services = [
+            {"name": "a", "maxConns": 9, "coldStartS": 2.0, "coldPerS": 1.5},
+            {"name": "huvo11a"},
+        ]
+        body = encoded(with_changes(services=services, routes=[ROUTE]))
+        expected = [
+            ServiceTerms(
+                name="a",
+                max_connections=9,
+                cold_start_ms=2_000,
+                cold_per_s_milli=1_500,
+            ),
+            ServiceTerms(
+                name="huvo11a", max_connections=0, cold_start_ms=0, cold_per_s_milli=0
+            ),
+        ]
+        self.assertEqual(expected, decode_configuration(body).services)
+
+
 class BadConfigurations(testscenarios.TestWithScenarios, testtools.TestCase):
     """Malformed or inconsistent documents of operators are rejected."""
 
@@ -168,6 +200,8 @@
             "two routes with one address",
             {"body": with_changes(routes=[ROUTE, {**ROUTE, "name": "r-3"}])},
         ),
+        ("bad priority", {"body": with_changes(routes=[{**ROUTE, "priority": "x"}])}),
+        ("bad rate", {"body": with_changes(services=[{"name": "a", "coldPerS": -1}])}),
         ("timeout 0", {"body": with_changes(routes=[{**ROUTE, "timeoutMs": 0}])}),
         ("no service", {"body": with_changes(routes=[{**ROUTE, "service": None}])}),
         (
--- a/tests/test_publications.py
+++ b/tests/test_publications.py
@@ -7,6 +7,7 @@
 import testtools
 
 from knapweeddeal.errors import KnapweeddealError
+from knapweeddeal.messages.packets import RouteTerms, ServiceTerms
 from knapweeddeal.publications import read_publication
 
 HEAD = "[publication]\nrevision = 8\n"
@@ -34,6 +35,23 @@
         self.assertEqual([("records", 9), ("archive", 1)], shares)
 
 
+class Terms(testtools.TestCase):
+    """Terms of routes and services are read, as decisions under load need them."""
+
+    def test_read(self):
+        text = HEAD + GOOD + "kind = safe\nobjective_ms = 400\npriority = 2\n"
+        text += "[service records]\ncold_per_s_milli = 1500\n"
+        found = read_publication(write_file(self, text))
+        self.assertEqual(
+            RouteTerms(kind="safe", timeout_ms=0, objective_ms=400, priority=2),
+            found.routes[0].terms,
+        )
+        terms = ServiceTerms(
+            name="records", max_connections=0, cold_start_ms=0, cold_per_s_milli=1_500
+        )
+        self.assertEqual([terms], found.services)
+
+
 class InvalidPublication(testscenarios.TestWithScenarios, testtools.TestCase):
     """An invalid file is rejected with an error that names the field."""
 
@@ -51,6 +69,7 @@
             "no weight above 0",
             {"text": HEAD + GOOD.replace("9", "0").replace(":1", ":0", 2)},
         ),
+        ("bad priority", {"text": HEAD + GOOD + "priority = x", "field": "prio"}),
         ("not INI", {"text": "nonsense", "field": "routes.ini"}),
     ]
     field = ""
