Evacuate and readmit availability zones

Operators could drain single upstreams only; POST /-/evacuate/ZONE answered 404.

POST and DELETE /-/evacuate/ZONE, `evacuate`, `readmit` and `zones` order, withdraw and list evacuations. An order is one record of the log; a repeated one changes nothing and is confirmed. Replicas push the zones to forwarders before routes and upstreams, keep the highest version that they know from the log, their hints or other replicas, and never push a lower one. Forwarders leave upstreams of evacuated zones out of the selection, reset SYNs that have no other upstream, and count readmitted upstreams as cold. StateImage and PacketHints have the evacuations as their last field, with a default, so files of earlier versions stay readable.

--- a/knapweeddeal/commandrecords.py
+++ b/knapweeddeal/commandrecords.py
@@ -3,6 +3,7 @@
 import functools
 
 from knapweeddeal.errors import BadMessageError, InvalidIntentError
+from knapweeddeal.messages.evacuation import EvacuateRequest, EvacuationRecord
 from knapweeddeal.messages.operator import ConfirmRequest, PlanRequest
 from knapweeddeal.messages.packets import PublishRecord, PublishRequest
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
@@ -51,6 +52,17 @@
     )
 
 
+@command_record.register
+def _(message: EvacuateRequest, _replica, *, wall_ms):
+    return EvacuationRecord(
+        operator=message.operator,
+        request_id=message.request_id,
+        zone=message.zone,
+        evacuated=message.evacuated,
+        ordered_ms=wall_ms,
+    )
+
+
 def _affected(steps, replica):
     """Return what a plan affects, as far as this replica's flow counts show."""
     old = replica.state.configuration
--- a/knapweeddeal/commands.py
+++ b/knapweeddeal/commands.py
@@ -3,6 +3,7 @@
 from knapweeddeal.errors import InvalidIntentError
 from knapweeddeal.intents import ACTIONS, intent_step, read_intent
 from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.evacuation import EvacuateRequest
 from knapweeddeal.messages.operator import (
     ConfirmRequest,
     PlanRequest,
@@ -85,6 +86,32 @@
         return PublishRequest(configuration=read_publication(options.file))
 
 
+class Evacuate(Operation):
+    """Keep new flows away from a zone."""
+
+    name = "evacuate"
+    help = "keep new flows away from all upstreams of a zone; open flows continue"
+    arguments = (Argument("zone", help="availability zone"),)
+
+    @staticmethod
+    def build_request(options):
+        """Return the request message of the operation."""
+        return _order(options, evacuated=True)
+
+
+class Readmit(Operation):
+    """Withdraw the evacuation of a zone."""
+
+    name = "readmit"
+    help = "withdraw the evacuation of a zone"
+    arguments = (Argument("zone", help="availability zone"),)
+
+    @staticmethod
+    def build_request(options):
+        """Return the request message of the operation."""
+        return _order(options, evacuated=False)
+
+
 class AddReplica(Operation):
     """Add a control replica to the membership of the replicated log."""
 
@@ -130,6 +157,15 @@
     )
 
 
+def _order(options, *, evacuated):
+    return EvacuateRequest(
+        operator=options.operator,
+        request_id=options.request_id,
+        zone=options.zone,
+        evacuated=evacuated,
+    )
+
+
 def _swap(options, added, removed):
     return ReplicaSwapRequest(
         request_id=options.request_id,
@@ -157,5 +193,15 @@
 
 #: Commands by name.
 COMMANDS = {
-    cls.name: cls for cls in (Plan, Confirm, Drain, Publish, AddReplica, RemoveReplica)
+    cls.name: cls
+    for cls in (
+        Plan,
+        Confirm,
+        Drain,
+        Publish,
+        Evacuate,
+        Readmit,
+        AddReplica,
+        RemoveReplica,
+    )
 }
--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -4,10 +4,13 @@
 import hashlib
 
 from knapweeddeal.errors import ConflictError, InvalidIntentError, KnapweeddealError
+from knapweeddeal.evacuations import after_order, evacuated_names
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.control import Configuration
+from knapweeddeal.messages.evacuation import EvacuateAnswer, EvacuationRecord
 from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, PlanAnswer
 from knapweeddeal.messages.packets import (
+    NO_EVACUATIONS,
     PacketConfiguration,
     PublishAnswer,
     PublishRecord,
@@ -55,13 +58,14 @@
     """
 
     __slots__ = ("_clock_ms", "_plans", "_result_bytes", "_results", "configuration")
-    __slots__ += ("packets",)
+    __slots__ += ("evacuations", "packets")
 
     def __init__(self):
         self.configuration = Configuration(version=0, services=[])
         self.packets = PacketConfiguration(
             revision=0, routes=[], document=b"", services=[]
         )
+        self.evacuations = NO_EVACUATIONS
         self._clock_ms = 0
         self._plans = {}
         self._results = {}
@@ -78,6 +82,7 @@
                 plans=list(self._plans.values()),
                 results=list(self._results.values()),
                 packets=self.packets,
+                evacuations=self.evacuations,
             )
         )
 
@@ -92,6 +97,8 @@
             "version": self.configuration.version,
             "packet_revision": self.packets.revision,
             "packet_routes": len(self.packets.routes),
+            "evacuation_version": self.evacuations.version,
+            "evacuated_zones": evacuated_names(self.evacuations),
             "services": len(self.configuration.services),
             "plans": len(self._plans),
             "results": len(self._results),
@@ -105,6 +112,7 @@
         image = decode(data)
         self.configuration = image.configuration
         self.packets = image.packets
+        self.evacuations = image.evacuations
         self._clock_ms = image.clock_ms
         self._plans = {plan.plan_id: plan for plan in image.plans}
         self._results = {
@@ -183,6 +191,11 @@
             self.packets = with_former_services(self.packets, published)
         return PublishAnswer(revision=self.packets.revision)
 
+    def evacuate(self, record):
+        """Evacuate or readmit a zone; a repeated order changes nothing."""
+        self.evacuations = after_order(self.evacuations, record)
+        return EvacuateAnswer(version=self.evacuations.version)
+
     def _advance_clock(self, now_ms):
         """Advance the clock and remove expired plans."""
         self._clock_ms = max(self._clock_ms, now_ms)
@@ -232,6 +245,11 @@
     return state.publish(record)
 
 
+@_apply.register
+def _(record: EvacuationRecord, state, _index):
+    return state.evacuate(record)
+
+
 @_apply.register
 def _(record: MembershipRecord, _state, _index):
     return record
@@ -277,5 +295,11 @@
     return b"confirm" + record.plan_id.encode()
 
 
+@_intent_bytes.register
+def _(record: EvacuationRecord):
+    kind = b"evacuate" if record.evacuated else b"readmit"
+    return kind + record.zone.encode()
+
+
 def _digest(record):
     return hashlib.blake2b(_intent_bytes(record), digest_size=16).digest()
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -121,6 +121,7 @@
             state=ConfigurationState(),
             election_ms=settings.election_ms,
             plan_life_ms=settings.plan_life_ms,
+            zones=settings.zones,
             now_ms=now_ms,
         )
 
@@ -230,17 +231,19 @@
 
     async def _report_to_hub(self):
         replica, now_ms = self._replica, monotonic_ms()
-        hub_state = (replica.state.packets, bool(replica.node.leader))
+        state = replica.state
+        hub_state = (state.packets, state.evacuations, bool(replica.node.leader))
         if hub_state == self._reported_hub_state and now_ms < self._next_hub_report_ms:
             return
         self._reported_hub_state = hub_state
         self._next_hub_report_ms = now_ms + HUB_REPORT_INTERVAL_MS
-        packets, current = hub_state
+        packets, evacuations, current = hub_state
         connected = replica.connected.values()
         members = [*replica.node.log.replicas, *connected, self._own_replica]
         await self._hub_events.put(
             ReplicatedStateChanged(
                 configuration=packets,
+                evacuations=evacuations,
                 current=current,
                 replicas=list({(r.host, r.port): r for r in members}.values()),
             )
@@ -384,6 +387,7 @@
 
     @_handle.register
     async def _(self, event: SeedsChanged):
+        self._replica.zones = self._settings.zones
         await self._dial(event.addresses)
 
     @_handle.register
--- a/knapweeddeal/controlqueries.py
+++ b/knapweeddeal/controlqueries.py
@@ -3,7 +3,14 @@
 import functools
 import json
 
-from knapweeddeal.errors import BadMessageError
+from knapweeddeal.configurationstate import failure_answer
+from knapweeddeal.errors import BadMessageError, InvalidIntentError
+from knapweeddeal.evacuations import check_order
+from knapweeddeal.messages.evacuation import (
+    EvacuateRequest,
+    ZonesAnswer,
+    ZonesRequest,
+)
 from knapweeddeal.messages.operator import (
     DumpAnswer,
     DumpRequest,
@@ -51,6 +58,22 @@
     return PublishAnswer(revision=revision)
 
 
+@local_answer.register
+def _(message: EvacuateRequest, replica):
+    """Refuse an invalid order at any replica.
+
+    A valid one always goes through the log, even if it changes nothing here: this
+    replica may lack a later order.
+    """
+    try:
+        check_order(
+            message, listed=replica.zones, evacuations=replica.state.evacuations
+        )
+    except InvalidIntentError as error:
+        return failure_answer(error)
+    return None
+
+
 @functools.singledispatch
 def quorum_answer(message, _replica):
     """Return the leader's answer after its quorum read."""
@@ -81,6 +104,11 @@
     return PublishedAnswer(configuration=replica.state.packets)
 
 
+@quorum_answer.register
+def _(_message: ZonesRequest, replica):
+    return ZonesAnswer(evacuations=replica.state.evacuations)
+
+
 @quorum_answer.register
 def _(_message: ReplicasRequest, replica):
     return replicas_answer(replica)
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -28,6 +28,7 @@
 from knapweeddeal.flowcounts import FlowCountTable
 from knapweeddeal.messages.base import decode, encode
 from knapweeddeal.messages.control import FlowCounts
+from knapweeddeal.messages.evacuation import ZonesRequest
 from knapweeddeal.messages.operator import (
     ReplicasRequest,
     ReplicaSwapRequest,
@@ -80,6 +81,7 @@
         "plan_life_ms",
         "dump_sections",
         "state",
+        "zones",
     )
 
     def __init__(
@@ -92,6 +94,7 @@
         plan_life_ms,
         now_ms,
         snapshot_records=SNAPSHOT_RECORDS,
+        zones=(),
     ):
         self.own_replica = own_replica
         self.node = node
@@ -104,6 +107,8 @@
         self.dump_sections = {}
         self._election_ms = election_ms
         self.plan_life_ms = plan_life_ms
+        #: All availability zones; empty if they aren't known.
+        self.zones = zones
         self._snapshot_records = snapshot_records
         self._now_ms = now_ms
         self._next_entry_report_ms = 0
@@ -285,6 +290,7 @@
     @_start.register(ServicesRequest)
     @_start.register(ReplicasRequest)
     @_start.register(PublishedRoutesRequest)
+    @_start.register(ZonesRequest)
     def _(self, _message, pending):
         """Start a linearizable read for a query."""
         self._pending.await_quorum(pending)
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -25,6 +25,7 @@
     AnswerCounts,
     DirectoryAck,
     DirectoryBatch,
+    Evacuations,
     ForwarderHello,
 )
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
@@ -96,6 +97,10 @@
             )
         )
 
+    def is_same_cluster(self, link):
+        """Return whether a replica is of this cluster, or this one has joined none."""
+        return self._core.cluster in (0, link.cluster)
+
     async def forward_to_hub(self, message):
         """Forward a replica's message about upstreams to the hub."""
         await self._hub_events.put(message)
@@ -226,6 +231,13 @@
     await streams.forward_to_hub(message)
 
 
+@_handle_replica.register
+async def _(message: Evacuations, streams, link):
+    """Forward evacuations unless they are of another cluster's log."""
+    if streams.is_same_cluster(link):
+        await streams.forward_to_hub(message)
+
+
 @functools.singledispatch
 async def _answer(message, streams):
     return await streams.submit_to_core(message)
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -10,6 +10,7 @@
     ControlState,
     RoutesPush,
     UpstreamsPush,
+    ZonesPush,
 )
 from knapweeddeal.packetforwarder import Forwarder
 from knapweeddeal.packetroutes import RouteTable
@@ -85,6 +86,8 @@
             "stopping": self.stopping,
             "revision": self.routes.revision,
             "routes": len(self.routes),
+            "evacuation_version": self.pool.evacuation_version,
+            "evacuated_zones": sorted(self.pool.evacuated),
             "current": self.forwarder.has_leader,
             "subscriptions": [s.address for s in self._subscriptions],
             "replicas": self._selector.addresses,
@@ -184,6 +187,19 @@
             )
             self.metrics.count("route_changes")
 
+    def _handle_zones(self, message, subscription, now_ms):
+        before = self.pool.evacuated
+        if not self.pool.set_evacuated(message, self.routes.services, now_ms):
+            return
+        log.info(
+            "applied a push of evacuated zones",
+            version=message.version,
+            evacuated=sorted(message.zones),
+            readmitted=sorted(before.difference(message.zones)),
+            replica=subscription.address,
+        )
+        self.metrics.count("evacuation_changes")
+
     def _handle_upstreams(self, message, subscription, now_ms):
         changed_states = self.pool.apply_states(
             message.states, now_ms, current=subscription.has_leader
@@ -210,6 +226,7 @@
             ControlState: _handle_control_state,
             RoutesPush: _handle_routes,
             UpstreamsPush: _handle_upstreams,
+            ZonesPush: _handle_zones,
         }
     )
 
@@ -226,4 +243,5 @@
         "open_flows": upstream.open_flows,
         "answered_ms": upstream.answered_ms,
         "suspect_until_ms": upstream.suspect_until_ms,
+        "cold_until_ms": upstream.cold_until_ms,
     }
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -29,6 +29,7 @@
 FAMILIES = (
     "caller",
     "control",
+    "evacuation",
     "member",
     "operator",
     "packets",
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -16,6 +16,7 @@
 __all__ = [
     "DRAINING",
     "GONE",
+    "NO_EVACUATIONS",
     "NO_ROUTE_TERMS",
     "ROUTE_KEY_BYTES",
     "READY",
@@ -24,6 +25,8 @@
     "ControlState",
     "DirectoryAck",
     "DirectoryBatch",
+    "Evacuation",
+    "Evacuations",
     "ForwarderHello",
     "PacketConfiguration",
     "PacketHints",
@@ -43,6 +46,7 @@
     "UpstreamHeartbeat",
     "UpstreamState",
     "UpstreamsPush",
+    "ZonesPush",
 ]
 
 READY = "ready"
@@ -52,6 +56,8 @@
 #: Largest operator document that a packet configuration holds.
 MAX_DOCUMENT_BYTES = 1 << 22
 MAX_ROUTES = 20_000
+#: Largest number of evacuated zones.
+MAX_EVACUATIONS = 1_000
 #: Length of a route's key in a packet: port and IPv4 address.
 ROUTE_KEY_BYTES = 6
 
@@ -367,6 +373,37 @@
     __slots__ = tuple(schema)
 
 
+class Evacuation(Message):
+    """Describe an evacuated zone; `since_ms` is the leader's wall clock."""
+
+    tag = 186
+    schema = {"zone": NAME, "since_ms": Integer(), "operator": Text(max_chars=64)}
+    __slots__ = tuple(schema)
+
+
+class Evacuations(Message):
+    """List the evacuated zones; `version` increases with each change."""
+
+    tag = 187
+    schema = {
+        "version": Integer(),
+        "zones": ListOf(Nested(Evacuation), max_items=MAX_EVACUATIONS),
+    }
+    __slots__ = tuple(schema)
+
+
+#: State before the first order.
+NO_EVACUATIONS = Evacuations(version=0, zones=[])
+
+
+class ZonesPush(Message):
+    """Send a forwarder the names of all evacuated zones as of a version."""
+
+    tag = 193
+    schema = {"version": Integer(), "zones": ListOf(NAME, max_items=MAX_EVACUATIONS)}
+    __slots__ = tuple(schema)
+
+
 class PacketHints(Message):
     """Hold on disk the routes and states that a replica serves first after a start."""
 
@@ -376,9 +413,10 @@
         "routes": ListOf(Nested(PacketRoute), max_items=MAX_ROUTES),
         "states": ListOf(Nested(UpstreamState)),
         "services": ListOf(Nested(ServiceTerms), max_items=MAX_ROUTES),
+        "evacuations": Nested(Evacuations),
     }
     __slots__ = tuple(schema)
-    defaults = ([],)
+    defaults = ([], NO_EVACUATIONS.to_wire())
 
 
 class ReplicaNotice(Message):
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -4,7 +4,11 @@
 from knapweeddeal.messages.control import Configuration, Replica
 from knapweeddeal.messages.fields import NAME, REQUEST_ID
 from knapweeddeal.messages.operator import EntryStatus, IntentStep
-from knapweeddeal.messages.packets import PacketConfiguration
+from knapweeddeal.messages.packets import (
+    NO_EVACUATIONS,
+    Evacuations,
+    PacketConfiguration,
+)
 
 __all__ = [
     "ConfirmRecord",
@@ -141,8 +145,10 @@
         "plans": ListOf(Nested(StoredPlan)),
         "results": ListOf(Nested(StoredResult)),
         "packets": Nested(PacketConfiguration),
+        "evacuations": Nested(Evacuations),
     }
     __slots__ = tuple(schema)
+    defaults = (NO_EVACUATIONS.to_wire(),)
 
 
 class IdentityFile(Message):
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -13,6 +13,7 @@
     "host_option",
     "keys_option",
     "name_option",
+    "names_option",
     "peers_option",
     "text_option",
     "integer_option",
@@ -36,6 +37,12 @@
     return value
 
 
+def names_option(field, value, option):
+    """Return the names of a text like `zone-a, zone-b`."""
+    parts = (item.strip() for item in value.split(","))
+    return tuple(name_option(field, part, option) for part in parts if part)
+
+
 def integer_option(field, value, option):
     """Return a whole number in the option's range."""
     try:
--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -43,6 +43,6 @@
 
 
 class ReplicatedStateChanged(Record):
-    """Carry routes and members of the replicated log; `current` if it has a leader."""
+    """Carry routes, evacuations and members of the log; `current`: it has a leader."""
 
-    __slots__ = ("configuration", "current", "replicas")
+    __slots__ = ("configuration", "current", "evacuations", "replicas")
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -194,8 +194,7 @@
     def _handle_syn(self, data, route, now_ms, out):
         key = data[FLOW_SLICE]
         flow = self._flows.get(key)
-        if flow is not None and not data[COPY_OFFSET] and not flow.is_open:
-            # The network duplicated the first SYN.
+        if self._is_duplicate(data, flow):
             self._send_syn(data, flow.upstream, out)
             return
         if flow is None and self._is_behind_backlog(data, now_ms):
@@ -231,6 +230,15 @@
         )
         self._hedges.append(hedge)
 
+    def _is_duplicate(self, data, flow):
+        """Return whether the network duplicated the first SYN of a flow.
+
+        A flow whose upstream was evacuated meanwhile needs another one.
+        """
+        if flow is None or data[COPY_OFFSET] or flow.is_open:
+            return False
+        return not self._pool.is_evacuated(flow.upstream)
+
     def _is_behind_backlog(self, data, now_ms):
         """Return whether a new flow would wait too long for the link.
 
@@ -241,7 +249,10 @@
 
     def _refuse_syn(self, data, service, out):
         """Reset a SYN without an upstream; drop it if a retransmission may get one."""
-        if self.has_leader:
+        if self._pool.has_only_evacuated(service):
+            self._metrics.count("syns_evacuated")
+            self._reset(data, out, "zone evacuated", service=service)
+        elif self.has_leader:
             self._reset(data, out, "no upstream", service=service)
         else:
             self._metrics.count("syns_unserved")
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -11,19 +11,24 @@
 
 from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.evacuations import evacuated_names
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
 from knapweeddeal.messages.packets import (
     GONE,
+    NO_EVACUATIONS,
+    READY,
     AnswerCounts,
     ControlState,
     DirectoryAck,
     DirectoryBatch,
+    Evacuations,
     PacketConfiguration,
     PacketHints,
     ReplicaNotice,
     RoutesRequest,
     UpstreamsPush,
+    ZonesPush,
 )
 from knapweeddeal.packetevents import (
     ForwarderDisconnected,
@@ -65,9 +70,9 @@
 
 
 class Subscriber(Record):
-    """Hold a forwarder's name and the configuration last pushed to it."""
+    """Hold a forwarder's name, and the routes and evacuations last pushed to it."""
 
-    __slots__ = ("configuration", "name")
+    __slots__ = ("configuration", "evacuation_version", "name")
 
 
 class PacketHub:
@@ -80,6 +85,7 @@
         "_state_received_ms",
         "_current",
         "_diffs",
+        "_evacuations",
         "_events",
         "_forwarders",
         "_hints",
@@ -106,6 +112,8 @@
         )
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
         self._configuration = None
+        #: The evacuations of the highest version that is known here.
+        self._evacuations = NO_EVACUATIONS
         self._current = False
         self._state_received_ms = 0
         self._replicas = [own_replica]
@@ -128,6 +136,8 @@
         """Return the state of the hub for the dump."""
         return {
             "current": self._is_current(monotonic_ms()),
+            "evacuation_version": self._evacuations.version,
+            "evacuated_zones": evacuated_names(self._evacuations),
             "forwarders": [f.name for f in self._forwarders.values()],
             "links": [f"{identity:016x}" for identity in self._links],
             "upstreams": self._table.states(monotonic_ms()),
@@ -143,6 +153,7 @@
             routes=configuration.routes if configuration else [],
             states=[state for state in states if state.status != GONE],
             services=configuration.services if configuration else [],
+            evacuations=self._evacuations,
         )
 
     def _is_current(self, now_ms):
@@ -162,7 +173,7 @@
                 await self._tick(monotonic_ms())
 
     def _load_hints(self, hints):
-        """Restore routes and upstreams from hints written before this start."""
+        """Restore routes, upstreams and evacuations from before this start."""
         if hints is None:
             log.info("starting without hints")
             return
@@ -170,6 +181,7 @@
         for state in hints.states:
             self._table.apply_state(_to_hint(state, home), now_ms)
         self._table.pop_unsent(self._table.states(now_ms))
+        self._evacuations = hints.evacuations
         if hints.revision:
             self._configuration = PacketConfiguration(
                 revision=hints.revision,
@@ -182,6 +194,7 @@
             revision=hints.revision,
             routes=len(hints.routes),
             upstreams=len(hints.states),
+            evacuated=evacuated_names(hints.evacuations),
         )
 
     async def _tick(self, now_ms):
@@ -269,6 +282,8 @@
         is_new = identity not in self._links
         self._links[identity] = event.outbox
         if is_new:
+            if self._evacuations.version:
+                await event.outbox.offer(self._evacuations)
             states = self._table.states(monotonic_ms())
             await event.outbox.offer(self._batch(states=states))
             log.info("connected to a replica", replica=event.state.replica.name)
@@ -290,10 +305,12 @@
             self._configuration if self._has_current_routes(event.hello) else None
         )
         self._forwarders[event.outbox] = Subscriber(
-            name=event.hello.name, configuration=existing
+            name=event.hello.name, configuration=existing, evacuation_version=0
         )
         log.info("accepted a subscription of a forwarder", name=event.hello.name)
         await event.outbox.offer(self._control_state())
+        # Before the upstreams, which a forwarder may select once it knows them.
+        await self._push_zones(event.outbox)
         if existing is None:
             await self._push_routes(event.outbox)
         await event.outbox.offer(self._all_upstreams_push(monotonic_ms()))
@@ -302,6 +319,10 @@
     async def _(self, message: AnswerCounts):
         self._answers.set_replica_totals(message, monotonic_ms())
 
+    @_handle.register
+    async def _(self, message: Evacuations):
+        await self._set_evacuations(message)
+
     @_handle.register
     async def _(self, event: ForwarderMessageReceived):
         if event.outbox not in self._forwarders:
@@ -312,6 +333,7 @@
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
             await self._push_routes(event.outbox)
+        await self._push_zones(event.outbox)
         await event.outbox.offer(self._control_state())
 
     @_handle.register
@@ -327,6 +349,7 @@
         self._state_received_ms = now_ms
         self._current = event.current
         self._replicas = event.replicas
+        await self._set_evacuations(event.evacuations)
         if self._is_newer(event.configuration):
             self._configuration = event.configuration
             self._diffs = {}
@@ -339,6 +362,38 @@
             if event.current:
                 await self._push_silent(now_ms)
 
+    async def _set_evacuations(self, evacuations):
+        """Adopt evacuations of a higher version, and push them at once.
+
+        They go to the other replicas too: one whose log waits for its disk still
+        pushes what others have committed.
+        """
+        if evacuations.version <= self._evacuations.version:
+            return
+        self._evacuations = evacuations
+        self._metrics.count("evacuation_changes")
+        for outbox in self._forwarders:
+            await self._push_zones(outbox)
+        await self._send_to_replicas(evacuations)
+        await self._hints.mark_dirty()
+        self._log_evacuations()
+
+    def _log_evacuations(self):
+        """Log the evacuated zones, as a warning if no other zone has an upstream."""
+        evacuated = evacuated_names(self._evacuations)
+        states = self._table.states(monotonic_ms())
+        serving = {state.zone for state in states if state.status == READY}
+        log.info(
+            "evacuated zones changed",
+            version=self._evacuations.version,
+            evacuated=evacuated,
+            forwarders=len(self._forwarders),
+        )
+        if serving and serving <= set(evacuated):
+            log.warning(
+                "every zone with ready upstreams is evacuated", evacuated=evacuated
+            )
+
     def _is_newer(self, configuration):
         """Return whether a configuration is newer: hints may be ahead of the log."""
         existing = self._configuration
@@ -362,6 +417,19 @@
             replicas=self._replicas,
         )
 
+    async def _push_zones(self, outbox):
+        """Push the evacuated zones to a forwarder unless it has them.
+
+        With each heartbeat it is tried again, as a full outbox refuses a push.
+        Nothing is sent before the first order, so earlier versions can read all.
+        """
+        forwarder, version = self._forwarders[outbox], self._evacuations.version
+        if forwarder.evacuation_version == version:
+            return
+        push = ZonesPush(version=version, zones=evacuated_names(self._evacuations))
+        if await outbox.offer(push):
+            forwarder.evacuation_version = version
+
     async def _send_to_replicas(self, message):
         for outbox in self._links.values():
             await outbox.offer(message)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -61,6 +61,7 @@
         "load_ms",
         "open_flows",
         "prefix",
+        "readmitted_until_ms",
         "state",
         "suspect_until_ms",
     )
@@ -78,6 +79,8 @@
         #: When a caller's packet last showed that it had answered a SYN.
         self.answered_ms = 0
         self.suspect_until_ms = 0
+        #: Until when it counts as cold because its zone was readmitted.
+        self.readmitted_until_ms = 0
         self.is_same_zone = state.zone == zone
         self.set_state(state, 0)
 
@@ -89,7 +92,12 @@
         elif self.absent_since_ms is None:
             self.absent_since_ms = now_ms
         self.address = (state.host, state.port)
-        self.cold_until_ms = now_ms + state.cold_ms
+        self.cold_until_ms = max(now_ms + state.cold_ms, self.readmitted_until_ms)
+
+    def note_readmitted(self, until_ms):
+        """Count as cold until a time: it got no flows and may have become cold."""
+        self.readmitted_until_ms = until_ms
+        self.cold_until_ms = max(self.cold_until_ms, until_ms)
 
     def add_load(self, weight, now_ms):
         """Add the load of a packet."""
@@ -159,7 +167,8 @@
         "_all_by_service",
     )
     __slots__ += ("_random",)
-    __slots__ += ("_zone", "collisions", "is_pushed")
+    __slots__ += ("_zone", "collisions", "evacuated", "evacuation_version")
+    __slots__ += ("is_pushed",)
 
     def __init__(self, *, zone, random):
         self._zone = zone
@@ -170,9 +179,13 @@
         self._by_address = {}
         #: Upstreams of each service in any status, by id.
         self._all_by_service = {}
-        #: Ready upstreams of each service: in this zone, in other zones.
+        #: Ready upstreams of each service outside of evacuated zones: in this zone, in
+        #: other zones.
         self._ready_by_service = {}
         self.collisions = 0
+        #: Names of evacuated zones, and their version.
+        self.evacuated = frozenset()
+        self.evacuation_version = 0
         #: Whether a replica has sent states, or that it has none.
         self.is_pushed = False
 
@@ -195,9 +208,20 @@
         """Return all upstreams."""
         return self._by_id.values()
 
+    def is_evacuated(self, upstream):
+        """Return whether the zone of an upstream is evacuated."""
+        return upstream.state.zone in self.evacuated
+
+    def has_only_evacuated(self, service):
+        """Return whether all ready upstreams of a service are in evacuated zones."""
+        members = self._all_by_service.get(service, {}).values()
+        ready = [u for u in members if u.state.status == READY]
+        return bool(ready) and all(self.is_evacuated(u) for u in ready)
+
     def choose(self, service, now_ms, tried=()):
         """Return the upstream for a new flow, or None.
 
+        Upstreams of evacuated zones are never chosen.
         Upstreams that were tried for this flow come last, after the avoided ones.
         Other zones are considered only if the best upstream in this zone was tried, is
         avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more.
@@ -240,6 +264,25 @@
             self._rebuild_ready(service)
         return changed
 
+    def set_evacuated(self, push, services, now_ms):
+        """Apply a push of evacuated zones; return whether its version is higher.
+
+        `services` holds the `ServiceTerms` by service: an upstream of a readmitted
+        zone is cold for `cold_start_ms` from now on.
+        """
+        if push.version <= self.evacuation_version:
+            return False
+        readmitted = self.evacuated.difference(push.zones)
+        self.evacuation_version = push.version
+        self.evacuated = frozenset(push.zones)
+        for upstream in self._by_id.values():
+            terms = services.get(upstream.state.service)
+            if upstream.state.zone in readmitted and terms is not None:
+                upstream.note_readmitted(now_ms + terms.cold_start_ms)
+        for service in self._all_by_service:
+            self._rebuild_ready(service)
+        return True
+
     def _apply_state(self, state, now_ms, current):
         """Apply a state unless it is outdated; return whether routing changed."""
         upstream = self._by_id.get(state.upstream_id)
@@ -312,7 +355,7 @@
     def _rebuild_ready(self, service):
         same_zone, other_zone = [], []
         for upstream in self._all_by_service.get(service, {}).values():
-            if upstream.state.status == READY:
+            if upstream.state.status == READY and not self.is_evacuated(upstream):
                 (same_zone if upstream.is_same_zone else other_zone).append(upstream)
         self._ready_by_service[service] = (same_zone, other_zone)
 
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -16,6 +16,7 @@
 )
 from knapweeddeal.httpserver import HttpResponse
 from knapweeddeal.logs import Log
+from knapweeddeal.messages.evacuation import EvacuateAnswer, EvacuateRequest
 from knapweeddeal.messages.operator import FailureAnswer
 from knapweeddeal.messages.packets import (
     PublishAnswer,
@@ -33,6 +34,9 @@
 
 CONFIGURATION_PATH = "/-/config"
 UPSTREAMS_PREFIX = "/-/instances/"
+EVACUATION_PREFIX = "/-/evacuate/"
+#: Operator that is recorded for HTTP calls, which don't name one.
+OPERATOR = "api"
 #: Timeout of a call: operators and upstreams try another replica after 1 s.
 ANSWER_TIMEOUT_MS = 850
 
@@ -86,11 +90,19 @@
             upstream_id = path[len(UPSTREAMS_PREFIX) :]
             handlers = {"PUT": self._report, "DELETE": self._depart}
             argument = (upstream_id, request.body)
+        elif path.startswith(EVACUATION_PREFIX):
+            handlers = {"POST": self._evacuate, "DELETE": self._readmit}
+            argument = path[len(EVACUATION_PREFIX) :]
         else:
             return HttpResponse(status=NOT_FOUND, body=b"{}")
         handler = handlers.get(request.method)
         if handler is None:
-            return HttpResponse(status=METHOD_NOT_ALLOWED, body=b"{}")
+            error = BadMessageError(
+                f"expected {' or '.join(handlers)}",
+                field="method",
+                value=request.method,
+            )
+            return self._error_response(request, error, status=METHOD_NOT_ALLOWED)
         return await handler(argument)
 
     # Operators.
@@ -110,6 +122,28 @@
     async def _read(self, _body):
         return _response(await self._send_request(PublishedRoutesRequest()))
 
+    async def _evacuate(self, zone):
+        return await self._order(zone, evacuated=True)
+
+    async def _readmit(self, zone):
+        return await self._order(zone, evacuated=False)
+
+    async def _order(self, zone, *, evacuated):
+        # Without a request id: an order that is sent again changes nothing by itself.
+        answer = await self._send_request(
+            EvacuateRequest(
+                operator=OPERATOR, request_id="", zone=zone, evacuated=evacuated
+            )
+        )
+        response = _response(answer)
+        log.info(
+            "confirmed an order on a zone",
+            zone=zone,
+            evacuated=evacuated,
+            version=answer.version,
+        )
+        return response
+
     # Upstreams.
 
     async def _report(self, argument):
@@ -137,7 +171,7 @@
 
     # Failures.
 
-    def _error_response(self, request, error):
+    def _error_response(self, request, error, *, status=None):
         self._metrics.count(f"api_{error.code}")
         log.info(
             "answered a call with an error",
@@ -153,10 +187,10 @@
                 location=f"http://{host}:{self._port}{request.target}",
                 body=body,
             )
-        is_client_error = isinstance(error, (BadMessageError, InvalidIntentError))
-        return HttpResponse(
-            status=BAD_REQUEST if is_client_error else UNAVAILABLE, body=body
-        )
+        if status is None:
+            is_client_error = isinstance(error, (BadMessageError, InvalidIntentError))
+            status = BAD_REQUEST if is_client_error else UNAVAILABLE
+        return HttpResponse(status=status, body=body)
 
 
 @functools.singledispatch
@@ -178,6 +212,11 @@
     return HttpResponse(status=OK, body=b"{}")
 
 
+@_response.register
+def _(_answer: EvacuateAnswer):
+    return HttpResponse(status=OK, body=b"{}")
+
+
 @_response.register
 def _(answer: PublishedAnswer):
     if not answer.configuration.revision:
--- a/knapweeddeal/queries.py
+++ b/knapweeddeal/queries.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.explain import explain
+from knapweeddeal.messages.evacuation import ZonesRequest
 from knapweeddeal.messages.operator import (
     DumpRequest,
     MetricsRequest,
@@ -59,6 +60,18 @@
         return PublishedRoutesRequest()
 
 
+class Zones(Operation):
+    """List the evacuated zones."""
+
+    name = "zones"
+    help = "list the evacuated zones, since when and by whom"
+
+    @staticmethod
+    def build_request(options):
+        """Return the request message of the operation."""
+        return ZonesRequest()
+
+
 class Explain(Operation):
     """Show the decisions on a flow from saved logs."""
 
@@ -199,6 +212,7 @@
         Status,
         Services,
         Routes,
+        Zones,
         Replicas,
         Refusals,
         Upstreams,
--- a/knapweeddeal/render.py
+++ b/knapweeddeal/render.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from knapweeddeal.explain import Explanation
+from knapweeddeal.messages.evacuation import EvacuateAnswer, ZonesAnswer
 from knapweeddeal.messages.operator import (
     ConfirmAnswer,
     DumpAnswer,
@@ -104,6 +105,22 @@
     return lines
 
 
+@as_lines.register
+def _(answer: EvacuateAnswer):
+    return [f"version {answer.version} of the evacuated zones is in force"]
+
+
+@as_lines.register
+def _(answer: ZonesAnswer):
+    evacuations = answer.evacuations
+    lines = [f"version {evacuations.version}"]
+    lines += [
+        f"  {one.zone} evacuated since {_time(one.since_ms)} by {one.operator}"
+        for one in evacuations.zones
+    ]
+    return lines if evacuations.zones else [*lines, "  no zone is evacuated"]
+
+
 @as_lines.register
 def _(answer: Explanation):
     lines = [f"flow {answer.flow}: {len(answer.decisions)} decisions"]
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -15,6 +15,7 @@
     integer_option,
     keys_option,
     name_option,
+    names_option,
     peers_option,
     text_option,
 )
@@ -211,6 +212,16 @@
         roles=(CONTROL,),
         text="Whether candidates join and lost members leave without an operator.",
     ),
+    Option(
+        section="control",
+        key="zones",
+        check=names_option,
+        default="",
+        empty=(),
+        roles=(CONTROL,),
+        reload_roles=(CONTROL,),
+        text="All availability zones, which may be evacuated; empty to allow any name.",
+    ),
     Option(
         section="forwarder",
         key="packets",
--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -164,9 +164,12 @@
     def publish(self, version, **options):
         """Publish a document until a replica confirms it."""
         body = document(version, **options)
-        wait_until(lambda: self._try(("PUT", "/-/config", body)), f"version {version}")
+        wait_until(
+            lambda: self.try_call(("PUT", "/-/config", body)), f"version {version}"
+        )
 
-    def _try(self, call):
+    def try_call(self, call):
+        """Return whether any replica answers a call with 200."""
         return any(self.call(*call, host=host)[0] == 200 for host in self.replicas)
 
     def published(self):
--- a/tests/test_directoryhints.py
+++ b/tests/test_directoryhints.py
@@ -8,14 +8,18 @@
 import testtools
 
 from knapweeddeal.directoryhints import WRITE_INTERVAL_MS, HintFile
-from knapweeddeal.messages.packets import PacketHints
+from knapweeddeal.messages.packets import NO_EVACUATIONS, PacketHints
 from tests.packetfakes import route, state
 
 
 def hints(revision=3):
     """Return hints of one route and one upstream."""
     return PacketHints(
-        revision=revision, routes=[route()], states=[state()], services=[]
+        revision=revision,
+        routes=[route()],
+        states=[state()],
+        services=[],
+        evacuations=NO_EVACUATIONS,
     )
 
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -8,6 +8,7 @@
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import (
     DRAINING,
+    NO_EVACUATIONS,
     AnswerCount,
     AnswerCounts,
     ControlState,
@@ -116,13 +117,16 @@
         return ForwarderSubscribed(hello=hello, outbox=outbox)
 
     @staticmethod
-    def replicated(revision, *routes, current=True):
+    def replicated(revision, *routes, current=True, evacuations=NO_EVACUATIONS):
         """Return the event of a replicated configuration with some routes."""
         configuration = PacketConfiguration(
             revision=revision, routes=list(routes), document=b"", services=[]
         )
         return ReplicatedStateChanged(
-            configuration=configuration, current=current, replicas=[OWN, OTHER]
+            configuration=configuration,
+            current=current,
+            evacuations=evacuations,
+            replicas=[OWN, OTHER],
         )
 
 
@@ -364,7 +368,13 @@
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get the last stored hints."""
 
-    HINTS = PacketHints(revision=7, routes=[route()], states=[state()], services=[])
+    HINTS = PacketHints(
+        revision=7,
+        routes=[route()],
+        states=[state()],
+        services=[],
+        evacuations=NO_EVACUATIONS,
+    )
     scenarios = [
         ("no leader yet", {"log_revisions": [], "revisions": [7]}),
         ("log behind the hint", {"log_revisions": [3], "revisions": [7]}),
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -128,6 +128,42 @@
         return members if len(members) == 3 and members != before else None
 
 
+class ZoneEvacuation(PacketCase):
+    """A confirmed evacuation holds at the forwarder, also after all were killed."""
+
+    def order(self, method, zone="zone-a"):
+        """Send an order on a zone until a replica confirms it."""
+        call = (method, f"/-/evacuate/{zone}")
+        wait_until(lambda: self.cluster.try_call(call), f"a confirmed {method}")
+
+    def test_evacuated_and_readmitted(self):
+        cluster = self.cluster
+        echo = self.open(4_001)
+        self.order("POST")
+        self.order("POST")
+        wait_until(self._is_syn_reset, "a reset SYN")
+        self.assert_forwarded(4_001, echo)
+        cluster.kill_all()
+        cluster.start()
+        wait_until(lambda: cluster.readiness() == 200, "a ready forwarder")
+        self.assertTrue(self._is_syn_reset())
+        self.assertEqual(["zone-a"], cluster.dump(cluster.host(11))["evacuated_zones"])
+        self.order("DELETE")
+        wait_until(lambda: not self._is_syn_reset(), "a SYN at the upstream")
+        versions = {
+            cluster.dump(host)["evacuation_version"] for host in cluster.replicas
+        }
+        self.assertEqual({2}, versions)
+
+    def _is_syn_reset(self):
+        """Send a SYN; return whether it is reset and none reaches the upstream."""
+        self.cluster.send(self.packet(SYN, port=4_300))
+        self.cluster.upstream.settimeout(0.2)
+        received = self.cluster.receive_at_upstream()
+        self.cluster.upstream.settimeout(2.0)
+        return received is None and self.cluster.receive_at_caller()[0] == RST
+
+
 class NarrowLink(PacketCase):
     """Packets wait for a narrow link; a stop and a reload lose none of them."""
 
