Test evacuations, and let the soak evacuate and readmit zones

Only the path through real processes had a test.

The soak has upstreams in three zones and forwarders in two; it evacuates and readmits zones between faults, sends each order twice, checks that no opening packet reaches an evacuated zone after 5 s, and that the evacuation holds after all replicas were killed and all forwarders restarted.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,9 +5,15 @@
 import sys
 import time
 
-from soak.cluster import Cluster, wait_until
-from soak.faults import FAULTS, Faults, can_remove
-from soak.peers import DRAIN_LIMIT_S, FAULT_FREE_S, Operator, Problems
+from soak.cluster import FORWARDERS, ZONES, Cluster, wait_until
+from soak.faults import FAULTS, Faults, can_evacuate, can_remove
+from soak.peers import (
+    DRAIN_LIMIT_S,
+    EVACUATION_LIMIT_S,
+    FAULT_FREE_S,
+    Operator,
+    Problems,
+)
 from soak.traffic import Traffic
 
 SERVICES = ("records", "archive")
@@ -62,12 +68,17 @@
         seed=seed,
     )
     callers, upstreams = traffic.callers, traffic.upstreams
-    faults = Faults(
-        cluster=cluster, callers=callers, upstreams=upstreams, random=rng, kinds=kinds
-    )
     operator = Operator(
         client=traffic.client, make_document=make_document, problems=problems, seed=seed
     )
+    faults = Faults(
+        cluster=cluster,
+        callers=callers,
+        upstreams=upstreams,
+        operator=operator,
+        random=rng,
+        kinds=kinds,
+    )
     try:
         cluster.start()
         if not wait_until(lambda: callers.served > 20, timeout_s=START_TIMEOUT_S):
@@ -75,7 +86,10 @@
         faults.run(seconds)
         check_recovery(callers, operator, problems)
         check_drain(callers, upstreams, problems)
+        evacuated = check_evacuation(callers, upstreams, operator, problems)
         check_durability(cluster, operator, problems)
+        if evacuated:
+            check_readmission(evacuated, cluster, traffic, operator, problems)
         for process in cluster.processes:
             if process.ended_unexpectedly():
                 problems.add("process ended unexpectedly", process=process.name)
@@ -88,6 +102,7 @@
         "served": callers.served,
         "confirmed": operator.confirmed,
         "reads": operator.reads,
+        "orders": operator.orders,
     }
     return problems.found, faults.injected, figures, cluster.folder
 
@@ -143,6 +158,47 @@
     time.sleep(DRAIN_LIMIT_S + OBSERVE_S)
 
 
+def check_evacuation(callers, upstreams, operator, problems):
+    """Check that an evacuated zone gets no opening packet; leave it evacuated.
+
+    Return the zone, or None if no zone may be evacuated.
+    """
+    for zone in list(callers.evacuated_s):
+        operator.readmit(zone, callers)
+    zones = [zone for zone in ZONES[:FORWARDERS] if can_evacuate(zone, upstreams)]
+    if not zones:
+        return None
+    callers.faults_until_s = time.monotonic() - FAULT_FREE_S
+    if not operator.evacuate(zones[0], callers):
+        problems.add("evacuation not confirmed", zone=zones[0])
+        return None
+    time.sleep(EVACUATION_LIMIT_S + OBSERVE_S)
+    return zones[0]
+
+
+def check_readmission(zone, cluster, traffic, operator, problems):
+    """Check that an evacuation holds after a restart and ends with its withdrawal."""
+    callers = traffic.callers
+    for forwarder in cluster.forwarders.values():
+        forwarder.end()
+        forwarder.start()
+    opened = callers.opened
+    if not wait_until(
+        lambda: callers.opened > opened + 20, timeout_s=RECOVERY_TIMEOUT_S
+    ):
+        problems.add("too few flows opened beside an evacuated zone", zone=zone)
+    if not operator.readmit(zone, callers):
+        problems.add("readmission not confirmed", zone=zone)
+        return
+    serving = [u for u in traffic.upstreams if u.zone == zone and u.is_serving]
+    before = sum(u.opening_packets for u in serving)
+    if serving and not wait_until(
+        lambda: sum(u.opening_packets for u in serving) > before,
+        timeout_s=RECOVERY_TIMEOUT_S,
+    ):
+        problems.add("no flow opened in a readmitted zone", zone=zone)
+
+
 def main():
     """Run seeds one after another; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -15,6 +15,8 @@
     "API_PORT",
     "PACKET_PORT",
     "STREAM_PORT",
+    "ZONES",
+    "FORWARDERS",
     "Cluster",
     "wait_until",
 ]
@@ -25,6 +27,8 @@
 ADVERTISED_GROUP, LISTEN_GROUP = 81, 82
 REPLICAS = 3
 FORWARDERS = 2
+#: Zones of upstreams; forwarders are in the first ones, replicas in the first.
+ZONES = ("zone-a", "zone-b", "zone-c")
 
 
 class Process:
@@ -91,7 +95,10 @@
         forwarder_hosts = [
             self.host(ADVERTISED_GROUP, 11 + n) for n in range(FORWARDERS)
         ]
-        self.forwarders = {host: self._forwarder(host) for host in forwarder_hosts}
+        self.forwarders = {
+            host: self._forwarder(host, zone)
+            for host, zone in zip(forwarder_hosts, ZONES, strict=False)
+        }
         self.processes = [*self.replicas.values(), *self.forwarders.values()]
 
     def host(self, group, number):
@@ -120,6 +127,7 @@
 api = {host}:{API_PORT}
 may_found = {may_found}
 heals_itself = true
+zones = {", ".join(ZONES)}
 [timing]
 heartbeat_ms = 200
 stream_timeout_ms = 1000
@@ -128,11 +136,11 @@
 """
         return self._process(f"replica-{host}", settings)
 
-    def _forwarder(self, host):
+    def _forwarder(self, host, zone):
         settings = f"""[daemon]
 name = {host}
 role = forwarder
-zone = zone-a
+zone = {zone}
 listen = {host}:{STREAM_PORT}
 seeds = {self.seeds}
 log_file = -
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,9 +4,10 @@
 import threading
 import time
 
+from soak.cluster import ZONES
 from soak.proxy import MODES, PASS
 
-__all__ = ["FAULTS", "Faults", "can_remove"]
+__all__ = ["FAULTS", "Faults", "can_evacuate", "can_remove"]
 
 #: Replicas lose their disks one at a time: each replacement needs this time to
 #: become a member.
@@ -20,13 +21,15 @@
 class Faults:
     """Inject faults at random times; some overlap."""
 
-    def __init__(self, *, cluster, callers, upstreams, random, kinds):
+    def __init__(self, *, cluster, callers, upstreams, operator, random, kinds):
         self._kinds = kinds
         self.cluster = cluster
         self.random = random
         self.injected = []
         self._callers = callers
         self._upstreams = upstreams
+        self._operator = operator
+        self._evacuation_lock = threading.Lock()
         self._last_wipe_s = -WIPE_INTERVAL_S
         self._threads = []
 
@@ -143,15 +146,29 @@
     def drain(self, _duration_s):
         """Drain one upstream, unless its service has no other."""
         upstream = self.random.choice(self._upstreams)
-        if can_remove(upstream, self._upstreams):
+        if can_remove(upstream, self._serving()):
             upstream.drain()
 
     def crash(self, _duration_s):
         """Stop one upstream without notice, unless its service has no other."""
         upstream = self.random.choice(self._upstreams)
-        if can_remove(upstream, self._upstreams):
+        if can_remove(upstream, self._serving()):
             upstream.crash()
 
+    def evacuate(self, duration_s):
+        """Evacuate one zone and readmit it, unless a service has no other upstream."""
+        with self._evacuation_lock:
+            zone = self.random.choice(ZONES)
+            if can_evacuate(zone, self._serving()):
+                self._operator.evacuate(zone, self._callers)
+                time.sleep(duration_s)
+                self._operator.readmit(zone, self._callers)
+
+    def _serving(self):
+        """Return the upstreams outside of zones that may be evacuated."""
+        evacuated = self._callers.evacuated_s
+        return [u for u in self._upstreams if u.zone not in evacuated]
+
 
 def can_remove(upstream, upstreams):
     """Return whether another upstream of the same service keeps serving."""
@@ -162,6 +179,12 @@
     )
 
 
+def can_evacuate(zone, upstreams):
+    """Return whether each service keeps an upstream that serves in another zone."""
+    left = {u.service for u in upstreams if u.is_serving and u.zone != zone}
+    return left == {upstream.service for upstream in upstreams}
+
+
 #: Methods by kinds of faults, the names that `--kinds` takes.
 FAULTS = {
     "kill replica": Faults.kill_replica,
@@ -176,4 +199,5 @@
     "crash": Faults.crash,
     "disk": Faults.disk,
     "clock": Faults.clock,
+    "evacuate": Faults.evacuate,
 }
--- a/soak/peers.py
+++ b/soak/peers.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "DRAIN_LIMIT_S",
+    "EVACUATION_LIMIT_S",
     "FAULT_FREE_S",
     "Callers",
     "Operator",
@@ -27,6 +28,8 @@
 FLOW_LIFETIME_S = 5.0
 #: Time after which a confirmed drain must keep new flows away, without faults.
 DRAIN_LIMIT_S = 3.0
+#: Time after which a confirmed evacuation must keep opening packets away.
+EVACUATION_LIMIT_S = 5.0
 #: Time after the last fault from which guarantees hold without exception.
 FAULT_FREE_S = 4.0
 CALL_TIMEOUT_S = 1.0
@@ -63,8 +66,11 @@
 class Upstream:
     """Accept flows, report its state, and check that received packets belong here."""
 
-    def __init__(self, *, name, service, address, callers, problems, client):
+    def __init__(self, *, name, service, zone, address, callers, problems, client):
         self.name = name
+        self.zone = zone
+        #: Number of opening packets received.
+        self.opening_packets = 0
         self.service = service
         self.callers = callers
         self.drain_confirmed_s = None
@@ -100,7 +106,7 @@
             body = {
                 "service": self.service,
                 "addr": f"{host}:{port}",
-                "zone": "zone-a",
+                "zone": self.zone,
                 "version": "v1",
                 "slots": 2,
                 "state": state,
@@ -135,7 +141,9 @@
         if self.callers.service_of(port) != self.service:
             self._problems.add("flow for another service", here=self.name, port=port)
         if flags & SYN:
+            self.opening_packets += 1
             self._check_drain(sport)
+            self._check_evacuation(sport)
             self._flows.add(sport)
             self._send(SYN | ACK, echo, flow[0], port)
         elif sport not in self._flows:
@@ -152,6 +160,16 @@
                 "new flow after a confirmed drain", here=self.name, flow=sport
             )
 
+    def _check_evacuation(self, sport):
+        confirmed_s = self.callers.evacuated_s.get(self.zone)
+        if confirmed_s is None:
+            return
+        grace_from_s = max(confirmed_s, self.callers.fault_free_since_s())
+        if time.monotonic() - grace_from_s > EVACUATION_LIMIT_S:
+            self._problems.add(
+                "new flow in an evacuated zone", here=self.name, flow=sport
+            )
+
     def _send(self, flags, echo, sport, port, body=b""):
         header = HEADER.pack(
             flags, 0, echo, len(body), 1, 0, sport, host_number(self.callers.host),
@@ -185,6 +203,9 @@
         self.opened = 0
         self.open_interval_s = 0.04
         self.upstreams = {}
+        #: Times of the confirmations by evacuated zone; None where an order was sent
+        #: whose outcome isn't known.
+        self.evacuated_s = {}
         self.faults_until_s = 0.0
         self._routes = routes
         self._forwarders = forwarders
@@ -357,6 +378,7 @@
     def __init__(self, *, client, make_document, problems, seed):
         self.confirmed = 0
         self.reads = 0
+        self.orders = 0
         self._client = client
         self._make_document = make_document
         self._problems = problems
@@ -404,6 +426,36 @@
         if status == 200:
             self._problems.add("invalid revision was confirmed")
 
+    def evacuate(self, zone, callers):
+        """Evacuate a zone; return whether that was confirmed."""
+        callers.evacuated_s[zone] = None
+        if not self._order("POST", zone):
+            return False
+        callers.evacuated_s[zone] = time.monotonic()
+        return True
+
+    def readmit(self, zone, callers):
+        """Readmit a zone; return whether that was confirmed."""
+        callers.evacuated_s[zone] = None
+        if not self._order("DELETE", zone):
+            return False
+        del callers.evacuated_s[zone]
+        return True
+
+    def _order(self, method, zone):
+        """Send an order twice, as a lost answer does; return whether it succeeded."""
+        for _ in range(30):
+            target = f"/-/evacuate/{zone}"
+            statuses = {self._client.request(method, target, None)[0] for _ in range(2)}
+            if statuses == {200}:
+                self.orders += 1
+                return True
+            if any(400 <= status < 500 for status in statuses):
+                self._problems.add("valid order was refused", method=method, zone=zone)
+                return False
+            time.sleep(0.05)
+        return False
+
     def _read(self):
         while self._running:
             self.read_once()
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -1,6 +1,6 @@
 """soak.traffic: Create the callers and upstreams of a run."""
 
-from soak.cluster import ADVERTISED_GROUP, API_PORT, PACKET_PORT
+from soak.cluster import ADVERTISED_GROUP, API_PORT, PACKET_PORT, ZONES
 from soak.peers import Callers, ReplicaClient, Upstream
 
 __all__ = ["Traffic"]
@@ -29,6 +29,7 @@
             self.callers.upstreams[host] = Upstream(
                 name=f"i-{number + 1:x}",
                 service=services[number % len(services)],
+                zone=ZONES[number // len(services) % len(ZONES)],
                 address=(host, UPSTREAM_PORT),
                 callers=self.callers,
                 problems=problems,
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -10,8 +10,11 @@
 from knapweeddeal import cmdline, commands, queries
 from knapweeddeal.messages import operator
 from knapweeddeal.messages.control import Replica, ServiceEntry
+from knapweeddeal.messages.evacuation import ZonesAnswer
+from knapweeddeal.messages.packets import NO_EVACUATIONS
 from knapweeddeal.messages.peer import RefusalRecord
 from knapweeddeal.render import as_json, as_lines
+from tests.test_evacuations import EVACUATIONS
 
 #: Control replica with an address that refuses connections.
 NO_LISTENER = "a=127.0.0.1:1"
@@ -215,6 +218,11 @@
                 ["caller 127.0.0.1:5", "by e1: overloaded", "1970-01-01T00:00:00"],
             ),
             (operator.RefusalsAnswer(records=[]), ["no refusals"]),
+            (
+                ZonesAnswer(evacuations=EVACUATIONS),
+                ["version 4", "zone-x evacuated since 1970-01-01T00:00:00", "by ana"],
+            ),
+            (ZonesAnswer(evacuations=NO_EVACUATIONS), ["no zone is evacuated"]),
             (operator.DumpAnswer(text='{"a": [1]}'), ['"a"']),
         )
     ]
--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -14,6 +14,7 @@
     Replica,
     VoteAnswer,
 )
+from knapweeddeal.messages.evacuation import EvacuateRequest, ZonesRequest
 from knapweeddeal.messages.operator import (
     ConfirmRequest,
     FailureAnswer,
@@ -33,6 +34,7 @@
 ELECTION_MS = 100
 PLAN_LIFE_MS = 1_000
 SNAPSHOT_RECORDS = 10
+READMIT = EvacuateRequest(operator="ana", request_id="", zone="zone-a", evacuated=False)
 
 
 def replica_of(identity):
@@ -181,6 +183,9 @@
             ("services", ServicesRequest()),
             ("replicas", ReplicasRequest()),
             ("plan", plan_request()),
+            ("zones", ZonesRequest()),
+            # Not confirmed by what this replica knows: a later order may be missing.
+            ("order that changes nothing here", READMIT),
         )
     ]
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -14,14 +14,18 @@
     ControlState,
     DirectoryAck,
     DirectoryBatch,
+    Evacuation,
+    Evacuations,
     ForwarderHello,
     PacketConfiguration,
     PacketHints,
     RoutesPush,
     RoutesRequest,
     UpstreamsPush,
+    ZonesPush,
 )
 from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packetevents import (
     ForwarderDisconnected,
@@ -44,11 +48,17 @@
 
     def __init__(self):
         self.sent = []
+        self.has_room = True
+
+    def make_room(self):
+        """Accept messages from now on."""
+        self.has_room = True
 
     async def offer(self, message):
-        """Record a message."""
-        self.sent.append(message)
-        return True
+        """Record a message, unless there is no room."""
+        if self.has_room:
+            self.sent.append(message)
+        return self.has_room
 
     def messages_of(self, kind):
         """Return the sent messages of a class."""
@@ -95,6 +105,9 @@
                 if event == "wait":
                     await curio.sleep(TICK_INTERVAL_MS * 1.2 / 1000)
                     continue
+                if callable(event):
+                    event()
+                    continue
                 await queue.put(event)
                 await curio.sleep(0.005)
             await curio.sleep(wait_s)
@@ -365,6 +378,78 @@
         self.assertTrue(last.states[-1].failing)
 
 
+def evacuations(version, *zones):
+    """Return evacuations of some zones."""
+    return Evacuations(
+        version=version,
+        zones=[Evacuation(zone=zone, since_ms=1, operator="ana") for zone in zones],
+    )
+
+
+class PushedEvacuations(testscenarios.TestWithScenarios, HubTest):
+    """A forwarder gets the highest version known, and never a lower one after it.
+
+    The log of a replica that restarted is behind its hints until it caught up.
+    """
+
+    scenarios = [
+        ("no order yet", {"before": (0, []), "logged": [(0, [])], "versions": []}),
+        ("log behind", {"before": (5, ["b"]), "logged": [(3, ["a"])], "versions": [5]}),
+        (
+            "log ahead",
+            {"before": (5, ["b"]), "logged": [(3, []), (6, [])], "versions": [5, 6]},
+        ),
+        ("no hints", {"before": (0, []), "logged": [(1, ["b"])], "versions": [1]}),
+    ]
+
+    def test_versions(self):
+        outbox, (version, zones) = RecordingOutbox(), self.before
+        hints = RestoredHints.HINTS.replace(evacuations=evacuations(version, *zones))
+        logged = [
+            self.replicated(7, route(), evacuations=evacuations(version, *zones))
+            for version, zones in self.logged
+        ]
+        hint_file = self.run_hub(self.subscribe(outbox), *logged, hints=hints)
+        pushed = [push.version for push in outbox.messages_of(ZonesPush)]
+        self.assertEqual(self.versions, pushed)
+        kept = hint_file.collected.evacuations.version
+        self.assertEqual(max([0, *self.versions]), kept)
+
+
+class EvacuationOrder(HubTest):
+    """A forwarder that knows upstreams must know which zones are evacuated."""
+
+    def test_before_upstreams(self):
+        outbox = RecordingOutbox()
+        event = self.replicated(3, route(), evacuations=evacuations(1, "zone-b"))
+        self.run_hub(event, self.subscribe(outbox))
+        kinds = (ZonesPush, RoutesPush, UpstreamsPush)
+        self.assertEqual(list(kinds), list(map(type, outbox.messages_of(kinds))))
+
+    def test_told_by_another_replica(self):
+        """A replica whose log waits for its disk pushes what others committed."""
+        outbox, replica = RecordingOutbox(), RecordingOutbox()
+        told = evacuations(2, "zone-b")
+        self.run_hub(self.link(replica), self.subscribe(outbox), told)
+        self.assertEqual([2], [p.version for p in outbox.messages_of(ZonesPush)])
+        self.assertEqual([told], replica.messages_of(Evacuations))
+
+    def test_full_outbox(self):
+        """A push that found no room follows with the next heartbeat."""
+        outbox = RecordingOutbox()
+        heartbeat = ForwarderMessageReceived(message=Heartbeat(), outbox=outbox)
+        outbox.has_room = False
+        self.run_hub(
+            self.subscribe(outbox),
+            evacuations(2, "zone-b"),
+            heartbeat,
+            outbox.make_room,
+            heartbeat,
+            heartbeat,
+        )
+        self.assertEqual(1, len(outbox.messages_of(ZonesPush)))
+
+
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get the last stored hints."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,9 +6,12 @@
 import testscenarios
 import testtools
 
+from knapweeddeal.commandrecords import command_record
 from knapweeddeal.configurationstate import ConfigurationState, failure_answer
+from knapweeddeal.controlqueries import local_answer
 from knapweeddeal.errors import KnapweeddealError, NoQuorumError, NotLeaderError
 from knapweeddeal.httpserver import HttpRequest
+from knapweeddeal.messages.evacuation import EvacuateRequest
 from knapweeddeal.messages.packets import (
     DRAINING,
     GONE,
@@ -247,6 +250,7 @@
 
     def __init__(self, *, error=None):
         self.state = ConfigurationState()
+        self.zones = ("zone-a", "zone-b")
         self.table = UpstreamTable(own_identity=1, report_ms=1_000)
         self.error = error
         self.events = curio.Queue()
@@ -262,11 +266,9 @@
         """Answer an operator's message as a leader does."""
         if self.error is not None:
             return failure_answer(self.error)
-        if isinstance(message, PublishRequest):
-            record = PublishRecord(
-                operator="", request_id="", configuration=message.configuration
-            )
-            return self.state.apply(1, record)
+        if isinstance(message, (EvacuateRequest, PublishRequest)):
+            record = command_record(message, None, wall_ms=0)
+            return local_answer(message, self) or self.state.apply(1, record)
         assert isinstance(message, PublishedRoutesRequest)
         return PublishedAnswer(configuration=self.state.packets)
 
@@ -304,6 +306,8 @@
     GET = ("GET", "/-/config", b"")
     REPORT = ("PUT", "/-/instances/i-1", REPORT)
     DEPARTURE = ("DELETE", "/-/instances/i-1", b"")
+    EVACUATE = ("POST", "/-/evacuate/zone-a", b"")
+    READMIT = ("DELETE", "/-/evacuate/zone-a", b"")
 
     scenarios = [
         ("publish three times", {"calls": [PUT, PUT, PUT], "statuses": [200] * 3}),
@@ -324,6 +328,19 @@
         ),
         ("unknown path", {"calls": [("GET", "/", b"")], "statuses": [404]}),
         ("wrong method", {"calls": [("POST", "/-/config", b"")], "statuses": [405]}),
+        (
+            "repeated orders",
+            {"calls": [EVACUATE, EVACUATE, READMIT, READMIT], "statuses": [200] * 4},
+        ),
+        (
+            "unknown zone",
+            {"calls": [("POST", "/-/evacuate/zone-q", b"")], "statuses": [400]},
+        ),
+        ("no zone", {"calls": [("POST", "/-/evacuate/", b"")], "statuses": [400]}),
+        (
+            "wrong method for an order",
+            {"calls": [("PUT", "/-/evacuate/zone-a", b"")], "statuses": [405]},
+        ),
         (
             "follower",
             {
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,13 @@
             ("no role", ENTRY, "role = entry", "", ["[daemon] role"]),
             ("unknown role", ENTRY, "role = entry", "role = king", ["role", "king"]),
             ("space in name", ENTRY, "entry-1", "entry 1", ["name", "entry 1"]),
+            (
+                "space in a listed zone",
+                CONTROL,
+                "data_folder = data",
+                "data_folder = data\nzones = zone-a, zone b",
+                ["[control] zones", "zone b"],
+            ),
             ("long name", ENTRY, "entry-1", "e" * 65, ["[daemon] name"]),
             ("address without port", ENTRY, ":7000", "", ["listen", "127.0.0.1"]),
             (
