--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -37,27 +37,21 @@
     """An order that is sent again after a lost answer must not have a second effect."""
 
     def test_versions(self):
+        by_ben = order("b", operator="ben", request_id="r1")
         orders = [
             (order("a", now_ms=5), 1),
             (order("a", now_ms=6, operator="ben"), 1),
-            (order("b", operator="ben", request_id="r1"), 2),
-            (order("a", evacuated=False), 3),
-            (order("a", evacuated=False), 3),
-            (order("b", evacuated=False), 4),
-            # The withdrawn order once more: answered, without an effect.
-            (order("b", operator="ben", request_id="r1", now_ms=9), 2),
+            (by_ben, 2),
+            (order("b", evacuated=False), 3),
+            (order("b", evacuated=False), 3),
+            (by_ben.replace(ordered_ms=9), 2),
         ]
         self.assertEqual(
             [version for _, version in orders],
             [self.apply(record).version for record, _ in orders],
         )
-        self.assertEqual([], self.state.evacuations.zones)
-
-    def test_first_operator_kept(self):
-        self.apply(order("a", now_ms=5))
-        self.apply(order("a", now_ms=6, operator="ben"))
-        (evacuation,) = self.state.evacuations.zones
-        self.assertEqual((5, "api"), (evacuation.since_ms, evacuation.operator))
+        first = Evacuation(zone="a", since_ms=5, operator="api")
+        self.assertEqual([first], self.state.evacuations.zones)
 
     def test_image_of_earlier_version(self):
         """A snapshot without evacuations must stay readable after an update."""
@@ -120,19 +114,14 @@
         sent = self.targets(harness, syn(), syn(copy=1), syn(port=9))
         self.assertEqual([("10.0.0.2", 80)] * 3, sent)
 
-    def test_hedge(self):
-        harness = self.harness()
-        self.targets(harness, syn())
-        self.evacuate(harness, 1, "zone-b")
-        out = []
-        harness.forwarder.send_due_hedges(100, out)
-        self.assertEqual([], out)
-
     def test_not_the_last_resort(self):
-        """If all other upstreams are avoided, one of them is still selected."""
+        """Neither a hedge nor a SYN goes there if all others are avoided."""
         harness = self.harness(silent=True)
         self.evacuate(harness, 1, "zone-a")
         self.assertEqual([("10.0.0.2", 80)], self.targets(harness, syn()))
+        out = []
+        harness.forwarder.send_due_hedges(100, out)
+        self.assertEqual([], out)
 
     def test_no_other_upstream(self):
         """The SYN is reset at once, also by a forwarder without a leader."""
@@ -142,18 +131,13 @@
         self.targets(harness, syn())
         self.assertEqual("zone evacuated", harness.log.lines[-1][1]["reason"])
 
-    def test_lower_version(self):
-        """A replica that lags behind must not undo a later order."""
-        harness = self.harness()
-        self.evacuate(harness, 3, "zone-a")
-        self.assertFalse(self.evacuate(harness, 2))
-        self.assertEqual([("10.0.0.2", 80)], self.targets(harness, syn()))
-
     def test_readmitted_is_cold(self):
         """A later report without `cold_ms` doesn't end the time as cold."""
         harness = self.harness()
         self.evacuate(harness, 1, "zone-a", now_ms=0)
-        self.evacuate(harness, 2, now_ms=10_000)
+        self.evacuate(harness, 3, now_ms=10_000)
+        # A replica that lags behind doesn't undo a later order.
+        self.assertFalse(self.evacuate(harness, 2, "zone-a", "zone-b"))
         harness.pool.apply_states([state(1, sequence=5)], 10_100, current=True)
         cold = {u.state.upstream_id: u.cold_until_ms for u in harness.pool.all()}
         self.assertEqual({"i-1": 12_000, "i-2": 0}, cold)
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -5,6 +5,7 @@
 import testtools
 from testtools.matchers import LessThan
 
+from knapweeddeal import packethub
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import (
     DRAINING,
@@ -37,7 +38,7 @@
 from knapweeddeal.packethub import TICK_INTERVAL_MS, PacketHub
 from knapweeddeal.packetroutes import pack_route_keys
 from knapweeddeal.replicalink import LinkDown, LinkUp
-from tests.packetfakes import route, state
+from tests.packetfakes import QuietLog, route, state
 
 OWN = Replica(name="own", identity=1, host="10.0.0.1", port=1)
 OTHER = Replica(name="other", identity=2, host="10.0.0.2", port=1)
@@ -48,17 +49,16 @@
 
     def __init__(self):
         self.sent = []
-        self.has_room = True
-
-    def make_room(self):
-        """Accept messages from now on."""
-        self.has_room = True
+        #: Class of which the next message is refused, as if the queue were full.
+        self.refused = None
 
     async def offer(self, message):
-        """Record a message, unless there is no room."""
-        if self.has_room:
-            self.sent.append(message)
-        return self.has_room
+        """Record a message unless it is refused."""
+        if type(message) is self.refused:
+            self.refused = None
+            return False
+        self.sent.append(message)
+        return True
 
     def messages_of(self, kind):
         """Return the sent messages of a class."""
@@ -105,9 +105,6 @@
                 if event == "wait":
                     await curio.sleep(TICK_INTERVAL_MS * 1.2 / 1000)
                     continue
-                if callable(event):
-                    event()
-                    continue
                 await queue.put(event)
                 await curio.sleep(0.005)
             await curio.sleep(wait_s)
@@ -393,61 +390,55 @@
     """
 
     scenarios = [
-        ("no order yet", {"before": (0, []), "logged": [(0, [])], "versions": []}),
-        ("log behind", {"before": (5, ["b"]), "logged": [(3, ["a"])], "versions": [5]}),
-        (
-            "log ahead",
-            {"before": (5, ["b"]), "logged": [(3, []), (6, [])], "versions": [5, 6]},
-        ),
-        ("no hints", {"before": (0, []), "logged": [(1, ["b"])], "versions": [1]}),
+        ("no order yet", {"before": 0, "logged": [0], "pushed": []}),
+        ("log behind the hints", {"before": 5, "logged": [3], "pushed": [5]}),
+        ("log ahead of the hints", {"before": 5, "logged": [3, 6], "pushed": [5, 6]}),
+        ("no hints", {"before": 0, "logged": [1], "pushed": [1]}),
     ]
 
     def test_versions(self):
-        outbox, (version, zones) = RecordingOutbox(), self.before
-        hints = RestoredHints.HINTS.replace(evacuations=evacuations(version, *zones))
-        logged = [
-            self.replicated(7, route(), evacuations=evacuations(version, *zones))
-            for version, zones in self.logged
-        ]
+        outbox = RecordingOutbox()
+        hints = RestoredHints.HINTS.replace(evacuations=evacuations(self.before))
+        logged = [self.replicated(7, evacuations=evacuations(v)) for v in self.logged]
         hint_file = self.run_hub(self.subscribe(outbox), *logged, hints=hints)
-        pushed = [push.version for push in outbox.messages_of(ZonesPush)]
-        self.assertEqual(self.versions, pushed)
+        self.assertEqual(
+            self.pushed, [p.version for p in outbox.messages_of(ZonesPush)]
+        )
         kept = hint_file.collected.evacuations.version
-        self.assertEqual(max([0, *self.versions]), kept)
+        self.assertEqual(max([0, *self.pushed]), kept)
 
 
-class EvacuationOrder(HubTest):
+class EvacuationPushes(HubTest):
     """A forwarder that knows upstreams must know which zones are evacuated."""
 
     def test_before_upstreams(self):
         outbox = RecordingOutbox()
-        event = self.replicated(3, route(), evacuations=evacuations(1, "zone-b"))
+        event = self.replicated(3, route(), evacuations=evacuations(1))
         self.run_hub(event, self.subscribe(outbox))
         kinds = (ZonesPush, RoutesPush, UpstreamsPush)
         self.assertEqual(list(kinds), list(map(type, outbox.messages_of(kinds))))
 
     def test_told_by_another_replica(self):
-        """A replica whose log waits for its disk pushes what others committed."""
-        outbox, replica = RecordingOutbox(), RecordingOutbox()
-        told = evacuations(2, "zone-b")
-        self.run_hub(self.link(replica), self.subscribe(outbox), told)
+        """A replica whose log waits for its disk pushes what others committed.
+
+        The push finds a full outbox and follows with the next heartbeat.
+        """
+        outbox, replica, told = RecordingOutbox(), RecordingOutbox(), evacuations(2)
+        outbox.refused = ZonesPush
+        heartbeat = ForwarderMessageReceived(message=Heartbeat(), outbox=outbox)
+        events = [self.link(replica), self.subscribe(outbox), told]
+        self.run_hub(*events, heartbeat, heartbeat)
         self.assertEqual([2], [p.version for p in outbox.messages_of(ZonesPush)])
         self.assertEqual([told], replica.messages_of(Evacuations))
 
-    def test_full_outbox(self):
-        """A push that found no room follows with the next heartbeat."""
-        outbox = RecordingOutbox()
-        heartbeat = ForwarderMessageReceived(message=Heartbeat(), outbox=outbox)
-        outbox.has_room = False
-        self.run_hub(
-            self.subscribe(outbox),
-            evacuations(2, "zone-b"),
-            heartbeat,
-            outbox.make_room,
-            heartbeat,
-            heartbeat,
-        )
-        self.assertEqual(1, len(outbox.messages_of(ZonesPush)))
+    def test_last_zone(self):
+        """The operator is warned that no other zone has an upstream."""
+        log = QuietLog()
+        self.patch(packethub, "log", log)
+        report = UpstreamReported(state=state(), reply=curio.Queue())
+        self.run_hub(report, evacuations(1, "zone-q"), evacuations(2, "zone-a"))
+        warnings = [fields for text, fields in log.lines if "every zone" in text]
+        self.assertEqual([{"evacuated": ["zone-a"]}], warnings)
 
 
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
