Encode a push of evacuated zones once for all forwarders

A replica encoded it for each of its forwarders, as many as 1,500 in the largest planned system. The push is now encoded with each version, as pushes of routes are.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -99,6 +99,7 @@
         "_full_push",
         "_full_push_ms",
         "_zone",
+        "_zones_push",
     )
 
     def __init__(self, *, own_replica, zone, report_ms, events, metrics, hints):
@@ -114,6 +115,8 @@
         self._configuration = None
         #: The evacuations of the highest version that is known here.
         self._evacuations = NO_EVACUATIONS
+        #: The encoded push of their zones.
+        self._zones_push = None
         self._current = False
         self._state_received_ms = 0
         self._replicas = [own_replica]
@@ -181,7 +184,7 @@
         for state in hints.states:
             self._table.apply_state(_to_hint(state, home), now_ms)
         self._table.pop_unsent(self._table.states(now_ms))
-        self._evacuations = hints.evacuations
+        self._adopt_evacuations(hints.evacuations)
         if hints.revision:
             self._configuration = PacketConfiguration(
                 revision=hints.revision,
@@ -370,7 +373,7 @@
         """
         if evacuations.version <= self._evacuations.version:
             return
-        self._evacuations = evacuations
+        self._adopt_evacuations(evacuations)
         self._metrics.count("evacuation_changes")
         for outbox in self._forwarders:
             await self._push_zones(outbox)
@@ -378,6 +381,13 @@
         await self._hints.mark_dirty()
         self._log_evacuations()
 
+    def _adopt_evacuations(self, evacuations):
+        self._evacuations = evacuations
+        push = ZonesPush(
+            version=evacuations.version, zones=evacuated_names(evacuations)
+        )
+        self._zones_push = EncodedMessage(message=push)
+
     def _log_evacuations(self):
         """Log the evacuated zones, as a warning if no other zone has an upstream."""
         evacuated = evacuated_names(self._evacuations)
@@ -426,8 +436,7 @@
         forwarder, version = self._forwarders[outbox], self._evacuations.version
         if forwarder.evacuation_version == version:
             return
-        push = ZonesPush(version=version, zones=evacuated_names(self._evacuations))
-        if await outbox.offer(push):
+        if await outbox.offer(self._zones_push):
             forwarder.evacuation_version = version
 
     async def _send_to_replicas(self, message):
