Retry opening the data folder while the disk is full

Cause: soak kills all processes while a disk fault is active. A replica whose start met ENOSPC ended with disk_failed, and nobody started it again: two of three replicas were down, so there was no leader, no read and no confirmation. Writes that fail later were retried already.

A failed opening releases the lock.

FullDisksAtStart.test_change failed before the change. Skipping the manifest's write at the start when nothing changed was tried and dropped: a written but unsynced switch of files would then never be synced before the old files are removed.

--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -11,6 +11,7 @@
 from knapweeddeal.controlevents import SeedsChanged, StopRequest
 from knapweeddeal.controlstreams import ControlStreams
 from knapweeddeal.directoryhints import HintFile
+from knapweeddeal.disk import open_when_writable
 from knapweeddeal.errors import BadSettingError, DiskFailedError, KnapweeddealError
 from knapweeddeal.httpserver import serve_http
 from knapweeddeal.journal import Journal
@@ -40,7 +41,7 @@
 
     Raises CorruptStorageError, DiskFailedError or BadSettingError.
     """
-    folder, journal = _open_files(settings)
+    folder, journal = await _open_files(settings)
     try:
         await _run_tasks(settings, folder, journal)
     finally:
@@ -48,10 +49,10 @@
         journal.close()
 
 
-def _open_files(settings):
+async def _open_files(settings):
     try:
-        folder = DataFolder(path=settings.data_folder, new_identity=_new_identity)
-        journal = Journal(path=Path(settings.data_folder) / JOURNAL_NAME)
+        folder = await open_when_writable(_open_folder, settings.data_folder)
+        journal = await open_when_writable(_open_journal, settings.data_folder)
     except OSError as error:
         raise DiskFailedError(
             error.strerror or str(error), field="data_folder", value=error.filename
@@ -64,6 +65,14 @@
     return folder, journal
 
 
+def _open_folder(path):
+    return DataFolder(path=path, new_identity=_new_identity)
+
+
+def _open_journal(path):
+    return Journal(path=Path(path) / JOURNAL_NAME)
+
+
 class _EventFanOut:
     """Put each event into several queues."""
 
--- a/knapweeddeal/storage.py
+++ b/knapweeddeal/storage.py
@@ -49,9 +49,13 @@
         self._lock = self._acquire_lock()
         #: Whether a write failed, so that the log file may end in a torn record.
         self._log_may_be_torn = False
-        if not self._has_identity():
-            self._create(new_identity())
-        self._open()
+        try:
+            if not self._has_identity():
+                self._create(new_identity())
+            self._open()
+        except OSError:
+            self._lock.close()
+            raise
 
     def close(self):
         """Close the files and release the lock on the folder."""
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -441,6 +441,27 @@
             self.group.daemons[name].set_faults()
 
 
+class FullDisksAtStart(GroupTest):
+    """Replicas that start on full disks serve as soon as there is room.
+
+    They ended instead, so that a kill of all with full disks left the log without a
+    leader until an operator started them again (soak seed 4069013408).
+    """
+
+    def test_change(self):
+        group = self.start_group(fault_injection=True)
+        self.change(1)
+        for daemon in group.daemons.values():
+            daemon.kill()
+            daemon.set_faults(full=True)
+            daemon.start()
+        time.sleep(1.0)
+        for daemon in group.daemons.values():
+            self.assertIs(None, daemon.process.poll(), daemon.errors())
+            daemon.set_faults()
+        self.assertEqual(2, self.change(2))
+
+
 class PausedWithSlowDisks(testscenarios.TestWithScenarios, GroupTest):
     """Changes succeed after a pause of all VMs with slow disks.
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -3,7 +3,7 @@
 import curio
 import testtools
 
-from knapweeddeal.disk import retry_until_done, run_blocking
+from knapweeddeal.disk import open_when_writable, retry_until_done, run_blocking
 from knapweeddeal.errors import DiskFailedError
 
 
@@ -38,3 +38,25 @@
 
         self.assertEqual("written", curio.run(retry_until_done, write))
         self.assertEqual(3, len(attempts))
+
+
+class OpenWhenWritable(testtools.TestCase):
+    """A full disk delays the start; any other error ends it, as waiting won't help."""
+
+    def test_full(self):
+        attempts = []
+
+        def open_files():
+            attempts.append(len(attempts))
+            if len(attempts) < 3:
+                fail()
+            return "opened"
+
+        self.assertEqual("opened", curio.run(open_when_writable, open_files))
+        self.assertEqual(3, len(attempts))
+
+    def test_other_error(self):
+        def open_files():
+            raise PermissionError(13, "Permission denied")
+
+        self.assertRaises(PermissionError, curio.run, open_when_writable, open_files)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -331,5 +331,28 @@
         self.assertEqual(2, len(self.reopen(folder).records))
 
 
+class FullDiskAtStart(FolderTest):
+    """Opening that failed on a full disk releases the lock and can be repeated.
+
+    The start is retried in the same process, which a lock that stays would prevent.
+    """
+
+    def test_retry(self):
+        folder = self.open()
+        folder.append([record(1)], commit_index=1)
+        folder.close()
+        real = os.fdatasync
+        os.fdatasync = _fail_write
+        self.addCleanup(setattr, os, "fdatasync", real)
+        try:
+            self.open()
+        except OSError as error:
+            # The error refers to the folder, as one that is being handled does.
+            failure = error
+            os.fdatasync = real
+            self.assertEqual(1, self.open().commit_index)
+        self.assertEqual(28, failure.errno)
+
+
 def _fail_write(*_arguments):
     raise OSError(28, "No space left on device")
