Ask forwarders where a new flow would go: `knapweeddeal where`

Cause: why a flow went to an upstream could only be read from logs afterwards; where the next one would go, and why, could not be asked.

Change: the decision on a SYN is a query, `Forwarder.decide_syn`, which takes the source of random numbers; the SYN path acts on its result. `dryrun` runs the same query with a copy of the forwarder's source and describes it: route, revision, shares, candidates in order with marks and figures with their ages, the reason for the first one, admission. Messages have tags 230 to 233. Parts that add reasons extend `MARKS`, `FIGURES`, `RANK_REASONS`, `Forwarder._refusal` and `SELECTION_REFUSALS`. `--at` takes several forwarders; a failing one is shown with its error.

--- a/demo/packets.py
+++ b/demo/packets.py
@@ -46,6 +46,23 @@
     return done.returncode == 0
 
 
+def show_where(cluster, callers):
+    """Ask all forwarders where a flow would go; return whether all answered."""
+    host = callers.address[0]
+    port = next(iter(ROUTES))
+    forwarders = ",".join(f"{name}:{STREAM_PORT}" for name in cluster.forwarders)
+    done = subprocess.run(
+        [sys.executable, "-m", "knapweeddeal.cmdline", "where", f"{host}:1105"]
+        + ["--route", f"{SERVICE_HOST}:{port}", "--at", forwarders],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    print(f"where:\n{(done.stdout + done.stderr).rstrip()}")
+    return done.returncode == 0
+
+
 def run():
     """Run, report, and return whether all guarantees held."""
     began_s = time.monotonic()
@@ -64,6 +81,7 @@
         cluster.start()
         done = wait_until(lambda: publish(cluster), timeout_s=START_TIMEOUT_S)
         done = done and _run_traffic(cluster, callers)
+        done = done and show_where(cluster, callers)
     finally:
         traffic.close()
         cluster.close(keep=False)
--- a/knapweeddeal/cmdline.py
+++ b/knapweeddeal/cmdline.py
@@ -12,13 +12,18 @@
 
 from knapweeddeal import __version__
 from knapweeddeal.commands import COMMANDS
-from knapweeddeal.controlclient import collect_refusals, request_leader, request_one
+from knapweeddeal.controlclient import (
+    collect_refusals,
+    request_each,
+    request_leader,
+    request_one,
+)
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.messages.operator import RefusalsAnswer
-from knapweeddeal.operation import parse_address_argument
+from knapweeddeal.operation import parse_address_argument, parse_addresses_argument
 from knapweeddeal.options import peers_option
 from knapweeddeal.queries import QUERIES
-from knapweeddeal.render import as_json, as_lines
+from knapweeddeal.render import as_json, as_lines, error_json
 
 __all__ = ["main"]
 
@@ -96,7 +101,7 @@
         print(as_json(answer) if options.json else "\n".join(as_lines(answer)))
     except BrokenPipeError:
         sys.stderr.close()
-    return 0
+    return getattr(answer, "exit_status", 0)
 
 
 async def _run(options):
@@ -104,6 +109,9 @@
     if operation.is_offline:
         return operation.run_offline(options)
     message = operation.build_request(options)
+    if operation.queries_each_process:
+        addresses = parse_addresses_argument("--at", options.at)
+        return await request_each(addresses, message, timeout_ms=options.timeout_ms)
     if getattr(options, "at", ""):
         address = parse_address_argument("--at", options.at)
         return await request_one(address, message, timeout_ms=options.timeout_ms)
@@ -128,13 +136,7 @@
 
 def _report(options, error):
     if options.json:
-        failure = {
-            "code": error.code,
-            "text": error.text,
-            "field": error.field,
-            "value": error.value,
-        }
-        print(json.dumps(failure))
+        print(json.dumps(error_json(error)))
     print(f"knapweeddeal: {error}", file=sys.stderr)
     if options.operation in COMMANDS:
         print(
--- a/knapweeddeal/controlclient.py
+++ b/knapweeddeal/controlclient.py
@@ -18,6 +18,8 @@
 __all__ = [
     "RefusalSearchResult",
     "LeaderSearch",
+    "ProcessAnswers",
+    "request_each",
     "request_leader",
     "request_one",
     "collect_refusals",
@@ -74,6 +76,46 @@
     return answer
 
 
+class ProcessAnswer(Record):
+    """Hold the answer of one process, or its error."""
+
+    __slots__ = ("address", "answer", "error")
+
+
+class ProcessAnswers(Record):
+    """Hold the answers of several processes, in the order of the request."""
+
+    __slots__ = ("answers",)
+
+    @property
+    def exit_status(self):
+        """Return the exit status of the first error, or 0."""
+        errors = [one.error for one in self.answers if one.error is not None]
+        return errors[0].exit_status if errors else 0
+
+
+async def request_each(addresses, message, *, timeout_ms):
+    """Return the answers and errors of several processes; raise if all have one."""
+    async with curio.TaskGroup() as group:
+        tasks = [
+            await group.spawn(_answer_or_error, address, message, timeout_ms)
+            for address in addresses
+        ]
+    answers = []
+    for address, task in zip(addresses, tasks, strict=True):
+        failed = isinstance(task.result, KnapweeddealError)
+        answers.append(
+            ProcessAnswer(
+                address="{}:{}".format(*address),
+                answer=None if failed else task.result,
+                error=task.result if failed else None,
+            )
+        )
+    if all(one.error is not None for one in answers):
+        raise answers[0].error
+    return ProcessAnswers(answers=answers)
+
+
 class RefusalSearchResult(Record):
     """Hold the refusals found and the addresses of the replicas that failed."""
 
--- /dev/null
+++ b/knapweeddeal/dryrun.py
@@ -0,0 +1,243 @@
+"""knapweeddeal.dryrun: Where a forwarder would send a new flow now, and why.
+
+This module does no I/O and changes nothing: it runs the decision of the SYN path
+(`Forwarder.decide_syn`) with a copy of the random source and describes the result.
+"""
+
+import random as random_module
+
+from knapweeddeal.errors import BadMessageError, NoRouteError
+from knapweeddeal.messages.operator import WhereAnswer, WhereCandidate, WhereFigure
+from knapweeddeal.messages.packets import NO_ROUTE_TERMS, ROUTE_KEY_BYTES, ServiceShare
+from knapweeddeal.packetforwarder import SELECTION_REFUSALS, UNKNOWN_UPSTREAMS
+from knapweeddeal.packetheader import flow_key
+from knapweeddeal.packetupstreams import OTHER_ZONE_PENALTY, RANK_REASONS
+
+__all__ = ["FIGURES", "MARKS", "copy_of_source", "where"]
+
+ADMITTED = "admitted"
+#: Answer to a SYN that is held until routes and upstreams are known.
+HELD_REASON = "routes or upstreams aren't known yet"
+#: Reasons for the first candidate besides `RANK_REASONS`.
+ONLY_CANDIDATE = "the only candidate"
+ONLY_IN_ZONE = f"the only one in this zone, with a load below {OTHER_ZONE_PENALTY:g}"
+DUPLICATE = "the first SYN of this flow was sent there and isn't answered yet"
+OWN_ZONE = "in this zone; the next one has less load, in another zone"
+TIE = "a random number broke the tie with the next one"
+
+MILLI = 1_000
+MAX_VALUE_MILLI = 2**63
+
+#: What counts against an upstream: each name with a query of (upstream, now_ms).
+MARKS = (
+    ("other zone", lambda upstream, now_ms: not upstream.is_same_zone),
+    ("cold", lambda upstream, now_ms: upstream.is_cold(now_ms)),
+    ("no answer to a SYN", lambda upstream, now_ms: upstream.is_suspect(now_ms)),
+    ("silent", lambda upstream, now_ms: upstream.state.silent),
+    ("failing", lambda upstream, now_ms: upstream.state.failing),
+)
+#: Marks of upstreams that are avoided: chosen only if all others are avoided too.
+AVOIDED = "avoided"
+#: Mark of upstreams that this flow's earlier SYNs were sent to.
+TRIED = "tried"
+
+#: Figures of an upstream: each name with a query of (upstream, now_ms) that returns
+#: the value and when it was received or counted, or None if there is none.
+FIGURES = (
+    ("load", lambda upstream, now_ms: (upstream.load_per_slot(now_ms), now_ms)),
+    ("score", lambda upstream, now_ms: (upstream.score(now_ms), now_ms)),
+    ("open_flows", lambda upstream, now_ms: (upstream.open_flows, now_ms)),
+    ("slots", lambda upstream, now_ms: (upstream.state.slots, upstream.state_ms)),
+    (
+        "cold_ms",
+        lambda upstream, now_ms: (
+            (upstream.cold_until_ms - now_ms, upstream.state_ms)
+            if upstream.is_cold(now_ms)
+            else None
+        ),
+    ),
+)
+
+
+def copy_of_source(random):
+    """Return a source that gives the next numbers of a source, which stays as it is.
+
+    `random` is the method of a `random.Random`; any other function is returned as is.
+    """
+    source = getattr(random, "__self__", None)
+    if not isinstance(source, random_module.Random):
+        return random
+    copy = random_module.Random()
+    copy.setstate(source.getstate())
+    return copy.random
+
+
+def where(request, *, forwarder, routes, pool, backlog_ms, random, now_ms):
+    """Return what the next SYN of a new flow would get; `random` gives its numbers.
+
+    Raise NoRouteError, or BadMessageError for an address that isn't IPv4.
+    """
+    caller = (request.caller_host, request.caller_port)
+    address = (request.route_host, request.route_port)
+    try:
+        key = flow_key(caller, address)
+    except OSError:
+        raise BadMessageError(
+            "expected IPv4 addresses", field="flow", value=_flow_text(caller, address)
+        ) from None
+    answer = WhereAnswer(
+        flow=_flow_text(caller, address),
+        zone=pool.zone,
+        revision=routes.revision,
+        current=forwarder.has_leader,
+        terms=NO_ROUTE_TERMS,
+        shares=[],
+        admission="",
+        outcome="held",
+        reason=HELD_REASON,
+        service="",
+        upstream="",
+        backlog_ms=round(backlog_ms),
+        candidates=[],
+        more=0,
+    )
+    if forwarder.is_holding:
+        return answer
+    route = routes.get(key[:ROUTE_KEY_BYTES])
+    if route is None:
+        raise _no_route(key, address, routes, forwarder)
+    ranked = []
+    decision = forwarder.decide_syn(key, 0, route, now_ms, random=random, ranked=ranked)
+    service = decision.service
+    if not service:
+        # Refused before a service was picked: shows what else it would have got.
+        service = route.pick_service(random())
+        pool.choose(service, now_ms, random=random, ranked=ranked)
+    ranked = _in_order(ranked, decision.upstream)
+    candidates = _candidates(ranked, pool.candidates(service), now_ms)
+    return answer.replace(
+        terms=route.terms,
+        shares=[
+            ServiceShare(service=name, weight=weight)
+            for name, weight in zip(route.shares, route.weights, strict=True)
+        ],
+        admission=_admission(decision),
+        outcome=_outcome(decision),
+        reason=_reason(decision, ranked, len(candidates), now_ms),
+        service=service,
+        upstream=decision.upstream.state.upstream_id if decision.upstream else "",
+        candidates=candidates[: request.max_candidates],
+        more=max(len(candidates) - request.max_candidates, 0),
+    )
+
+
+def _flow_text(caller, address):
+    return "{}:{}>{}:{}".format(*caller, *address)
+
+
+def _no_route(key, address, routes, forwarder):
+    is_dropped = key[:ROUTE_KEY_BYTES] in routes.dropped
+    fate = "reset" if is_dropped or forwarder.has_leader else "dropped"
+    return NoRouteError(
+        f"no such route in revision {routes.revision}; a SYN is {fate}",
+        field="route",
+        value="{}:{}".format(*address),
+    )
+
+
+def _admission(decision):
+    if not decision.refusal or decision.refusal in SELECTION_REFUSALS:
+        return ADMITTED
+    return f"reset: {decision.refusal}"
+
+
+def _outcome(decision):
+    if decision.is_duplicate:
+        return "duplicate"
+    if decision.upstream is not None:
+        return "sent"
+    return "dropped" if decision.refusal == UNKNOWN_UPSTREAMS else "reset"
+
+
+def _in_order(ranked, chosen):
+    """Return ranked upstreams by rank, the chosen one first."""
+    return sorted(ranked, key=lambda one: (one.upstream is not chosen, one.rank))
+
+
+def _reason(decision, ranked, count, now_ms):
+    """Return why the first candidate comes first, or why there is none."""
+    if decision.is_duplicate:
+        return DUPLICATE
+    if decision.upstream is None:
+        return decision.refusal
+    if len(ranked) == 1:
+        return ONLY_CANDIDATE if count == 1 else ONLY_IN_ZONE
+    first, following = ranked[:2]
+    position = next(
+        (
+            index
+            for index, (own, other) in enumerate(
+                zip(first.rank, following.rank, strict=True)
+            )
+            if own != other
+        ),
+        len(first.rank) - 1,
+    )
+    if position == len(first.rank) - 1:
+        return _score_reason(first.upstream, following.upstream, now_ms)
+    return RANK_REASONS[position]
+
+
+def _score_reason(first, following, now_ms):
+    if first.score(now_ms) >= following.score(now_ms):
+        return TIE
+    is_own_zone_first = first.is_same_zone and not following.is_same_zone
+    if is_own_zone_first and (
+        following.load_per_slot(now_ms) < first.load_per_slot(now_ms)
+    ):
+        return OWN_ZONE
+    return RANK_REASONS[-1]
+
+
+def _candidates(ranked, ready, now_ms):
+    """Return the ranked upstreams in order, then the other ready ones by score."""
+    considered = {id(one.upstream) for one in ranked}
+    others = [upstream for upstream in ready if id(upstream) not in considered]
+    others.sort(
+        key=lambda upstream: (upstream.is_avoided(now_ms), upstream.score(now_ms))
+    )
+    return [
+        *(_candidate(one.upstream, now_ms, tried=one.rank[0]) for one in ranked),
+        *(_candidate(upstream, now_ms, considered=False) for upstream in others),
+    ]
+
+
+def _candidate(upstream, now_ms, *, considered=True, tried=False):
+    state = upstream.state
+    marks = [name for name, applies in MARKS if applies(upstream, now_ms)]
+    if upstream.is_avoided(now_ms):
+        marks.insert(0, AVOIDED)
+    if tried:
+        marks.insert(0, TRIED)
+    figures = []
+    for name, measure in FIGURES:
+        measured = measure(upstream, now_ms)
+        if measured is not None:
+            figures.append(_figure(name, *measured, now_ms))
+    return WhereCandidate(
+        upstream=state.upstream_id,
+        zone=state.zone,
+        host=state.host,
+        port=state.port,
+        considered=considered,
+        marks=marks,
+        figures=figures,
+    )
+
+
+def _figure(name, value, since_ms, now_ms):
+    return WhereFigure(
+        name=name,
+        value_milli=min(round(value * MILLI), MAX_VALUE_MILLI),
+        age_ms=max(now_ms - since_ms, 0),
+    )
--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -10,6 +10,7 @@
     "KnapweeddealError",
     "InvalidIntentError",
     "NoQuorumError",
+    "NoRouteError",
     "NotLeaderError",
     "StreamClosedError",
     "UnreachableError",
@@ -62,6 +63,13 @@
     exit_status = 4
 
 
+class NoRouteError(KnapweeddealError):
+    """Report an address for which a forwarder has no route."""
+
+    code = "no_route"
+    exit_status = 4
+
+
 class InvalidIntentError(KnapweeddealError):
     """Report an operator's intent that can't be planned."""
 
@@ -131,6 +139,7 @@
         KnapweeddealError,
         InvalidIntentError,
         NoQuorumError,
+        NoRouteError,
         NotLeaderError,
         StreamClosedError,
         UnreachableError,
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -39,6 +39,7 @@
     """Own routes and upstreams; its methods don't block."""
 
     __slots__ = (
+        "_random",
         "_selector",
         "_subscriptions",
         "egress",
@@ -50,6 +51,7 @@
 
     def __init__(self, *, settings, selector, random, metrics):
         self._selector = selector
+        self._random = random
         self.metrics = metrics
         #: Streams from replicas, the oldest first.
         self._subscriptions = []
@@ -94,6 +96,24 @@
             "metrics": self.metrics.summary(),
         }
 
+    def where(self, request, now_ms):
+        """Return where a new flow would go now, from a `WhereRequest`.
+
+        Raise NoRouteError, or BadMessageError for an address that isn't IPv4.
+        """
+        # Imported when an operator asks, as it isn't needed for packets.
+        from knapweeddeal.dryrun import copy_of_source, where
+
+        return where(
+            request,
+            forwarder=self.forwarder,
+            routes=self.routes,
+            pool=self.pool,
+            backlog_ms=self.egress.backlog_ms,
+            random=copy_of_source(self._random),
+            now_ms=now_ms,
+        )
+
     def has_other_subscription(self, subscription):
         """Return whether a stream from another replica is up."""
         return any(other is not subscription for other in self._subscriptions)
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -11,7 +11,13 @@
 from knapweeddeal.errors import BadMessageError, KnapweeddealError
 from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT, maintain_subscription
 from knapweeddeal.logs import Log
-from knapweeddeal.messages.operator import DumpAnswer, DumpRequest, MetricsRequest
+from knapweeddeal.messages.operator import (
+    DumpAnswer,
+    DumpRequest,
+    FailureAnswer,
+    MetricsRequest,
+    WhereRequest,
+)
 from knapweeddeal.record import printed_name
 from knapweeddeal.reload import reload_settings, watch_settings
 from knapweeddeal.signals import SignalReader
@@ -146,6 +152,15 @@
             text=dump_text(self._core.dump(), max_bytes=message.max_bytes)
         )
 
+    @_answer.register
+    def _(self, message: WhereRequest):
+        try:
+            return self._core.where(message, monotonic_ms())
+        except KnapweeddealError as error:
+            return FailureAnswer(
+                code=error.code, text=error.text, field=error.field, value=error.value
+            )
+
     @_answer.register
     def _(self, _message: MetricsRequest):
         return DumpAnswer(text=json.dumps(self._core.metrics.summary()))
--- a/knapweeddeal/messages/operator.py
+++ b/knapweeddeal/messages/operator.py
@@ -1,8 +1,17 @@
 """knapweeddeal.messages.operator: Commands and queries of operators."""
 
-from knapweeddeal.messages.base import Integer, ListOf, Message, Nested, OneOf, Text
+from knapweeddeal.messages.base import (
+    Flag,
+    Integer,
+    ListOf,
+    Message,
+    Nested,
+    OneOf,
+    Text,
+)
 from knapweeddeal.messages.control import Replica, ServiceEntry
 from knapweeddeal.messages.fields import HOST, NAME, PORT, REQUEST_ID
+from knapweeddeal.messages.packets import RouteTerms, ServiceShare
 from knapweeddeal.messages.peer import RefusalRecord
 
 __all__ = [
@@ -27,6 +36,10 @@
     "StatusRequest",
     "UpstreamsRequest",
     "UpstreamsAnswer",
+    "WhereAnswer",
+    "WhereCandidate",
+    "WhereFigure",
+    "WhereRequest",
 ]
 
 LINE = Text(max_chars=1024)
@@ -259,3 +272,72 @@
     tag = 120
     schema = {}
     __slots__ = ()
+
+
+class WhereRequest(Message):
+    """Request where a forwarder would send a new flow of a caller, and why."""
+
+    tag = 230
+    schema = {
+        "caller_host": HOST,
+        "caller_port": PORT,
+        "route_host": HOST,
+        "route_port": PORT,
+        "max_candidates": Integer(maximum=1_000),
+    }
+    __slots__ = tuple(schema)
+
+
+class WhereFigure(Message):
+    """Hold one figure of a candidate, in thousandths, and its age."""
+
+    tag = 231
+    schema = {"name": NAME, "value_milli": Integer(), "age_ms": Integer()}
+    __slots__ = tuple(schema)
+
+
+class WhereCandidate(Message):
+    """Describe an upstream that a new flow may be sent to.
+
+    `considered`: the choice ranked it; it ranks other zones only if the best upstream
+    of its own zone is loaded, avoided or tried. `marks` lists what counts against it.
+    """
+
+    tag = 232
+    schema = {
+        "upstream": NAME,
+        "zone": NAME,
+        "host": HOST,
+        "port": PORT,
+        "considered": Flag(),
+        "marks": ListOf(Text(max_chars=64), max_items=64),
+        "figures": ListOf(Nested(WhereFigure), max_items=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class WhereAnswer(Message):
+    """Return what a forwarder would do with the first SYN of a new flow, and why.
+
+    `candidates` are in the order of choice; `more` is the number of further ones.
+    `reason` is why the first one comes first, or why the SYN gets no upstream.
+    """
+
+    tag = 233
+    schema = {
+        "flow": LINE,
+        "zone": NAME,
+        "revision": Integer(),
+        "current": Flag(),
+        "terms": Nested(RouteTerms),
+        "shares": ListOf(Nested(ServiceShare), max_items=64),
+        "admission": LINE,
+        "outcome": OneOf("sent", "duplicate", "reset", "dropped", "held"),
+        "reason": LINE,
+        "service": NAME,
+        "upstream": NAME,
+        "backlog_ms": Integer(),
+        "candidates": ListOf(Nested(WhereCandidate), max_items=1_000),
+        "more": Integer(),
+    }
+    __slots__ = tuple(schema)
--- a/knapweeddeal/operation.py
+++ b/knapweeddeal/operation.py
@@ -1,9 +1,14 @@
 """knapweeddeal.operation: The base class of the command-line tool's operations."""
 
 from knapweeddeal.errors import BadSettingError
-from knapweeddeal.options import address_option
+from knapweeddeal.options import address_option, addresses_option
 
-__all__ = ["Argument", "Operation", "parse_address_argument"]
+__all__ = [
+    "Argument",
+    "Operation",
+    "parse_address_argument",
+    "parse_addresses_argument",
+]
 
 
 class Argument:
@@ -31,6 +36,8 @@
     is_offline = False
     #: Whether the process given by --at is queried instead of the control replicas.
     queries_process = False
+    #: Whether each of the processes given by the operation's own --at is queried.
+    queries_each_process = False
 
     @staticmethod
     def build_request(options):
@@ -43,6 +50,14 @@
         raise NotImplementedError
 
 
+def parse_addresses_argument(name, text):
+    """Return the addresses of IP:PORT,IP:PORT; raise BadSettingError if none."""
+    addresses = addresses_option(name, text, None)
+    if not addresses:
+        raise BadSettingError("expected an address IP:PORT", field=name, value=text)
+    return addresses
+
+
 def parse_address_argument(name, text):
     """Return host and port; raise BadSettingError if the argument is no address."""
     if not text:
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -9,6 +9,7 @@
 from knapweeddeal.answertracker import AnswerTracker
 from knapweeddeal.clock import earliest
 from knapweeddeal.heldpackets import HeldPackets
+from knapweeddeal.messages.packets import ROUTE_KEY_BYTES
 from knapweeddeal.packetheader import (
     ECHO_SLICE,
     FIN,
@@ -23,7 +24,15 @@
 )
 from knapweeddeal.record import Record
 
-__all__ = ["HEDGE_DELAY_MS", "Forwarder"]
+__all__ = [
+    "BACKLOG",
+    "HEDGE_DELAY_MS",
+    "NO_UPSTREAM",
+    "SELECTION_REFUSALS",
+    "UNKNOWN_UPSTREAMS",
+    "Forwarder",
+    "SynDecision",
+]
 
 #: Time after which an unanswered SYN is also sent to a second upstream. Callers are
 #: up to 3 ms away, availability zones 1.4 ms apart, and an upstream answers a SYN in
@@ -51,6 +60,24 @@
 MAX_FLOWS = 200_000
 
 
+#: Why a SYN gets no upstream. It is reset, except for `UNKNOWN_UPSTREAMS`: then it is
+#: dropped, as a retransmission may meet a forwarder that knows some.
+BACKLOG = "egress backlog"
+NO_UPSTREAM = "no upstream"
+UNKNOWN_UPSTREAMS = "upstreams unknown"
+#: Refusals for want of an upstream; admission gives all others.
+SELECTION_REFUSALS = (NO_UPSTREAM, UNKNOWN_UPSTREAMS)
+
+
+class SynDecision(Record):
+    """Hold the service and upstream of a SYN, or why it gets none.
+
+    `is_duplicate`: the first SYN of the flow was sent to this upstream already.
+    """
+
+    __slots__ = ("is_duplicate", "refusal", "service", "upstream")
+
+
 class Hedge(Record):
     """Hold a SYN to send to another upstream if the first one doesn't answer."""
 
@@ -144,6 +171,13 @@
         self._metrics.count("packets_held")
         return True
 
+    @property
+    def is_holding(self):
+        """Return whether new packets are held, as routes or upstreams are unknown."""
+        if self._held is None or self._is_informed:
+            return False
+        return not self._has_state()
+
     def _has_state(self):
         """Return whether routes are known, and upstreams or that there are none."""
         if not self._routes.revision:
@@ -191,23 +225,56 @@
 
     # SYNs.
 
-    def _handle_syn(self, data, route, now_ms, out):
-        key = data[FLOW_SLICE]
+    def decide_syn(self, key, copy, route, now_ms, *, random, ranked=None):
+        """Return the decision on a SYN; a query, which changes nothing.
+
+        `key` is the flow's key, `copy` how often the SYN was retransmitted. `random`
+        and `ranked` are as for `UpstreamPool.choose`.
+        """
         flow = self._flows.get(key)
-        if flow is not None and not data[COPY_OFFSET] and not flow.is_open:
+        if flow is not None and not copy and not flow.is_open:
             # The network duplicated the first SYN.
-            self._send_syn(data, flow.upstream, out)
-            return
-        if flow is None and self._is_behind_backlog(data, now_ms):
-            backlog_ms = round(self._egress.backlog_ms)
-            self._reset(data, out, "egress backlog", backlog_ms=backlog_ms)
+            return SynDecision(
+                service=flow.upstream.state.service,
+                upstream=flow.upstream,
+                refusal="",
+                is_duplicate=True,
+            )
+        service, upstream = "", None
+        refusal = self._refusal(key, now_ms) if flow is None and not copy else ""
+        if not refusal:
+            tried = flow.tried if flow is not None else ()
+            service = route.pick_service(random())
+            upstream = self._pool.choose(
+                service, now_ms, tried, random=random, ranked=ranked
+            )
+            if upstream is None:
+                refusal = NO_UPSTREAM if self.has_leader else UNKNOWN_UPSTREAMS
+        return SynDecision(
+            service=service, upstream=upstream, refusal=refusal, is_duplicate=False
+        )
+
+    def _refusal(self, key, now_ms):
+        """Return why the first SYN of a new flow is reset at once, or "".
+
+        A retransmitted SYN isn't refused: the flow may have opened through another
+        forwarder.
+        """
+        return BACKLOG if self._egress.refuses(key[:ROUTE_KEY_BYTES], now_ms) else ""
+
+    def _handle_syn(self, data, route, now_ms, out):
+        key = data[FLOW_SLICE]
+        decision = self.decide_syn(
+            key, data[COPY_OFFSET], route, now_ms, random=self._random
+        )
+        upstream, service = decision.upstream, decision.service
+        if decision.is_duplicate:
+            self._send_syn(data, upstream, out)
             return
-        tried = flow.tried if flow is not None else ()
-        service = route.pick_service(self._random())
-        upstream = self._pool.choose(service, now_ms, tried)
         if upstream is None:
-            self._refuse_syn(data, service, out)
+            self._refuse_syn(data, decision, out)
             return
+        flow = self._flows.get(key)
         if flow is None:
             flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
         flow.upstream = upstream
@@ -231,23 +298,18 @@
         )
         self._hedges.append(hedge)
 
-    def _is_behind_backlog(self, data, now_ms):
-        """Return whether a new flow would wait too long for the link.
-
-        The first SYN of a copy may have opened the flow through another forwarder.
-        """
-        is_first = not data[COPY_OFFSET]
-        return is_first and self._egress.refuses(data[ROUTE_SLICE], now_ms)
-
-    def _refuse_syn(self, data, service, out):
+    def _refuse_syn(self, data, decision, out):
         """Reset a SYN without an upstream; drop it if a retransmission may get one."""
-        if self.has_leader:
-            self._reset(data, out, "no upstream", service=service)
-        else:
+        if decision.refusal == UNKNOWN_UPSTREAMS:
             self._metrics.count("syns_unserved")
             self._log.info(
-                "dropped a SYN", flow=describe_flow(data), reason="upstreams unknown"
+                "dropped a SYN", flow=describe_flow(data), reason=UNKNOWN_UPSTREAMS
             )
+        elif decision.refusal == BACKLOG:
+            backlog_ms = round(self._egress.backlog_ms)
+            self._reset(data, out, BACKLOG, backlog_ms=backlog_ms)
+        else:
+            self._reset(data, out, decision.refusal, service=decision.service)
 
     def _send_syn(self, data, upstream, out):
         payload = upstream.prefix + data[:2] + upstream.echo + data[6:]
--- a/knapweeddeal/packetheader.py
+++ b/knapweeddeal/packetheader.py
@@ -15,6 +15,7 @@
     "UPSTREAM_PREFIX_BYTES",
     "describe_flow",
     "flow_caller_host",
+    "flow_key",
     "build_reset",
     "packet_identity",
     "route_key",
@@ -46,6 +47,14 @@
     return ROUTE_KEY.pack(port, _ip_to_int(host))
 
 
+def flow_key(caller, route):
+    """Return a flow's key as it is encoded in the packet header: route, then caller.
+
+    `caller` and `route` are pairs of host and port.
+    """
+    return route_key(*route) + route_key(*caller)
+
+
 def flow_caller_host(data):
     """Return the IP address of a packet's caller."""
     return socket.inet_ntoa(data[24:28][::-1])
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -1,6 +1,6 @@
 """knapweeddeal.packetroutes: The route table of a forwarder."""
 
-from itertools import accumulate
+from itertools import accumulate, pairwise
 
 from knapweeddeal.messages.packets import ROUTE_KEY_BYTES, RouteGroup, RoutesPush
 from knapweeddeal.packetheader import route_key
@@ -20,6 +20,11 @@
         self.services = frozenset([*self.shares, *group.former])
         self.terms = group.terms
 
+    @property
+    def weights(self):
+        """Return the weights of the services, in the order of `shares`."""
+        return [after - before for before, after in pairwise([0, *self.bounds])]
+
     def pick_service(self, number):
         """Return the service for a random number from 0 to 1, by weight."""
         if len(self.shares) == 1:
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -10,7 +10,13 @@
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
 
-__all__ = ["PacketUpstream", "UpstreamPool", "echo_from_number"]
+__all__ = [
+    "OTHER_ZONE_PENALTY",
+    "RANK_REASONS",
+    "PacketUpstream",
+    "UpstreamPool",
+    "echo_from_number",
+]
 
 #: Half-life of the load that a request adds to an upstream: requests take 5 to 40 ms,
 #: and some wait for a slot.
@@ -32,6 +38,12 @@
 UPSTREAM_RETENTION_MS = 120_000
 #: Upper bound of the random number that breaks ties between equal loads.
 TIE_BREAK_SPREAD = 0.01
+#: Why an upstream precedes another, by the first position in which their ranks differ.
+RANK_REASONS = (
+    "the next one was tried for this flow",
+    "the next one is avoided",
+    "lowest load per slot with penalties",
+)
 #: Ready upstreams of a service that isn't known: none in either group.
 NO_UPSTREAMS = ((), ())
 
@@ -62,6 +74,7 @@
         "open_flows",
         "prefix",
         "state",
+        "state_ms",
         "suspect_until_ms",
     )
 
@@ -84,6 +97,8 @@
     def set_state(self, state, now_ms):
         """Set the state that was reported for the upstream."""
         self.state = state
+        #: When the state was received.
+        self.state_ms = now_ms
         if state.status != GONE and not state.silent:
             self.absent_since_ms = None
         elif self.absent_since_ms is None:
@@ -127,17 +142,25 @@
         """Return whether it left a SYN unanswered in the last `SUSPECT_MS`."""
         return now_ms < self.suspect_until_ms
 
+    def is_cold(self, now_ms):
+        """Return whether it started so recently that it bears less load."""
+        return now_ms < self.cold_until_ms
+
     def is_avoided(self, now_ms):
         """Return whether it is chosen only if all others are avoided too."""
         return self.is_suspect(now_ms) or self.state.silent or self.state.failing
 
+    def load_per_slot(self, now_ms):
+        """Return the load that this forwarder's flows add, per slot."""
+        load = self._decayed_load(now_ms) + OPEN_FLOW_LOAD * self.open_flows
+        return load / self.state.slots
+
     def score(self, now_ms):
         """Return the load per slot plus penalties; lower is better."""
-        load = self._decayed_load(now_ms) + OPEN_FLOW_LOAD * self.open_flows
-        score = load / self.state.slots
+        score = self.load_per_slot(now_ms)
         if not self.is_same_zone:
             score += OTHER_ZONE_PENALTY
-        if now_ms < self.cold_until_ms:
+        if self.is_cold(now_ms):
             score += COLD_PENALTY
         return score
 
@@ -178,6 +201,11 @@
 
     # Queries.
 
+    @property
+    def zone(self):
+        """Return the availability zone of this forwarder."""
+        return self._zone
+
     def find_by_echo(self, echo):
         """Return the upstream with the echo of a packet, or None."""
         return self._by_echo.get(echo)
@@ -195,30 +223,42 @@
         """Return all upstreams."""
         return self._by_id.values()
 
-    def choose(self, service, now_ms, tried=()):
-        """Return the upstream for a new flow, or None.
+    def candidates(self, service):
+        """Return the ready upstreams of a service, those of this zone first."""
+        same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
+        return [*same_zone, *other_zone]
+
+    def choose(self, service, now_ms, tried=(), *, random=None, ranked=None):
+        """Return the upstream for a new flow, or None; change nothing.
+
+        `random` gives the random numbers instead of the pool's own source. Each
+        upstream that is considered is appended to the list `ranked`, if given.
 
         Upstreams that were tried for this flow come last, after the avoided ones.
         Other zones are considered only if the best upstream in this zone was tried, is
         avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more.
         """
         same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
-        best = self._lowest_ranked(same_zone, now_ms, tried)
+        random = random or self._random
+        best = self._lowest_ranked(same_zone, now_ms, tried, random, ranked)
         if best is not None and best.rank < (False, False, OTHER_ZONE_PENALTY):
             return best.upstream
-        other_best = self._lowest_ranked(other_zone, now_ms, tried)
+        other_best = self._lowest_ranked(other_zone, now_ms, tried, random, ranked)
         if best is None or (other_best is not None and other_best.rank < best.rank):
             best = other_best
         return best.upstream if best is not None else None
 
-    def _lowest_ranked(self, upstreams, now_ms, tried):
+    def _lowest_ranked(self, upstreams, now_ms, tried, random, ranked):
         best = None
         for upstream in upstreams:
+            # The positions have their reasons in `RANK_REASONS`.
             rank = (
                 upstream in tried,
                 upstream.is_avoided(now_ms),
-                upstream.score(now_ms) + self._random() * TIE_BREAK_SPREAD,
+                upstream.score(now_ms) + random() * TIE_BREAK_SPREAD,
             )
+            if ranked is not None:
+                ranked.append(RankedUpstream(rank=rank, upstream=upstream))
             if best is None or rank < best.rank:
                 best = RankedUpstream(rank=rank, upstream=upstream)
         return best
--- a/knapweeddeal/queries.py
+++ b/knapweeddeal/queries.py
@@ -12,15 +12,18 @@
     ServicesRequest,
     StatusRequest,
     UpstreamsRequest,
+    WhereRequest,
 )
 from knapweeddeal.messages.packets import PublishedRoutesRequest
-from knapweeddeal.operation import Argument, Operation
+from knapweeddeal.operation import Argument, Operation, parse_address_argument
 
 __all__ = ["QUERIES"]
 
 DEFAULT_DUMP_BYTES = 65_536
 MAX_DUMP_BYTES = 1 << 22
 MAX_REFUSALS = 10_000
+DEFAULT_CANDIDATES = 10
+MAX_CANDIDATES = 1_000
 
 
 class Status(Operation):
@@ -168,6 +171,51 @@
         return DumpRequest(max_bytes=options.max_bytes)
 
 
+class Where(Operation):
+    """Show where forwarders would send a new flow now, and why."""
+
+    name = "where"
+    help = "show where forwarders would send a new flow now, and why; changes nothing"
+    arguments = (
+        Argument("flow", metavar="FLOW", help="IP:PORT of the caller"),
+        Argument(
+            "--route", required=True, metavar="IP:PORT", help="address that is called"
+        ),
+        Argument(
+            "--at",
+            required=True,
+            metavar="IP:PORT[,IP:PORT...]",
+            help="addresses of forwarders for streams",
+        ),
+        Argument(
+            "--candidates",
+            type=int,
+            default=DEFAULT_CANDIDATES,
+            help="most candidates to show",
+        ),
+    )
+    queries_each_process = True
+
+    @staticmethod
+    def build_request(options):
+        """Return the request message of the operation."""
+        if not 0 < options.candidates <= MAX_CANDIDATES:
+            raise BadSettingError(
+                f"expected a whole number from 1 to {MAX_CANDIDATES}",
+                field="--candidates",
+                value=options.candidates,
+            )
+        caller_host, caller_port = _ipv4_address("flow", options.flow)
+        route_host, route_port = _ipv4_address("--route", options.route)
+        return WhereRequest(
+            caller_host=caller_host,
+            caller_port=caller_port,
+            route_host=route_host,
+            route_port=route_port,
+            max_candidates=options.candidates,
+        )
+
+
 class ShowMetrics(Operation):
     """Show the counters and latencies of a process."""
 
@@ -181,6 +229,15 @@
         return MetricsRequest()
 
 
+def _ipv4_address(field, text):
+    host, port = parse_address_argument(field, text)
+    if ":" in host:
+        raise BadSettingError(
+            "expected an IPv4 address, as packets have", field=field, value=text
+        )
+    return host, port
+
+
 def _time_ms(field, text):
     if not text:
         return 0
@@ -205,5 +262,6 @@
         Dump,
         ShowMetrics,
         Explain,
+        Where,
     )
 }
--- a/knapweeddeal/render.py
+++ b/knapweeddeal/render.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime
 from functools import singledispatch
 
+from knapweeddeal.controlclient import ProcessAnswers
 from knapweeddeal.explain import Explanation
 from knapweeddeal.messages.operator import (
     ConfirmAnswer,
@@ -14,11 +15,12 @@
     ServicesAnswer,
     StatusAnswer,
     UpstreamsAnswer,
+    WhereAnswer,
 )
 from knapweeddeal.messages.packets import PublishAnswer, PublishedAnswer
 from knapweeddeal.statedump import to_jsonable
 
-__all__ = ["as_json", "as_lines"]
+__all__ = ["as_json", "as_lines", "error_json"]
 
 #: Time without a report after which an entry is shown as silent.
 SILENT_MS = 5_000
@@ -34,9 +36,27 @@
         return answer.text
     if type(answer) is UpstreamsAnswer:
         return json.dumps([json.loads(line) for line in answer.lines])
+    if type(answer) is ProcessAnswers:
+        return json.dumps([_process_json(one) for one in answer.answers])
     return json.dumps(to_jsonable(answer, max_items=MAX_ITEMS))
 
 
+def error_json(error):
+    """Return an error as a map for JSON."""
+    return {
+        "code": error.code,
+        "text": error.text,
+        "field": error.field,
+        "value": error.value,
+    }
+
+
+def _process_json(one):
+    if one.error is not None:
+        return {"at": one.address, "error": error_json(one.error)}
+    return {"at": one.address, **to_jsonable(one.answer, max_items=MAX_ITEMS)}
+
+
 @singledispatch
 def as_lines(answer):
     """Return an answer as lines of text."""
@@ -117,6 +137,38 @@
     return lines
 
 
+@as_lines.register
+def _(answer: ProcessAnswers):
+    lines = []
+    for one in answer.answers:
+        shown = as_lines(one.answer) if one.error is None else [str(one.error)]
+        lines += [f"at {one.address}", *(f"  {line}" for line in shown)]
+    return lines
+
+
+@as_lines.register
+def _(answer: WhereAnswer):
+    goal = (
+        f"{answer.outcome} to {answer.upstream}"
+        if answer.upstream
+        else (answer.outcome)
+    )
+    shares = [f"{share.service}:{share.weight}" for share in answer.shares]
+    current = "" if answer.current else ", no replica with a leader"
+    return [
+        f"flow {answer.flow}: {goal}: {answer.reason}",
+        f"revision {answer.revision}{current}, route to {_listed(shares)}"
+        f"{_terms(answer.terms)}, service {answer.service or 'none'}",
+        f"admission: {answer.admission or 'none yet'}; link backlog"
+        f" {answer.backlog_ms} ms",
+        *(
+            f"{number}. {_candidate(candidate)}"
+            for number, candidate in enumerate(answer.candidates, 1)
+        ),
+        *([f"and {answer.more} more"] if answer.more else []),
+    ]
+
+
 @as_lines.register
 def _(answer: ReplicasAnswer):
     lines = [f"led by {answer.leader or 'nobody'}"]
@@ -151,6 +203,31 @@
     return ", ".join([line["text"], *shown])
 
 
+def _terms(terms):
+    if not terms.kind:
+        return ""
+    return (
+        f" ({terms.kind}, priority {terms.priority}, objective {terms.objective_ms} ms,"
+        f" timeout {terms.timeout_ms} ms)"
+    )
+
+
+def _candidate(candidate):
+    marks = list(candidate.marks)
+    if not candidate.considered:
+        marks.append("not considered")
+    figures = [
+        f"{figure.name} {figure.value_milli / 1_000:g}"
+        + (f" ({figure.age_ms} ms old)" if figure.age_ms else "")
+        for figure in candidate.figures
+    ]
+    mark = f" [{', '.join(marks)}]" if marks else ""
+    return (
+        f"{candidate.upstream} at {candidate.host}:{candidate.port} in"
+        f" {candidate.zone}{mark}: {', '.join(figures)}"
+    )
+
+
 def _listed(names):
     return ", ".join(names) or "none"
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -15,6 +15,7 @@
 
 #: Control replica with an address that refuses connections.
 NO_LISTENER = "a=127.0.0.1:1"
+WHERE = ["where", "100.64.0.7:1105", "--route", "198.18.0.1:443"]
 
 
 def run(*arguments):
@@ -112,6 +113,30 @@
                 "expected_error": "file",
             },
         ),
+        (
+            "unreachable forwarder",
+            {
+                "arguments": [*WHERE, "--at", "127.0.0.1:1"],
+                "status": 8,
+                "expected_error": "address=",
+            },
+        ),
+        (
+            "malformed forwarder address",
+            {
+                "arguments": [*WHERE, "--at", "127.0.0.1:1,x"],
+                "status": 4,
+                "expected_error": "--at='x'",
+            },
+        ),
+        (
+            "IPv6 caller",
+            {
+                "arguments": ["where", "::1:7", *WHERE[2:], "--at", "127.0.0.1:1"],
+                "status": 4,
+                "expected_error": "flow='::1:7'",
+            },
+        ),
         (
             "malformed time",
             {
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -29,4 +29,5 @@
         self.assertIn("whole answers: 100 of 100, wrong: 0", done.stdout)
         self.assertIn("flows that got a push: 10 of 10", done.stdout)
         self.assertIn("publish: revision 1 is in force", done.stdout)
+        self.assertIn("admission: admitted", done.stdout)
         self.assertIn("broken promises: none", done.stdout)
--- /dev/null
+++ b/tests/test_dryrun.py
@@ -0,0 +1,187 @@
+"""tests.test_dryrun: Tests of the question where a new flow would go."""
+
+import random
+from collections import deque
+
+import testscenarios
+import testtools
+
+from knapweeddeal.dryrun import copy_of_source, where
+from knapweeddeal.egressqueue import EgressQueue
+from knapweeddeal.errors import BadMessageError, NoRouteError
+from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages.operator import WhereRequest
+from tests.packetfakes import HOST, PORT, ForwarderHarness, route, state, syn
+
+OTHER_ZONE = {"zone": "zone-b"}
+CALLER = "100.64.0.7"
+
+
+def ask(harness, *, now_ms=0, random=lambda: 0.0, port=40_001, **changes):
+    """Return the answer on a new flow, as it is read from the wire."""
+    values = {
+        "caller_host": CALLER,
+        "caller_port": port,
+        "route_host": HOST,
+        "route_port": PORT,
+        "max_candidates": 10,
+    }
+    answer = where(
+        WhereRequest(**{**values, **changes}),
+        forwarder=harness.forwarder,
+        routes=harness.routes,
+        pool=harness.pool,
+        backlog_ms=harness.egress.backlog_ms,
+        random=random,
+        now_ms=now_ms,
+    )
+    return decode(encode(answer))
+
+
+def content(value, seen):
+    """Return everything that an object holds; `seen` holds ids of shown objects."""
+    if type(value) in (int, float, str, bytes, bool, type(None)) or callable(value):
+        return value
+    if id(value) in seen:
+        return "..."
+    seen.add(id(value))
+    if isinstance(value, dict):
+        return [(content(k, seen), content(v, seen)) for k, v in value.items()]
+    if isinstance(value, list | tuple | set | frozenset | deque):
+        return [content(item, seen) for item in value]
+    slots = [n for c in type(value).__mro__ for n in getattr(c, "__slots__", ())]
+    names = [*slots, *getattr(value, "__dict__", ())]
+    return [type(value), *((n, content(getattr(value, n), seen)) for n in names)]
+
+
+class SameAsNextSyn(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Asking changes nothing, and the next SYN gets the answer.
+
+    An answer from a second copy of the rules would drift from the SYN path; one that
+    took random numbers or counted load would move the flows that it describes.
+    """
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in range(4)]
+
+    def test_flows(self):
+        source = random.Random(self.seed)
+        states = [
+            state(n, zone=f"zone-{'ab'[n % 2]}", cold_ms=900 * (n % 3), slots=1 + n % 2)
+            for n in range(1, 7)
+        ]
+        states += [state(n, service="archive") for n in (7, 8)]
+        harness = ForwarderHarness(
+            routes=(route("records", "archive"),), states=states, number=source.random
+        )
+        for port in range(40_001, 40_080):
+            now_ms = 17 * (port - 40_001)
+            before = (content(harness, set()), source.getstate())
+            copied = copy_of_source(source.random)
+            answer = ask(harness, now_ms=now_ms, random=copied, port=port)
+            self.assertEqual(before, (content(harness, set()), source.getstate()))
+            (_, address), *_ = harness.handle_packet(syn(port=port), now_ms)
+            first = answer.candidates[0]
+            self.assertEqual(address, (first.host, first.port))
+            self.assertEqual(
+                ("sent", first.upstream), (answer.outcome, answer.upstream)
+            )
+            out = []
+            harness.forwarder.send_due_hedges(now_ms + 30, out)
+
+
+class Reasons(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An answer names what decided; a wrong reason sends the operator astray."""
+
+    scenarios = [
+        (
+            name,
+            {"states": states, "reason": reason, "marks": marks, "fields": fields},
+        )
+        for name, states, reason, marks, fields in (
+            ("one", [state()], "the only candidate", [[]], {}),
+            ("tie", [state(), state(2)], "broke the tie", [[], []], {}),
+            (
+                "own zone",
+                [state(), state(2, **OTHER_ZONE)],
+                "the only one in this zone",
+                [[], ["other zone"]],
+                {},
+            ),
+            (
+                "cold",
+                [state(), state(2, cold_ms=50)],
+                "lowest load",
+                [[], ["cold"]],
+                {},
+            ),
+            (
+                "avoided",
+                [state(2, **OTHER_ZONE), state(failing=True)],
+                "the next one is avoided",
+                [["other zone"], ["avoided", "failing"]],
+                {},
+            ),
+            ("none", [], "no upstream", [], {"outcome": "reset"}),
+            (
+                "no leader",
+                [state(2, service="other")],
+                "upstreams unknown",
+                [],
+                {"outcome": "dropped", "current": False},
+            ),
+        )
+    ]
+
+    def test_reason(self):
+        current = self.fields.get("current", True)
+        harness = ForwarderHarness(
+            routes=(route(),), states=self.states, current=current
+        )
+        answer = ask(harness)
+        self.assertEqual(self.fields.get("outcome", "sent"), answer.outcome)
+        self.assertIn(self.reason, answer.reason)
+        self.assertEqual(self.marks, [c.marks for c in answer.candidates])
+        self.assertEqual("admitted", answer.admission)
+
+
+class Refused(testtools.TestCase):
+    """A flow that is refused early shows why, and what it would get otherwise."""
+
+    def test_backlog(self):
+        self.patch(EgressQueue, "refuses", lambda *_: True)
+        answer = ask(ForwarderHarness(routes=(route(),), states=[state()]))
+        self.assertEqual(
+            ("reset", "egress backlog", "reset: egress backlog", "", 1),
+            (answer.outcome, answer.reason, answer.admission, answer.upstream)
+            + (len(answer.candidates),),
+        )
+
+
+class Figures(testtools.TestCase):
+    """Each figure has its age, so that an old report is seen as such."""
+
+    def test_ages(self):
+        harness = ForwarderHarness(routes=(route(),), states=[state(cold_ms=900)])
+        harness.handle_packet(syn(port=5))
+        figures = ask(harness, now_ms=25).candidates[0].figures
+        found = {one.name: (one.value_milli, one.age_ms) for one in figures}
+        self.assertEqual((250, 0), found["load"])
+        self.assertEqual((2_000, 25), found["slots"])
+        self.assertEqual((875_000, 25), found["cold_ms"])
+
+
+class Errors(testtools.TestCase):
+    """A question that has no answer gets an error with field and value."""
+
+    def test_no_route(self):
+        harness = ForwarderHarness(routes=(route(),), states=[state()])
+        error = self.assertRaises(NoRouteError, ask, harness, route_port=444)
+        self.assertEqual(("route", f"{HOST}:444"), (error.field, error.value))
+
+    def test_address(self):
+        harness = ForwarderHarness(routes=(route(),), states=[state()])
+        error = self.assertRaises(BadMessageError, ask, harness, caller_host="::1")
+        self.assertIn("::1", error.value)
+
+    def test_nothing_known(self):
+        self.assertEqual("held", ask(ForwarderHarness()).outcome)
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -1,5 +1,6 @@
 """tests.test_packetprocess: Tests of forwarding by processes on loopback."""
 
+import json
 import socket
 import struct
 
@@ -7,8 +8,9 @@
 
 from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT
 from knapweeddeal.packetheader import RST, SYN
-from tests.packetcluster import ROUTE_HOST, ROUTE_PORT, PacketCluster, document
+from tests.packetcluster import ROUTE_HOST, ROUTE_PORT, STREAMS, PacketCluster, document
 from tests.processes import wait_until
+from tests.test_cmdline import run as run_tool
 
 ID_PREFIX = bytes.fromhex("000000000000ab12")
 
@@ -75,6 +77,21 @@
         self.assertEqual("i-ab12", packets["upstreams"][0]["upstream_id"])
         self.assertEqual(6, cluster.dump(cluster.host(11))["revision"])
 
+    def test_where(self):
+        """One forwarder answers, one is missing: both are shown, the status tells."""
+        forwarder = f"{self.cluster.host(11)}:{STREAMS}"
+        question = ["--json", "where", "100.64.0.7:1105", "--route"]
+        status, output, _ = run_tool(
+            *question, f"{ROUTE_HOST}:{ROUTE_PORT}", "--at", f"{forwarder},127.0.0.1:1"
+        )
+        answer, failure = json.loads(output)
+        self.assertEqual((8, "unreachable"), (status, failure["error"]["code"]))
+        self.assertEqual(("sent", "i-ab12"), (answer["outcome"], answer["upstream"]))
+        status, output, _ = run_tool(*question, "198.18.0.9:1", "--at", forwarder)
+        expected = (4, "no_route", "198.18.0.9:1")
+        error = json.loads(output)
+        self.assertEqual(expected, (status, error["code"], error["value"]))
+
     def _subscribers(self):
         """Return the subscribers of all replicas; a forwarder has two of the three."""
         dumps = [self.cluster.dump(host) for host in self.cluster.replicas]
