--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -23,6 +23,7 @@
 ONLY_IN_ZONE = f"the only one in this zone, with a load below {OTHER_ZONE_PENALTY:g}"
 DUPLICATE = "the first SYN of this flow was sent there and isn't answered yet"
 OWN_ZONE = "in this zone; the next one has less load, in another zone"
+ALL_AVOIDED = "; all are avoided"
 TIE = "a random number broke the tie with the next one"
 
 MILLI = 1_000
@@ -183,9 +184,10 @@
         ),
         len(first.rank) - 1,
     )
+    reason = RANK_REASONS[position]
     if position == len(first.rank) - 1:
-        return _score_reason(first.upstream, following.upstream, now_ms)
-    return RANK_REASONS[position]
+        reason = _score_reason(first.upstream, following.upstream, now_ms)
+    return reason + (ALL_AVOIDED if first.upstream.is_avoided(now_ms) else "")
 
 
 def _score_reason(first, following, now_ms):
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -160,7 +160,7 @@
         score = self.load_per_slot(now_ms)
         if not self.is_same_zone:
             score += OTHER_ZONE_PENALTY
-        if self.is_cold(now_ms):
+        if now_ms < self.cold_until_ms:
             score += COLD_PENALTY
         return score
 
--- a/tests/test_dryrun.py
+++ b/tests/test_dryrun.py
@@ -121,6 +121,13 @@
                 [["other zone"], ["avoided", "failing"]],
                 {},
             ),
+            (
+                "all avoided",
+                [state(silent=True), state(2, failing=True)],
+                "all are avoided",
+                [["avoided", "silent"], ["avoided", "failing"]],
+                {},
+            ),
             ("none", [], "no upstream", [], {"outcome": "reset"}),
             (
                 "no leader",
