Grant permits for opening packets to cold upstreams whose service states a rate

Cause: a cold upstream may get coldPerS x coldOver + coldSlack opening packets in any second, summed over all forwarders; no bound was applied.

Change: the home grants permits in a sliding window of 1,250 ms (coldallowance); a forwarder requests one for each opening packet, holds the SYN for up to 200 ms, and uses a permit only within 200 ms of its request (coldpermits). A replica that isn't the home passes requests on. A new home grants once all replicas have acknowledged its report, else after the tenure and the window of an earlier home. A cold time that counts again is pushed, and pushes carry the remaining time.

--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from knapweeddeal.coldbound import ColdBound
 from knapweeddeal.controlcore import ControlCore, local_replica
 from knapweeddeal.controlevents import SeedsChanged, StopRequest
 from knapweeddeal.controlstreams import ControlStreams
@@ -101,6 +102,7 @@
         events=hub_events,
         metrics=core.metrics,
         hints=hints,
+        cold_bound=ColdBound(over=settings.cold_over, slack=settings.cold_slack),
     )
     core.add_dump_section("packets", hub.dump)
     links.hello = core.hello
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -19,6 +19,11 @@
     StreamClosedError,
 )
 from knapweeddeal.logs import Log
+from knapweeddeal.messages.cold import (
+    ColdAllowanceRelay,
+    ColdAllowanceRelayAnswer,
+    ColdGrantsNotice,
+)
 from knapweeddeal.messages.control import ConfigurationRequest, FlowCounts, ReplicaHello
 from knapweeddeal.messages.operator import RefusalsRequest
 from knapweeddeal.messages.packets import (
@@ -222,6 +227,9 @@
 @_handle_replica.register(AnswerCounts)
 @_handle_replica.register(DirectoryBatch)
 @_handle_replica.register(DirectoryAck)
+@_handle_replica.register(ColdAllowanceRelay)
+@_handle_replica.register(ColdAllowanceRelayAnswer)
+@_handle_replica.register(ColdGrantsNotice)
 async def _(message, streams, link):
     await streams.forward_to_hub(message)
 
--- a/knapweeddeal/egressqueue.py
+++ b/knapweeddeal/egressqueue.py
@@ -246,6 +246,10 @@
             if now_ms - packet.repeated_ms >= STALE_MS:
                 self._drop(packet.payload, "stale", packet.queued_ms, now_ms)
                 continue
+            if now_ms >= getattr(packet.payload, "expires_ms", math.inf):
+                # An opening packet to a cold upstream, whose permit has expired.
+                self._drop(packet.payload, "permit expired", packet.queued_ms, now_ms)
+                continue
             flow.deficit_bytes -= packet.size_bytes
             self._bucket.take(packet.size_bytes)
             wait_us = (now_ms - packet.queued_ms) * US_PER_MS
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -4,6 +4,7 @@
 
 from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.logs import Log
+from knapweeddeal.messages.cold import ColdAllowance
 from knapweeddeal.messages.packets import (
     ROUTE_KEY_BYTES,
     AnswerCounts,
@@ -24,10 +25,14 @@
 class Subscription:
     """Hold the state of the stream from one control replica."""
 
-    __slots__ = ("address", "has_leader", "needs_full_routes", "stale_since_ms")
+    __slots__ = ("address", "has_leader", "identity", "needs_full_routes", "outbox")
+    __slots__ += ("stale_since_ms",)
 
     def __init__(self, *, address, now_ms):
         self.address = address
+        #: Identity of the replica, once it is known, and the queue of its stream.
+        self.identity = None
+        self.outbox = None
         self.has_leader = False
         #: Whether the last push was based on a revision that isn't held here.
         self.needs_full_routes = False
@@ -90,6 +95,7 @@
             "replicas": self._selector.addresses,
             "flows": self.forwarder.flow_count,
             "egress": self.egress.dump(),
+            "cold_syns_held": len(self.forwarder.cold_permits.held),
             "upstreams": [_dump_upstream(upstream) for upstream in self.pool.all()],
             "metrics": self.metrics.summary(),
         }
@@ -102,17 +108,25 @@
         """Return whether this replica is the one that receives the answer counts."""
         return self._subscriptions[:1] == [subscription]
 
+    def subscription_for(self, home):
+        """Return the stream for requests to a replica, else the oldest, or None."""
+        streams = [s for s in self._subscriptions if s.outbox is not None]
+        homes = [stream for stream in streams if stream.identity == home]
+        return next(iter([*homes, *streams]), None)
+
     # Commands.
 
     def add_subscription(self, subscription):
         """Add a stream from a replica."""
         self._subscriptions.append(subscription)
+        self.forwarder.is_connected = True
 
     def remove_subscription(self, subscription, why):
         """Remove a stream; the routes and upstreams received over it are kept."""
         if subscription not in self._subscriptions:
             return
         self._subscriptions.remove(subscription)
+        self.forwarder.is_connected = bool(self._subscriptions)
         self._update_current()
         log.warning(
             "lost the stream from a control replica",
@@ -126,6 +140,16 @@
         counts = self.forwarder.pop_answer_counts(now_ms)
         return AnswerCounts.of(sender=0, counts=counts) if counts else None
 
+    def pop_cold_requests(self, now_ms):
+        """Return requests for permits, each with the stream to send it on."""
+        permits = self.forwarder.cold_permits
+        if not permits.has_unsent or self.subscription_for(0) is None:
+            return []
+        return [
+            (message, self.subscription_for(home))
+            for message, home in permits.pop_requests(now_ms)
+        ]
+
     def stop(self):
         """Become not ready; packets are still forwarded."""
         self.stopping = True
@@ -144,6 +168,9 @@
         self._update_subscription(message, subscription, now_ms)
         self._selector.set_zone(subscription.address, message.zone)
         self._selector.add_addresses((r.host, r.port) for r in message.replicas)
+        for replica in message.replicas:
+            if (replica.host, replica.port) == subscription.address:
+                subscription.identity = replica.identity
 
     def _update_subscription(self, message, subscription, now_ms):
         if message.current == subscription.has_leader:
@@ -203,10 +230,21 @@
                 replica=subscription.address,
             )
 
+    def _handle_cold_allowance(self, message, subscription, now_ms):
+        upstream = self.forwarder.apply_cold_allowance(message, now_ms)
+        if upstream is not None and not message.count:
+            log.info(
+                "was refused a permit for a cold upstream",
+                upstream=message.upstream_id,
+                retry_ms=message.retry_ms,
+                replica=subscription.address,
+            )
+
     #: Handlers by message type, as importing `singledispatch` also imports `typing`,
     #: which delays the start too much at a small share of a core.
     HANDLERS = MappingProxyType(
         {
+            ColdAllowance: _handle_cold_allowance,
             ControlState: _handle_control_state,
             RoutesPush: _handle_routes,
             UpstreamsPush: _handle_upstreams,
@@ -226,4 +264,7 @@
         "open_flows": upstream.open_flows,
         "answered_ms": upstream.answered_ms,
         "suspect_until_ms": upstream.suspect_until_ms,
+        "cold_until_ms": upstream.cold_until_ms,
+        "permits": len(upstream.permits),
+        "refused_until_ms": upstream.refused_until_ms,
     }
--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -11,7 +11,7 @@
 from knapweeddeal.stream import connect
 from knapweeddeal.tasks import run_until_first
 
-__all__ = ["SUBSCRIPTION_COUNT", "maintain_subscription"]
+__all__ = ["SUBSCRIPTION_COUNT", "maintain_subscription", "send_cold_requests"]
 
 log = Log(prefix="forwarder")
 
@@ -48,6 +48,12 @@
         await curio.sleep(RETRY_MS / 1000)
 
 
+async def send_cold_requests(core):
+    """Send the requests for permits that the forwarder has queued."""
+    for message, subscription in core.pop_cold_requests(monotonic_ms()):
+        await subscription.outbox.offer(message)
+
+
 class SubscriptionLink:
     """Run one subscription until its stream ends."""
 
@@ -83,8 +89,8 @@
         )
         try:
             await stream.send(hello)
+            outbox = subscription.outbox = Outbox()
             core.add_subscription(subscription)
-            outbox = Outbox()
             await run_until_first(
                 self._receive_messages(stream, outbox),
                 outbox.send_queued_to(stream),
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -9,7 +9,11 @@
 
 from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.errors import BadMessageError, KnapweeddealError
-from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT, maintain_subscription
+from knapweeddeal.forwarderlinks import (
+    SUBSCRIPTION_COUNT,
+    maintain_subscription,
+    send_cold_requests,
+)
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.operator import DumpAnswer, DumpRequest, MetricsRequest
 from knapweeddeal.record import printed_name
@@ -48,7 +52,7 @@
         for _ in range(SUBSCRIPTION_COUNT)
     ]
     await run_until_first(
-        _forward(packet_socket),
+        _forward(packet_socket, core),
         _serve_http(core, settings),
         serve(settings.listen, _OperatorQueries(core=core).handle_stream),
         _expire_periodically(core),
@@ -59,7 +63,7 @@
     log.info("stopped", name=settings.name, flows=core.forwarder.flow_count)
 
 
-async def _forward(packet_socket):
+async def _forward(packet_socket, core):
     """Forward pending packets in batches, as a wait costs more than a packet."""
     while True:
         now_ms = monotonic_ms()
@@ -70,6 +74,8 @@
             wait_ms = max(due_ms - now_ms, 0)
             await curio.ignore_after(wait_ms / 1000, _read_wait, packet_socket)
         packet_socket.forward_pending()
+        if core.forwarder.cold_permits.has_unsent:
+            await send_cold_requests(core)
 
 
 async def _serve_http(core, settings):
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -28,6 +28,7 @@
 #: Modules of message classes; all are imported when a tag is not registered yet.
 FAMILIES = (
     "caller",
+    "cold",
     "control",
     "member",
     "operator",
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -8,6 +8,7 @@
 
 from knapweeddeal.answertracker import AnswerTracker
 from knapweeddeal.clock import earliest
+from knapweeddeal.coldpermits import ColdPermits, ExpiringPayload
 from knapweeddeal.heldpackets import HeldPackets
 from knapweeddeal.packetheader import (
     ECHO_SLICE,
@@ -38,6 +39,8 @@
 #: Load that a packet with data adds to an upstream.
 DATA_LOAD = 1.0
 US_PER_MS = 1_000
+#: Retransmissions of a SYN after which no further one follows.
+LAST_SYN_COPY = 2
 #: Position of the data length in the header.
 LENGTH_SLICE = slice(6, 8)
 NO_DATA = b"\0\0"
@@ -89,7 +92,9 @@
         "_random",
         "_routes",
         "_answer_tracker",
+        "cold_permits",
         "has_leader",
+        "is_connected",
     )
 
     def __init__(
@@ -110,6 +115,10 @@
         #: Packets that arrived before routes and upstreams; None once all went on.
         self._held = HeldPackets()
         self._is_informed = False
+        #: Permits for opening packets to cold upstreams of services that state a rate.
+        self.cold_permits = ColdPermits(metrics=metrics)
+        #: Whether a replica pushes states of upstreams.
+        self.is_connected = True
         #: Whether a replica that has a leader supplies the routes and upstreams.
         self.has_leader = False
 
@@ -196,18 +205,35 @@
         flow = self._flows.get(key)
         if flow is not None and not data[COPY_OFFSET] and not flow.is_open:
             # The network duplicated the first SYN.
-            self._send_syn(data, flow.upstream, out)
+            if not self._needs_permit(flow.upstream, now_ms):
+                self._send_syn(data, flow.upstream, out)
             return
         if flow is None and self._is_behind_backlog(data, now_ms):
             backlog_ms = round(self._egress.backlog_ms)
             self._reset(data, out, "egress backlog", backlog_ms=backlog_ms)
             return
-        tried = flow.tried if flow is not None else ()
         service = route.pick_service(self._random())
-        upstream = self._pool.choose(service, now_ms, tried)
+        upstream = self._choose(service, flow, now_ms)
         if upstream is None:
             self._refuse_syn(data, service, out)
-            return
+        elif self._may_offer(upstream, now_ms):
+            self.cold_permits.held.pop(key, None)
+            self._offer_syn(data, service, upstream, now_ms, out)
+        elif now_ms < upstream.refused_until_ms:
+            self._refuse_cold(data, upstream, "no permit", out)
+        elif not self.cold_permits.hold(key, data, service, upstream, now_ms):
+            self._refuse_cold(data, upstream, "too many held SYNs", out)
+
+    def _choose(self, service, flow, now_ms):
+        """Return the upstream for an opening packet, or None."""
+        tried = flow.tried if flow is not None else ()
+        rated = self._routes.cold_rate_milli(service) > 0
+        return self._pool.choose(service, now_ms, tried, rated=rated)
+
+    def _offer_syn(self, data, service, upstream, now_ms, out):
+        """Send a SYN to an upstream, with a permit if it needs one."""
+        key = data[FLOW_SLICE]
+        flow = self._flows.get(key)
         if flow is None:
             flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
         flow.upstream = upstream
@@ -225,7 +251,7 @@
             load=round(upstream.score(now_ms), 2),
             revision=self._routes.revision,
         )
-        self._send_syn(data, upstream, out)
+        self._send_permitted(data, upstream, now_ms, out)
         hedge = Hedge(
             due_ms=now_ms + HEDGE_DELAY_MS, key=key, data=data, service=service
         )
@@ -253,6 +279,83 @@
         payload = upstream.prefix + data[:2] + upstream.echo + data[6:]
         out.append((payload, upstream.address))
 
+    # SYNs to cold upstreams of services that state a rate for them.
+
+    def _may_offer(self, upstream, now_ms):
+        """Return whether an opening packet may go to an upstream now."""
+        return not self._needs_permit(upstream, now_ms) or upstream.has_permit(now_ms)
+
+    def _needs_permit(self, upstream, now_ms):
+        rate_milli = self._routes.cold_rate_milli(upstream.state.service)
+        return rate_milli > 0 and upstream.needs_permit(now_ms)
+
+    def _send_permitted(self, data, upstream, now_ms, out):
+        """Send a SYN; one to a cold upstream uses a permit and expires with it."""
+        if not self._needs_permit(upstream, now_ms):
+            self._send_syn(data, upstream, out)
+            return
+        expires_ms = self.cold_permits.take(upstream, now_ms)
+        payload = ExpiringPayload(upstream.prefix + data[:2] + upstream.echo + data[6:])
+        payload.expires_ms = expires_ms
+        out.append((payload, upstream.address))
+
+    def _refuse_cold(self, data, upstream, reason, out):
+        """Reset a SYN that has no permit: only cold upstreams are left."""
+        self._metrics.count("cold_syns_refused")
+        state = upstream.state
+        self._reset(
+            data, out, reason, service=state.service, upstream=state.upstream_id
+        )
+
+    def apply_cold_allowance(self, answer, now_ms):
+        """Apply the answer of a home to a request for permits; return the upstream."""
+        return self.cold_permits.apply_answer(answer, now_ms)
+
+    def release_permitted(self, now_ms, out):
+        """Send or refuse held SYNs whose answer arrived, and drop late ones."""
+        permits = self.cold_permits
+        if not permits.held:
+            return
+        if permits.pop_answered():
+            for key, held in list(permits.held.items()):
+                self._release_syn(key, held, now_ms, out)
+        for held in permits.pop_late(now_ms):
+            self._drop_late_syn(held, out)
+
+    def _release_syn(self, key, held, now_ms, out):
+        """Send a held SYN if it may be sent now, or refuse it; else keep holding it."""
+        permits, flow = self.cold_permits, self._flows.get(key)
+        if flow is not None and flow.is_open:
+            del permits.held[key]
+            return
+        upstream = self._choose(held.service, flow, now_ms)
+        if upstream is None:
+            del permits.held[key]
+            self._refuse_syn(held.data, held.service, out)
+        elif self._may_offer(upstream, now_ms):
+            del permits.held[key]
+            self._offer_syn(held.data, held.service, upstream, now_ms, out)
+        elif now_ms < upstream.refused_until_ms:
+            del permits.held[key]
+            self._refuse_cold(held.data, upstream, "no permit", out)
+        elif now_ms < held.upstream.refused_until_ms:
+            # Its home refused; another cold upstream may have a permit left.
+            held.upstream, held.requested_ms = upstream, now_ms
+            permits.request(upstream, now_ms)
+
+    def _drop_late_syn(self, held, out):
+        """Drop a SYN whose retransmission follows; refuse the last one."""
+        self._metrics.count("cold_syns_late")
+        if held.data[COPY_OFFSET] >= LAST_SYN_COPY and self.has_leader:
+            self._refuse_cold(held.data, held.upstream, "no answer of the home", out)
+            return
+        self._log.info(
+            "dropped a SYN",
+            flow=describe_flow(held.data),
+            reason="no permit arrived in time",
+            upstream=held.upstream.state.upstream_id,
+        )
+
     # Packets after the SYN.
 
     def _handle_later_packet(self, data, route, now_ms, out):
@@ -348,7 +451,7 @@
             self._hedges.popleft()
         hedge_ms = self._hedges[0].due_ms if self._hedges else None
         held_ms = self._held.next_due_ms if self._held is not None else None
-        return earliest(hedge_ms, held_ms)
+        return earliest(hedge_ms, held_ms, self.cold_permits.next_due_ms)
 
     def send_due_hedges(self, now_ms, out):
         """Send SYNs unanswered for `HEDGE_DELAY_MS` to further upstreams."""
@@ -367,10 +470,12 @@
             self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_DELAY_MS))
             return
         flow = self._flows[hedge.key]
-        flow.upstream.note_unanswered(hedge.due_ms - HEDGE_DELAY_MS, now_ms)
-        next_upstream = self._pool.choose(hedge.service, now_ms, flow.tried)
+        self._note_unanswered(flow.upstream, hedge.due_ms - HEDGE_DELAY_MS, now_ms)
+        next_upstream = self._choose(hedge.service, flow, now_ms)
         if next_upstream is None or next_upstream in flow.tried:
             return
+        if not self._may_offer(next_upstream, now_ms):
+            return
         self._metrics.count("flows_offered_again")
         self._log.info(
             "sent an unanswered SYN to another upstream",
@@ -381,10 +486,19 @@
         )
         flow.upstream = next_upstream
         flow.tried.append(next_upstream)
-        self._send_syn(hedge.data, next_upstream, out)
+        self._send_permitted(hedge.data, next_upstream, now_ms, out)
         if len(flow.tried) < MAX_UPSTREAMS_TRIED:
             self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_DELAY_MS))
 
+    def _note_unanswered(self, upstream, sent_ms, now_ms):
+        """Suspect an upstream; without replicas, it may also have restarted."""
+        upstream.note_unanswered(sent_ms, now_ms)
+        if self.is_connected or not upstream.is_suspect(now_ms):
+            return
+        terms = self._routes.services.get(upstream.state.service)
+        if terms is not None and terms.cold_per_s_milli:
+            upstream.assume_restart(terms.cold_start_ms, now_ms)
+
     def pop_answer_counts(self, now_ms):
         """Return (answered, unanswered) by upstream since the last call."""
         self._answer_tracker.expire(now_ms)
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -11,8 +11,17 @@
 
 from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.coldallowance import VALID_MS, ColdGrants, Grant
+from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK, ColdBound
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
+from knapweeddeal.messages.cold import (
+    ColdAllowance,
+    ColdAllowanceRelay,
+    ColdAllowanceRelayAnswer,
+    ColdAllowanceRequest,
+    ColdGrantsNotice,
+)
 from knapweeddeal.messages.packets import (
     GONE,
     AnswerCounts,
@@ -50,6 +59,11 @@
 FULL_PUSH_REUSE_MS = 100
 #: Time without an update from the replicated log after which its state is stale.
 STATE_STALE_MS = 1_500
+#: Time after which a request for permits that was passed on is forgotten.
+RELAY_RETENTION_MS = 1_000
+#: `retry_ms` of a refusal by a replica that has no link to the home.
+NO_HOME_RETRY_MS = 200
+DEFAULT_COLD_BOUND = ColdBound(over=DEFAULT_COLD_OVER, slack=DEFAULT_COLD_SLACK)
 
 
 class PendingConfirmation:
@@ -64,6 +78,12 @@
         self.received_ms = now_ms
 
 
+class Relay(Record):
+    """Hold a request for permits that was passed on to the home of an upstream."""
+
+    __slots__ = ("outbox", "received_ms", "request_id")
+
+
 class Subscriber(Record):
     """Hold a forwarder's name and the configuration last pushed to it."""
 
@@ -75,6 +95,7 @@
 
     __slots__ = (
         "_batch_id",
+        "_cold",
         "_next_tick_ms",
         "_configuration",
         "_state_received_ms",
@@ -90,12 +111,24 @@
         "_replicas",
         "_table",
         "_pending",
+        "_relay_id",
+        "_relays",
         "_full_push",
         "_full_push_ms",
         "_zone",
     )
 
-    def __init__(self, *, own_replica, zone, report_ms, events, metrics, hints):
+    def __init__(
+        self,
+        *,
+        own_replica,
+        zone,
+        report_ms,
+        events,
+        metrics,
+        hints,
+        cold_bound=DEFAULT_COLD_BOUND,
+    ):
         self._own_replica = own_replica
         self._hints = hints
         self._zone = zone
@@ -105,6 +138,14 @@
             own_identity=own_replica.identity, report_ms=report_ms
         )
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
+        now_ms = monotonic_ms()
+        self._cold = ColdGrants(
+            bound=cold_bound, report_ms=report_ms, started_ms=now_ms
+        )
+        #: Requests for permits that were passed on, by id; ids of an earlier process
+        #: of this replica aren't used again.
+        self._relays = {}
+        self._relay_id = now_ms << 20
         self._configuration = None
         self._current = False
         self._state_received_ms = 0
@@ -126,7 +167,13 @@
 
     def dump(self):
         """Return the state of the hub for the dump."""
+        now_ms = monotonic_ms()
+        rates = {
+            upstream_id: self._cold_rate_milli(upstream_id)
+            for upstream_id in self._table.cold_ids(now_ms)
+        }
         return {
+            "cold": self._cold.dump(rates, now_ms),
             "current": self._is_current(monotonic_ms()),
             "forwarders": [f.name for f in self._forwarders.values()],
             "links": [f"{identity:016x}" for identity in self._links],
@@ -145,6 +192,20 @@
             services=configuration.services if configuration else [],
         )
 
+    def _cold_rate_milli(self, upstream_id):
+        """Return the rate that an upstream's service states for cold ones, or 0."""
+        state, configuration = self._table.get(upstream_id), self._configuration
+        if state is None or configuration is None:
+            return 0
+        for terms in configuration.services:
+            if terms.name == state.service:
+                return terms.cold_per_s_milli
+        return 0
+
+    def _is_home(self, upstream_id):
+        state = self._table.get(upstream_id)
+        return state is not None and state.home == self._own_replica.identity
+
     def _is_current(self, now_ms):
         return self._current and now_ms - self._state_received_ms < STATE_STALE_MS
 
@@ -197,6 +258,9 @@
             await self._push_states(silent)
         await self._detect_outliers(now_ms)
         await self._confirm_replicated(now_ms)
+        await self._claim_unconfirmed(now_ms)
+        self._cold.expire(now_ms)
+        self._expire_relays(now_ms)
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
@@ -206,7 +270,117 @@
         changed = self._answers.mark_failing(now_ms)
         if changed:
             await self._push_states(changed)
-            await self._send_to_replicas(self._batch(states=changed))
+            states = self._table.with_remaining_cold(changed, now_ms)
+            await self._send_to_replicas(self._batch(states=states))
+
+    # Cold upstreams.
+
+    async def _claim_unconfirmed(self, now_ms):
+        """Claim the homes of cold upstreams that can't be granted for yet."""
+        upstream_ids = [
+            upstream_id
+            for upstream_id in self._cold.unconfirmed(now_ms)
+            if self._is_claimable(upstream_id, now_ms)
+        ]
+        if upstream_ids:
+            states = [self._table.get(upstream_id) for upstream_id in upstream_ids]
+            states = self._table.with_remaining_cold(states, now_ms)
+            self._batch_id += 1
+            await self._send_to_replicas(
+                self._batch(states=states, batch_id=self._batch_id)
+            )
+            self._start_claim(self._batch_id, upstream_ids, now_ms)
+
+    def _is_claimable(self, upstream_id, now_ms):
+        """Return whether all replicas can acknowledge a claim of an upstream's home.
+
+        Without a leader, this replica may not know all of them.
+        """
+        identities = {replica.identity for replica in self._replicas}
+        missing = identities - self._links.keys() - {self._own_replica.identity}
+        return (
+            self._is_current(now_ms)
+            and not missing
+            and self._is_home(upstream_id)
+            and self._cold_rate_milli(upstream_id) > 0
+        )
+
+    def _start_claim(self, batch_id, upstream_ids, now_ms):
+        self._cold.start_claim(batch_id, upstream_ids, self._links.keys(), now_ms)
+        log.info(
+            "claimed to be the home of cold upstreams",
+            upstreams=upstream_ids,
+            replicas=len(self._links),
+        )
+
+    async def _answer_claims(self, states, outbox, now_ms):
+        """Notify a new home of earlier grants; return False if that isn't possible."""
+        for state in states:
+            if self._cold_rate_milli(state.upstream_id) <= 0:
+                continue
+            notice = self._cold.answer_claim(
+                state.upstream_id,
+                is_home=self._is_home(state.upstream_id),
+                now_ms=now_ms,
+            )
+            if notice is not None and not await outbox.offer(notice):
+                return False
+        return True
+
+    def _grant(self, upstream_id, count, now_ms):
+        """Return the permits that this replica grants as the home of an upstream."""
+        grant = self._cold.grant(
+            upstream_id,
+            count,
+            self._cold_rate_milli(upstream_id),
+            is_home=self._is_home(upstream_id),
+            now_ms=now_ms,
+        )
+        self._metrics.count("cold_permits_granted", grant.count)
+        if not grant.count:
+            self._metrics.count("cold_permits_refused")
+            log.info(
+                "refused permits for a cold upstream",
+                upstream=upstream_id,
+                home=self._is_home(upstream_id),
+                retry_ms=grant.retry_ms,
+            )
+        return grant
+
+    async def _request_permits(self, request, outbox):
+        """Answer a forwarder's request, or pass it on to the upstream's home."""
+        now_ms = monotonic_ms()
+        self._metrics.count("cold_permits_requested")
+        state = self._table.get(request.upstream_id)
+        if state is None or state.home == self._own_replica.identity:
+            grant = self._grant(request.upstream_id, request.count, now_ms)
+            await outbox.offer(_allowance(request, grant))
+            return
+        link = self._links.get(state.home)
+        if link is None:
+            self._metrics.count("cold_permits_refused")
+            grant = Grant(count=0, retry_ms=NO_HOME_RETRY_MS)
+            await outbox.offer(_allowance(request, grant))
+            return
+        self._relay_id += 1
+        self._relays[self._relay_id] = Relay(
+            outbox=outbox, received_ms=now_ms, request_id=request.request_id
+        )
+        self._metrics.count("cold_requests_relayed")
+        await link.offer(
+            ColdAllowanceRelay(
+                sender=self._own_replica.identity,
+                relay_id=self._relay_id,
+                upstream_id=request.upstream_id,
+                count=request.count,
+            )
+        )
+
+    def _expire_relays(self, now_ms):
+        for relay_id, relay in list(self._relays.items()):
+            if now_ms - relay.received_ms < RELAY_RETENTION_MS:
+                return
+            del self._relays[relay_id]
 
     # Events.
 
@@ -217,16 +391,22 @@
     @_handle.register
     async def _(self, event: UpstreamReported):
         state, now_ms = event.state, monotonic_ms()
+        upstream_id = state.upstream_id
+        was_home = self._is_home(upstream_id)
         changed = self._table.apply_state(state, now_ms)
         self._metrics.count("reports")
-        if not changed:
+        is_claimed = self._record_direct_report(state, was_home, now_ms)
+        if not changed and not is_claimed:
             await event.reply.put(True)
             return
         await self._push_states(changed)
         self._batch_id += 1
+        states = self._table.with_remaining_cold(changed or [state], now_ms)
         await self._send_to_replicas(
-            self._batch(states=changed, batch_id=self._batch_id)
+            self._batch(states=states, batch_id=self._batch_id)
         )
+        if is_claimed:
+            self._start_claim(self._batch_id, [upstream_id], now_ms)
         self._pending[self._batch_id] = PendingConfirmation(
             reply=event.reply,
             missing=set(self._links),
@@ -235,6 +415,15 @@
         )
         await self._confirm_replicated(now_ms)
 
+    def _record_direct_report(self, state, was_home, now_ms):
+        """Record a report received here; return whether to claim the home."""
+        applied = self._table.get(state.upstream_id)
+        if applied is None or applied.version_key != state.version_key:
+            return False
+        begins = self._cold.record_report(state, was_home=was_home, now_ms=now_ms)
+        is_cold = state.cold_ms > 0
+        return begins and is_cold and self._is_claimable(state.upstream_id, now_ms)
+
     @_handle.register
     async def _(self, event: UpstreamStateRequested):
         await event.reply.put(self._table.get(event.upstream_id))
@@ -251,6 +440,8 @@
             await self._push_states(changed)
         outbox = self._links.get(batch.sender)
         if batch.batch_id and outbox is not None:
+            if not await self._answer_claims(batch.states, outbox, now_ms):
+                return
             ack = DirectoryAck(
                 sender=self._own_replica.identity, batch_id=batch.batch_id
             )
@@ -258,6 +449,7 @@
 
     @_handle.register
     async def _(self, ack: DirectoryAck):
+        self._cold.acknowledge(ack.batch_id, ack.sender, monotonic_ms())
         pending = self._pending.get(ack.batch_id)
         if pending is not None:
             pending.missing.discard(ack.sender)
@@ -279,6 +471,7 @@
     async def _(self, event: LinkDown):
         if self._links.get(event.identity) is event.outbox:
             del self._links[event.identity]
+            self._cold.drop_replica(event.identity)
             log.warning("lost the link to a replica", identity=f"{event.identity:016x}")
             for pending in self._pending.values():
                 pending.missing.discard(event.identity)
@@ -309,11 +502,45 @@
         if isinstance(event.message, AnswerCounts):
             self._answers.add_counts(event.message, monotonic_ms())
             return
+        if isinstance(event.message, ColdAllowanceRequest):
+            await self._request_permits(event.message, event.outbox)
+            return
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
             await self._push_routes(event.outbox)
         await event.outbox.offer(self._control_state())
 
+    @_handle.register
+    async def _(self, relay: ColdAllowanceRelay):
+        grant = self._grant(relay.upstream_id, relay.count, monotonic_ms())
+        outbox = self._links.get(relay.sender)
+        if outbox is not None:
+            await outbox.offer(
+                ColdAllowanceRelayAnswer(
+                    relay_id=relay.relay_id,
+                    upstream_id=relay.upstream_id,
+                    count=grant.count,
+                    valid_ms=VALID_MS,
+                    retry_ms=grant.retry_ms,
+                )
+            )
+
+    @_handle.register
+    async def _(self, answer: ColdAllowanceRelayAnswer):
+        relay = self._relays.pop(answer.relay_id, None)
+        if relay is not None and relay.outbox in self._forwarders:
+            await relay.outbox.offer(_allowance(relay, answer, answer.upstream_id))
+
+    @_handle.register
+    async def _(self, notice: ColdGrantsNotice):
+        self._cold.apply_notice(notice, monotonic_ms())
+        log.info(
+            "learned of earlier grants for a cold upstream",
+            upstream=notice.upstream_id,
+            count=notice.count,
+            wait_ms=notice.wait_ms,
+        )
+
     @_handle.register
     async def _(self, event: ForwarderDisconnected):
         subscriber = self._forwarders.pop(event.outbox, None)
@@ -379,6 +606,7 @@
                 status=state.status,
                 silent=state.silent,
                 failing=state.failing,
+                cold_ms=state.cold_ms,
                 born_ms=state.born_ms,
                 sequence=state.sequence,
                 home=f"{state.home:016x}",
@@ -388,6 +616,7 @@
         unsent = self._table.pop_unsent(states)
         if not unsent:
             return
+        unsent = self._table.with_remaining_cold(unsent, monotonic_ms())
         push = EncodedMessage(message=UpstreamsPush(whole=False, states=unsent))
         for outbox in self._forwarders:
             await outbox.offer(push)
@@ -451,6 +680,17 @@
             await pending.reply.put(True)
 
 
+def _allowance(request, grant, upstream_id=None):
+    """Return the answer to a forwarder's request."""
+    return ColdAllowance(
+        request_id=request.request_id,
+        upstream_id=upstream_id or request.upstream_id,
+        count=grant.count,
+        valid_ms=VALID_MS,
+        retry_ms=grant.retry_ms,
+    )
+
+
 def _to_hint(state, home):
     """Return a state marked as a hint, neither silent nor failing."""
     return state.replace(home=home, hint=True, silent=False, failing=False)
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -48,6 +48,11 @@
         """Return the route for a packet's route key, or None."""
         return self._routes.get(key)
 
+    def cold_rate_milli(self, service):
+        """Return the stated rate of a cold upstream in thousandths, or 0."""
+        terms = self.services.get(service)
+        return terms.cold_per_s_milli if terms is not None else 0
+
     def __len__(self):
         """Return the number of routes."""
         return len(self._routes)
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -65,6 +65,7 @@
         for data in self._receive_pending():
             self._forwarder.handle_packet(data, now_ms, out)
             received += 1
+        self._forwarder.release_permitted(now_ms, out)
         self._forwarder.send_due_hedges(now_ms, out)
         for data, address in self._egress.release(out, now_ms):
             self._send(data, address)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -6,11 +6,12 @@
 
 import math
 import struct
+from collections import deque
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
 
-__all__ = ["PacketUpstream", "UpstreamPool", "echo_from_number"]
+__all__ = ["COLD_MARGIN_MS", "PacketUpstream", "UpstreamPool", "echo_from_number"]
 
 #: Half-life of the load that a request adds to an upstream: requests take 5 to 40 ms,
 #: and some wait for a slot.
@@ -22,6 +23,11 @@
 OTHER_ZONE_PENALTY = 1.0
 #: Load per slot that is added for a cold upstream.
 COLD_PENALTY = 0.5
+#: Increase of the remaining cold time that replicas don't push, as reports are delayed
+#: differently: opening packets need permits for this much longer.
+COLD_MARGIN_MS = 100
+#: Ranks of upstreams of a service that states a rate for cold ones.
+WARM, COLD_PERMITTED, COLD, COLD_REFUSED = range(4)
 #: Time for which an upstream that didn't answer a SYN is avoided.
 SUSPECT_MS = 3_000
 
@@ -60,7 +66,9 @@
         "load",
         "load_ms",
         "open_flows",
+        "permits",
         "prefix",
+        "refused_until_ms",
         "state",
         "suspect_until_ms",
     )
@@ -78,6 +86,10 @@
         #: When a caller's packet last showed that it had answered a SYN.
         self.answered_ms = 0
         self.suspect_until_ms = 0
+        #: Expiry times of permits for opening packets while it is cold.
+        self.permits = deque()
+        #: Time until which its home has refused permits.
+        self.refused_until_ms = 0
         self.is_same_zone = state.zone == zone
         self.set_state(state, 0)
 
@@ -112,6 +124,29 @@
         if self.answered_ms < sent_ms:
             self.suspect_until_ms = now_ms + SUSPECT_MS
 
+    def assume_restart(self, cold_start_ms, now_ms):
+        """Count it as cold after it was suspect, as it may have restarted meanwhile."""
+        until_ms = now_ms + SUSPECT_MS + cold_start_ms
+        self.cold_until_ms = max(self.cold_until_ms, until_ms)
+
+    def needs_permit(self, now_ms):
+        """Return whether it may be cold, so that a stated rate holds for it."""
+        return now_ms < self.cold_until_ms + COLD_MARGIN_MS
+
+    def has_permit(self, now_ms):
+        """Return whether a permit is valid; remove those that have expired."""
+        while self.permits and self.permits[0] <= now_ms:
+            self.permits.popleft()
+        return bool(self.permits)
+
+    def cold_rank(self, now_ms):
+        """Return the rank among upstreams of a service that states a rate."""
+        if not self.needs_permit(now_ms):
+            return WARM
+        if self.has_permit(now_ms):
+            return COLD_PERMITTED
+        return COLD_REFUSED if now_ms < self.refused_until_ms else COLD
+
     def has_ended(self, now_ms):
         """Return whether its process has ended; GONE is reported just before that."""
         if self.state.status != GONE:
@@ -195,28 +230,30 @@
         """Return all upstreams."""
         return self._by_id.values()
 
-    def choose(self, service, now_ms, tried=()):
+    def choose(self, service, now_ms, tried=(), *, rated=False):
         """Return the upstream for a new flow, or None.
 
         Upstreams that were tried for this flow come last, after the avoided ones.
         Other zones are considered only if the best upstream in this zone was tried, is
-        avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more.
+        avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more. If the service
+        states a rate for cold upstreams (`rated`), these come after all warm ones.
         """
         same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
-        best = self._lowest_ranked(same_zone, now_ms, tried)
-        if best is not None and best.rank < (False, False, OTHER_ZONE_PENALTY):
+        best = self._lowest_ranked(same_zone, now_ms, tried, rated)
+        if best is not None and best.rank < (False, False, WARM, OTHER_ZONE_PENALTY):
             return best.upstream
-        other_best = self._lowest_ranked(other_zone, now_ms, tried)
+        other_best = self._lowest_ranked(other_zone, now_ms, tried, rated)
         if best is None or (other_best is not None and other_best.rank < best.rank):
             best = other_best
         return best.upstream if best is not None else None
 
-    def _lowest_ranked(self, upstreams, now_ms, tried):
+    def _lowest_ranked(self, upstreams, now_ms, tried, rated):
         best = None
         for upstream in upstreams:
             rank = (
                 upstream in tried,
                 upstream.is_avoided(now_ms),
+                upstream.cold_rank(now_ms) if rated else WARM,
                 upstream.score(now_ms) + self._random() * TIE_BREAK_SPREAD,
             )
             if best is None or rank < best.rank:
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -4,6 +4,7 @@
 import os
 from types import MappingProxyType
 
+from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK
 from knapweeddeal.errors import BadSettingError
 from knapweeddeal.options import (
     address_option,
@@ -211,6 +212,27 @@
         roles=(CONTROL,),
         text="Whether candidates join and lost members leave without an operator.",
     ),
+    Option(
+        section="control",
+        key="cold_over",
+        check=decimal_option,
+        default=str(DEFAULT_COLD_OVER),
+        empty=DEFAULT_COLD_OVER,
+        maximum=1_000,
+        roles=(CONTROL,),
+        text="Factor on the rate of a cold upstream that opening packets may reach.",
+    ),
+    Option(
+        section="control",
+        key="cold_slack",
+        check=integer_option,
+        default=str(DEFAULT_COLD_SLACK),
+        empty=DEFAULT_COLD_SLACK,
+        unit="packets",
+        maximum=1_000_000,
+        roles=(CONTROL,),
+        text="Opening packets to a cold upstream in any second beyond that rate.",
+    ),
     Option(
         section="forwarder",
         key="packets",
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -6,6 +6,7 @@
 
 from knapweeddeal.messages.packets import GONE, READY, UpstreamHeartbeat
 from knapweeddeal.record import Record
+from knapweeddeal.timeconstants import NEVER_MS
 
 __all__ = ["SILENT_REPORTS", "UpstreamTable"]
 
@@ -18,13 +19,20 @@
 LOST_HOME_FACTOR = 2
 
 
+#: Increase of the remaining cold time from which it has started to count again;
+#: smaller ones are due to different delays of reports.
+COLD_RESTART_MS = 100
+
+
 class UpstreamEntry(Record):
     """Hold an upstream's state and the time of its last report or heartbeat.
 
-    `last_sent` is the last state of it that was sent to forwarders, or None.
+    `last_sent` is the last state of it that was sent to forwarders, or None;
+    `sent_cold_until_ms` the end of its cold time that they know.
     """
 
     __slots__ = ("cold_until_ms", "received_ms", "state", "last_sent")
+    __slots__ += ("sent_cold_until_ms",)
 
 
 class UpstreamTable:
@@ -51,7 +59,8 @@
     def states(self, now_ms):
         """Return the states of all upstreams, with `cold_ms` as of now."""
         return [
-            _with_remaining_cold_ms(entry, now_ms) for entry in self._entries.values()
+            _with_remaining_cold_ms(entry, entry.state, now_ms)
+            for entry in self._entries.values()
         ]
 
     def peers_by_service(self, upstream_ids):
@@ -67,6 +76,23 @@
                 services[state.service].append(state.upstream_id)
         return services
 
+    def with_remaining_cold(self, states, now_ms):
+        """Return states with the `cold_ms` that remains of their upstreams."""
+        return [
+            _with_remaining_cold_ms(self._entries[state.upstream_id], state, now_ms)
+            if state.upstream_id in self._entries
+            else state
+            for state in states
+        ]
+
+    def cold_ids(self, now_ms):
+        """Return the ids of upstreams that are cold."""
+        return [
+            upstream_id
+            for upstream_id, entry in self._entries.items()
+            if now_ms < entry.cold_until_ms and entry.state.status != GONE
+        ]
+
     def get(self, upstream_id):
         """Return the state of an upstream, or None."""
         entry = self._entries.get(upstream_id)
@@ -88,16 +114,22 @@
             return []
         if self._remains_failing(entry, state):
             state = state.replace(failing=True)
+        cold_until_ms = now_ms + state.cold_ms
         self._entries[state.upstream_id] = UpstreamEntry(
             state=state,
             received_ms=now_ms,
-            cold_until_ms=now_ms + state.cold_ms,
+            cold_until_ms=cold_until_ms,
             last_sent=entry.last_sent if entry else None,
+            sent_cold_until_ms=entry.sent_cold_until_ms if entry else NEVER_MS,
         )
         if state.home == self._own_identity:
             self._unsent_heartbeats[state.upstream_id] = state
         changed = self._displace(state)
-        if entry is None or _differs(entry.state, state):
+        if (
+            entry is None
+            or _differs(entry.state, state)
+            or cold_until_ms >= max(entry.sent_cold_until_ms, now_ms) + COLD_RESTART_MS
+        ):
             changed.append(state)
         return changed
 
@@ -124,14 +156,25 @@
     def pop_unsent(self, states):
         """Return the states that forwarders lack, and record them as sent.
 
-        A change of only the home, or of a hint to a report, isn't sent to them.
+        A change of only the home, or of a hint to a report, isn't sent to them, unless
+        the cold time has started to count again.
         """
         unsent = []
         for state in states:
             entry = self._entries.get(state.upstream_id)
             last_sent = entry.last_sent if entry else None
-            if last_sent is None or not state.has_same_routing(last_sent):
+            is_cold_again = entry is not None and (
+                entry.cold_until_ms >= entry.sent_cold_until_ms + COLD_RESTART_MS
+                and state.cold_ms
+            )
+            if (
+                last_sent is None
+                or is_cold_again
+                or not state.has_same_routing(last_sent)
+            ):
                 unsent.append(state)
+                if entry is not None:
+                    entry.sent_cold_until_ms = entry.cold_until_ms
             if entry is not None:
                 entry.last_sent = state
         return unsent
@@ -144,7 +187,11 @@
         if (heartbeat.born_ms, heartbeat.sequence) < entry.state.version_key:
             return []
         state = entry.state.replace(
-            sequence=heartbeat.sequence, silent=False, home=home, hint=False
+            sequence=heartbeat.sequence,
+            cold_ms=max(entry.cold_until_ms - now_ms, 0),
+            silent=False,
+            home=home,
+            hint=False,
         )
         if heartbeat.born_ms != state.born_ms:
             return []
@@ -235,6 +282,5 @@
     return not state.has_same_routing(current)
 
 
-def _with_remaining_cold_ms(entry, now_ms):
-    cold_ms = max(entry.cold_until_ms - now_ms, 0)
-    return entry.state.replace(cold_ms=cold_ms)
+def _with_remaining_cold_ms(entry, state, now_ms):
+    return state.replace(cold_ms=max(entry.cold_until_ms - now_ms, 0))
