Move the decisions on homes and requests of cold upstreams out of the hub's task

Cause: claims and passed-on requests could only be tested with tasks. Change: coldhome decides and returns messages; packethub sends them.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -11,12 +11,11 @@
 
 from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
-from knapweeddeal.coldallowance import VALID_MS, ColdGrants, Grant
 from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK, ColdBound
+from knapweeddeal.coldhome import ColdHome
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
 from knapweeddeal.messages.cold import (
-    ColdAllowance,
     ColdAllowanceRelay,
     ColdAllowanceRelayAnswer,
     ColdAllowanceRequest,
@@ -59,10 +58,6 @@
 FULL_PUSH_REUSE_MS = 100
 #: Time without an update from the replicated log after which its state is stale.
 STATE_STALE_MS = 1_500
-#: Time after which a request for permits that was passed on is forgotten.
-RELAY_RETENTION_MS = 1_000
-#: `retry_ms` of a refusal by a replica that has no link to the home.
-NO_HOME_RETRY_MS = 200
 DEFAULT_COLD_BOUND = ColdBound(over=DEFAULT_COLD_OVER, slack=DEFAULT_COLD_SLACK)
 
 
@@ -78,12 +73,6 @@
         self.received_ms = now_ms
 
 
-class Relay(Record):
-    """Hold a request for permits that was passed on to the home of an upstream."""
-
-    __slots__ = ("outbox", "received_ms", "request_id")
-
-
 class Subscriber(Record):
     """Hold a forwarder's name and the configuration last pushed to it."""
 
@@ -111,8 +100,6 @@
         "_replicas",
         "_table",
         "_pending",
-        "_relay_id",
-        "_relays",
         "_full_push",
         "_full_push_ms",
         "_zone",
@@ -138,20 +125,21 @@
             own_identity=own_replica.identity, report_ms=report_ms
         )
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
-        now_ms = monotonic_ms()
-        self._cold = ColdGrants(
-            bound=cold_bound, report_ms=report_ms, started_ms=now_ms
-        )
-        #: Requests for permits that were passed on, by id; ids of an earlier process
-        #: of this replica aren't used again.
-        self._relays = {}
-        self._relay_id = now_ms << 20
         self._configuration = None
         self._current = False
         self._state_received_ms = 0
         self._replicas = [own_replica]
         #: Outboxes to the other replicas, by identity.
         self._links = {}
+        self._cold = ColdHome(
+            own_identity=own_replica.identity,
+            table=self._table,
+            links=self._links,
+            metrics=metrics,
+            bound=cold_bound,
+            report_ms=report_ms,
+            started_ms=monotonic_ms(),
+        )
         #: The `Subscriber` of each forwarder, by its outbox.
         self._forwarders = {}
         self._pending = {}
@@ -168,12 +156,8 @@
     def dump(self):
         """Return the state of the hub for the dump."""
         now_ms = monotonic_ms()
-        rates = {
-            upstream_id: self._cold_rate_milli(upstream_id)
-            for upstream_id in self._table.cold_ids(now_ms)
-        }
         return {
-            "cold": self._cold.dump(rates, now_ms),
+            "cold": self._cold.dump(now_ms),
             "current": self._is_current(monotonic_ms()),
             "forwarders": [f.name for f in self._forwarders.values()],
             "links": [f"{identity:016x}" for identity in self._links],
@@ -192,20 +176,6 @@
             services=configuration.services if configuration else [],
         )
 
-    def _cold_rate_milli(self, upstream_id):
-        """Return the rate that an upstream's service states for cold ones, or 0."""
-        state, configuration = self._table.get(upstream_id), self._configuration
-        if state is None or configuration is None:
-            return 0
-        for terms in configuration.services:
-            if terms.name == state.service:
-                return terms.cold_per_s_milli
-        return 0
-
-    def _is_home(self, upstream_id):
-        state = self._table.get(upstream_id)
-        return state is not None and state.home == self._own_replica.identity
-
     def _is_current(self, now_ms):
         return self._current and now_ms - self._state_received_ms < STATE_STALE_MS
 
@@ -232,11 +202,13 @@
             self._table.apply_state(_to_hint(state, home), now_ms)
         self._table.pop_unsent(self._table.states(now_ms))
         if hints.revision:
-            self._configuration = PacketConfiguration(
-                revision=hints.revision,
-                routes=hints.routes,
-                document=b"",
-                services=hints.services,
+            self._set_configuration(
+                PacketConfiguration(
+                    revision=hints.revision,
+                    routes=hints.routes,
+                    document=b"",
+                    services=hints.services,
+                )
             )
         log.info(
             "restored routes and upstreams from hints",
@@ -260,7 +232,6 @@
         await self._confirm_replicated(now_ms)
         await self._claim_unconfirmed(now_ms)
         self._cold.expire(now_ms)
-        self._expire_relays(now_ms)
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
@@ -270,117 +241,46 @@
         changed = self._answers.mark_failing(now_ms)
         if changed:
             await self._push_states(changed)
-            states = self._table.with_remaining_cold(changed, now_ms)
-            await self._send_to_replicas(self._batch(states=states))
+            await self._replicate(changed, 0, now_ms)
 
     # Cold upstreams.
 
+    def _members(self, now_ms):
+        """Return the identities of all replicas, or None without a leader."""
+        if not self._is_current(now_ms):
+            return None
+        return {replica.identity for replica in self._replicas}
+
     async def _claim_unconfirmed(self, now_ms):
-        """Claim the homes of cold upstreams that can't be granted for yet."""
-        upstream_ids = [
-            upstream_id
-            for upstream_id in self._cold.unconfirmed(now_ms)
-            if self._is_claimable(upstream_id, now_ms)
-        ]
+        """Claim again the homes of cold upstreams that can't be granted for yet."""
+        upstream_ids = self._cold.unconfirmed(self._members(now_ms), now_ms)
         if upstream_ids:
             states = [self._table.get(upstream_id) for upstream_id in upstream_ids]
-            states = self._table.with_remaining_cold(states, now_ms)
             self._batch_id += 1
-            await self._send_to_replicas(
-                self._batch(states=states, batch_id=self._batch_id)
-            )
+            await self._replicate(states, self._batch_id, now_ms)
             self._start_claim(self._batch_id, upstream_ids, now_ms)
 
-    def _is_claimable(self, upstream_id, now_ms):
-        """Return whether all replicas can acknowledge a claim of an upstream's home.
-
-        Without a leader, this replica may not know all of them.
-        """
-        identities = {replica.identity for replica in self._replicas}
-        missing = identities - self._links.keys() - {self._own_replica.identity}
-        return (
-            self._is_current(now_ms)
-            and not missing
-            and self._is_home(upstream_id)
-            and self._cold_rate_milli(upstream_id) > 0
-        )
-
     def _start_claim(self, batch_id, upstream_ids, now_ms):
-        self._cold.start_claim(batch_id, upstream_ids, self._links.keys(), now_ms)
+        self._cold.start_claim(batch_id, upstream_ids, now_ms)
         log.info(
             "claimed to be the home of cold upstreams",
             upstreams=upstream_ids,
             replicas=len(self._links),
         )
 
-    async def _answer_claims(self, states, outbox, now_ms):
-        """Notify a new home of earlier grants; return False if that isn't possible."""
-        for state in states:
-            if self._cold_rate_milli(state.upstream_id) <= 0:
-                continue
-            notice = self._cold.answer_claim(
-                state.upstream_id,
-                is_home=self._is_home(state.upstream_id),
-                now_ms=now_ms,
-            )
-            if notice is not None and not await outbox.offer(notice):
-                return False
-        return True
-
-    def _grant(self, upstream_id, count, now_ms):
-        """Return the permits that this replica grants as the home of an upstream."""
-        grant = self._cold.grant(
-            upstream_id,
-            count,
-            self._cold_rate_milli(upstream_id),
-            is_home=self._is_home(upstream_id),
-            now_ms=now_ms,
-        )
-        self._metrics.count("cold_permits_granted", grant.count)
-        if not grant.count:
-            self._metrics.count("cold_permits_refused")
+    async def _send_answer(self, message, outbox):
+        """Send an answer to a request for permits if its stream is still there."""
+        known = outbox in self._forwarders or outbox in self._links.values()
+        if not known:
+            return
+        await outbox.offer(message)
+        if getattr(message, "retry_ms", 0):
             log.info(
                 "refused permits for a cold upstream",
-                upstream=upstream_id,
-                home=self._is_home(upstream_id),
-                retry_ms=grant.retry_ms,
+                upstream=message.upstream_id,
+                home=self._cold.is_home(message.upstream_id),
+                retry_ms=message.retry_ms,
             )
-        return grant
-
-    async def _request_permits(self, request, outbox):
-        """Answer a forwarder's request, or pass it on to the upstream's home."""
-        now_ms = monotonic_ms()
-        self._metrics.count("cold_permits_requested")
-        state = self._table.get(request.upstream_id)
-        if state is None or state.home == self._own_replica.identity:
-            grant = self._grant(request.upstream_id, request.count, now_ms)
-            await outbox.offer(_allowance(request, grant))
-            return
-        link = self._links.get(state.home)
-        if link is None:
-            self._metrics.count("cold_permits_refused")
-            grant = Grant(count=0, retry_ms=NO_HOME_RETRY_MS)
-            await outbox.offer(_allowance(request, grant))
-            return
-        self._relay_id += 1
-        self._relays[self._relay_id] = Relay(
-            outbox=outbox, received_ms=now_ms, request_id=request.request_id
-        )
-        self._metrics.count("cold_requests_relayed")
-        await link.offer(
-            ColdAllowanceRelay(
-                sender=self._own_replica.identity,
-                relay_id=self._relay_id,
-                upstream_id=request.upstream_id,
-                count=request.count,
-            )
-        )
-
-    def _expire_relays(self, now_ms):
-        for relay_id, relay in list(self._relays.items()):
-            if now_ms - relay.received_ms < RELAY_RETENTION_MS:
-                return
-            del self._relays[relay_id]
 
     # Events.
 
@@ -392,19 +292,18 @@
     async def _(self, event: UpstreamReported):
         state, now_ms = event.state, monotonic_ms()
         upstream_id = state.upstream_id
-        was_home = self._is_home(upstream_id)
+        was_home = self._cold.is_home(upstream_id)
         changed = self._table.apply_state(state, now_ms)
         self._metrics.count("reports")
-        is_claimed = self._record_direct_report(state, was_home, now_ms)
+        is_claimed = self._cold.record_report(
+            state, was_home=was_home, members=self._members(now_ms), now_ms=now_ms
+        )
         if not changed and not is_claimed:
             await event.reply.put(True)
             return
         await self._push_states(changed)
         self._batch_id += 1
-        states = self._table.with_remaining_cold(changed or [state], now_ms)
-        await self._send_to_replicas(
-            self._batch(states=states, batch_id=self._batch_id)
-        )
+        await self._replicate(changed or [state], self._batch_id, now_ms)
         if is_claimed:
             self._start_claim(self._batch_id, [upstream_id], now_ms)
         self._pending[self._batch_id] = PendingConfirmation(
@@ -415,15 +314,6 @@
         )
         await self._confirm_replicated(now_ms)
 
-    def _record_direct_report(self, state, was_home, now_ms):
-        """Record a report received here; return whether to claim the home."""
-        applied = self._table.get(state.upstream_id)
-        if applied is None or applied.version_key != state.version_key:
-            return False
-        begins = self._cold.record_report(state, was_home=was_home, now_ms=now_ms)
-        is_cold = state.cold_ms > 0
-        return begins and is_cold and self._is_claimable(state.upstream_id, now_ms)
-
     @_handle.register
     async def _(self, event: UpstreamStateRequested):
         await event.reply.put(self._table.get(event.upstream_id))
@@ -440,8 +330,9 @@
             await self._push_states(changed)
         outbox = self._links.get(batch.sender)
         if batch.batch_id and outbox is not None:
-            if not await self._answer_claims(batch.states, outbox, now_ms):
-                return
+            for notice in self._cold.answer_claims(batch.states, now_ms):
+                if not await outbox.offer(notice):
+                    return
             ack = DirectoryAck(
                 sender=self._own_replica.identity, batch_id=batch.batch_id
             )
@@ -449,7 +340,7 @@
 
     @_handle.register
     async def _(self, ack: DirectoryAck):
-        self._cold.acknowledge(ack.batch_id, ack.sender, monotonic_ms())
+        self._cold.acknowledge(ack, monotonic_ms())
         pending = self._pending.get(ack.batch_id)
         if pending is not None:
             pending.missing.discard(ack.sender)
@@ -503,7 +394,10 @@
             self._answers.add_counts(event.message, monotonic_ms())
             return
         if isinstance(event.message, ColdAllowanceRequest):
-            await self._request_permits(event.message, event.outbox)
+            now_ms = monotonic_ms()
+            await self._send_answer(
+                *self._cold.answer_request(event.message, event.outbox, now_ms)
+            )
             return
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
@@ -512,24 +406,11 @@
 
     @_handle.register
     async def _(self, relay: ColdAllowanceRelay):
-        grant = self._grant(relay.upstream_id, relay.count, monotonic_ms())
-        outbox = self._links.get(relay.sender)
-        if outbox is not None:
-            await outbox.offer(
-                ColdAllowanceRelayAnswer(
-                    relay_id=relay.relay_id,
-                    upstream_id=relay.upstream_id,
-                    count=grant.count,
-                    valid_ms=VALID_MS,
-                    retry_ms=grant.retry_ms,
-                )
-            )
+        await self._send_answer(*self._cold.answer_relay(relay, monotonic_ms()))
 
     @_handle.register
     async def _(self, answer: ColdAllowanceRelayAnswer):
-        relay = self._relays.pop(answer.relay_id, None)
-        if relay is not None and relay.outbox in self._forwarders:
-            await relay.outbox.offer(_allowance(relay, answer, answer.upstream_id))
+        await self._send_answer(*self._cold.pass_answer_back(answer))
 
     @_handle.register
     async def _(self, notice: ColdGrantsNotice):
@@ -555,7 +436,7 @@
         self._current = event.current
         self._replicas = event.replicas
         if self._is_newer(event.configuration):
-            self._configuration = event.configuration
+            self._set_configuration(event.configuration)
             self._diffs = {}
             for outbox in self._forwarders:
                 await self._push_routes(outbox)
@@ -566,6 +447,10 @@
             if event.current:
                 await self._push_silent(now_ms)
 
+    def _set_configuration(self, configuration):
+        self._configuration = configuration
+        self._cold.services = {terms.name: terms for terms in configuration.services}
+
     def _is_newer(self, configuration):
         """Return whether a configuration is newer: hints may be ahead of the log."""
         existing = self._configuration
@@ -589,6 +474,10 @@
             replicas=self._replicas,
         )
 
+    async def _replicate(self, states, batch_id, now_ms):
+        states = self._table.with_remaining_cold(states, now_ms)
+        await self._send_to_replicas(self._batch(states=states, batch_id=batch_id))
+
     async def _send_to_replicas(self, message):
         for outbox in self._links.values():
             await outbox.offer(message)
@@ -680,17 +569,6 @@
             await pending.reply.put(True)
 
 
-def _allowance(request, grant, upstream_id=None):
-    """Return the answer to a forwarder's request."""
-    return ColdAllowance(
-        request_id=request.request_id,
-        upstream_id=upstream_id or request.upstream_id,
-        count=grant.count,
-        valid_ms=VALID_MS,
-        retry_ms=grant.retry_ms,
-    )
-
-
 def _to_hint(state, home):
     """Return a state marked as a hint, neither silent nor failing."""
     return state.replace(home=home, hint=True, silent=False, failing=False)
