--- a/knapweeddeal/coldallowance.py
+++ b/knapweeddeal/coldallowance.py
@@ -116,18 +116,17 @@
 
     # Reports.
 
-    def record_report(self, state, *, was_home, now_ms):
+    def record_report(self, state, now_ms):
         """Record a report received directly; return whether a new tenure begins.
 
-        `was_home`: whether no other replica has replicated a report since. A gap in
-        the sequence means that another replica may have received a report.
+        A gap in the sequence means that another replica may have received a report.
         """
         upstream = self._upstream(state.upstream_id, now_ms)
         tenure = upstream.tenure
         if state.status == GONE:
             upstream.tenure = None
             return False
-        is_alive = tenure is not None and was_home and self._is_alive(tenure, now_ms)
+        is_alive = tenure is not None and self._is_alive(tenure, now_ms)
         if is_alive and tenure.born_ms == state.born_ms:
             if state.sequence <= tenure.last_sequence:
                 return False
@@ -145,6 +144,16 @@
         )
         return True
 
+    def end_tenure(self, upstream_id):
+        """End the tenure, as another replica has become the home.
+
+        It doesn't resume: replicas that hold the same report may each name another
+        home, so that the directory here may name this replica again.
+        """
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.tenure = None
+
     def _is_alive(self, tenure, now_ms):
         return now_ms - tenure.reported_ms < self._tenure_ms
 
--- a/knapweeddeal/coldhome.py
+++ b/knapweeddeal/coldhome.py
@@ -70,18 +70,23 @@
 
     # Claims.
 
-    def record_report(self, state, *, was_home, members, now_ms):
+    def record_changes(self, states):
+        """Note states that another replica has replicated: it may be the home now."""
+        for state in states:
+            if state.home != self._own_identity:
+                self._grants.end_tenure(state.upstream_id)
+
+    def record_report(self, state, *, members, now_ms):
         """Record a report received here; return whether to claim the home.
 
-        `was_home`: whether this replica was the home before. `members` holds the
-        identities of all replicas, or is None without a leader, as this replica may
-        not know all of them then.
+        `members` holds the identities of all replicas, or is None without a leader, as
+        this replica may not know all of them then.
         """
         upstream_id = state.upstream_id
         applied = self._table.get(upstream_id)
         if applied is None or applied.version_key != state.version_key:
             return False
-        begins = self._grants.record_report(state, was_home=was_home, now_ms=now_ms)
+        begins = self._grants.record_report(state, now_ms)
         is_cold = state.cold_ms > 0
         return begins and is_cold and self._is_claimable(upstream_id, members)
 
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -292,11 +292,10 @@
     async def _(self, event: UpstreamReported):
         state, now_ms = event.state, monotonic_ms()
         upstream_id = state.upstream_id
-        was_home = self._cold.is_home(upstream_id)
         changed = self._table.apply_state(state, now_ms)
         self._metrics.count("reports")
         is_claimed = self._cold.record_report(
-            state, was_home=was_home, members=self._members(now_ms), now_ms=now_ms
+            state, members=self._members(now_ms), now_ms=now_ms
         )
         if not changed and not is_claimed:
             await event.reply.put(True)
@@ -326,6 +325,7 @@
             changed += self._table.apply_state(state, now_ms)
         for heartbeat in batch.beats:
             changed += self._table.apply_heartbeat(heartbeat, batch.sender, now_ms)
+        self._cold.record_changes(changed)
         if changed:
             await self._push_states(changed)
         outbox = self._links.get(batch.sender)
