Test the bound and the push of cold times with processes and tables

Cause: the bound held only in the simulation, and a cold time that counts again had no test. Change: ColdUpstream sends 40 SYNs to one cold upstream through processes on loopback; ColdAgain tests the pushes.

--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -25,7 +25,7 @@
 ROUTE_HOST, ROUTE_PORT = "198.18.0.1", 443
 
 
-def document(version, *, routes=1):
+def document(version, *, routes=1, cold_per_s=0):
     """Return an operator's document whose routes lead to one service."""
     return {
         "version": version,
@@ -40,7 +40,9 @@
             }
             for number in range(routes)
         ],
-        "services": [{"name": SERVICE, "healthPath": "/health"}],
+        "services": [
+            {"name": SERVICE, "healthPath": "/health", "coldPerS": cold_per_s}
+        ],
         "limits": {},
     }
 
@@ -177,7 +179,7 @@
                 return json.loads(data)["version"]
         return 0
 
-    def report(self, state="ready", *, born=1_000):
+    def report(self, state="ready", *, born=1_000, cold_ms=0):
         """Report the upstream; return the HTTP status."""
         self.sequence += 1
         body = {
@@ -187,7 +189,7 @@
             "version": "v1",
             "slots": 2,
             "state": state,
-            "coldLeftMs": 0,
+            "coldLeftMs": cold_ms,
             "seq": self.sequence,
             "born": born,
         }
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -2,14 +2,18 @@
 
 import socket
 import struct
+import time
 
 import testtools
 
+from knapweeddeal.clock import boot_ms
 from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT
 from knapweeddeal.packetheader import RST, SYN
 from tests.packetcluster import ROUTE_HOST, ROUTE_PORT, PacketCluster, document
 from tests.processes import wait_until
 
+#: 4 requests a second x 1.5 + 5.
+COLD_BOUND = 11
 ID_PREFIX = bytes.fromhex("000000000000ab12")
 
 
@@ -168,3 +172,43 @@
         self.assertEqual(self.expected(), self.receive_burst())
         egress = self.cluster.dump(self.cluster.host(11))["egress"]
         self.assertEqual((None, 0), (egress["rate_bytes_per_ms"], egress["flows"]))
+
+
+class ColdUpstream(PacketCase):
+    """A cold upstream gets no more opening packets than its service states.
+
+    The forwarder may be subscribed to replicas that aren't its home.
+    """
+
+    def test_bound(self):
+        cluster = self.cluster
+        cluster.publish(6, cold_per_s=4)
+        # The replicas don't grant within a window of their start.
+        time.sleep(1.5)
+        self.assertEqual(200, cluster.report(cold_ms=60_000))
+        wait_until(self._is_cold, "the cold upstream at the forwarder")
+        for port in range(40):
+            cluster.send(self.packet(SYN, port=5_000 + port))
+        self.assertEqual(COLD_BOUND, self._count_syns())
+        resets = sum(cluster.receive_at_caller() is not None for _ in range(29))
+        self.assertEqual(29, resets)
+        (cold,) = [
+            one
+            for host in cluster.replicas
+            for one in cluster.dump(host)["packets"]["cold"]
+            if one["home"]
+        ]
+        self.assertEqual(COLD_BOUND, cold["bound"])
+
+    def _is_cold(self):
+        dump = self.cluster.dump(self.cluster.host(11))
+        known = dump["upstreams"] and dump["upstreams"][0]["cold_until_ms"] > boot_ms()
+        return known and dump["revision"] == 6
+
+    def _count_syns(self):
+        """Return the number of SYNs until 0.5 s pass without one."""
+        count = 0
+        self.cluster.upstream.settimeout(0.5)
+        while self.cluster.receive_at_upstream() is not None:
+            count += 1
+        return count
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -194,3 +194,36 @@
         table = table_with()
         heartbeat = UpstreamHeartbeat(upstream_id="i-1", born_ms=1_000, sequence=9)
         self.assertEqual([], table.apply_heartbeat(heartbeat, OTHER, 0))
+
+
+class ColdAgain(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A cold time that starts to count again is a change that forwarders get.
+
+    Upstreams of an evacuated zone become cold without a restart. The first report has
+    2,000 ms left at time 0.
+    """
+
+    scenarios = [
+        ("it counts down", {"at_ms": 1_000, "cold_ms": 1_000, "sent": []}),
+        ("a delayed report", {"at_ms": 1_000, "cold_ms": 1_050, "sent": []}),
+        ("it counts again", {"at_ms": 1_000, "cold_ms": 2_000, "sent": [2_000]}),
+        ("cold after it was warm", {"at_ms": 9_000, "cold_ms": 500, "sent": [500]}),
+        ("warm", {"at_ms": 2_000, "cold_ms": 0, "sent": []}),
+    ]
+
+    def test_pushed(self):
+        table = table_with()
+        table.pop_unsent(table.apply_state(state(cold_ms=2_000), 0))
+        report = state(sequence=2, cold_ms=self.cold_ms)
+        unsent = table.pop_unsent(table.apply_state(report, self.at_ms))
+        self.assertEqual(self.sent, [sent.cold_ms for sent in unsent])
+
+    def test_told_late(self):
+        """A forwarder told late, and a replica by heartbeat, get what remains."""
+        table = table_with(state(cold_ms=2_000))
+        heartbeat = UpstreamHeartbeat(upstream_id="i-1", born_ms=1_000, sequence=9)
+        table.apply_heartbeat(heartbeat, OTHER, 1_200)
+        self.assertEqual([500], [one.cold_ms for one in table.states(1_500)])
+        (silent,) = table.expire(now_ms=4_500, current=True, linked=(OTHER,))
+        (pushed,) = table.with_remaining_cold([silent], 4_500)
+        self.assertEqual(0, pushed.cold_ms)
