Merge permits for cold upstreams

The decision on a SYN says whether it waits for a permit, so the dry run shows it too; a query no longer removes expired permits.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -71,7 +71,7 @@
     class NaivePool(type(pool)):
         __slots__ = ()
 
-        def choose(self, service, now_ms, tried=()):
+        def choose(self, service, now_ms, tried=(), **_sources):
             """Return an upstream that wasn't tried, if there is one."""
             upstreams = [one for one in self.all() if one not in tried]
             return choose(upstreams or list(self.all()), now_ms)
--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -26,6 +26,7 @@
 ONLY_CANDIDATE = "the only candidate"
 ONLY_IN_ZONE = f"the only one in this zone, with a load below {OTHER_ZONE_PENALTY:g}"
 DUPLICATE = "the first SYN of this flow was sent there and isn't answered yet"
+WAITS_FOR_PERMIT = "cold, and waits for a permit of the upstream's home"
 OWN_ZONE = "in this zone; the next one has less load, in another zone"
 ALL_AVOIDED = "; all are avoided"
 TIE = "a random number broke the tie with the next one"
@@ -37,6 +38,10 @@
 MARKS = (
     ("other zone", lambda upstream, now_ms: not upstream.is_same_zone),
     ("cold", lambda upstream, now_ms: upstream.is_cold(now_ms)),
+    (
+        "refused a permit",
+        lambda upstream, now_ms: now_ms < upstream.refused_until_ms,
+    ),
     ("no answer to a SYN", lambda upstream, now_ms: upstream.is_suspect(now_ms)),
     ("silent", lambda upstream, now_ms: upstream.state.silent),
     ("failing", lambda upstream, now_ms: upstream.state.failing),
@@ -117,7 +122,8 @@
     if not service:
         # Refused before a service was picked: shows what else it would have got.
         service = route.pick_service(random())
-        pool.choose(service, now_ms, random=random, ranked=ranked)
+        rated = routes.cold_rate_milli(service) > 0
+        pool.choose(service, now_ms, rated=rated, random=random, ranked=ranked)
     ranked = _in_order(ranked, decision.upstream)
     candidates = _candidates(ranked, pool, service, now_ms)
     return answer.replace(
@@ -130,7 +136,7 @@
         outcome=_outcome(decision),
         reason=_reason(decision, ranked, len(candidates), now_ms),
         service=service,
-        upstream=decision.upstream.state.upstream_id if decision.upstream else "",
+        upstream=_upstream_id(decision),
         candidates=candidates[: request.max_candidates],
         more=max(len(candidates) - request.max_candidates, 0),
     )
@@ -156,10 +162,17 @@
     return f"reset: {decision.refusal}"
 
 
+def _upstream_id(decision):
+    """Return the id of the upstream that gets the SYN, now or with a permit, or ""."""
+    return "" if decision.refusal else decision.upstream.state.upstream_id
+
+
 def _outcome(decision):
     if decision.is_duplicate:
         return "duplicate"
-    if decision.upstream is not None:
+    if decision.waits_for_permit:
+        return "held"
+    if not decision.refusal:
         return "sent"
     return "dropped" if decision.refusal == UNKNOWN_UPSTREAMS else "reset"
 
@@ -173,8 +186,10 @@
     """Return why the first candidate comes first, or why there is none."""
     if decision.is_duplicate:
         return DUPLICATE
-    if decision.upstream is None:
+    if decision.refusal:
         return decision.refusal
+    if decision.waits_for_permit:
+        return WAITS_FOR_PERMIT
     if len(ranked) == 1:
         return ONLY_CANDIDATE if count == 1 else ONLY_IN_ZONE
     first, following = ranked[:2]
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -11,9 +11,17 @@
 
 from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK, ColdBound
+from knapweeddeal.coldhome import ColdHome
 from knapweeddeal.evacuations import evacuated_names
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
+from knapweeddeal.messages.cold import (
+    ColdAllowanceRelay,
+    ColdAllowanceRelayAnswer,
+    ColdAllowanceRequest,
+    ColdGrantsNotice,
+)
 from knapweeddeal.messages.packets import (
     GONE,
     NO_EVACUATIONS,
@@ -55,6 +63,7 @@
 FULL_PUSH_REUSE_MS = 100
 #: Time without an update from the replicated log after which its state is stale.
 STATE_STALE_MS = 1_500
+DEFAULT_COLD_BOUND = ColdBound(over=DEFAULT_COLD_OVER, slack=DEFAULT_COLD_SLACK)
 
 
 class PendingConfirmation:
@@ -80,6 +89,7 @@
 
     __slots__ = (
         "_batch_id",
+        "_cold",
         "_next_tick_ms",
         "_configuration",
         "_state_received_ms",
@@ -102,7 +112,17 @@
         "_zones_push",
     )
 
-    def __init__(self, *, own_replica, zone, report_ms, events, metrics, hints):
+    def __init__(
+        self,
+        *,
+        own_replica,
+        zone,
+        report_ms,
+        events,
+        metrics,
+        hints,
+        cold_bound=DEFAULT_COLD_BOUND,
+    ):
         self._own_replica = own_replica
         self._hints = hints
         self._zone = zone
@@ -122,6 +142,15 @@
         self._replicas = [own_replica]
         #: Outboxes to the other replicas, by identity.
         self._links = {}
+        self._cold = ColdHome(
+            own_identity=own_replica.identity,
+            table=self._table,
+            links=self._links,
+            metrics=metrics,
+            bound=cold_bound,
+            report_ms=report_ms,
+            started_ms=monotonic_ms(),
+        )
         #: The `Subscriber` of each forwarder, by its outbox.
         self._forwarders = {}
         self._pending = {}
@@ -137,7 +166,9 @@
 
     def dump(self):
         """Return the state of the hub for the dump."""
+        now_ms = monotonic_ms()
         return {
+            "cold": self._cold.dump(now_ms),
             "current": self._is_current(monotonic_ms()),
             "evacuation_version": self._evacuations.version,
             "evacuated_zones": evacuated_names(self._evacuations),
@@ -186,11 +217,13 @@
         self._table.pop_unsent(self._table.states(now_ms))
         self._adopt_evacuations(hints.evacuations)
         if hints.revision:
-            self._configuration = PacketConfiguration(
-                revision=hints.revision,
-                routes=hints.routes,
-                document=b"",
-                services=hints.services,
+            self._set_configuration(
+                PacketConfiguration(
+                    revision=hints.revision,
+                    routes=hints.routes,
+                    document=b"",
+                    services=hints.services,
+                )
             )
         log.info(
             "restored routes and upstreams from hints",
@@ -213,6 +246,8 @@
             await self._push_states(silent)
         await self._detect_outliers(now_ms)
         await self._confirm_replicated(now_ms)
+        await self._claim_unconfirmed(now_ms)
+        self._cold.expire(now_ms)
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
@@ -222,7 +257,46 @@
         changed = self._answers.mark_failing(now_ms)
         if changed:
             await self._push_states(changed)
-            await self._send_to_replicas(self._batch(states=changed))
+            await self._replicate(changed, 0, now_ms)
+
+    # Cold upstreams.
+
+    def _members(self, now_ms):
+        """Return the identities of all replicas, or None without a leader."""
+        if not self._is_current(now_ms):
+            return None
+        return {replica.identity for replica in self._replicas}
+
+    async def _claim_unconfirmed(self, now_ms):
+        """Claim again the homes of cold upstreams that can't be granted for yet."""
+        upstream_ids = self._cold.unconfirmed(self._members(now_ms), now_ms)
+        if upstream_ids:
+            states = [self._table.get(upstream_id) for upstream_id in upstream_ids]
+            self._batch_id += 1
+            await self._replicate(states, self._batch_id, now_ms)
+            self._start_claim(self._batch_id, upstream_ids, now_ms)
+
+    def _start_claim(self, batch_id, upstream_ids, now_ms):
+        self._cold.start_claim(batch_id, upstream_ids, now_ms)
+        log.info(
+            "claimed to be the home of cold upstreams",
+            upstreams=upstream_ids,
+            replicas=len(self._links),
+        )
+
+    async def _send_answer(self, message, outbox):
+        """Send an answer to a request for permits if its stream is still there."""
+        known = outbox in self._forwarders or outbox in self._links.values()
+        if not known:
+            return
+        await outbox.offer(message)
+        if getattr(message, "retry_ms", 0):
+            log.info(
+                "refused permits for a cold upstream",
+                upstream=message.upstream_id,
+                home=self._cold.is_home(message.upstream_id),
+                retry_ms=message.retry_ms,
+            )
 
     # Events.
 
@@ -233,16 +307,20 @@
     @_handle.register
     async def _(self, event: UpstreamReported):
         state, now_ms = event.state, monotonic_ms()
+        upstream_id = state.upstream_id
         changed = self._table.apply_state(state, now_ms)
         self._metrics.count("reports")
-        if not changed:
+        is_claimed = self._cold.record_report(
+            state, members=self._members(now_ms), now_ms=now_ms
+        )
+        if not changed and not is_claimed:
             await event.reply.put(True)
             return
         await self._push_states(changed)
         self._batch_id += 1
-        await self._send_to_replicas(
-            self._batch(states=changed, batch_id=self._batch_id)
-        )
+        await self._replicate(changed or [state], self._batch_id, now_ms)
+        if is_claimed:
+            self._start_claim(self._batch_id, [upstream_id], now_ms)
         self._pending[self._batch_id] = PendingConfirmation(
             reply=event.reply,
             missing=set(self._links),
@@ -263,10 +341,14 @@
             changed += self._table.apply_state(state, now_ms)
         for heartbeat in batch.beats:
             changed += self._table.apply_heartbeat(heartbeat, batch.sender, now_ms)
+        self._cold.record_changes(changed)
         if changed:
             await self._push_states(changed)
         outbox = self._links.get(batch.sender)
         if batch.batch_id and outbox is not None:
+            for notice in self._cold.answer_claims(batch.states, now_ms):
+                if not await outbox.offer(notice):
+                    return
             ack = DirectoryAck(
                 sender=self._own_replica.identity, batch_id=batch.batch_id
             )
@@ -274,6 +356,7 @@
 
     @_handle.register
     async def _(self, ack: DirectoryAck):
+        self._cold.acknowledge(ack, monotonic_ms())
         pending = self._pending.get(ack.batch_id)
         if pending is not None:
             pending.missing.discard(ack.sender)
@@ -297,6 +380,7 @@
     async def _(self, event: LinkDown):
         if self._links.get(event.identity) is event.outbox:
             del self._links[event.identity]
+            self._cold.drop_replica(event.identity)
             log.warning("lost the link to a replica", identity=f"{event.identity:016x}")
             for pending in self._pending.values():
                 pending.missing.discard(event.identity)
@@ -333,12 +417,36 @@
         if isinstance(event.message, AnswerCounts):
             self._answers.add_counts(event.message, monotonic_ms())
             return
+        if isinstance(event.message, ColdAllowanceRequest):
+            now_ms = monotonic_ms()
+            await self._send_answer(
+                *self._cold.answer_request(event.message, event.outbox, now_ms)
+            )
+            return
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
             await self._push_routes(event.outbox)
         await self._push_zones(event.outbox)
         await event.outbox.offer(self._control_state())
 
+    @_handle.register
+    async def _(self, relay: ColdAllowanceRelay):
+        await self._send_answer(*self._cold.answer_relay(relay, monotonic_ms()))
+
+    @_handle.register
+    async def _(self, answer: ColdAllowanceRelayAnswer):
+        await self._send_answer(*self._cold.pass_answer_back(answer))
+
+    @_handle.register
+    async def _(self, notice: ColdGrantsNotice):
+        self._cold.apply_notice(notice, monotonic_ms())
+        log.info(
+            "learned of earlier grants for a cold upstream",
+            upstream=notice.upstream_id,
+            count=notice.count,
+            wait_ms=notice.wait_ms,
+        )
+
     @_handle.register
     async def _(self, event: ForwarderDisconnected):
         subscriber = self._forwarders.pop(event.outbox, None)
@@ -354,7 +462,7 @@
         self._replicas = event.replicas
         await self._set_evacuations(event.evacuations)
         if self._is_newer(event.configuration):
-            self._configuration = event.configuration
+            self._set_configuration(event.configuration)
             self._diffs = {}
             for outbox in self._forwarders:
                 await self._push_routes(outbox)
@@ -404,6 +512,10 @@
                 "every zone with ready upstreams is evacuated", evacuated=evacuated
             )
 
+    def _set_configuration(self, configuration):
+        self._configuration = configuration
+        self._cold.services = {terms.name: terms for terms in configuration.services}
+
     def _is_newer(self, configuration):
         """Return whether a configuration is newer: hints may be ahead of the log."""
         existing = self._configuration
@@ -439,6 +551,10 @@
         if await outbox.offer(self._zones_push):
             forwarder.evacuation_version = version
 
+    async def _replicate(self, states, batch_id, now_ms):
+        states = self._table.with_remaining_cold(states, now_ms)
+        await self._send_to_replicas(self._batch(states=states, batch_id=batch_id))
+
     async def _send_to_replicas(self, message):
         for outbox in self._links.values():
             await outbox.offer(message)
@@ -456,6 +572,7 @@
                 status=state.status,
                 silent=state.silent,
                 failing=state.failing,
+                cold_ms=state.cold_ms,
                 born_ms=state.born_ms,
                 sequence=state.sequence,
                 home=f"{state.home:016x}",
@@ -465,6 +582,7 @@
         unsent = self._table.pop_unsent(states)
         if not unsent:
             return
+        unsent = self._table.with_remaining_cold(unsent, monotonic_ms())
         push = EncodedMessage(message=UpstreamsPush(whole=False, states=unsent))
         for outbox in self._forwarders:
             await outbox.offer(push)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -6,11 +6,13 @@
 
 import math
 import struct
+from collections import deque
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
 
 __all__ = [
+    "COLD_MARGIN_MS",
     "OTHER_ZONE_PENALTY",
     "RANK_REASONS",
     "PacketUpstream",
@@ -28,6 +30,11 @@
 OTHER_ZONE_PENALTY = 1.0
 #: Load per slot that is added for a cold upstream.
 COLD_PENALTY = 0.5
+#: Increase of the remaining cold time that replicas don't push, as reports are delayed
+#: differently: opening packets need permits for this much longer.
+COLD_MARGIN_MS = 100
+#: Ranks of upstreams of a service that states a rate for cold ones.
+WARM, COLD_PERMITTED, COLD, COLD_REFUSED = range(4)
 #: Time for which an upstream that didn't answer a SYN is avoided.
 SUSPECT_MS = 3_000
 
@@ -42,6 +49,7 @@
 RANK_REASONS = (
     "the next one was tried for this flow",
     "the next one is avoided",
+    "the next one is cold and needs a permit",
     "lowest load per slot with penalties",
 )
 #: Ready upstreams of a service that isn't known: none in either group.
@@ -72,8 +80,10 @@
         "load",
         "load_ms",
         "open_flows",
+        "permits",
         "prefix",
         "readmitted_until_ms",
+        "refused_until_ms",
         "state",
         "state_ms",
         "suspect_until_ms",
@@ -94,6 +104,10 @@
         self.suspect_until_ms = 0
         #: Until when it counts as cold because its zone was readmitted.
         self.readmitted_until_ms = 0
+        #: Expiry times of permits for opening packets while it is cold.
+        self.permits = deque()
+        #: Time until which its home has refused permits.
+        self.refused_until_ms = 0
         self.is_same_zone = state.zone == zone
         self.set_state(state, 0)
 
@@ -135,6 +149,27 @@
         if self.answered_ms < sent_ms:
             self.suspect_until_ms = now_ms + SUSPECT_MS
 
+    def assume_restart(self, cold_start_ms, now_ms):
+        """Count it as cold after it was suspect, as it may have restarted meanwhile."""
+        until_ms = now_ms + SUSPECT_MS + cold_start_ms
+        self.cold_until_ms = max(self.cold_until_ms, until_ms)
+
+    def needs_permit(self, now_ms):
+        """Return whether it may be cold, so that a stated rate holds for it."""
+        return now_ms < self.cold_until_ms + COLD_MARGIN_MS
+
+    def has_permit(self, now_ms):
+        """Return whether a permit is valid."""
+        return any(expires_ms > now_ms for expires_ms in self.permits)
+
+    def cold_rank(self, now_ms):
+        """Return the rank among upstreams of a service that states a rate."""
+        if not self.needs_permit(now_ms):
+            return WARM
+        if self.has_permit(now_ms):
+            return COLD_PERMITTED
+        return COLD_REFUSED if now_ms < self.refused_until_ms else COLD
+
     def has_ended(self, now_ms):
         """Return whether its process has ended; GONE is reported just before that."""
         if self.state.status != GONE:
@@ -250,7 +285,9 @@
         members = self._all_by_service.get(service, {}).values()
         return [upstream for upstream in members if upstream.state.status == READY]
 
-    def choose(self, service, now_ms, tried=(), *, random=None, ranked=None):
+    def choose(
+        self, service, now_ms, tried=(), *, rated=False, random=None, ranked=None
+    ):
         """Return the upstream for a new flow, or None; change nothing.
 
         `random` gives the random numbers instead of the pool's own source. Each
@@ -259,25 +296,28 @@
         Upstreams of evacuated zones are never chosen.
         Upstreams that were tried for this flow come last, after the avoided ones.
         Other zones are considered only if the best upstream in this zone was tried, is
-        avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more.
+        avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more. If the service
+        states a rate for cold upstreams (`rated`), these come after all warm ones.
         """
         same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
         random = random or self._random
-        best = self._lowest_ranked(same_zone, now_ms, tried, random, ranked)
-        if best is not None and best.rank < (False, False, OTHER_ZONE_PENALTY):
+        rules = (tried, rated, random, ranked)
+        best = self._lowest_ranked(same_zone, now_ms, *rules)
+        if best is not None and best.rank < (False, False, WARM, OTHER_ZONE_PENALTY):
             return best.upstream
-        other_best = self._lowest_ranked(other_zone, now_ms, tried, random, ranked)
+        other_best = self._lowest_ranked(other_zone, now_ms, *rules)
         if best is None or (other_best is not None and other_best.rank < best.rank):
             best = other_best
         return best.upstream if best is not None else None
 
-    def _lowest_ranked(self, upstreams, now_ms, tried, random, ranked):
+    def _lowest_ranked(self, upstreams, now_ms, tried, rated, random, ranked):
         best = None
         for upstream in upstreams:
             # The positions have their reasons in `RANK_REASONS`.
             rank = (
                 upstream in tried,
                 upstream.is_avoided(now_ms),
+                upstream.cold_rank(now_ms) if rated else WARM,
                 upstream.score(now_ms) + random() * TIE_BREAK_SPREAD,
             )
             if ranked is not None:
