Share the load of upstreams between forwarders through control replicas

Cause: a forwarder sees only its own flows, so a crowded zone beside idle ones, a zone with one upstream and a slow upstream keep their load.

Change: callers' acknowledgements show response times and rejections; forwarders report them in place of the answer counts, replicas sum and exchange them for services under load (loadsums) and push shares of flows (sharedloads) that the score applies. UpstreamPool.service_load states the load of a service.

--- a/knapweeddeal/answersums.py
+++ b/knapweeddeal/answersums.py
@@ -25,11 +25,11 @@
         #: Whether the last totals for the other replicas weren't empty.
         self._totals_sent = False
 
-    def add_counts(self, message, now_ms):
-        """Add the counts of a forwarder."""
+    def add_counts(self, counts, now_ms):
+        """Add the counts of a forwarder, `RequestCount` items."""
         counts = {
             entry.upstream_id: (entry.answered, entry.unanswered)
-            for entry in self._exclude_failing(message)
+            for entry in self._exclude_failing(counts)
         }
         self._detector.add_counts(counts, now_ms)
 
@@ -39,7 +39,7 @@
             entry.upstream_id: AnswerTotal(
                 answered=entry.answered, unanswered=entry.unanswered
             )
-            for entry in self._exclude_failing(message)
+            for entry in self._exclude_failing(message.counts)
         }
         self._detector.set_replica_totals(message.sender, totals, now_ms)
 
@@ -76,14 +76,14 @@
         """Forget the counts of an upstream."""
         self._detector.clear(upstream_id)
 
-    def _exclude_failing(self, message):
+    def _exclude_failing(self, counts):
         """Return the counts of upstreams that aren't marked as failing.
 
         Counts of a marked one are of requests sent before it was marked.
         """
-        states = [self._table.get(entry.upstream_id) for entry in message.counts]
         return [
             entry
-            for entry, state in zip(message.counts, states, strict=True)
-            if state is None or not state.failing
+            for entry in counts
+            if (state := self._table.get(entry.upstream_id)) is None
+            or not state.failing
         ]
--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -20,6 +20,7 @@
 )
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ConfigurationRequest, FlowCounts, ReplicaHello
+from knapweeddeal.messages.loads import ServiceSums
 from knapweeddeal.messages.operator import RefusalsRequest
 from knapweeddeal.messages.packets import (
     AnswerCounts,
@@ -222,6 +223,7 @@
 @_handle_replica.register(AnswerCounts)
 @_handle_replica.register(DirectoryBatch)
 @_handle_replica.register(DirectoryAck)
+@_handle_replica.register(ServiceSums)
 async def _(message, streams, link):
     await streams.forward_to_hub(message)
 
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -2,11 +2,12 @@
 
 from types import MappingProxyType
 
+from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.logs import Log
+from knapweeddeal.messages.loads import RequestCounts, UpstreamLoads
 from knapweeddeal.messages.packets import (
     ROUTE_KEY_BYTES,
-    AnswerCounts,
     ControlState,
     RoutesPush,
     UpstreamsPush,
@@ -90,6 +91,7 @@
             "replicas": self._selector.addresses,
             "flows": self.forwarder.flow_count,
             "egress": self.egress.dump(),
+            "loads": self.pool.shared_loads.dump(monotonic_ms()),
             "upstreams": [_dump_upstream(upstream) for upstream in self.pool.all()],
             "metrics": self.metrics.summary(),
         }
@@ -121,10 +123,10 @@
             left=len(self._subscriptions),
         )
 
-    def pop_answer_counts(self, now_ms):
-        """Return a message with the answers counted since the last call, or None."""
-        counts = self.forwarder.pop_answer_counts(now_ms)
-        return AnswerCounts.of(sender=0, counts=counts) if counts else None
+    def pop_request_counts(self, now_ms):
+        """Return a message with the requests counted since the last call, or None."""
+        totals = self.forwarder.pop_request_totals(now_ms)
+        return RequestCounts.of(totals) if totals else None
 
     def stop(self):
         """Become not ready; packets are still forwarded."""
@@ -203,12 +205,34 @@
                 replica=subscription.address,
             )
 
+    def _handle_loads(self, message, subscription, now_ms):
+        self.metrics.count("load_pushes")
+        self.expire_loads(now_ms)
+        added = self.pool.shared_loads.apply(message, now_ms)
+        for service in added:
+            load = self.pool.service_load(service, now_ms)
+            log.info(
+                "received the load of a service",
+                service=service,
+                load=load.load_per_slot,
+                rejected=load.rejected_share,
+                response_ms=load.response_ms,
+                replica=subscription.address,
+            )
+
+    def expire_loads(self, now_ms):
+        """Remove loads that are too old: selection goes by own counts again."""
+        for service in self.pool.shared_loads.expire(now_ms):
+            self.metrics.count("loads_expired")
+            log.info("the load of a service expired", service=service)
+
     #: Handlers by message type, as importing `singledispatch` also imports `typing`,
     #: which delays the start too much at a small share of a core.
     HANDLERS = MappingProxyType(
         {
             ControlState: _handle_control_state,
             RoutesPush: _handle_routes,
+            UpstreamLoads: _handle_loads,
             UpstreamsPush: _handle_upstreams,
         }
     )
--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -22,7 +22,7 @@
 CONNECT_TIMEOUT_MS = 300
 #: Pause if all replicas are in use, or after a stream has ended.
 RETRY_MS = 150
-#: Time between reports of answer counts.
+#: Time between reports of request counts.
 REPORT_INTERVAL_MS = 500
 #: Time for which a replica may have no leader before another one is tried.
 MAX_STALE_MS = 1_500
@@ -110,11 +110,12 @@
                 await outbox.offer(RoutesRequest())
 
     async def _report_counts(self, outbox):
-        """Report answer counts if this replica is the one that receives them."""
+        """Report request counts if this replica is the one that receives them."""
         while True:
             await curio.sleep(REPORT_INTERVAL_MS / 1000)
             if self._core.is_report_target(self._subscription):
-                counts = self._core.pop_answer_counts(monotonic_ms())
+                self._core.expire_loads(monotonic_ms())
+                counts = self._core.pop_request_counts(monotonic_ms())
                 if counts is not None:
                     await outbox.offer(counts)
 
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -29,6 +29,7 @@
 FAMILIES = (
     "caller",
     "control",
+    "loads",
     "member",
     "operator",
     "packets",
--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -31,7 +31,7 @@
 
 
 class ForwarderMessageReceived(Record):
-    """Carry a forwarder's message: heartbeat, answer counts or request for routes."""
+    """Carry a forwarder's message: heartbeat, request counts or request for routes."""
 
     __slots__ = ("message", "outbox")
 
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -45,6 +45,8 @@
 COPY_OFFSET = 12
 #: Position of the sequence number in the header.
 SEQUENCE_SLICE = slice(8, 12)
+#: Position of the acknowledgement number in the header.
+ACKNOWLEDGED_SLICE = slice(12, 16)
 #: Longest age of an entry in the flow table.
 MAX_FLOW_AGE_MS = 60_000
 #: Size limit of the flow table; beyond it the oldest flows are removed.
@@ -319,10 +321,15 @@
         """Record a packet in the answer tracker, unless the upstream lacks others."""
         if self._egress.holds_flow(data[FLOW_SLICE]):
             return
+        acknowledged = int.from_bytes(data[ACKNOWLEDGED_SLICE], "little")
         if data[0] & FIN:
             age_ms = now_ms - flow.opened_ms if flow.tried else None
             self._answer_tracker.record_fin(
-                flow.request, route_key=data[ROUTE_SLICE], age_ms=age_ms, now_ms=now_ms
+                flow.request,
+                route_key=data[ROUTE_SLICE],
+                acknowledged=acknowledged,
+                age_ms=age_ms,
+                now_ms=now_ms,
             )
         elif data[LENGTH_SLICE] != NO_DATA:
             flow.request = self._answer_tracker.record_data(
@@ -330,10 +337,13 @@
                 route_key=data[ROUTE_SLICE],
                 upstream_id=flow.upstream.state.upstream_id,
                 sequence=int.from_bytes(data[SEQUENCE_SLICE], "little"),
+                acknowledged=acknowledged,
                 now_ms=now_ms,
             )
         else:
-            self._answer_tracker.record_empty(flow.request, now_ms)
+            self._answer_tracker.record_empty(
+                flow.request, acknowledged=acknowledged, now_ms=now_ms
+            )
 
     def _close(self, flow):
         flow.is_open = False
@@ -385,10 +395,10 @@
         if len(flow.tried) < MAX_UPSTREAMS_TRIED:
             self._hedges.append(hedge.replace(due_ms=now_ms + HEDGE_DELAY_MS))
 
-    def pop_answer_counts(self, now_ms):
-        """Return (answered, unanswered) by upstream since the last call."""
+    def pop_request_totals(self, now_ms):
+        """Return the `RequestTotal` by upstream since the last call."""
         self._answer_tracker.expire(now_ms)
-        return self._answer_tracker.pop_counts()
+        return self._answer_tracker.pop_totals()
 
     def expire_flows(self, now_ms):
         """Remove flows that are idle, too old, or beyond `MAX_FLOWS`."""
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -11,8 +11,10 @@
 
 from knapweeddeal.answersums import AnswerSums
 from knapweeddeal.clock import monotonic_ms
+from knapweeddeal.loadsums import LoadSums
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
+from knapweeddeal.messages.loads import RequestCounts, ServiceSums
 from knapweeddeal.messages.packets import (
     GONE,
     AnswerCounts,
@@ -48,6 +50,9 @@
 REPLICATION_TIMEOUT_MS = 400
 #: Maximum age of a reused push of all upstreams, as their `cold_ms` counts down.
 FULL_PUSH_REUSE_MS = 100
+#: Time for which loads are pushed to a forwarder after it reported requests: it reports
+#: to one of its replicas, and only that one pushes them.
+REPORTER_LIFE_MS = 10_000
 #: Time without an update from the replicated log after which its state is stale.
 STATE_STALE_MS = 1_500
 
@@ -65,9 +70,12 @@
 
 
 class Subscriber(Record):
-    """Hold a forwarder's name and the configuration last pushed to it."""
+    """Hold a forwarder's name and zone, and the configuration last pushed to it.
 
-    __slots__ = ("configuration", "name")
+    `reported_ms` is when it last reported requests, or None.
+    """
+
+    __slots__ = ("configuration", "name", "reported_ms", "zone")
 
 
 class PacketHub:
@@ -85,6 +93,7 @@
         "_hints",
         "_answers",
         "_links",
+        "_loads",
         "_metrics",
         "_own_replica",
         "_replicas",
@@ -105,6 +114,7 @@
             own_identity=own_replica.identity, report_ms=report_ms
         )
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
+        self._loads = LoadSums(table=self._table, own_identity=own_replica.identity)
         self._configuration = None
         self._current = False
         self._state_received_ms = 0
@@ -130,6 +140,7 @@
             "current": self._is_current(monotonic_ms()),
             "forwarders": [f.name for f in self._forwarders.values()],
             "links": [f"{identity:016x}" for identity in self._links],
+            "loads": self._loads.dump(),
             "upstreams": self._table.states(monotonic_ms()),
             "waiting": len(self._pending),
         }
@@ -196,6 +207,7 @@
         if silent:
             await self._push_states(silent)
         await self._detect_outliers(now_ms)
+        await self._push_loads(now_ms)
         await self._confirm_replicated(now_ms)
 
     async def _detect_outliers(self, now_ms):
@@ -208,6 +220,27 @@
             await self._push_states(changed)
             await self._send_to_replicas(self._batch(states=changed))
 
+    async def _push_loads(self, now_ms):
+        """Send sums to the replicas, and loads to the forwarders that report here."""
+        sums = self._loads.advance(now_ms)
+        if sums is not None:
+            await self._send_to_replicas(EncodedMessage(message=sums))
+        was_under_load = self._loads.last_push is not None
+        loads = self._loads.push(now_ms)
+        if was_under_load != (loads is not None):
+            log.info(
+                "began or ended pushing loads to forwarders",
+                services=[one.service for one in loads.services] if loads else [],
+            )
+        if loads is None:
+            return
+        push = EncodedMessage(message=loads)
+        for outbox, forwarder in self._forwarders.items():
+            reported_ms = forwarder.reported_ms
+            if reported_ms is not None and now_ms - reported_ms < REPORTER_LIFE_MS:
+                self._metrics.count("load_pushes")
+                await outbox.offer(push)
+
     # Events.
 
     @functools.singledispatchmethod
@@ -290,7 +323,10 @@
             self._configuration if self._has_current_routes(event.hello) else None
         )
         self._forwarders[event.outbox] = Subscriber(
-            name=event.hello.name, configuration=existing
+            name=event.hello.name,
+            zone=event.hello.zone,
+            configuration=existing,
+            reported_ms=None,
         )
         log.info("accepted a subscription of a forwarder", name=event.hello.name)
         await event.outbox.offer(self._control_state())
@@ -302,12 +338,25 @@
     async def _(self, message: AnswerCounts):
         self._answers.set_replica_totals(message, monotonic_ms())
 
+    @_handle.register
+    async def _(self, message: ServiceSums):
+        self._loads.set_replica_sums(message, monotonic_ms())
+
     @_handle.register
     async def _(self, event: ForwarderMessageReceived):
-        if event.outbox not in self._forwarders:
+        forwarder = self._forwarders.get(event.outbox)
+        if forwarder is None:
             return
         if isinstance(event.message, AnswerCounts):
-            self._answers.add_counts(event.message, monotonic_ms())
+            # A forwarder of an earlier version.
+            self._answers.add_counts(event.message.counts, monotonic_ms())
+            return
+        if isinstance(event.message, RequestCounts):
+            now_ms = monotonic_ms()
+            forwarder.reported_ms = now_ms
+            counts = event.message.counts
+            self._answers.add_counts(counts, now_ms)
+            self._loads.add_counts(forwarder.zone, counts)
             return
         if isinstance(event.message, RoutesRequest):
             self._forwarders[event.outbox].configuration = None
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -9,6 +9,7 @@
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
+from knapweeddeal.sharedloads import SharedLoads
 
 __all__ = ["PacketUpstream", "UpstreamPool", "echo_from_number"]
 
@@ -131,10 +132,15 @@
         """Return whether it is chosen only if all others are avoided too."""
         return self.is_suspect(now_ms) or self.state.silent or self.state.failing
 
-    def score(self, now_ms):
-        """Return the load per slot plus penalties; lower is better."""
+    def score(self, now_ms, shares=None):
+        """Return the load per slot plus penalties; lower is better.
+
+        `shares` holds the load of other forwarders, or is None if it isn't known.
+        """
         load = self._decayed_load(now_ms) + OPEN_FLOW_LOAD * self.open_flows
         score = load / self.state.slots
+        if shares is not None:
+            score = shares.adjusted_score(score, self)
         if not self.is_same_zone:
             score += OTHER_ZONE_PENALTY
         if now_ms < self.cold_until_ms:
@@ -159,7 +165,7 @@
         "_all_by_service",
     )
     __slots__ += ("_random",)
-    __slots__ += ("_zone", "collisions", "is_pushed")
+    __slots__ += ("_zone", "collisions", "is_pushed", "shared_loads")
 
     def __init__(self, *, zone, random):
         self._zone = zone
@@ -173,6 +179,8 @@
         #: Ready upstreams of each service: in this zone, in other zones.
         self._ready_by_service = {}
         self.collisions = 0
+        #: Loads of services that replicas pushed.
+        self.shared_loads = SharedLoads()
         #: Whether a replica has sent states, or that it has none.
         self.is_pushed = False
 
@@ -203,21 +211,26 @@
         avoided, or has a load per slot of `OTHER_ZONE_PENALTY` or more.
         """
         same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
-        best = self._lowest_ranked(same_zone, now_ms, tried)
+        shares = self.shared_loads.draw(service, self._random, now_ms)
+        best = self._lowest_ranked(same_zone, now_ms, tried, shares)
         if best is not None and best.rank < (False, False, OTHER_ZONE_PENALTY):
             return best.upstream
-        other_best = self._lowest_ranked(other_zone, now_ms, tried)
+        other_best = self._lowest_ranked(other_zone, now_ms, tried, shares)
         if best is None or (other_best is not None and other_best.rank < best.rank):
             best = other_best
         return best.upstream if best is not None else None
 
-    def _lowest_ranked(self, upstreams, now_ms, tried):
+    def service_load(self, service, now_ms):
+        """Return the `ServiceLoad` that all forwarders put on a service, or None."""
+        return self.shared_loads.service_load(service, now_ms)
+
+    def _lowest_ranked(self, upstreams, now_ms, tried, shares):
         best = None
         for upstream in upstreams:
             rank = (
                 upstream in tried,
                 upstream.is_avoided(now_ms),
-                upstream.score(now_ms) + self._random() * TIE_BREAK_SPREAD,
+                upstream.score(now_ms, shares) + self._random() * TIE_BREAK_SPREAD,
             )
             if best is None or rank < best.rank:
                 best = RankedUpstream(rank=rank, upstream=upstream)
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -67,6 +67,17 @@
                 services[state.service].append(state.upstream_id)
         return services
 
+    def ready_states(self, services):
+        """Return the states of ready, reporting upstreams by service, for services."""
+        found = {service: [] for service in services}
+        if not found:
+            return found
+        for entry in self._entries.values():
+            state = entry.state
+            if state.service in found and state.status == READY and not state.silent:
+                found[state.service].append(state)
+        return found
+
     def get(self, upstream_id):
         """Return the state of an upstream, or None."""
         entry = self._entries.get(upstream_id)
--- a/tests/placementreplay.py
+++ b/tests/placementreplay.py
@@ -1,12 +1,17 @@
-"""tests.placementreplay: Short requests through forwarders to simulated upstreams."""
+"""tests.placementreplay: Requests through forwarders to simulated upstreams."""
 
 import heapq
+import itertools
 import random
 
+from knapweeddeal.loadsums import LoadSums
+from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.messages.loads import RequestCounts
 from knapweeddeal.packetheader import ACK
+from knapweeddeal.upstreamtable import UpstreamTable
 from tests.packetfakes import ForwarderHarness, fin, packet, route, state
 
-__all__ = ["Outcome", "Placement", "Upstream", "ZoneLoad"]
+__all__ = ["LoadExchange", "Outcome", "Placement", "Upstream", "ZoneLoad"]
 
 #: Requests that an upstream queues beside those that it runs.
 QUEUE_LENGTH = 8
@@ -14,6 +19,11 @@
 WORK_MS = 32
 #: Time in which a request is to be done on the platform's sites.
 AIM_MS = 200
+ANSWER_BYTES = 2_000
+REJECTION_BYTES = 120
+#: Mean pause of a caller between two requests of a flow.
+PAUSE_MS = 300
+TICK_MS = 500
 
 
 class Upstream:
@@ -48,23 +58,129 @@
 
 
 class Outcome:
-    """Count requests that were late or shed, and those that crossed zones."""
+    """Count requests that were late or shed, and those that crossed zones.
+
+    `by_upstream` counts the flows that were opened, by address.
+    """
 
     def __init__(self):
         self.requests = self.late = self.shed = self.crossed = 0
+        self.by_upstream = {}
 
     @property
     def bad_share(self):
         """Return the share of requests that were late or shed."""
         return (self.late + self.shed) / self.requests
 
+    @property
+    def crossed_share(self):
+        """Return the share of requests that crossed zones."""
+        return self.crossed / self.requests
+
+
+class LoadExchange:
+    """Carry counts, sums and loads between forwarders and replicas, with delays.
+
+    Each forwarder reports to one replica of its zone and gets that one's pushes, every
+    half a second at a phase of its own. `delay_ms` passes between sending and receipt.
+    Zones in `cut` reach no other zone; no push arrives after `pushes_end_ms`.
+    """
+
+    def __init__(
+        self, *, replicas_per_zone=2, delay_ms=20, cut=(), pushes_end_ms=None, seed=1
+    ):
+        self.replicas_per_zone = replicas_per_zone
+        self.messages = self.bytes = self.pushes = self.push_bytes = 0
+        self._delay_ms = delay_ms
+        self._cut = cut
+        self._pushes_end_ms = pushes_end_ms
+        self._rng = random.Random(seed)
+        self._replicas = {}
+        self._reporters = {}
+
+    def start(self, placement, states):
+        """Start replicas, which hold the states, and the timers of all parties."""
+        per_zone = self.replicas_per_zone
+        homes = {
+            zone: range(1 + n * per_zone, 1 + (n + 1) * per_zone)
+            for n, zone in enumerate(placement.forwarders)
+        }
+        for zone, identities in homes.items():
+            for own in identities:
+                table = UpstreamTable(own_identity=own, report_ms=1_000)
+                for n, one in enumerate(states):
+                    home = homes[one.zone][n % per_zone]
+                    table.apply_state(one.replace(home=home), 0)
+                sums = LoadSums(table=table, own_identity=own)
+                self._replicas[zone, own] = sums
+                self._reporters[own] = []
+                self._every(placement, self._tick, zone, own, sums)
+        for zone, harnesses in placement.forwarders.items():
+            for number, harness in enumerate(harnesses):
+                own = homes[zone][number % per_zone]
+                self._reporters[own].append(harness)
+                self._every(placement, self._report, zone, own, harness)
+
+    def _every(self, placement, action, *arguments):
+        """Run an action every half a second, from a random moment on."""
+
+        def run(now_ms):
+            action(placement, now_ms, *arguments)
+            placement.at(now_ms + TICK_MS, run)
+
+        placement.at(self._rng.uniform(0, TICK_MS), run)
+
+    def _report(self, placement, now_ms, zone, own, harness):
+        totals = harness.forwarder.pop_request_totals(int(now_ms))
+        if totals:
+            counts = decode(encode(RequestCounts.of(totals))).counts
+            sums = self._replicas[zone, own]
+            placement.at(
+                now_ms + self._delay_ms, lambda _: sums.add_counts(zone, counts)
+            )
+
+    def _tick(self, placement, now_ms, zone, own, sums):
+        message = sums.advance(int(now_ms))
+        if message is not None:
+            data = encode(message)
+            for (other_zone, other), other_sums in self._replicas.items():
+                is_cut = zone != other_zone and {zone, other_zone} & set(self._cut)
+                if other != own and not is_cut:
+                    self.messages += 1
+                    self.bytes += len(data)
+                    placement.at(
+                        now_ms + self._delay_ms,
+                        lambda at_ms, to=other_sums: to.set_replica_sums(
+                            decode(data), int(at_ms)
+                        ),
+                    )
+        push = sums.push(int(now_ms))
+        is_lost = self._pushes_end_ms is not None and now_ms >= self._pushes_end_ms
+        if push is None or is_lost:
+            return
+        push_data = encode(push)
+        for harness in self._reporters[own]:
+            self.pushes += 1
+            self.push_bytes += len(push_data)
+            placement.at(
+                now_ms + self._delay_ms,
+                lambda at_ms, to=harness: to.pool.shared_loads.apply(
+                    decode(push_data), int(at_ms)
+                ),
+            )
+
 
 class Placement:
-    """Play requests of some zones, in the order of their arrival."""
+    """Play requests of some zones, in the order of their arrival.
 
-    def __init__(self, *, zones, seed=7):
+    `exchange` shares the load of all forwarders; `requests_per_flow` above 1 keeps
+    flows open, so that later requests can't be placed anew.
+    """
+
+    def __init__(self, *, zones, seed=7, exchange=None, requests_per_flow=1):
         self._rng = random.Random(seed)
         self._zones = zones
+        self._requests_per_flow = requests_per_flow
         self._upstreams, states = {}, []
         self._zone_of = {}
         for zone in zones:
@@ -73,7 +189,7 @@
                 states.append(state(number, zone=zone.name))
                 self._upstreams[f"10.0.0.{number}"] = Upstream(factor=factor)
                 self._zone_of[f"10.0.0.{number}"] = zone.name
-        self._forwarders = {
+        self.forwarders = {
             zone.name: [
                 ForwarderHarness(
                     routes=[route()],
@@ -85,20 +201,32 @@
             ]
             for zone in zones
         }
-        self._ends = []
+        self._events = []
+        self._event_numbers = itertools.count()
+        if exchange is not None:
+            exchange.start(self, states)
 
     @property
     def pools(self):
         """Return the pool of each forwarder."""
-        return [h.pool for harnesses in self._forwarders.values() for h in harnesses]
+        return [h.pool for harnesses in self.forwarders.values() for h in harnesses]
+
+    def address(self, zone, number):
+        """Return the address of an upstream by its number in a zone."""
+        addresses = [host for host, name in self._zone_of.items() if name == zone]
+        return addresses[number]
+
+    def at(self, at_ms, action):
+        """Run an action, which gets the time, at a time."""
+        heapq.heappush(self._events, (at_ms, next(self._event_numbers), action))
 
     def play(self, *, duration_ms, counted_from_ms=0):
         """Return the outcome of the requests after a time."""
         outcome = Outcome()
         for number, (now_ms, zone) in enumerate(self._arrivals(duration_ms)):
-            self._end_flows(now_ms)
+            self._run_events(now_ms)
             counted = outcome if now_ms >= counted_from_ms else Outcome()
-            self._play_request(number + 1, now_ms, zone, counted)
+            self._open_flow(number + 1, now_ms, zone, counted)
         return outcome
 
     def _arrivals(self, duration_ms):
@@ -106,26 +234,47 @@
         for zone in self._zones:
             now_ms = 0.0
             while now_ms < duration_ms:
-                now_ms += self._rng.expovariate(zone.per_s / 1_000)
+                rate = zone.per_s / 1_000 / self._requests_per_flow
+                now_ms += self._rng.expovariate(rate)
                 arrivals.append((int(now_ms), zone.name))
         return sorted(arrivals)
 
-    def _play_request(self, port, now_ms, zone, outcome):
-        harness = self._rng.choice(self._forwarders[zone])
+    def _open_flow(self, port, now_ms, zone, outcome):
+        harness = self._rng.choice(self.forwarders[zone])
         (host, _), echo = harness.open(port=port, now_ms=now_ms)
+        outcome.by_upstream[host] = outcome.by_upstream.get(host, 0) + 1
+        flow = (port, harness, host, echo, self._zone_of[host] != zone)
+        self._run_request(flow, now_ms, outcome, self._requests_per_flow - 1, 0)
+
+    def _run_request(self, flow, now_ms, outcome, left, acknowledged):
+        port, harness, host, echo, crossed = flow
         outcome.requests += 1
-        outcome.crossed += self._zone_of[host] != zone
+        outcome.crossed += crossed
         factor = self._rng.lognormvariate(0, 0.5)
         end_ms = self._upstreams[host].run(now_ms, factor)
+        length = ANSWER_BYTES
         if end_ms is None:
             outcome.shed += 1
-            end_ms = now_ms
+            end_ms, length = now_ms, REJECTION_BYTES
         outcome.late += end_ms - now_ms > AIM_MS
-        heapq.heappush(self._ends, (int(end_ms), port, harness, echo))
-
-    def _end_flows(self, now_ms):
-        while self._ends and self._ends[0][0] <= now_ms:
-            end_ms, port, harness, echo = heapq.heappop(self._ends)
-            acknowledgment = packet(port=port, echo=echo, flags=ACK)
-            harness.handle_packet(acknowledgment, end_ms)
-            harness.handle_packet(fin(port=port, echo=echo), end_ms)
+        fields = {"port": port, "echo": echo, "copy": acknowledged + length}
+
+        def end(at_ms):
+            harness.handle_packet(packet(flags=ACK, **fields), at_ms)
+            if not left:
+                harness.handle_packet(fin(**fields), at_ms)
+                return
+            pause_ms = int(self._rng.expovariate(1 / PAUSE_MS))
+            self.at(at_ms + pause_ms, send_next)
+
+        def send_next(at_ms):
+            data = packet(data=b"x", sequence=7 + acknowledged + length, **fields)
+            harness.handle_packet(data, at_ms)
+            self._run_request(flow, at_ms, outcome, left - 1, acknowledged + length)
+
+        self.at(int(end_ms), end)
+
+    def _run_events(self, now_ms):
+        while self._events and self._events[0][0] <= now_ms:
+            at_ms, _, action = heapq.heappop(self._events)
+            action(at_ms)
--- a/tests/test_answertracker.py
+++ b/tests/test_answertracker.py
@@ -28,24 +28,31 @@
         """Open the flow."""
         self.tracker.record_opened(self.route)
 
-    def data(self, now_ms, sequence=1_000):
+    def data(self, now_ms, sequence=1_000, acknowledged=0):
         """Send data."""
         self.request = self.tracker.record_data(
             self.request,
             route_key=self.route,
             upstream_id=UPSTREAM,
             sequence=sequence,
+            acknowledged=acknowledged,
             now_ms=now_ms,
         )
 
-    def ack(self, now_ms):
+    def ack(self, now_ms, acknowledged=0):
         """Send a packet without data."""
-        self.tracker.record_empty(self.request, now_ms)
+        self.tracker.record_empty(
+            self.request, acknowledged=acknowledged, now_ms=now_ms
+        )
 
-    def fin(self, now_ms):
+    def fin(self, now_ms, acknowledged=0):
         """End the flow."""
         self.tracker.record_fin(
-            self.request, route_key=self.route, age_ms=now_ms, now_ms=now_ms
+            self.request,
+            route_key=self.route,
+            acknowledged=acknowledged,
+            age_ms=now_ms,
+            now_ms=now_ms,
         )
 
     def expire(self, now_ms):
@@ -61,7 +68,7 @@
         player.play((0, "open"), (0, "data"))
         if has_short_flows:
             player.play((40, "fin"))
-    tracker.pop_counts()
+    tracker.pop_totals()
     return tracker
 
 
@@ -151,5 +158,86 @@
         tracker = make_tracker(has_short_flows=self.has_short_flows)
         FlowPlayer(tracker=tracker).play(*self.events)
         expected = {} if self.counts is None else {UPSTREAM: self.counts}
-        self.assertEqual(expected, tracker.pop_counts())
-        self.assertEqual({}, tracker.pop_counts())
+        counts = {
+            name: (total.answered, total.unanswered)
+            for name, total in tracker.pop_totals().items()
+        }
+        self.assertEqual(expected, counts)
+        self.assertEqual({}, tracker.pop_totals())
+
+
+class ResponseTimes(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The first packet whose acknowledgement moved shows when an answer began.
+
+    Otherwise a pause of the caller, or an acknowledgement of an earlier answer, would
+    make a normal upstream look slow or a slow one look normal.
+    """
+
+    scenarios = [
+        (
+            "answer in two packets",
+            {"events": [(30, "ack", 1_400), (70, "fin", 2_000)], "times": [30]},
+        ),
+        ("ended with the answer", {"events": [(45, "fin", 2_000)], "times": [45]}),
+        (
+            "acknowledgement of an earlier answer",
+            {"events": [(2, "ack", 0), (50, "fin", 2_000)], "times": [50]},
+        ),
+        (
+            "older packet that was delayed",
+            {
+                "first": 2_000,
+                "events": [(2, "ack", 1_000), (50, "fin", 4_000)],
+                "times": [50],
+            },
+        ),
+        (
+            "acknowledgement number wraps around",
+            {"first": 2**32 - 100, "events": [(40, "fin", 1_900)], "times": [40]},
+        ),
+        (
+            "next request after a pause",
+            {
+                "events": [(30, "ack", 2_000), (900, "data", 1_100, 2_000)],
+                "times": [30],
+            },
+        ),
+        (
+            "no acknowledgement before the next request",
+            {"events": [(900, "data", 1_100, 2_000)], "times": []},
+        ),
+        ("retransmitted", {"events": [(200, "data"), (310, "fin", 9)], "times": [310]}),
+    ]
+    first = 0
+
+    def test_times(self):
+        tracker = make_tracker(has_short_flows=False)
+        FlowPlayer(tracker=tracker).play((0, "data", 1_000, self.first), *self.events)
+        total = tracker.pop_totals()[UPSTREAM]
+        self.assertEqual(
+            (1, len(self.times), sum(self.times)),
+            (total.answered, total.timed, total.response_ms),
+        )
+
+
+class Rejections(testtools.TestCase):
+    """Answers much shorter than a route's usual ones are rejections.
+
+    Neither a route whose answers are all short, nor an overload that rejects most
+    requests for minutes, may change that.
+    """
+
+    def rejected(self, *lengths):
+        """Return how many answers of some lengths count as rejections."""
+        tracker = make_tracker(has_short_flows=False)
+        for length in lengths:
+            player = FlowPlayer(tracker=tracker)
+            player.play((0, "data"), (30, "fin", length))
+        return tracker.pop_totals()[UPSTREAM].rejected
+
+    def test_short_answers(self):
+        self.assertEqual(0, self.rejected(*[120] * 40))
+        self.assertEqual(3, self.rejected(*[2_000] * 20, *[120] * 3, *[900] * 5))
+
+    def test_many_rejections(self):
+        self.assertEqual(100, self.rejected(*[2_000] * 20, *[120] * 100))
--- a/tests/test_egressqueue.py
+++ b/tests/test_egressqueue.py
@@ -370,8 +370,8 @@
         self.queue.release([(PREFIX + data, address)], 0)
         for now_ms in (200, 600, 1_400):
             self.harness.handle_packet(data, now_ms)
-        counts = self.harness.forwarder.pop_answer_counts(1_500)
-        self.assertEqual(0, sum(unanswered for _, unanswered in counts.values()))
+        totals = self.harness.forwarder.pop_request_totals(1_500)
+        self.assertEqual(0, sum(total.unanswered for total in totals.values()))
 
     def test_syn_that_waits(self):
         """An upstream isn't suspected of a SYN that hasn't left yet."""
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -3,6 +3,7 @@
 import testscenarios
 import testtools
 
+from knapweeddeal.answertracker import RequestTotal
 from knapweeddeal.messages.packets import DRAINING, GONE
 from knapweeddeal.packetforwarder import HEDGE_DELAY_MS
 from knapweeddeal.packetheader import ACK, FIN, RST, build_reset
@@ -379,20 +380,26 @@
 
 
 class AnswerCounting(testtools.TestCase):
-    """Answered and unanswered requests are counted by upstream."""
+    """Answered and unanswered requests are counted by upstream, with response times."""
 
     def test_counts(self):
         harness = ForwarderHarness(routes=(route(),), states=[state()])
         for port in range(40_000, 40_010):
             _, echo = harness.open(port=port)
-            harness.handle_packet(fin(port=port, echo=echo), 40)
+            ack = packet(port=port, echo=echo, flags=ACK, copy=2_000)
+            harness.handle_packet(ack, 30)
+            harness.handle_packet(fin(port=port, echo=echo, copy=2_000), 40)
         harness.open(port=41_000, now_ms=100)
-        self.assertEqual(
-            {"i-1": (10, 0)}, harness.forwarder.pop_answer_counts(now_ms=499)
+        answered = RequestTotal(
+            answered=10, rejected=0, response_ms=300, timed=10, unanswered=0
         )
-        self.assertEqual(
-            {"i-1": (0, 1)}, harness.forwarder.pop_answer_counts(now_ms=500)
+        totals = harness.forwarder.pop_request_totals(now_ms=499)
+        self.assertEqual({"i-1": answered}, totals)
+        unanswered = RequestTotal(
+            answered=0, rejected=0, response_ms=0, timed=0, unanswered=1
         )
+        totals = harness.forwarder.pop_request_totals(now_ms=500)
+        self.assertEqual({"i-1": unanswered}, totals)
 
 
 class LoadDistribution(testtools.TestCase):
