Judge slowness and room without the time that requests wait in queues

Cause: queues of a crowded zone made its upstreams look slow and service times too long, so more flows left than had to, and a burst in all zones sent flows across.

Change: the utilization that Little's law gives for the slots takes the waiting out of response times; a service stays under load while its shares apply.

--- a/knapweeddeal/loadsums.py
+++ b/knapweeddeal/loadsums.py
@@ -62,15 +62,17 @@
 #: Time for which an upstream without late answers counts as slow; then it is tried
 #: again. It still gets some flows meanwhile.
 SLOW_MEMORY_MS = 10_000
-#: Weight of a lower median in a service's usual response time, from one replica's few
-#: upstreams and from all; and of a higher median, as queues of an overloaded service
-#: must not become usual.
+#: Weight of a lower median in a service's usual time, from one replica's few upstreams
+#: and from all; and of a higher median, as queues of an overloaded service must not
+#: become usual.
 LOWER_LOCAL_WEIGHT, LOWER_WEIGHT, HIGHER_WEIGHT = 0.05, 0.3, 0.005
+#: Steps of the bisection that finds a utilization: to a thousandth.
+BISECTION_STEPS = 10
 #: Utilization of slots at which a zone is full, and at which flows begin, and cease, to
-#: leave it. At 0.75, one request in a hundred waits for four service times.
-FULL_UTILIZATION = 0.75
-LEAVE_UTILIZATION = 0.85
-STAY_UTILIZATION = 0.7
+#: leave it.
+FULL_UTILIZATION = 0.62
+LEAVE_UTILIZATION = 0.75
+STAY_UTILIZATION = 0.55
 #: Ratio of a busy upstream's load to the mean of its zone from which flows to it are
 #: diverted.
 UNEVEN_FACTOR = 1.5
@@ -108,11 +110,19 @@
 class ServiceMemory:
     """Hold what is remembered of a service between two evaluations."""
 
-    __slots__ = ("leaving_zones", "slowness", "under_load_ms", "usual_ms")
+    __slots__ = (
+        "leaving_zones",
+        "service_ms",
+        "slowness",
+        "under_load_ms",
+        "usual_ms",
+    )
 
     def __init__(self):
-        #: Usual response time, or None until a median is known.
+        #: Usual response time at own forwarders, or None until a median is known.
         self.usual_ms = None
+        #: Usual response time without waiting in queues, of all replicas, or None.
+        self.service_ms = None
         #: When its figures last showed load here, or None.
         self.under_load_ms = None
         #: Zones that flows leave.
@@ -156,9 +166,8 @@
             "pushed": self.last_push,
             "replicas": [f"{identity:016x}" for identity in self._replica_sums],
             "usual_ms": {
-                service: round(memory.usual_ms)
+                service: [memory.usual_ms, memory.service_ms]
                 for service, memory in self._memories.items()
-                if memory.usual_ms is not None
             },
         }
 
@@ -269,7 +278,7 @@
         means = _means(slow_totals, SLOW_WINDOW_TICKS)
         median_ms = _median(means.values())
         if median_ms:
-            _update_usual(memory, median_ms, LOWER_LOCAL_WEIGHT)
+            memory.usual_ms = _usual(memory.usual_ms, median_ms, LOWER_LOCAL_WEIGHT)
         for upstream_id, mean_ms in means.items():
             factor = mean_ms / max(memory.usual_ms, median_ms)
             total = slow_totals[upstream_id]
@@ -288,18 +297,23 @@
         """Return the push of a service, or None if nothing is busy, slow or crowded."""
         memory = self._memories.setdefault(service, ServiceMemory())
         totals, demands = self._merge(service, local)
-        median_ms = _median(_means(totals, WINDOW_TICKS).values())
+        times = _service_times(states, totals)
+        means = _means(totals, WINDOW_TICKS)
+        median_ms = _median(times[name] for name in means if name in times)
         if median_ms:
-            _update_usual(memory, median_ms, LOWER_WEIGHT)
-        if memory.usual_ms is None or not states:
+            memory.service_ms = _usual(memory.service_ms, median_ms, LOWER_WEIGHT)
+        if memory.service_ms is None:
             return None
-        slowness = _update_slowness(memory, totals, now_ms)
+        slowness = _update_slowness(memory, totals, times, median_ms, now_ms)
         loads = {
             state.upstream_id: _total_of(totals, state).occupied / state.slots
             for state in states
         }
         zones = self._zone_rooms(memory, states, demands, slowness)
         upstreams = _upstream_loads(states, loads, slowness)
+        if zones or slowness:
+            # Shares that work make the load look normal, and must last all the same.
+            memory.under_load_ms = now_ms
         whole = Total()
         for state in states:
             total = _total_of(totals, state)
@@ -360,7 +374,7 @@
             if state.home == self._own_identity or state.home in self._replica_sums:
                 reachable[state.zone] = reachable.get(state.zone, 0.0) + usable
         needed = {
-            zone: rate * memory.usual_ms / MILLI for zone, rate in demands.items()
+            zone: rate * memory.service_ms / MILLI for zone, rate in demands.items()
         }
         excess = self._excess(memory, slots, needed)
         room = {
@@ -434,28 +448,49 @@
     return ordered[(len(ordered) - 1) // 2] if ordered else None
 
 
-def _update_usual(memory, median_ms, lower_weight):
-    if memory.usual_ms is None:
-        memory.usual_ms = median_ms
-        return
-    weight = lower_weight if median_ms < memory.usual_ms else HIGHER_WEIGHT
-    memory.usual_ms += weight * (median_ms - memory.usual_ms)
+def _usual(before, median_ms, lower_weight):
+    """Return the usual time after another median."""
+    if before is None:
+        return median_ms
+    weight = lower_weight if median_ms < before else HIGHER_WEIGHT
+    return before + weight * (median_ms - before)
 
 
-def _update_slowness(memory, totals, now_ms):
-    """Return the factors of slow upstreams, by id.
+def _service_times(states, totals):
+    """Return response times without waiting in queues, of upstreams with requests.
 
-    A busy upstream answers late because of its queue, so it isn't slow unless the
-    median of its service shows that others don't queue.
+    In a queue with c slots, the response time is about the service time divided by
+    1 - utilization^c. Without this, each upstream of a crowded zone would look slow.
     """
+    times = {}
+    for state in states:
+        total = _total_of(totals, state)
+        if total.occupied:
+            load = total.occupied / state.slots
+            utilization = _utilization(load, state.slots)
+            times[state.upstream_id] = total.response_ms * utilization / load
+    return times
+
+
+def _utilization(load, slots):
+    """Return the utilization u at which load per slot is u / (1 - u^slots)."""
+    low, high = 0.0, 1.0
+    for _ in range(BISECTION_STEPS):
+        middle = (low + high) / 2
+        if middle < load * (1 - middle**slots):
+            low = middle
+        else:
+            high = middle
+    return (low + high) / 2
+
+
+def _update_slowness(memory, totals, times, median_ms, now_ms):
+    """Return the factors of slow upstreams, by id."""
     means = _means(totals, WINDOW_TICKS)
-    median_ms = _median(means.values())
-    if median_ms is None:
-        median_ms = memory.usual_ms
-    for upstream_id, total in totals.items():
-        if not total.timed_rate:
-            continue
-        factor = total.response_ms / max(median_ms, 1.0)
+    normal_ms = max(memory.service_ms, median_ms or 0)
+    for upstream_id, service_ms in times.items():
+        total = totals[upstream_id]
+        factor = service_ms / normal_ms
         known = memory.slowness.get(upstream_id)
         if upstream_id in means and _is_slow(factor, total, WINDOW_TICKS):
             memory.slowness[upstream_id] = (factor, now_ms)
