Test the shared load with replayed load patterns

The replay of placements carries counts, sums and pushes with their delays, long flows and partitioned zones.

--- a/knapweeddeal/loadsums.py
+++ b/knapweeddeal/loadsums.py
@@ -73,9 +73,6 @@
 FULL_UTILIZATION = 0.62
 LEAVE_UTILIZATION = 0.75
 STAY_UTILIZATION = 0.55
-#: Ratio of a busy upstream's load to the mean of its zone from which flows to it are
-#: diverted.
-UNEVEN_FACTOR = 1.5
 MILLI = 1_000
 PERCENT = 100
 
@@ -506,10 +503,6 @@
 
 def _upstream_loads(states, loads, slowness):
     """Return the `UpstreamLoad` of busy and slow upstreams."""
-    by_zone = {}
-    for state in states:
-        by_zone.setdefault(state.zone, []).append(loads[state.upstream_id])
-    means = {zone: sum(values) / len(values) for zone, values in by_zone.items()}
     listed = []
     for state in states:
         load = loads[state.upstream_id]
@@ -519,9 +512,6 @@
         # A slow upstream that gets its share of slots still answers late, so its share
         # is the square of that: enough to notice that it has recovered.
         divert = 1 - 1 / factor**2
-        mean = means[state.zone]
-        if load >= BUSY_LOAD and load >= UNEVEN_FACTOR * mean:
-            divert = max(divert, 1 - mean / load)
         listed.append(
             UpstreamLoad(
                 upstream_id=state.upstream_id,
--- a/tests/placementreplay.py
+++ b/tests/placementreplay.py
@@ -91,6 +91,8 @@
     ):
         self.replicas_per_zone = replicas_per_zone
         self.messages = self.bytes = self.pushes = self.push_bytes = 0
+        #: Zones that flows were told to leave.
+        self.leaving_zones = set()
         self._delay_ms = delay_ms
         self._cut = cut
         self._pushes_end_ms = pushes_end_ms
@@ -159,6 +161,8 @@
         if push is None or is_lost:
             return
         push_data = encode(push)
+        for service in push.services:
+            self.leaving_zones |= {z.zone for z in service.zones if z.leave_milli}
         for harness in self._reporters[own]:
             self.pushes += 1
             self.push_bytes += len(push_data)
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -5,7 +5,16 @@
 import testtools
 from testtools.matchers import LessThan
 
+from knapweeddeal import controlstreams
+from knapweeddeal.answertracker import RequestTotal
 from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.loads import (
+    RequestCounts,
+    ServiceSum,
+    ServiceSums,
+    UpstreamLoads,
+    UpstreamSum,
+)
 from knapweeddeal.messages.packets import (
     DRAINING,
     AnswerCount,
@@ -32,7 +41,7 @@
 from knapweeddeal.packethub import TICK_INTERVAL_MS, PacketHub
 from knapweeddeal.packetroutes import pack_route_keys
 from knapweeddeal.replicalink import LinkDown, LinkUp
-from tests.packetfakes import route, state
+from tests.packetfakes import SERVICE, route, state
 
 OWN = Replica(name="own", identity=1, host="10.0.0.1", port=1)
 OTHER = Replica(name="other", identity=2, host="10.0.0.2", port=1)
@@ -361,6 +370,69 @@
         self.assertTrue(last.states[-1].failing)
 
 
+class SharedLoad(HubTest):
+    """Loads reach the forwarders that report here, and sums the other replicas."""
+
+    def counts(self, outbox, response_ms):
+        """Return the event of a forwarder's counts with a mean response time."""
+        total = RequestTotal(
+            answered=60,
+            rejected=0,
+            response_ms=60 * response_ms,
+            timed=60,
+            unanswered=0,
+        )
+        message = RequestCounts.of({"i-1": total})
+        return ForwarderMessageReceived(message=message, outbox=outbox)
+
+    def run_counts(self, response_ms):
+        """Return the outboxes of a reporting and a silent forwarder, and a replica."""
+        outboxes = RecordingOutbox(), RecordingOutbox(), RecordingOutbox()
+        reporter, silent, replica = outboxes
+        self.run_hub(
+            self.link(replica),
+            UpstreamReported(state=state(1, home=1), reply=curio.Queue()),
+            self.subscribe(reporter),
+            self.subscribe(silent),
+            self.counts(reporter, response_ms),
+            wait_s=0.6,
+        )
+        return outboxes
+
+    def test_under_load(self):
+        reporter, silent, replica = self.run_counts(100)
+        self.assertNotEqual([], reporter.messages_of(UpstreamLoads))
+        self.assertEqual([], silent.messages_of(UpstreamLoads))
+        (sums, *_) = replica.messages_of(ServiceSums)
+        self.assertEqual([True], [one.under_load for one in sums.services])
+        handler = controlstreams._handle_replica.dispatch
+        self.assertIs(handler(DirectoryAck), handler(ServiceSums))
+
+    def test_calm(self):
+        """Nothing is sent in calm operation: bytes between zones are expensive."""
+        reporter, _, replica = self.run_counts(8)
+        self.assertEqual([], reporter.messages_of(UpstreamLoads))
+        self.assertEqual([], replica.messages_of(ServiceSums))
+
+    def test_replica_sums(self):
+        """Sums of another replica lead to a push to a forwarder that reports here."""
+        outbox = RecordingOutbox()
+        busy = UpstreamSum(
+            upstream_id="i-1", rate_milli=90_000, response_ms=99, rejected_milli=0
+        )
+        service = ServiceSum(
+            service=SERVICE, under_load=True, upstreams=[busy], demands=[]
+        )
+        self.run_hub(
+            UpstreamReported(state=state(1, home=1), reply=curio.Queue()),
+            self.subscribe(outbox),
+            self.counts(outbox, 8),
+            ServiceSums(sender=2, services=[service]),
+            wait_s=0.6,
+        )
+        self.assertNotEqual([], outbox.messages_of(UpstreamLoads))
+
+
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get the last stored hints."""
 
