--- a/knapweeddeal/loadsums.py
+++ b/knapweeddeal/loadsums.py
@@ -66,6 +66,10 @@
 #: and from all; and of a higher median, as queues of an overloaded service must not
 #: become usual.
 LOWER_LOCAL_WEIGHT, LOWER_WEIGHT, HIGHER_WEIGHT = 0.05, 0.3, 0.005
+#: Most services, and most upstreams of all services, in a push, so that a forwarder's
+#: cost stays bounded when the whole installation is overloaded: 3 and 3 KB.
+MAX_PUSHED_SERVICES = 100
+MAX_PUSHED_UPSTREAMS = 100
 #: Steps of the bisection that finds a utilization: to a thousandth.
 BISECTION_STEPS = 10
 #: Utilization of slots at which a zone is full, and at which flows begin, and cease, to
@@ -266,7 +270,7 @@
             for name in sorted(names)
             if (load := self._evaluate(name, states[name], local, now_ms)) is not None
         ]
-        self.last_push = UpstreamLoads(services=services) if services else None
+        self.last_push = _bounded_push(services) if services else None
         return self.last_push
 
     # Local sums.
@@ -567,6 +571,34 @@
     return listed
 
 
+def _bounded_push(services):
+    """Return a push of the services whose flows go elsewhere, then the most loaded.
+
+    Upstreams from which most flows are diverted come first, then the most loaded.
+    """
+    services = sorted(services, key=_push_order, reverse=True)[:MAX_PUSHED_SERVICES]
+    listed = [
+        (one.divert_milli, one.load_milli, one)
+        for service in services
+        for one in service.upstreams
+    ]
+    if len(listed) > MAX_PUSHED_UPSTREAMS:
+        listed.sort(key=lambda entry: entry[:2], reverse=True)
+        kept = {one.upstream_id for *_, one in listed[:MAX_PUSHED_UPSTREAMS]}
+        services = [
+            service.replace(
+                upstreams=[one for one in service.upstreams if one.upstream_id in kept]
+            )
+            for service in services
+        ]
+    return UpstreamLoads(services=services)
+
+
+def _push_order(service):
+    is_diverted = any(one.divert_milli for one in service.upstreams)
+    return bool(service.zones) or is_diverted, service.load_milli
+
+
 def _service_sum(service, under_load, totals, demands):
     return ServiceSum(
         service=service,
--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -192,6 +192,19 @@
         _, push = self.tick(without, ticks=10)
         self.assertIsNone(push)
 
+    def test_bounded(self):
+        """In an overloaded installation a push stays bounded, slow upstreams first."""
+        numbers = range(10, 310)
+        for number in numbers:
+            name = f"service-{number % 150}"
+            self.table.apply_state(state(number, service=name, zone="a"), 0)
+        busy = {f"{number:x}": (40, 150) for number in numbers}
+        _, push = self.tick({1: (10, 30), 2: (5, 900), 3: (10, 30), **busy}, ticks=2)
+        self.assertEqual(100, len(push.services))
+        listed = [one for service in push.services for one in service.upstreams]
+        self.assertEqual(100, len(listed))
+        self.assertThat(max(one.divert_milli for one in listed), GreaterThan(0))
+
     def test_replica_sums_expire(self):
         """Sums of a replica that fell silent must not count for ever."""
         busy = UpstreamSum(
