--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -25,6 +25,7 @@
     ColdGrantsNotice,
 )
 from knapweeddeal.messages.control import ConfigurationRequest, FlowCounts, ReplicaHello
+from knapweeddeal.messages.loads import ServiceSums
 from knapweeddeal.messages.operator import RefusalsRequest
 from knapweeddeal.messages.packets import (
     AnswerCounts,
@@ -235,6 +236,7 @@
 @_handle_replica.register(ColdAllowanceRelay)
 @_handle_replica.register(ColdAllowanceRelayAnswer)
 @_handle_replica.register(ColdGrantsNotice)
+@_handle_replica.register(ServiceSums)
 async def _(message, streams, link):
     await streams.forward_to_hub(message)
 
--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -31,6 +31,7 @@
     "cold",
     "control",
     "evacuation",
+    "loads",
     "member",
     "operator",
     "packets",
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -14,6 +14,7 @@
 from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK, ColdBound
 from knapweeddeal.coldhome import ColdHome
 from knapweeddeal.evacuations import evacuated_names
+from knapweeddeal.loadsums import LoadSums
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
 from knapweeddeal.messages.cold import (
@@ -22,6 +23,7 @@
     ColdAllowanceRequest,
     ColdGrantsNotice,
 )
+from knapweeddeal.messages.loads import RequestCounts, ServiceSums
 from knapweeddeal.messages.packets import (
     GONE,
     NO_EVACUATIONS,
@@ -61,6 +63,9 @@
 REPLICATION_TIMEOUT_MS = 400
 #: Maximum age of a reused push of all upstreams, as their `cold_ms` counts down.
 FULL_PUSH_REUSE_MS = 100
+#: Time for which loads are pushed to a forwarder after it reported requests: it reports
+#: to one of its replicas, and only that one pushes them.
+REPORTER_LIFE_MS = 10_000
 #: Time without an update from the replicated log after which its state is stale.
 STATE_STALE_MS = 1_500
 DEFAULT_COLD_BOUND = ColdBound(over=DEFAULT_COLD_OVER, slack=DEFAULT_COLD_SLACK)
@@ -79,9 +84,12 @@
 
 
 class Subscriber(Record):
-    """Hold a forwarder's name, and the routes and evacuations last pushed to it."""
+    """Hold a forwarder's name and zone, and the routes and evacuations last pushed.
 
-    __slots__ = ("configuration", "evacuation_version", "name")
+    `reported_ms` is when it last reported requests, or None.
+    """
+
+    __slots__ = ("configuration", "evacuation_version", "name", "reported_ms", "zone")
 
 
 class PacketHub:
@@ -101,6 +109,7 @@
         "_hints",
         "_answers",
         "_links",
+        "_loads",
         "_metrics",
         "_own_replica",
         "_replicas",
@@ -132,6 +141,7 @@
             own_identity=own_replica.identity, report_ms=report_ms
         )
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
+        self._loads = LoadSums(table=self._table, own_identity=own_replica.identity)
         self._configuration = None
         #: The evacuations of the highest version that is known here.
         self._evacuations = NO_EVACUATIONS
@@ -174,6 +184,7 @@
             "evacuated_zones": evacuated_names(self._evacuations),
             "forwarders": [f.name for f in self._forwarders.values()],
             "links": [f"{identity:016x}" for identity in self._links],
+            "loads": self._loads.dump(),
             "upstreams": self._table.states(monotonic_ms()),
             "waiting": len(self._pending),
         }
@@ -245,6 +256,7 @@
         if silent:
             await self._push_states(silent)
         await self._detect_outliers(now_ms)
+        await self._push_loads(now_ms)
         await self._confirm_replicated(now_ms)
         await self._claim_unconfirmed(now_ms)
         self._cold.expire(now_ms)
@@ -298,6 +310,27 @@
                 retry_ms=message.retry_ms,
             )
 
+    async def _push_loads(self, now_ms):
+        """Send sums to the replicas, and loads to the forwarders that report here."""
+        sums = self._loads.advance(now_ms)
+        if sums is not None:
+            await self._send_to_replicas(EncodedMessage(message=sums))
+        was_under_load = self._loads.last_push is not None
+        loads = self._loads.push(now_ms)
+        if was_under_load != (loads is not None):
+            log.info(
+                "began or ended pushing loads to forwarders",
+                services=[one.service for one in loads.services] if loads else [],
+            )
+        if loads is None:
+            return
+        push = EncodedMessage(message=loads)
+        for outbox, forwarder in self._forwarders.items():
+            reported_ms = forwarder.reported_ms
+            if reported_ms is not None and now_ms - reported_ms < REPORTER_LIFE_MS:
+                self._metrics.count("load_pushes")
+                await outbox.offer(push)
+
     # Events.
 
     @functools.singledispatchmethod
@@ -392,7 +425,11 @@
             self._configuration if self._has_current_routes(event.hello) else None
         )
         self._forwarders[event.outbox] = Subscriber(
-            name=event.hello.name, configuration=existing, evacuation_version=0
+            name=event.hello.name,
+            zone=event.hello.zone,
+            configuration=existing,
+            evacuation_version=0,
+            reported_ms=None,
         )
         log.info("accepted a subscription of a forwarder", name=event.hello.name)
         await event.outbox.offer(self._control_state())
@@ -410,12 +447,25 @@
     async def _(self, message: Evacuations):
         await self._set_evacuations(message)
 
+    @_handle.register
+    async def _(self, message: ServiceSums):
+        self._loads.set_replica_sums(message, monotonic_ms())
+
     @_handle.register
     async def _(self, event: ForwarderMessageReceived):
-        if event.outbox not in self._forwarders:
+        forwarder = self._forwarders.get(event.outbox)
+        if forwarder is None:
             return
         if isinstance(event.message, AnswerCounts):
-            self._answers.add_counts(event.message, monotonic_ms())
+            # A forwarder of an earlier version.
+            self._answers.add_counts(event.message.counts, monotonic_ms())
+            return
+        if isinstance(event.message, RequestCounts):
+            now_ms = monotonic_ms()
+            forwarder.reported_ms = now_ms
+            counts = event.message.counts
+            self._answers.add_counts(counts, now_ms)
+            self._loads.add_counts(forwarder.zone, counts)
             return
         if isinstance(event.message, ColdAllowanceRequest):
             now_ms = monotonic_ms()
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -10,6 +10,7 @@
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
+from knapweeddeal.sharedloads import SharedLoads
 
 __all__ = [
     "COLD_MARGIN_MS",
@@ -198,9 +199,14 @@
         load = self._decayed_load(now_ms) + OPEN_FLOW_LOAD * self.open_flows
         return load / self.state.slots
 
-    def score(self, now_ms):
-        """Return the load per slot plus penalties; lower is better."""
+    def score(self, now_ms, shares=None):
+        """Return the load per slot plus penalties; lower is better.
+
+        `shares` holds the load of other forwarders, or is None if it isn't known.
+        """
         score = self.load_per_slot(now_ms)
+        if shares is not None:
+            score = shares.adjusted_score(score, self.state)
         if not self.is_same_zone:
             score += OTHER_ZONE_PENALTY
         if now_ms < self.cold_until_ms:
@@ -226,7 +232,7 @@
     )
     __slots__ += ("_random",)
     __slots__ += ("_zone", "collisions", "evacuated", "evacuation_version")
-    __slots__ += ("is_pushed",)
+    __slots__ += ("is_pushed", "shared_loads")
 
     def __init__(self, *, zone, random):
         self._zone = zone
@@ -244,6 +250,8 @@
         #: Names of evacuated zones, and their version.
         self.evacuated = frozenset()
         self.evacuation_version = 0
+        #: Loads of services that replicas pushed.
+        self.shared_loads = SharedLoads()
         #: Whether a replica has sent states, or that it has none.
         self.is_pushed = False
 
@@ -301,7 +309,8 @@
         """
         same_zone, other_zone = self._ready_by_service.get(service, NO_UPSTREAMS)
         random = random or self._random
-        rules = (tried, rated, random, ranked)
+        shares = self.shared_loads.draw(service, self._zone, random, now_ms)
+        rules = (tried, rated, shares, random, ranked)
         best = self._lowest_ranked(same_zone, now_ms, *rules)
         if best is not None and best.rank < (False, False, WARM, OTHER_ZONE_PENALTY):
             return best.upstream
@@ -310,7 +319,11 @@
             best = other_best
         return best.upstream if best is not None else None
 
-    def _lowest_ranked(self, upstreams, now_ms, tried, rated, random, ranked):
+    def service_load(self, service, now_ms):
+        """Return the `ServiceLoad` that all forwarders put on a service, or None."""
+        return self.shared_loads.service_load(service, now_ms)
+
+    def _lowest_ranked(self, upstreams, now_ms, tried, rated, shares, random, ranked):
         best = None
         for upstream in upstreams:
             # The positions have their reasons in `RANK_REASONS`.
@@ -318,7 +331,7 @@
                 upstream in tried,
                 upstream.is_avoided(now_ms),
                 upstream.cold_rank(now_ms) if rated else WARM,
-                upstream.score(now_ms) + random() * TIE_BREAK_SPREAD,
+                upstream.score(now_ms, shares) + random() * TIE_BREAK_SPREAD,
             )
             if ranked is not None:
                 ranked.append(RankedUpstream(rank=rank, upstream=upstream))
