Refuse new flows of low value while a service lacks capacity

PacketAdmission decides at the first SYN, from the service's load and from this forwarder's response times; a class is only refused in favour of a higher priority and keeps a tenth. UpstreamPool.service_load is a stub that returns None, so nothing is refused until replicas send loads.

--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -2,6 +2,7 @@
 
 from types import MappingProxyType
 
+from knapweeddeal.clock import monotonic_ms
 from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.packets import (
@@ -11,6 +12,7 @@
     RoutesPush,
     UpstreamsPush,
 )
+from knapweeddeal.packetadmission import PacketAdmission
 from knapweeddeal.packetforwarder import Forwarder
 from knapweeddeal.packetroutes import RouteTable
 from knapweeddeal.packetupstreams import UpstreamPool
@@ -41,6 +43,7 @@
     __slots__ = (
         "_selector",
         "_subscriptions",
+        "admission",
         "egress",
         "forwarder",
         "metrics",
@@ -58,6 +61,9 @@
         self.egress = EgressQueue(
             metrics=metrics, log=log, link_mbps=settings.link_mbps
         )
+        self.admission = PacketAdmission(
+            service_load=self.pool.service_load, metrics=metrics, log=log
+        )
         self.forwarder = Forwarder(
             routes=self.routes,
             pool=self.pool,
@@ -68,6 +74,7 @@
             caller_port=settings.packets[1],
             flow_idle_ms=settings.packet_flow_idle_ms,
         )
+        self.set_admission(settings.admission)
         self.stopping = False
 
     # Queries.
@@ -90,6 +97,7 @@
             "replicas": self._selector.addresses,
             "flows": self.forwarder.flow_count,
             "egress": self.egress.dump(),
+            "admission": self.admission.dump(monotonic_ms()),
             "upstreams": [_dump_upstream(upstream) for upstream in self.pool.all()],
             "metrics": self.metrics.summary(),
         }
@@ -126,6 +134,10 @@
         counts = self.forwarder.pop_answer_counts(now_ms)
         return AnswerCounts.of(sender=0, counts=counts) if counts else None
 
+    def set_admission(self, choice):
+        """Switch admission control `on` or `off`, as the setting says."""
+        self.forwarder.set_admission(self.admission if choice == "on" else None)
+
     def stop(self):
         """Become not ready; packets are still forwarded."""
         self.stopping = True
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -45,6 +45,8 @@
 COPY_OFFSET = 12
 #: Position of the sequence number in the header.
 SEQUENCE_SLICE = slice(8, 12)
+#: Position of the acknowledgment number in the header.
+ACK_SLICE = slice(12, 16)
 #: Longest age of an entry in the flow table.
 MAX_FLOW_AGE_MS = 60_000
 #: Size limit of the flow table; beyond it the oldest flows are removed.
@@ -61,6 +63,7 @@
     """Hold an entry of the flow table; packets are routed correctly without it."""
 
     __slots__ = ("is_open", "opened_ms", "request", "seen_ms", "tried", "upstream")
+    __slots__ += ("request_ack", "timed_request")
 
     def __init__(self, *, upstream, now_ms):
         self.upstream = upstream
@@ -70,12 +73,16 @@
         self.is_open = False
         #: The last request, as returned by `AnswerTracker`.
         self.request = None
+        #: The request whose answer is timed, and its acknowledgment number.
+        self.timed_request = None
+        self.request_ack = b""
 
 
 class Forwarder:
     """Choose an upstream at the SYN, then route by the echo; reset unroutable flows."""
 
     __slots__ = (
+        "_admission",
         "_caller_port",
         "_egress",
         "_flow_idle_ms",
@@ -93,9 +100,21 @@
     )
 
     def __init__(
-        self, *, routes, pool, egress, random, metrics, log, caller_port, flow_idle_ms
+        self,
+        *,
+        routes,
+        pool,
+        egress,
+        random,
+        metrics,
+        log,
+        caller_port,
+        flow_idle_ms,
+        admission=None,
     ):
         self._routes = routes
+        #: The `PacketAdmission`, or None to admit all new flows.
+        self.set_admission(admission)
         self._pool = pool
         self._egress = egress
         self._random = random
@@ -113,6 +132,10 @@
         #: Whether a replica that has a leader supplies the routes and upstreams.
         self.has_leader = False
 
+    def set_admission(self, admission):
+        """Decide on new flows by a `PacketAdmission`, or admit all if it is None."""
+        self._admission = admission
+
     @property
     def flow_count(self):
         """Return the number of flows in the flow table."""
@@ -204,6 +227,8 @@
             return
         tried = flow.tried if flow is not None else ()
         service = route.pick_service(self._random())
+        if flow is None and self._is_refused(data, route, service, now_ms, out):
+            return
         upstream = self._pool.choose(service, now_ms, tried)
         if upstream is None:
             self._refuse_syn(data, service, out)
@@ -239,6 +264,28 @@
         is_first = not data[COPY_OFFSET]
         return is_first and self._egress.refuses(data[ROUTE_SLICE], now_ms)
 
+    def _is_refused(self, data, route, service, now_ms, out):
+        """Reset a new flow that isn't admitted; return whether it was reset.
+
+        The first SYN of a copy may have opened the flow through another forwarder.
+        """
+        if self._admission is None or not route.terms.kind or data[COPY_OFFSET]:
+            return False
+        terms = route.terms
+        refusal = self._admission.refuse(service, terms, data[FLOW_SLICE], now_ms)
+        if refusal is None:
+            return False
+        self._reset(
+            data,
+            out,
+            "service overloaded",
+            service=service,
+            kind=terms.kind,
+            priority=terms.priority,
+            **refusal.fields(),
+        )
+        return True
+
     def _refuse_syn(self, data, service, out):
         """Reset a SYN without an upstream; drop it if a retransmission may get one."""
         if self.has_leader:
@@ -284,10 +331,10 @@
                 sequence=upstream.state.sequence,
             )
             return
-        self._track_flow(data, upstream, now_ms)
+        self._track_flow(data, route, upstream, now_ms)
         out.append((upstream.prefix + data, upstream.address))
 
-    def _track_flow(self, data, upstream, now_ms):
+    def _track_flow(self, data, route, upstream, now_ms):
         """Update the flow table, and the load and answers of the upstream."""
         key = data[FLOW_SLICE]
         flow = self._flows.get(key)
@@ -311,6 +358,8 @@
         if data[LENGTH_SLICE] != NO_DATA:
             upstream.add_load(DATA_LOAD, now_ms)
         self._track_request(data, flow, now_ms)
+        if self._admission is not None and route.terms.kind:
+            self._time_request(data, flow, route, now_ms)
         if data[0] & (FIN | RST):
             self._close(flow)
             del self._flows[key]
@@ -335,6 +384,25 @@
         else:
             self._answer_tracker.record_empty(flow.request, now_ms)
 
+    def _time_request(self, data, flow, route, now_ms):
+        """Pass the time until the upstream has sent data to the admission control.
+
+        A caller's acknowledgment number increases with the upstream's data. A request
+        that was retransmitted isn't timed, as either copy may have been answered.
+        """
+        ack, request = data[ACK_SLICE], flow.timed_request
+        if request is not None and ack != flow.request_ack:
+            if not request.retransmissions and not data[0] & RST:
+                service = flow.upstream.state.service
+                response_ms = now_ms - request.sent_ms
+                self._admission.record_response(
+                    service, route.terms, response_ms, now_ms
+                )
+            flow.timed_request = None
+        request = flow.request
+        if request is not None and request.sent_ms == now_ms:
+            flow.timed_request, flow.request_ack = request, ack
+
     def _close(self, flow):
         flow.is_open = False
         flow.upstream.open_flows -= 1
@@ -394,6 +462,8 @@
         """Remove flows that are idle, too old, or beyond `MAX_FLOWS`."""
         idle_ms = now_ms - self._flow_idle_ms
         old_ms = now_ms - MAX_FLOW_AGE_MS
+        if self._admission is not None:
+            self._admission.expire(now_ms)
         surplus = len(self._flows) - MAX_FLOWS
         for key, flow in list(self._flows.items()):
             if flow.seen_ms < idle_ms or flow.opened_ms < old_ms or surplus > 0:
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -182,6 +182,12 @@
         """Return the upstream with the echo of a packet, or None."""
         return self._by_echo.get(echo)
 
+    def service_load(self, service, now_ms):
+        """Return the `ServiceLoad` of a service, or None if it is missing or old.
+
+        No replica sends loads yet.
+        """
+
     def __len__(self):
         """Return the number of upstreams that aren't gone."""
         return sum(u.state.status != GONE for u in self._by_id.values())
--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -239,6 +239,16 @@
         reload_roles=(FORWARDER,),
         text="Rate of this VM's link, at which packets leave; empty to not pace them.",
     ),
+    Option(
+        section="forwarder",
+        key="admission",
+        check=choice_option,
+        default="on",
+        choices=("on", "off"),
+        roles=(FORWARDER,),
+        reload_roles=(FORWARDER,),
+        text="Whether flows of the least value are refused or delayed (on or off).",
+    ),
     Option(
         section="control",
         key="data_folder",
--- a/tests/test_forwardercore.py
+++ b/tests/test_forwardercore.py
@@ -19,6 +19,7 @@
     packets = ("10.0.0.9", 9_000)
     packet_flow_idle_ms = 15_000
     link_mbps = None
+    admission = "on"
 
 
 def make_core():
