Order an egress backlog by priority and deadline

Cause: flows of all priorities took equal turns behind a narrow link, and a backlog of low priority refused and delayed those of high priority.

Change: flows of routes of different priorities wait in bands; the first band goes first, each other one sends at least a tenth, what has passed its deadline leaves last. A SYN is refused for what waits before it, and a full queue drops from the last band.

--- a/knapweeddeal/egressqueue.py
+++ b/knapweeddeal/egressqueue.py
@@ -13,11 +13,16 @@
 - Callers give up on packets that wait: these are dropped once nobody repeats them.
 - More work arrives than the link carries: new flows of routes with long requests are
   refused at once, while another forwarder may still serve them.
+- Flows of several priorities share a backlog: a higher one goes first, the others keep
+  a minimum share of the link, and new flows of the lowest one are refused first.
+- Packets have waited beyond their deadline: they leave only when no others wait.
 """
 
 import math
 from collections import deque
 
+from knapweeddeal.flowvalue import link_band
+from knapweeddeal.messages.packets import NO_ROUTE_TERMS
 from knapweeddeal.packetheader import (
     FLOW_SLICE,
     PACKET_HEADER_BYTES,
@@ -58,6 +63,11 @@
 LONG_REQUEST_PACKETS = 4
 #: Time for which that mark holds.
 LONG_REQUEST_MS = 60_000
+#: Share of the bytes that each band behind the first one sends at least: a packet of
+#: 1.3 KB then leaves every 76 ms at 1.4 Mbit/s. Three of them leave 70 % to the first.
+MIN_BAND_SHARE = 0.1
+#: Band of flows whose deadline has passed; it has no minimum share.
+EXPIRED_BAND = 1_000
 
 BYTES_PER_MS_PER_MBPS = 125
 US_PER_MS = 1_000
@@ -72,10 +82,13 @@
 class FlowQueue:
     """Hold the waiting packets of one flow in order, by their identity."""
 
-    __slots__ = ("deficit_bytes", "key", "packets", "size_bytes")
+    __slots__ = ("band", "deficit_bytes", "key", "packets", "size_bytes", "timeout_ms")
 
-    def __init__(self, *, key):
+    def __init__(self, *, key, band, timeout_ms):
         self.key = key
+        self.band = band
+        #: Time after which an answer is useless, or 0.
+        self.timeout_ms = timeout_ms
         self.packets = {}
         self.size_bytes = 0
         self.deficit_bytes = QUANTUM_BYTES
@@ -91,34 +104,71 @@
     def _pop(self, identity):
         packet = self.packets.pop(identity)
         self.size_bytes -= packet.size_bytes
+        self.band.backlog_bytes -= packet.size_bytes
         return packet
 
+    def add(self, identity, packet):
+        """Append a packet."""
+        self.packets[identity] = packet
+        self.size_bytes += packet.size_bytes
+        self.band.backlog_bytes += packet.size_bytes
+
+    def move(self, band):
+        """Move to another band, as one of its old flows."""
+        self.band.backlog_bytes -= self.size_bytes
+        self.band = band
+        band.backlog_bytes += self.size_bytes
+        band.old_flows.append(self)
+
+    def is_expired(self, now_ms):
+        """Return whether its first packet has waited beyond the deadline."""
+        if not self.timeout_ms:
+            return False
+        first = next(iter(self.packets.values()))
+        return now_ms - first.queued_ms >= self.timeout_ms
+
+
+class Band:
+    """Hold the flows of one priority in the order of their turns."""
+
+    __slots__ = ("backlog_bytes", "credit_bytes", "new_flows", "number", "old_flows")
+
+    def __init__(self, *, number):
+        self.number = number
+        self.backlog_bytes = 0
+        #: Bytes that it may send before a higher band.
+        self.credit_bytes = 0.0
+        #: Flows that just began to wait go first.
+        self.new_flows = deque()
+        self.old_flows = deque()
+
 
 class EgressQueue:
     """Decide when and in which order packets leave; without a rate, all at once."""
 
     __slots__ = (
+        "_bands",
         "_bucket",
         "_flows",
         "_log",
         "_long_routes",
         "_max_backlog_bytes",
         "_metrics",
-        "_new_flows",
-        "_old_flows",
         "_refusal_backlog_bytes",
+        "_routes",
         "backlog_bytes",
     )
 
-    def __init__(self, *, metrics, log, link_mbps=None):
+    def __init__(self, *, metrics, log, link_mbps=None, routes=None):
         self._metrics = metrics
         self._log = log
         self.backlog_bytes = 0
         #: Flows with waiting packets, by key.
         self._flows = {}
-        #: Flows in the order of their turns; those that just began to wait go first.
-        self._new_flows = deque()
-        self._old_flows = deque()
+        #: Bands that have flows, the first to be served first.
+        self._bands = []
+        #: The `RouteTable` with the terms of flows, or None for a single band.
+        self._routes = routes
         #: When flows of routes were last found to carry long requests.
         self._long_routes = {}
         self.set_rate(link_mbps)
@@ -144,9 +194,17 @@
         return flow is not None and bool(flow.packets)
 
     def refuses(self, route_key, now_ms):
-        """Return whether a new flow of a route would wait too long."""
+        """Return whether a new flow of a route would wait too long.
+
+        What waits in lower bands doesn't count, as the flow goes before it.
+        """
         if self.backlog_bytes < self._refusal_backlog_bytes:
             return False
+        if len(self._bands) > 1:
+            number, _ = self._terms(route_key)
+            ahead = [b.backlog_bytes for b in self._bands if b.number <= number]
+            if sum(ahead) < self._refusal_backlog_bytes:
+                return False
         marked_ms = self._long_routes.get(route_key)
         return marked_ms is not None and now_ms - marked_ms < LONG_REQUEST_MS
 
@@ -157,6 +215,7 @@
             "backlog_bytes": self.backlog_bytes,
             "backlog_ms": round(self.backlog_ms),
             "flows": len(self._flows),
+            "bands": {band.number: band.backlog_bytes for band in self._bands},
         }
 
     # Commands.
@@ -174,6 +233,10 @@
         self._refusal_backlog_bytes = min(REFUSAL_BACKLOG_MS * rate, MAX_BACKLOG_BYTES)
         self._max_backlog_bytes = min(MAX_BACKLOG_MS * rate, MAX_BACKLOG_BYTES)
 
+    def set_routes(self, routes):
+        """Order packets by the terms of a `RouteTable`, or regardless if it is None."""
+        self._routes = routes
+
     def release(self, packets, now_ms):
         """Return the packets to send now, of some new ones and those that wait.
 
@@ -192,7 +255,7 @@
 
     def _enqueue(self, payload, address, now_ms):
         header = _header(payload)
-        flow = self._flow(header[FLOW_SLICE])
+        flow = self._flow(header)
         identity = packet_identity(header)
         waiting = flow.packets.get(identity)
         if waiting is not None:
@@ -204,32 +267,62 @@
         if not self._has_room(size_bytes, flow, now_ms):
             self._drop(payload, "egress queue full", now_ms, now_ms)
             return
-        flow.packets[identity] = QueuedPacket(
+        packet = QueuedPacket(
             payload=payload,
             address=address,
             queued_ms=now_ms,
             repeated_ms=now_ms,
             size_bytes=size_bytes,
         )
-        flow.size_bytes += size_bytes
+        flow.add(identity, packet)
         self.backlog_bytes += size_bytes
         if len(flow.packets) == LONG_REQUEST_PACKETS:
             self._long_routes[header[ROUTE_SLICE]] = now_ms
 
-    def _flow(self, key):
+    def _flow(self, header):
+        key = header[FLOW_SLICE]
         flow = self._flows.get(key)
-        if flow is None:
-            flow = self._flows[key] = FlowQueue(key=key)
-            self._new_flows.append(flow)
+        if flow is None or (flow.band.number == EXPIRED_BAND and not flow.packets):
+            number, timeout_ms = self._terms(header[ROUTE_SLICE])
+            band = self._band(number)
+            flow = FlowQueue(key=key, band=band, timeout_ms=timeout_ms)
+            self._flows[key] = flow
+            band.new_flows.append(flow)
         return flow
 
+    def _terms(self, route_key):
+        """Return the number of the band and the deadline of a route's flows."""
+        if self._routes is None or len(self._routes.priorities) < 2:
+            return 0, 0
+        route = self._routes.get(route_key)
+        terms = route.terms if route is not None else NO_ROUTE_TERMS
+        timeout_ms = terms.timeout_ms if terms.kind else 0
+        return link_band(terms, self._routes.priorities), timeout_ms
+
+    def _band(self, number):
+        for band in self._bands:
+            if band.number == number:
+                return band
+        band = Band(number=number)
+        self._bands.append(band)
+        self._bands.sort(key=lambda band: band.number)
+        return band
+
     def _has_room(self, size_bytes, flow, now_ms):
-        """Return whether a packet fits; the longest flow makes room for a new one."""
+        """Return whether a packet fits.
+
+        The longest flow of the last band makes room for a packet of a higher one, and
+        for a new flow of the same one.
+        """
         if self.backlog_bytes + size_bytes <= self._max_backlog_bytes:
             return True
-        if flow.packets:
+        last = [band for band in self._bands if band.backlog_bytes][-1]
+        if last.number < flow.band.number or (last is flow.band and flow.packets):
             return False
-        longest = max(self._flows.values(), key=lambda flow: flow.size_bytes)
+        longest = max(
+            (other for other in self._flows.values() if other.band is last),
+            key=lambda flow: flow.size_bytes,
+        )
         victim = longest.pop_last()
         self.backlog_bytes -= victim.size_bytes
         self._drop(victim.payload, "egress queue full", victim.queued_ms, now_ms)
@@ -240,41 +333,74 @@
     def _dequeue(self, now_ms):
         packets = []
         while self.backlog_bytes and self._bucket.has_tokens(now_ms):
-            flow = self._next_flow()
+            band = self._next_band()
+            flow = self._next_flow(band, now_ms)
+            if flow is None:
+                continue
             packet = flow.pop_first()
             self.backlog_bytes -= packet.size_bytes
             if now_ms - packet.repeated_ms >= STALE_MS:
                 self._drop(packet.payload, "stale", packet.queued_ms, now_ms)
                 continue
             flow.deficit_bytes -= packet.size_bytes
+            if len(self._bands) > 1:
+                self._share_credit(band, packet.size_bytes)
             self._bucket.take(packet.size_bytes)
             wait_us = (now_ms - packet.queued_ms) * US_PER_MS
             self._metrics.record_us("egress_wait", wait_us)
             packets.append((packet.payload, packet.address))
         if not self.backlog_bytes:
             self._flows.clear()
-            self._new_flows.clear()
-            self._old_flows.clear()
+            self._bands.clear()
         return packets
 
-    def _next_flow(self):
-        """Return the flow whose turn it is; some flow must have a packet.
+    def _next_band(self):
+        """Return the first band, or another one that its minimum share is due to."""
+        if len(self._bands) == 1:
+            return self._bands[0]
+        waiting = [band for band in self._bands if band.backlog_bytes]
+        for band in waiting[1:]:
+            if band.credit_bytes >= QUANTUM_BYTES:
+                return band
+        return waiting[0]
+
+    def _share_credit(self, served, size_bytes):
+        """Give the bands that wait their share of bytes that one has sent."""
+        is_first = True
+        for band in self._bands:
+            if band.number == EXPIRED_BAND or not band.backlog_bytes:
+                band.credit_bytes = 0.0
+            elif is_first:
+                is_first = False
+                band.credit_bytes = 0.0
+            else:
+                band.credit_bytes += MIN_BAND_SHARE * size_bytes
+        served.credit_bytes = max(served.credit_bytes - size_bytes, 0.0)
+
+    def _next_flow(self, band, now_ms):
+        """Return the flow of a band whose turn it is.
+
+        Returns None if the flow's deadline has passed; it then has another band.
 
         A new flow that has sent all it had waits for a turn like the old ones before
         it counts as new again, or it could keep the others from their turns.
         """
         while True:
-            flows = self._new_flows or self._old_flows
+            flows = band.new_flows or band.old_flows
             flow = flows[0]
             if flow.packets and flow.deficit_bytes > 0:
-                return flow
+                if band.number == EXPIRED_BAND or not flow.is_expired(now_ms):
+                    return flow
+                flows.popleft()
+                flow.move(self._band(EXPIRED_BAND))
+                return None
             flows.popleft()
             if flow.packets:
                 flow.deficit_bytes += QUANTUM_BYTES
-                self._old_flows.append(flow)
-            elif flows is self._new_flows:
-                self._old_flows.append(flow)
-            else:
+                band.old_flows.append(flow)
+            elif flows is band.new_flows:
+                band.old_flows.append(flow)
+            elif self._flows.get(flow.key) is flow:
                 del self._flows[flow.key]
 
     def _drop(self, payload, reason, queued_ms, now_ms):
--- a/knapweeddeal/flowvalue.py
+++ b/knapweeddeal/flowvalue.py
@@ -9,13 +9,16 @@
 
 from knapweeddeal.record import Record
 
-__all__ = ["WaitingFlow", "flow_rank", "pick_waiting", "value_per_work"]
+__all__ = ["WaitingFlow", "flow_rank", "link_band", "pick_waiting", "value_per_work"]
 
 #: Ratio of the weights of two adjacent priorities. A finite ratio lets many short
 #: requests precede a long one of the next priority.
 PRIORITY_RATIO = 2.0
 #: Priorities beyond this weigh the same, so that no weight underflows.
 MAX_PRIORITY = 15
+#: Last band of a link, which all further priorities share, so that the minimum shares
+#: of the bands leave most of the link to the first one.
+LAST_LINK_BAND = 3
 #: Lower bound of the service time. Times are in whole milliseconds, and the network
 #: accounts for a part of them.
 MIN_SERVICE_MS = 1.0
@@ -33,6 +36,18 @@
     return weight / max(service_ms, MIN_SERVICE_MS)
 
 
+def link_band(terms, priorities):
+    """Return the band of a flow on a link, from the priorities in use; 0 goes first.
+
+    Terms that state no `kind` belong to the first band, so that their flows aren't
+    delayed by others. Within a band flows take turns by bytes, which are the work that
+    a link does.
+    """
+    if not terms.kind:
+        return 0
+    return min(priorities.index(terms.priority), LAST_LINK_BAND)
+
+
 def flow_rank(terms, service_ms, waited_ms):
     """Return the sort key of a flow that has waited for a time; the lowest goes first.
 
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -135,8 +135,10 @@
         return AnswerCounts.of(sender=0, counts=counts) if counts else None
 
     def set_admission(self, choice):
-        """Switch admission control `on` or `off`, as the setting says."""
-        self.forwarder.set_admission(self.admission if choice == "on" else None)
+        """Refuse and delay flows by their value if the setting is `on`."""
+        is_on = choice == "on"
+        self.forwarder.set_admission(self.admission if is_on else None)
+        self.egress.set_routes(self.routes if is_on else None)
 
     def stop(self):
         """Become not ready; packets are still forwarded."""
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -34,7 +34,7 @@
 class RouteTable:
     """Hold the routes of the highest revision that was pushed."""
 
-    __slots__ = ("_routes", "dropped", "revision", "services")
+    __slots__ = ("_routes", "dropped", "priorities", "revision", "services")
 
     def __init__(self):
         self._routes = {}
@@ -43,6 +43,8 @@
         self.revision = 0
         #: The `ServiceTerms` by service.
         self.services = {}
+        #: Priorities that routes state, the highest first.
+        self.priorities = []
 
     def get(self, key):
         """Return the route for a packet's route key, or None."""
@@ -74,6 +76,8 @@
             self._routes.update(updated)
         self.dropped -= set(updated)
         self.services = {terms.name: terms for terms in push.services}
+        all_terms = [route.terms for route in self._routes.values()]
+        self.priorities = sorted({t.priority for t in all_terms if t.kind})
         self.revision = push.revision
         return True
 
--- a/tests/test_egressqueue.py
+++ b/tests/test_egressqueue.py
@@ -15,8 +15,10 @@
     EgressQueue,
 )
 from knapweeddeal.metrics import Metrics
-from knapweeddeal.packetheader import FIN, RST, SYN
+from knapweeddeal.packetheader import FIN, ROUTE_SLICE, RST, SYN
+from knapweeddeal.packetroutes import RouteTable
 from knapweeddeal.tokenbucket import TokenBucket
+from tests.admissionreplay import terms
 from tests.egressreplay import Caller, FifoQueue, Link, Replay, UnpacedQueue
 from tests.packetfakes import (
     PORT,
@@ -25,6 +27,7 @@
     fin,
     packet,
     route,
+    routes_push,
     state,
     syn,
 )
@@ -384,3 +387,103 @@
         self.assertEqual([], sent)
         self.assertFalse(upstream.is_suspect(30))
         self.assertEqual(60, self.harness.forwarder.next_due_ms)
+
+
+#: Ports of routes of the highest, a middle and the lowest priority, and without terms.
+HIGH, MIDDLE, LOW, PLAIN = 501, 502, 503, 504
+
+
+def route_table(*priorities, timeout_ms=1_000):
+    """Return a table with routes of some priorities, and one without terms."""
+    routes = [route(port=PLAIN)]
+    for port, priority in zip((HIGH, MIDDLE, LOW), priorities, strict=False):
+        routes.append(route(port=port, terms=terms("single", priority, 0, timeout_ms)))
+    table = RouteTable()
+    table.apply(routes_push(*routes))
+    return table
+
+
+class Priorities(testtools.TestCase):
+    """What is delayed or refused behind a backlog is what costs callers least."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = make_queue()
+        self.queue.set_routes(route_table(1, 2, 5))
+
+    def fill(self, to, *, first_port, backlog_bytes):
+        """Queue uploads on a route until more bytes wait."""
+        until_bytes = self.queue.backlog_bytes + backlog_bytes
+        while self.queue.backlog_bytes < until_bytes:
+            first_port += 1
+            self.queue.release(burst(first_port, LONG_REQUEST_PACKETS, to=to), 0)
+
+    def test_highest_first(self):
+        """A backlog of low priority can't delay flows of a higher one."""
+        self.queue.release(burst(1, 16, to=LOW), 0)
+        self.queue.release(burst(2, 4, to=MIDDLE) + burst(3, 4, to=HIGH), 0)
+        ports = ports_of(drain(self.queue, 0)[0])
+        self.assertEqual([3] * 4 + [2] * 4, [port for port in ports if port != 1])
+        self.assertLess(ports.index(2), 8)
+        self.assertLessEqual(ports[:8].count(1), 2)
+
+    def test_minimum_share(self):
+        """A lasting backlog of high priority can't stop the lower ones."""
+        self.fill(LOW, first_port=100, backlog_bytes=30_000)
+        self.fill(MIDDLE, first_port=200, backlog_bytes=30_000)
+        self.fill(HIGH, first_port=300, backlog_bytes=120_000)
+        ports = ports_of(drain(self.queue, 0)[0])[:100]
+        counts = [sum(low < port < low + 100 for port in ports) for low in (100, 200)]
+        self.assertGreaterEqual(min(counts), 7)
+        self.assertLessEqual(max(counts), 13)
+
+    def test_without_terms(self):
+        """Routes without terms take turns with the highest priority."""
+        self.queue.release(burst(1, 8, to=HIGH) + burst(2, 8, to=PLAIN), 0)
+        ports = ports_of(drain(self.queue, 0)[0])
+        self.assertLessEqual(abs(ports[:8].count(1) - ports[:8].count(2)), 1)
+
+    def test_same_priority(self):
+        """With one priority the order is that of a queue without terms."""
+        orders = []
+        for table in (route_table(3, 3, 3, timeout_ms=1), None):
+            queue = make_queue()
+            queue.set_routes(table)
+            sent = []
+            for number in range(1, 21):
+                to = (HIGH, MIDDLE, PLAIN)[number % 3]
+                sent += queue.release(burst(number, 3, to=to), 3 * number)
+            orders.append(ports_of(sent + drain(queue, 60)[0]))
+        self.assertEqual(*orders)
+
+    def test_deadline_passed(self):
+        """What is useless to its caller leaves after all that isn't."""
+        self.queue.release(burst(9, 3, to=LOW) + burst(1, 4, to=HIGH), 0)
+        self.queue.release(burst(2, 4, to=LOW) + burst(1, 4, to=HIGH), 1_000)
+        ports = ports_of(drain(self.queue, 1_000)[0])
+        self.assertLess(ports.index(2), ports.index(1))
+        self.assertEqual(1, ports[-1])
+        self.queue.release(burst(9, 9, to=LOW), 2_000)
+        self.queue.release(burst(1, 1, to=HIGH), 2_000)
+        self.assertIn(1, ports_of(drain(self.queue, 2_000)[0])[:3])
+
+    def test_refused(self):
+        """New flows are refused for what waits before them."""
+        rate = NARROW_BYTES_PER_MS * PACED_SHARE
+        self.fill(HIGH, first_port=100, backlog_bytes=rate * REFUSAL_BACKLOG_MS / 2)
+        self.fill(LOW, first_port=200, backlog_bytes=rate * REFUSAL_BACKLOG_MS / 2)
+        keys = [syn(to=port)[ROUTE_SLICE] for port in (HIGH, LOW)]
+        self.assertEqual([False, True], [self.queue.refuses(key, 0) for key in keys])
+        self.fill(HIGH, first_port=300, backlog_bytes=rate * REFUSAL_BACKLOG_MS / 2)
+        self.assertTrue(self.queue.refuses(keys[0], 0))
+
+    def test_full(self):
+        """Over the bound the lowest priority makes room, and never a higher one."""
+        rate = NARROW_BYTES_PER_MS * PACED_SHARE
+        self.fill(MIDDLE, first_port=100, backlog_bytes=rate * MAX_BACKLOG_MS - 9_000)
+        self.fill(LOW, first_port=200, backlog_bytes=5_000)
+        self.queue.release(burst(1, 6, to=LOW) + burst(2, 12, to=HIGH), 0)
+        self.queue.release(burst(3, 1, to=LOW), 0)
+        ports = ports_of(drain(self.queue, 0)[0])
+        self.assertEqual(12, ports.count(2))
+        self.assertEqual(0, ports.count(3))
