Test each rule of admission and of the bands of a link by a mutant

Cause: of 43 mutants 9 survived the first tests: late flows, start threshold, order of two refused classes, equal priorities, learning while refusing, routes without a kind, the setting, and two of expired flows.

Change: tests for them. The rule that moved a flow back from the band of passed deadlines is removed, as no load was found in which it had an effect.

--- a/knapweeddeal/egressqueue.py
+++ b/knapweeddeal/egressqueue.py
@@ -282,7 +282,7 @@
     def _flow(self, header):
         key = header[FLOW_SLICE]
         flow = self._flows.get(key)
-        if flow is None or (flow.band.number == EXPIRED_BAND and not flow.packets):
+        if flow is None:
             number, timeout_ms = self._terms(header[ROUTE_SLICE])
             band = self._band(number)
             flow = FlowQueue(key=key, band=band, timeout_ms=timeout_ms)
@@ -400,7 +400,7 @@
                 band.old_flows.append(flow)
             elif flows is band.new_flows:
                 band.old_flows.append(flow)
-            elif self._flows.get(flow.key) is flow:
+            else:
                 del self._flows[flow.key]
 
     def _drop(self, payload, reason, queued_ms, now_ms):
--- a/tests/test_flowvalue.py
+++ b/tests/test_flowvalue.py
@@ -26,6 +26,7 @@
         ("deadline passed", rank(priority=9), rank(priority=0, waited_ms=1_990)),
         ("without a deadline", rank(priority=9, timeout_ms=0), rank(waited_ms=1_990)),
         ("late already", rank(), rank(waited_ms=600)),
+        ("late already, little slack", rank(), rank(waited_ms=1_900)),
         ("least slack", rank(waited_ms=100), rank()),
         ("least slack to the deadline", rank(waited_ms=900), rank(waited_ms=600)),
         ("no objective", rank(objective_ms=0, waited_ms=9), rank(objective_ms=0)),
--- a/tests/test_forwardercore.py
+++ b/tests/test_forwardercore.py
@@ -7,7 +7,8 @@
 from knapweeddeal.messages.packets import ControlState, UpstreamsPush
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.replicaselector import ReplicaSelector
-from tests.packetfakes import ZONE, route, routes_push, state
+from tests.admissionreplay import terms
+from tests.packetfakes import ZONE, route, routes_push, state, syn
 
 FIRST, SECOND = ("10.0.0.1", 1), ("10.0.0.2", 1)
 
@@ -56,6 +57,16 @@
     ]
     stop = False
 
+    def test_admission(self):
+        """The setting decides whether new flows are admitted by their value."""
+        core, _ = make_core()
+        core.routes.apply(routes_push(route(terms=terms("single", 1, 0, 0))))
+        core.pool.apply_states([state()], 0, current=True)
+        for choice, classes in (("off", 0), ("on", 1)):
+            core.set_admission(choice)
+            core.forwarder.handle_packet(syn(port=len(choice)), 0, [])
+            self.assertEqual(classes, len(core.dump()["admission"]))
+
     def test_ready(self):
         core, (first, _) = make_core()
         for message in self.messages:
