--- a/bench/packets.py
+++ b/bench/packets.py
@@ -14,8 +14,19 @@
 import curio
 from curio import socket as curio_socket
 
+from knapweeddeal.messages.packets import NO_ROUTE_TERMS
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetadmission import PacketAdmission
 from knapweeddeal.packetsocket import PacketSocket, bind_packet_socket
-from tests.packetfakes import ForwarderHarness, packet, route, state, syn
+from tests.admissionreplay import UNSAFE, ServiceLoad
+from tests.packetfakes import (
+    ForwarderHarness,
+    QuietLog,
+    packet,
+    route,
+    state,
+    syn,
+)
 
 HOST = "127.0.0.1"
 BURST = 60
@@ -62,17 +73,18 @@
 
             return await self._timed(sock.getsockname(), forward_burst)
 
-    async def forward(self, *, upstreams, link_mbps=None):
+    async def forward(self, *, upstreams, link_mbps=None, admission=None):
         """Return the microseconds per datagram through a forwarder."""
         host, number = self._sink.getsockname()
         upstream_states = [
             state(n, host=host, port=number) for n in range(1, upstreams + 1)
         ]
         harness = ForwarderHarness(
-            routes=[route()],
+            routes=[route(terms=UNSAFE.terms if admission else NO_ROUTE_TERMS)],
             states=upstream_states,
             number=random.Random(1).random,
             link_mbps=link_mbps,
+            admission=admission,
         )
         udp_socket = bind_packet_socket((HOST, 0))
         packet_socket = PacketSocket(
@@ -124,9 +136,32 @@
         )
     )
     rows += [open_row(upstreams) for upstreams in (7, 17, 72)]
+    rows.append(
+        (
+            "later packet, route with terms",
+            curio.run(lambda: established.forward(upstreams=7, admission=busy())),
+        )
+    )
+    opened = Trial(make_packet=new_flow_syn)
+    rows.append(
+        (
+            "SYN, 17 near upstreams, route with terms, service busy",
+            curio.run(lambda: opened.forward(upstreams=17, admission=busy())),
+        )
+    )
     return rows
 
 
+def busy():
+    """Return the admission to a service that lacks capacity."""
+    load = ServiceLoad(
+        load_per_slot=4.5, rejected_share=0.5, response_ms=170, age_ms=200
+    )
+    return PacketAdmission(
+        service_load=lambda service, now_ms: load, metrics=Metrics(), log=QuietLog()
+    )
+
+
 def open_row(upstreams):
     """Return the row of a SYN to a service with some upstreams in its own zone."""
     trial = Trial(make_packet=new_flow_syn)
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -116,6 +116,7 @@
         number=lambda: 0.0,
         link_mbps=None,
         zone=ZONE,
+        admission=None,
     ):
         self.log = QuietLog()
         self.metrics = Metrics()
@@ -137,6 +138,7 @@
             caller_port=CALLER_PORT,
             flow_idle_ms=15_000,
         )
+        self.forwarder.set_admission(admission)
         self.forwarder.has_leader = current
 
     def handle_packet(self, data, now_ms=0):
