Merge admission control and the order of a link's backlog

The decision on a SYN counts the flow in the admission control that it is given; a dry run gives a copy.

--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -117,11 +117,18 @@
     if route is None:
         raise _no_route(key, address, routes, forwarder)
     ranked = []
-    decision = forwarder.decide_syn(key, 0, route, now_ms, random=random, ranked=ranked)
-    service = decision.service
-    if not service:
-        # Refused before a service was picked: shows what else it would have got.
-        service = route.pick_service(random())
+    decision = forwarder.decide_syn(
+        key,
+        0,
+        route,
+        now_ms,
+        random=random,
+        admission=forwarder.copy_admission(),
+        ranked=ranked,
+    )
+    service = decision.service or route.pick_service(random())
+    if decision.refusal and not ranked:
+        # Refused before an upstream was chosen: shows what else it would have got.
         rated = routes.cold_rate_milli(service) > 0
         pool.choose(service, now_ms, rated=rated, random=random, ranked=ranked)
     ranked = _in_order(ranked, decision.upstream)
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -14,6 +14,7 @@
     UpstreamsPush,
     ZonesPush,
 )
+from knapweeddeal.packetadmission import PacketAdmission
 from knapweeddeal.packetforwarder import Forwarder
 from knapweeddeal.packetroutes import RouteTable
 from knapweeddeal.packetupstreams import UpstreamPool
@@ -49,6 +50,7 @@
         "_random",
         "_selector",
         "_subscriptions",
+        "admission",
         "egress",
         "forwarder",
         "metrics",
@@ -67,6 +69,9 @@
         self.egress = EgressQueue(
             metrics=metrics, log=log, link_mbps=settings.link_mbps
         )
+        self.admission = PacketAdmission(
+            service_load=self.pool.service_load, metrics=metrics, log=log
+        )
         self.forwarder = Forwarder(
             routes=self.routes,
             pool=self.pool,
@@ -77,6 +82,7 @@
             caller_port=settings.packets[1],
             flow_idle_ms=settings.packet_flow_idle_ms,
         )
+        self.set_admission(settings.admission)
         self.stopping = False
 
     # Queries.
@@ -103,6 +109,7 @@
             "egress": self.egress.dump(),
             "cold_syns_held": len(self.forwarder.cold_permits.held),
             "loads": self.pool.shared_loads.dump(monotonic_ms()),
+            "admission": self.admission.dump(monotonic_ms()),
             "upstreams": [_dump_upstream(upstream) for upstream in self.pool.all()],
             "metrics": self.metrics.summary(),
         }
@@ -175,6 +182,12 @@
             for message, home in permits.pop_requests(now_ms)
         ]
 
+    def set_admission(self, choice):
+        """Refuse and delay flows by their value if the setting is `on`."""
+        is_on = choice == "on"
+        self.forwarder.set_admission(self.admission if is_on else None)
+        self.egress.set_routes(self.routes if is_on else None)
+
     def stop(self):
         """Become not ready; packets are still forwarded."""
         self.stopping = True
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -72,6 +72,7 @@
 BACKLOG = "egress backlog"
 NO_PERMIT = "no permit"
 NO_UPSTREAM = "no upstream"
+OVERLOADED = "service overloaded"
 UNKNOWN_UPSTREAMS = "upstreams unknown"
 ZONE_EVACUATED = "zone evacuated"
 #: Refusals for want of an upstream; admission gives all others.
@@ -82,10 +83,18 @@
     """Hold the service and upstream of a SYN, or why it is refused.
 
     `is_duplicate`: the first SYN of the flow was sent to this upstream already.
+    `overload`: the figures for which admission control refused it, or None.
     `waits_for_permit`: the upstream is cold, and its home must permit the SYN first.
     """
 
-    __slots__ = ("is_duplicate", "refusal", "service", "upstream", "waits_for_permit")
+    __slots__ = (
+        "is_duplicate",
+        "overload",
+        "refusal",
+        "service",
+        "upstream",
+        "waits_for_permit",
+    )
 
 
 class Hedge(Record):
@@ -98,6 +107,7 @@
     """Hold an entry of the flow table; packets are routed correctly without it."""
 
     __slots__ = ("is_open", "opened_ms", "request", "seen_ms", "tried", "upstream")
+    __slots__ += ("request_ack", "timed_request")
 
     def __init__(self, *, upstream, now_ms):
         self.upstream = upstream
@@ -107,12 +117,16 @@
         self.is_open = False
         #: The last request, as returned by `AnswerTracker`.
         self.request = None
+        #: The request whose answer is timed, and its acknowledgment number.
+        self.timed_request = None
+        self.request_ack = b""
 
 
 class Forwarder:
     """Choose an upstream at the SYN, then route by the echo; reset unroutable flows."""
 
     __slots__ = (
+        "_admission",
         "_caller_port",
         "_egress",
         "_flow_idle_ms",
@@ -132,9 +146,21 @@
     )
 
     def __init__(
-        self, *, routes, pool, egress, random, metrics, log, caller_port, flow_idle_ms
+        self,
+        *,
+        routes,
+        pool,
+        egress,
+        random,
+        metrics,
+        log,
+        caller_port,
+        flow_idle_ms,
+        admission=None,
     ):
         self._routes = routes
+        #: The `PacketAdmission`, or None to admit all new flows.
+        self.set_admission(admission)
         self._pool = pool
         self._egress = egress
         self._random = random
@@ -156,6 +182,10 @@
         #: Whether a replica that has a leader supplies the routes and upstreams.
         self.has_leader = False
 
+    def set_admission(self, admission):
+        """Decide on new flows by a `PacketAdmission`, or admit all if it is None."""
+        self._admission = admission
+
     @property
     def flow_count(self):
         """Return the number of flows in the flow table."""
@@ -241,11 +271,12 @@
 
     # SYNs.
 
-    def decide_syn(self, key, copy, route, now_ms, *, random, ranked=None):
-        """Return the decision on a SYN; a query, which changes nothing.
+    def decide_syn(self, key, copy, route, now_ms, *, random, admission, ranked=None):
+        """Return the decision on a SYN; change nothing but `admission`.
 
         `key` is the flow's key, `copy` how often the SYN was retransmitted. `random`
-        and `ranked` are as for `UpstreamPool.choose`.
+        and `ranked` are as for `UpstreamPool.choose`. `admission` counts the flow; a
+        dry run passes a copy, from `copy_admission`.
         """
         flow = self._flows.get(key)
         if self._is_duplicate(flow, copy):
@@ -254,12 +285,18 @@
                 upstream=flow.upstream,
                 refusal="",
                 is_duplicate=True,
+                overload=None,
                 waits_for_permit=False,
             )
-        service, upstream, waits = "", None, False
-        refusal = self._refusal(key, now_ms) if flow is None and not copy else ""
+        service, upstream, waits, overload = "", None, False, None
+        is_new = flow is None and not copy
+        refusal = self._refusal(key, now_ms) if is_new else ""
         if not refusal:
             service = route.pick_service(random())
+            if is_new and admission is not None and route.terms.kind:
+                overload = admission.refuse(service, route.terms, key, now_ms)
+                refusal = OVERLOADED if overload is not None else ""
+        if not refusal:
             upstream = self._choose(service, flow, now_ms, random=random, ranked=ranked)
             if upstream is None:
                 refusal = self._selection_refusal(service)
@@ -271,9 +308,14 @@
             upstream=upstream,
             refusal=refusal,
             is_duplicate=False,
+            overload=overload,
             waits_for_permit=waits,
         )
 
+    def copy_admission(self):
+        """Return a copy of the admission control for a dry run, or None."""
+        return self._admission.copy() if self._admission is not None else None
+
     def _selection_refusal(self, service):
         """Return why no upstream of a service can be selected."""
         if self._pool.has_only_evacuated(service):
@@ -291,14 +333,19 @@
     def _handle_syn(self, data, route, now_ms, out):
         key = data[FLOW_SLICE]
         decision = self.decide_syn(
-            key, data[COPY_OFFSET], route, now_ms, random=self._random
+            key,
+            data[COPY_OFFSET],
+            route,
+            now_ms,
+            random=self._random,
+            admission=self._admission,
         )
         upstream, service = decision.upstream, decision.service
         if decision.is_duplicate:
             if not self._needs_permit(upstream, now_ms):
                 self._send_syn(data, upstream, out)
         elif upstream is None:
-            self._refuse_syn(data, decision, out)
+            self._refuse_syn(data, route, decision, out)
         elif decision.refusal == NO_PERMIT:
             self._refuse_cold(data, upstream, NO_PERMIT, out)
         elif not decision.waits_for_permit:
@@ -352,7 +399,7 @@
             return False
         return not self._pool.is_evacuated(flow.upstream)
 
-    def _refuse_syn(self, data, decision, out):
+    def _refuse_syn(self, data, route, decision, out):
         """Reset a SYN without an upstream; drop it if a retransmission may get one."""
         if decision.refusal == UNKNOWN_UPSTREAMS:
             self._metrics.count("syns_unserved")
@@ -362,6 +409,16 @@
         elif decision.refusal == ZONE_EVACUATED:
             self._metrics.count("syns_evacuated")
             self._reset(data, out, ZONE_EVACUATED, service=decision.service)
+        elif decision.refusal == OVERLOADED:
+            self._reset(
+                data,
+                out,
+                OVERLOADED,
+                service=decision.service,
+                kind=route.terms.kind,
+                priority=route.terms.priority,
+                **decision.overload.fields(),
+            )
         elif decision.refusal == BACKLOG:
             backlog_ms = round(self._egress.backlog_ms)
             self._reset(data, out, BACKLOG, backlog_ms=backlog_ms)
@@ -429,9 +486,11 @@
                 upstream=None,
                 refusal=self._selection_refusal(held.service),
                 is_duplicate=False,
+                overload=None,
                 waits_for_permit=False,
             )
-            self._refuse_syn(held.data, refused, out)
+            route = self._routes.get(held.data[ROUTE_SLICE])
+            self._refuse_syn(held.data, route, refused, out)
         elif self._may_offer(upstream, now_ms):
             del permits.held[key]
             self._offer_syn(held.data, held.service, upstream, now_ms, out)
@@ -487,10 +546,10 @@
                 sequence=upstream.state.sequence,
             )
             return
-        self._track_flow(data, upstream, now_ms)
+        self._track_flow(data, route, upstream, now_ms)
         out.append((upstream.prefix + data, upstream.address))
 
-    def _track_flow(self, data, upstream, now_ms):
+    def _track_flow(self, data, route, upstream, now_ms):
         """Update the flow table, and the load and answers of the upstream."""
         key = data[FLOW_SLICE]
         flow = self._flows.get(key)
@@ -514,6 +573,8 @@
         if data[LENGTH_SLICE] != NO_DATA:
             upstream.add_load(DATA_LOAD, now_ms)
         self._track_request(data, flow, now_ms)
+        if self._admission is not None and route.terms.kind:
+            self._time_request(data, flow, route, now_ms)
         if data[0] & (FIN | RST):
             self._close(flow)
             del self._flows[key]
@@ -546,6 +607,25 @@
                 flow.request, acknowledged=acknowledged, now_ms=now_ms
             )
 
+    def _time_request(self, data, flow, route, now_ms):
+        """Pass the time until the upstream has sent data to the admission control.
+
+        A caller's acknowledgment number increases with the upstream's data. A request
+        that was retransmitted isn't timed, as either copy may have been answered.
+        """
+        ack, request = data[ACKNOWLEDGED_SLICE], flow.timed_request
+        if request is not None and ack != flow.request_ack:
+            if not request.retransmissions and not data[0] & RST:
+                service = flow.upstream.state.service
+                response_ms = now_ms - request.sent_ms
+                self._admission.record_response(
+                    service, route.terms, response_ms, now_ms
+                )
+            flow.timed_request = None
+        request = flow.request
+        if request is not None and request.sent_ms == now_ms:
+            flow.timed_request, flow.request_ack = request, ack
+
     def _close(self, flow):
         flow.is_open = False
         flow.upstream.open_flows -= 1
@@ -616,6 +696,8 @@
         """Remove flows that are idle, too old, or beyond `MAX_FLOWS`."""
         idle_ms = now_ms - self._flow_idle_ms
         old_ms = now_ms - MAX_FLOW_AGE_MS
+        if self._admission is not None:
+            self._admission.expire(now_ms)
         surplus = len(self._flows) - MAX_FLOWS
         for key, flow in list(self._flows.items()):
             if flow.seen_ms < idle_ms or flow.opened_ms < old_ms or surplus > 0:
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -47,6 +47,7 @@
     packets = PACKETS
     link_mbps = None
     packet_flow_idle_ms = 15_000
+    admission = "on"
     seed_addresses = ((FIRST, PORT), (SECOND, PORT))
 
 
