--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -145,6 +145,8 @@
         self.assert_forwarded(4_001, echo)
         cluster.kill_all()
         cluster.start()
+        # The hints on disk may be from before the first report.
+        wait_until(lambda: cluster.report() == 200, "a confirmed report")
         wait_until(lambda: cluster.readiness() == 200, "a ready forwarder")
         self.assertTrue(self._is_syn_reset())
         self.assertEqual(["zone-a"], cluster.dump(cluster.host(11))["evacuated_zones"])
