--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -168,6 +168,8 @@
         self.assert_forwarded(4_001, echo)
         cluster.kill_all()
         cluster.start()
+        # The hints on disk may be from before the first report.
+        wait_until(lambda: cluster.report() == 200, "a confirmed report")
         wait_until(lambda: cluster.readiness() == 200, "a ready forwarder")
         self.assertTrue(self._is_syn_reset())
         self._wait_for_dumps("evacuated_zones", ["zone-a"])
