Describe only the candidates that `where` shows

Cause: every ready upstream of the service was described, though the answer carries ten by default; a forwarder has a tenth of a core.

Change: upstreams are described after the limit is applied.

--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -115,7 +115,8 @@
         service = route.pick_service(random())
         pool.choose(service, now_ms, random=random, ranked=ranked)
     ranked = _in_order(ranked, decision.upstream)
-    candidates = _candidates(ranked, pool.candidates(service), now_ms)
+    others = _others(ranked, pool.candidates(service), now_ms)
+    count = len(ranked) + len(others)
     return answer.replace(
         terms=route.terms,
         shares=[
@@ -124,11 +125,11 @@
         ],
         admission=_admission(decision),
         outcome=_outcome(decision),
-        reason=_reason(decision, ranked, len(candidates), now_ms),
+        reason=_reason(decision, ranked, count, now_ms),
         service=service,
         upstream=decision.upstream.state.upstream_id if decision.upstream else "",
-        candidates=candidates[: request.max_candidates],
-        more=max(len(candidates) - request.max_candidates, 0),
+        candidates=_candidates(ranked, others, request.max_candidates, now_ms),
+        more=max(count - request.max_candidates, 0),
     )
 
 
@@ -201,16 +202,25 @@
     return RANK_REASONS[-1]
 
 
-def _candidates(ranked, ready, now_ms):
-    """Return the ranked upstreams in order, then the other ready ones by score."""
+def _others(ranked, ready, now_ms):
+    """Return the ready upstreams that weren't ranked, by score."""
     considered = {id(one.upstream) for one in ranked}
     others = [upstream for upstream in ready if id(upstream) not in considered]
     others.sort(
         key=lambda upstream: (upstream.is_avoided(now_ms), upstream.score(now_ms))
     )
+    return others
+
+
+def _candidates(ranked, others, max_candidates, now_ms):
+    """Describe the first upstreams, those that were ranked before the others."""
+    left = max(max_candidates - len(ranked), 0)
     return [
-        *(_candidate(one.upstream, now_ms, tried=one.rank[0]) for one in ranked),
-        *(_candidate(upstream, now_ms, considered=False) for upstream in others),
+        *(
+            _candidate(one.upstream, now_ms, tried=one.rank[0])
+            for one in ranked[:max_candidates]
+        ),
+        *(_candidate(one, now_ms, considered=False) for one in others[:left]),
     ]
 
 
