--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -132,7 +132,8 @@
         rated = routes.cold_rate_milli(service) > 0
         pool.choose(service, now_ms, rated=rated, random=random, ranked=ranked)
     ranked = _in_order(ranked, decision.upstream)
-    candidates = _candidates(ranked, pool, service, now_ms)
+    others = _others(ranked, pool, service, now_ms)
+    count = len(ranked) + len(others)
     return answer.replace(
         terms=route.terms,
         shares=[
@@ -141,11 +142,11 @@
         ],
         admission=_admission(decision),
         outcome=_outcome(decision),
-        reason=_reason(decision, ranked, len(candidates), now_ms),
+        reason=_reason(decision, ranked, count, now_ms),
         service=service,
         upstream=_upstream_id(decision),
-        candidates=candidates[: request.max_candidates],
-        more=max(len(candidates) - request.max_candidates, 0),
+        candidates=_candidates(ranked, others, request.max_candidates, pool, now_ms),
+        more=max(count - request.max_candidates, 0),
     )
 
 
@@ -227,8 +228,8 @@
     return RANK_REASONS[-1]
 
 
-def _candidates(ranked, pool, service, now_ms):
-    """Return the ranked upstreams in order, then the other ready ones by score.
+def _others(ranked, pool, service, now_ms):
+    """Return the ready upstreams that weren't ranked, by score.
 
     Those of evacuated zones are never ranked.
     """
@@ -242,16 +243,25 @@
             upstream.score(now_ms),
         )
     )
+    return others
+
+
+def _candidates(ranked, others, max_candidates, pool, now_ms):
+    """Describe the first upstreams, those that were ranked before the others."""
+    left = max(max_candidates - len(ranked), 0)
     return [
-        *(_candidate(one.upstream, now_ms, tried=one.rank[0]) for one in ranked),
+        *(
+            _candidate(one.upstream, now_ms, tried=one.rank[0])
+            for one in ranked[:max_candidates]
+        ),
         *(
             _candidate(
-                upstream,
+                one,
                 now_ms,
                 considered=False,
-                evacuated=pool.is_evacuated(upstream),
+                evacuated=pool.is_evacuated(one),
             )
-            for upstream in others
+            for one in others[:left]
         ),
     ]
 
