--- a/knapweeddeal/flowvalue.py
+++ b/knapweeddeal/flowvalue.py
@@ -5,8 +5,6 @@
 holds no state.
 """
 
-import heapq
-
 from knapweeddeal.record import Record
 
 __all__ = ["WaitingFlow", "flow_rank", "link_band", "pick_waiting", "value_per_work"]
@@ -81,4 +79,5 @@
         is_expired = rank[0]
         if not is_expired:
             ranked.append((rank, number, flow))
-    return [flow for _, _, flow in heapq.nsmallest(count, ranked)]
+    ranked.sort(key=lambda entry: entry[:2])
+    return [flow for _, _, flow in ranked[:count]]
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -46,6 +46,7 @@
     zone = ZONE
     packets = PACKETS
     link_mbps = None
+    admission = "on"
     packet_flow_idle_ms = 15_000
     seed_addresses = ((FIRST, PORT), (SECOND, PORT))
 
