Don't count an upstream as cold right after a report that says it is warm

Cause: the margin on the cold time also applied to upstreams without one, so that a forwarder requested permits for warm ones for 100 ms after each push. Change: the margin holds for a stated cold time only; replicas push any cold time after one that ended.

--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -10,6 +10,7 @@
 
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
+from knapweeddeal.timeconstants import NEVER_MS
 
 __all__ = ["COLD_MARGIN_MS", "PacketUpstream", "UpstreamPool", "echo_from_number"]
 
@@ -101,7 +102,7 @@
         elif self.absent_since_ms is None:
             self.absent_since_ms = now_ms
         self.address = (state.host, state.port)
-        self.cold_until_ms = now_ms + state.cold_ms
+        self.cold_until_ms = now_ms + state.cold_ms if state.cold_ms else NEVER_MS
 
     def add_load(self, weight, now_ms):
         """Add the load of a packet."""
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -34,6 +34,11 @@
     __slots__ = ("cold_until_ms", "received_ms", "state", "last_sent")
     __slots__ += ("sent_cold_until_ms",)
 
+    def lacks_cold_time(self, cold_until_ms, now_ms):
+        """Return whether forwarders know a shorter cold time, or that it has ended."""
+        sent_ms = self.sent_cold_until_ms
+        return sent_ms <= now_ms or cold_until_ms >= sent_ms + COLD_RESTART_MS
+
 
 class UpstreamTable:
     """Apply reports in order, and return which upstreams changed."""
@@ -128,7 +133,7 @@
         if (
             entry is None
             or _differs(entry.state, state)
-            or cold_until_ms >= max(entry.sent_cold_until_ms, now_ms) + COLD_RESTART_MS
+            or (state.cold_ms and entry.lacks_cold_time(cold_until_ms, now_ms))
         ):
             changed.append(state)
         return changed
@@ -163,9 +168,10 @@
         for state in states:
             entry = self._entries.get(state.upstream_id)
             last_sent = entry.last_sent if entry else None
-            is_cold_again = entry is not None and (
-                entry.cold_until_ms >= entry.sent_cold_until_ms + COLD_RESTART_MS
+            is_cold_again = (
+                entry is not None
                 and state.cold_ms
+                and entry.lacks_cold_time(entry.cold_until_ms, entry.received_ms)
             )
             if (
                 last_sent is None
