--- a/knapweeddeal/coldhome.py
+++ b/knapweeddeal/coldhome.py
@@ -92,10 +92,14 @@
 
     def unconfirmed(self, members, now_ms):
         """Return the ids of cold upstreams whose home is to be claimed again."""
+        unconfirmed = self._grants.unconfirmed(now_ms)
+        if not unconfirmed:
+            return []
+        cold = set(self._table.cold_ids(now_ms))
         return [
             upstream_id
-            for upstream_id in self._grants.unconfirmed(now_ms)
-            if self._is_claimable(upstream_id, members)
+            for upstream_id in unconfirmed
+            if upstream_id in cold and self._is_claimable(upstream_id, members)
         ]
 
     def _is_claimable(self, upstream_id, members):
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -3,8 +3,15 @@
 import curio
 import testscenarios
 import testtools
-from testtools.matchers import LessThan
-
+from testtools.matchers import GreaterThan, LessThan
+
+from knapweeddeal.messages.cold import (
+    ColdAllowance,
+    ColdAllowanceRelay,
+    ColdAllowanceRelayAnswer,
+    ColdAllowanceRequest,
+    ColdGrantsNotice,
+)
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import (
     DRAINING,
@@ -18,6 +25,7 @@
     PacketHints,
     RoutesPush,
     RoutesRequest,
+    ServiceTerms,
     UpstreamsPush,
 )
 from knapweeddeal.messages.replication import ReplicaState
@@ -55,6 +63,25 @@
         return [message for message in messages if isinstance(message, kind)]
 
 
+class AnsweringOutbox(RecordingOutbox):
+    """Stand in for the link to a home that grants three permits to each request."""
+
+    queue = None
+
+    async def offer(self, message):
+        """Record a message, and answer a request that was passed on."""
+        if isinstance(message, ColdAllowanceRelay):
+            answer = ColdAllowanceRelayAnswer(
+                relay_id=message.relay_id,
+                upstream_id=message.upstream_id,
+                count=3,
+                valid_ms=200,
+                retry_ms=0,
+            )
+            await self.queue.put(answer)
+        return await super().offer(message)
+
+
 class FakeHints:
     """Stand in for the hint file: return given hints, and count changes."""
 
@@ -75,12 +102,14 @@
 class HubTest(testtools.TestCase):
     """Run a hub with a list of events."""
 
-    def run_hub(self, *events, hints=None, wait_s=0.02):
+    def run_hub(self, *events, hints=None, wait_s=0.02, queue_of=None):
         """Run a hub with events and for `wait_s` after them; return its hint file."""
         hint_file = FakeHints(hints)
 
         async def run():
             queue = curio.Queue()
+            if queue_of is not None:
+                queue_of.queue = queue
             hub = PacketHub(
                 own_replica=OWN,
                 zone="zone-a",
@@ -282,6 +311,83 @@
         )
 
 
+class ColdRequests(HubTest):
+    """Requests for permits reach the home, and its answer the forwarder.
+
+    A replica that isn't the home must not grant, and one that gives the home up must
+    say so before it acknowledges the new home's report.
+    """
+
+    def rated(self):
+        """Return the event of a configuration whose service states a rate."""
+        event = self.replicated(3, route())
+        event.configuration.services.append(
+            ServiceTerms(
+                name=state().service,
+                max_connections=0,
+                cold_start_ms=2_000,
+                cold_per_s_milli=4_000,
+            )
+        )
+        return event
+
+    @staticmethod
+    def request(outbox):
+        """Return the event of a forwarder's request."""
+        message = ColdAllowanceRequest(request_id=7, upstream_id="i-1", count=1)
+        return ForwarderMessageReceived(message=message, outbox=outbox)
+
+    def test_passed_on(self):
+        forwarder, home = RecordingOutbox(), RecordingOutbox()
+        batch = DirectoryBatch(
+            sender=2, batch_id=0, states=[state(home=2, cold_ms=9_000)], beats=[]
+        )
+        subscribed = [self.rated(), self.subscribe(forwarder)]
+        events = [*subscribed, self.link(home), batch, self.request(forwarder)]
+        self.run_hub(*events)
+        (relay,) = home.messages_of(ColdAllowanceRelay)
+        self.assertEqual([1, "i-1"], [relay.sender, relay.upstream_id])
+        self.assertEqual([], forwarder.messages_of(ColdAllowance))
+
+    def test_answer_passed_back(self):
+        forwarder, home = RecordingOutbox(), AnsweringOutbox()
+        batch = DirectoryBatch(
+            sender=2, batch_id=0, states=[state(home=2, cold_ms=9_000)], beats=[]
+        )
+        self.run_hub(
+            self.rated(),
+            self.subscribe(forwarder),
+            self.link(home),
+            batch,
+            self.request(forwarder),
+            queue_of=home,
+        )
+        (allowance,) = forwarder.messages_of(ColdAllowance)
+        self.assertEqual([7, 3], [allowance.request_id, allowance.count])
+
+    def test_home_unknown(self):
+        """A request for an upstream whose home isn't linked is refused at once."""
+        forwarder = RecordingOutbox()
+        batch = DirectoryBatch(
+            sender=2, batch_id=0, states=[state(home=2, cold_ms=9_000)], beats=[]
+        )
+        self.run_hub(
+            self.rated(), self.subscribe(forwarder), batch, self.request(forwarder)
+        )
+        (allowance,) = forwarder.messages_of(ColdAllowance)
+        self.assertEqual(0, allowance.count)
+
+    def test_home_given_up(self):
+        """The notice of a replica that has just started precedes the ack."""
+        other = RecordingOutbox()
+        claimed = state(home=2, cold_ms=9_000, sequence=2)
+        batch = DirectoryBatch(sender=2, batch_id=4, states=[claimed], beats=[])
+        self.run_hub(self.rated(), self.link(other), batch)
+        notice, ack = other.messages_of((ColdGrantsNotice, DirectoryAck))
+        self.assertThat(notice.wait_ms, GreaterThan(0))
+        self.assertEqual(4, ack.batch_id)
+
+
 class OutlierMarking(HubTest):
     """Upstreams that accept flows but don't answer are marked failing by their home."""
 
