Drop requests for permits that no stream takes

Cause: a forwarder without a subscription queued one request for each SYN to a cold upstream and never dropped them. Change: they are dropped after 200 ms, as long as their SYNs are held.

--- a/knapweeddeal/coldpermits.py
+++ b/knapweeddeal/coldpermits.py
@@ -134,13 +134,11 @@
 
     def pop_requests(self, now_ms):
         """Return the messages to send now; their permits count from now."""
+        self.drop_late_requests(now_ms)
         messages = []
         while self._unsent:
             request_id = self._unsent.popleft()
             request = self._requests[request_id]
-            if now_ms - request.created_ms >= MAX_SYN_HOLD_MS:
-                del self._requests[request_id]
-                continue
             request.sent_ms = now_ms
             self._metrics.count("cold_permits_requested")
             message = ColdAllowanceRequest(
@@ -152,6 +150,14 @@
         self._expire_requests(now_ms)
         return messages
 
+    def drop_late_requests(self, now_ms):
+        """Drop requests that no stream has taken while their SYNs were held."""
+        while self._unsent:
+            request = self._requests[self._unsent[0]]
+            if now_ms - request.created_ms < MAX_SYN_HOLD_MS:
+                return
+            del self._requests[self._unsent.popleft()]
+
     def _expire_requests(self, now_ms):
         """Remove the oldest requests, in the order in which they were created."""
         for request_id, request in list(self._requests.items()):
--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -143,7 +143,8 @@
     def pop_cold_requests(self, now_ms):
         """Return requests for permits, each with the stream to send it on."""
         permits = self.forwarder.cold_permits
-        if not permits.has_unsent or self.subscription_for(0) is None:
+        if self.subscription_for(0) is None:
+            permits.drop_late_requests(now_ms)
             return []
         return [
             (message, self.subscription_for(home))
--- a/tests/test_forwardercore.py
+++ b/tests/test_forwardercore.py
@@ -4,6 +4,7 @@
 import testtools
 
 from knapweeddeal.forwardercore import ForwarderCore, Subscription
+from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import ControlState, UpstreamsPush
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.replicaselector import ReplicaSelector
@@ -84,6 +85,39 @@
         self.assertEqual(200, first.stale_since_ms)
 
 
+class ColdRequests(testtools.TestCase):
+    """Requests for permits go to the home if it is subscribed.
+
+    Without a stream they are dropped, or they would fill the memory.
+    """
+
+    def test_stream(self):
+        core, (first, second) = make_core()
+        first.outbox, second.outbox = "to first", "to second"
+        replicas = [
+            Replica(name=f"r{n}", identity=n, host=host, port=port)
+            for n, (host, port) in enumerate((FIRST, SECOND), start=1)
+        ]
+        for subscription in (first, second):
+            message = control_state(current=True).replace(replicas=replicas)
+            core.handle_message(message, subscription, 0)
+        core.handle_message(
+            UpstreamsPush(whole=True, states=[state(home=2, cold_ms=9_000)]), first, 0
+        )
+        (upstream,) = core.pool.all()
+        permits = core.forwarder.cold_permits
+        permits.request(upstream, 0)
+        ((_, stream),) = core.pop_cold_requests(10)
+        self.assertIs(second, stream)
+        for subscription in (first, second):
+            core.remove_subscription(subscription, "no heartbeat")
+        permits.request(upstream, 100)
+        self.assertEqual([], core.pop_cold_requests(200))
+        self.assertTrue(permits.has_unsent)
+        core.pop_cold_requests(300)
+        self.assertFalse(permits.has_unsent)
+
+
 class TwoReplicaPushes(testtools.TestCase):
     """Differences from two replicas with different bases don't corrupt the routes.
 
