--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -11,6 +11,7 @@
 from knapweeddeal.messages.packets import GONE, READY
 from knapweeddeal.record import Record
 from knapweeddeal.sharedloads import SharedLoads
+from knapweeddeal.timeconstants import NEVER_MS
 
 __all__ = [
     "COLD_MARGIN_MS",
@@ -104,7 +105,7 @@
         self.answered_ms = 0
         self.suspect_until_ms = 0
         #: Until when it counts as cold because its zone was readmitted.
-        self.readmitted_until_ms = 0
+        self.readmitted_until_ms = NEVER_MS
         #: Expiry times of permits for opening packets while it is cold.
         self.permits = deque()
         #: Time until which its home has refused permits.
@@ -122,7 +123,8 @@
         elif self.absent_since_ms is None:
             self.absent_since_ms = now_ms
         self.address = (state.host, state.port)
-        self.cold_until_ms = max(now_ms + state.cold_ms, self.readmitted_until_ms)
+        cold_until_ms = now_ms + state.cold_ms if state.cold_ms else NEVER_MS
+        self.cold_until_ms = max(cold_until_ms, self.readmitted_until_ms)
 
     def note_readmitted(self, until_ms):
         """Count as cold until a time: it got no flows and may have become cold."""
--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -11,7 +11,9 @@
 import curio
 
 from demo.cluster import BASE_VARIABLE, default_base
+from knapweeddeal.frames import read_message
 from knapweeddeal.messages.operator import DumpRequest, ReplicasRequest
+from knapweeddeal.messages.packets import PacketHints
 from tests.processes import Daemon, request_leader, request_one, wait_until
 
 __all__ = ["PacketCluster"]
@@ -214,6 +216,13 @@
         )
         return json.loads(answer.text)
 
+    def hinted(self):
+        """Return whether every replica's hints on disk hold the upstream."""
+        files = [self.folder / f"data-{host}" / "hints" for host in self.replicas]
+        return all(
+            file.exists() and read_message(file, PacketHints).states for file in files
+        )
+
     def members(self):
         """Return the identities of the committed members."""
         addresses = [(host, STREAMS) for host in self.replicas]
