--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(PYTHON) -m bench.packets
 	$(PYTHON) -m bench.egress
 	$(PYTHON) -m bench.placement
+	$(PYTHON) -m bench.sharedload
 
 soak: $(STAMP)
 	$(PYTHON) -m soak --fresh 10
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -11,7 +11,8 @@
 import itertools
 import random
 
-from tests.placementreplay import LoadExchange, Placement, ZoneLoad
+from bench.loadexchange import LoadExchange
+from tests.placementreplay import Placement, ZoneLoad
 
 DURATION_MS, COUNTED_FROM_MS = 20_000, 4_000
 SEEDS = (1, 2, 3)
--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -6,6 +6,7 @@
 import testtools
 from testtools.matchers import GreaterThan, LessThan
 
+from bench.loadexchange import LoadExchange
 from knapweeddeal.answertracker import RequestTotal
 from knapweeddeal.loadsums import HOLD_MS, SLOW_MEMORY_MS, TICK_INTERVAL_MS, LoadSums
 from knapweeddeal.messages.base import encode
@@ -19,7 +20,7 @@
 from knapweeddeal.messages.packets import AnswerCounts
 from knapweeddeal.upstreamtable import UpstreamTable
 from tests.packetfakes import SERVICE, state
-from tests.placementreplay import LoadExchange, Placement, ZoneLoad
+from tests.placementreplay import Placement, ZoneLoad
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 COUNTED_FROM_MS = 4_000
