--- a/bench/loadexchange.py
+++ b/bench/loadexchange.py
@@ -1,6 +1,7 @@
 """bench.loadexchange: Messages between simulated forwarders and replicas, with delays.
 
-Counts, sums and pushes are carried; `tests.placementreplay` plays requests through the forwarders.
+Counts, sums and pushes are carried; `tests.placementreplay` plays requests through the
+forwarders.
 """
 
 import random
--- a/tests/test_answertracker.py
+++ b/tests/test_answertracker.py
@@ -175,8 +175,14 @@
 
     scenarios = [
         (
-            "answer in two packets",
-            {"events": [(30, "ack", 1_400), (70, "fin", 2_000)], "times": [30]},
+            "answer in two packets, then a pause",
+            {
+                "events": [
+                    *((30, "ack", 1_400), (50, "ack", 2_000)),
+                    (70, "fin", 2_000),
+                ],
+                "times": [30],
+            },
         ),
         ("ended with the answer", {"events": [(45, "fin", 2_000)], "times": [45]}),
         (
