Find each broken rule of the shared load by a test

Cause: mutants that noticed no slow upstream with free slots, let more leave than others have room for, and diverted all flows passed.

--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -16,6 +16,7 @@
     ServiceSum,
     ServiceSums,
     UpstreamSum,
+    ZoneDemand,
 )
 from knapweeddeal.messages.packets import AnswerCounts
 from knapweeddeal.upstreamtable import UpstreamTable
@@ -193,6 +194,27 @@
         _, push = self.tick(without, ticks=10)
         self.assertIsNone(push)
 
+    def test_slow_and_idle(self):
+        """An upstream is noticed as slow although few requests occupy its slots."""
+        _, push = self.tick({1: (3, 30), 2: (2, 240), 3: (3, 30)}, ticks=8)
+        (slow,) = push.services[0].upstreams
+        self.assertEqual("i-2", slow.upstream_id)
+        self.assertThat(slow.divert_milli, GreaterThan(900))
+
+    def test_little_room(self):
+        """Only as many flows leave a crowded zone as another one has room for."""
+        demand = ZoneDemand(zone="b", rate_milli=64_000)
+        service = ServiceSum(
+            service=SERVICE, under_load=False, upstreams=[], demands=[demand]
+        )
+        message = ServiceSums(sender=2, services=[service])
+        self.tick({1: (27, 250), 2: (27, 250)}, ticks=3)
+        self.sums.set_replica_sums(message, self.now_ms)
+        _, push = self.tick({1: (27, 250), 2: (27, 250)})
+        leaving = {one.zone: one.leave_milli for one in push.services[0].zones}
+        self.assertThat(leaving["a"], LessThan(150))
+        self.assertThat(leaving["a"], GreaterThan(20))
+
     def test_bounded(self):
         """In an overloaded installation a push stays bounded, slow upstreams first."""
         numbers = range(10, 310)
--- a/tests/test_sharedloads.py
+++ b/tests/test_sharedloads.py
@@ -80,8 +80,8 @@
 
     def test_slow_upstream(self):
         """A slow upstream gets the share that isn't diverted; no flow crosses."""
-        push = loads_push(upstreams=[(1, 300, 500, 960)])
-        self.assert_shares([0.02, 0.98, 0, 0], self.shares(push))
+        push = loads_push(upstreams=[(1, 300, 200, 700)])
+        self.assert_shares([0.15, 0.85, 0, 0], self.shares(push))
 
     def test_no_room_elsewhere(self):
         """Flows stay if all other zones are to be avoided."""
