Wait for the full disk and for the leader in FullDisksAtStart

Cause: the test failed once in a whole run beside load (21 to 24 processes waiting on 7 cores): it asked for a change while the replicas that had just got room held their first election, and the search for a leader gives up after two rounds without a quorum. A fixed pause of 1 s could also end before a slow start met the full disk.

Change: the test waits until each replica has logged the full disk, clears the fault, waits for a leader within the usual bound, and then makes the change. A replica that ends instead never logs it, so the guarded failure is still found.

--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -455,10 +455,12 @@
             daemon.kill()
             daemon.set_faults(full=True)
             daemon.start()
-        time.sleep(1.0)
+        for daemon in group.daemons.values():
+            wait_until(lambda d=daemon: "is full" in d.log_path.read_text(), "a try")
         for daemon in group.daemons.values():
             self.assertIs(None, daemon.process.poll(), daemon.errors())
             daemon.set_faults()
+        group.wait_for_leader()
         self.assertEqual(2, self.change(2))
 
 
