--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -251,35 +251,32 @@
     left = max(max_candidates - len(ranked), 0)
     return [
         *(
-            _candidate(one.upstream, now_ms, tried=one.rank[0])
+            _candidate(one.upstream, pool, now_ms, tried=one.rank[0])
             for one in ranked[:max_candidates]
         ),
-        *(
-            _candidate(
-                one,
-                now_ms,
-                considered=False,
-                evacuated=pool.is_evacuated(one),
-            )
-            for one in others[:left]
-        ),
+        *(_candidate(one, pool, now_ms, considered=False) for one in others[:left]),
     ]
 
 
-def _candidate(upstream, now_ms, *, considered=True, tried=False, evacuated=False):
+def _candidate(upstream, pool, now_ms, *, considered=True, tried=False):
     state = upstream.state
     marks = [name for name, applies in MARKS if applies(upstream, now_ms)]
     if upstream.is_avoided(now_ms):
         marks.insert(0, AVOIDED)
     if tried:
         marks.insert(0, TRIED)
-    if evacuated:
+    if pool.is_evacuated(upstream):
         marks.insert(0, ZONE_EVACUATED)
     figures = []
     for name, measure in FIGURES:
         measured = measure(upstream, now_ms)
         if measured is not None:
             figures.append(_figure(name, *measured, now_ms))
+    shared = pool.shared_loads.upstream_figures(state, now_ms)
+    if shared is not None:
+        values, received_ms = shared
+        for name, value in values.items():
+            figures.append(_figure(name, value, received_ms, now_ms))
     return WhereCandidate(
         upstream=state.upstream_id,
         zone=state.zone,
--- a/knapweeddeal/sharedloads.py
+++ b/knapweeddeal/sharedloads.py
@@ -137,6 +137,19 @@
             age_ms=now_ms - pushed.received_ms,
         )
 
+    def upstream_figures(self, state, now_ms):
+        """Return (figures by name, time of receipt) of a listed upstream, or None."""
+        pushed = self._get(state.service, now_ms)
+        load = pushed.upstreams.get(state.upstream_id) if pushed is not None else None
+        if load is None:
+            return None
+        figures = {
+            "shared_load": load.load_milli / MILLI,
+            "slowness": load.slowness_percent / PERCENT,
+            "diverted_share": load.divert_milli / MILLI,
+        }
+        return figures, pushed.received_ms
+
     def dump(self, now_ms):
         """Return the figures for the state dump, by service."""
         return {
--- a/tests/test_dryrun.py
+++ b/tests/test_dryrun.py
@@ -10,9 +10,19 @@
 from knapweeddeal.egressqueue import EgressQueue
 from knapweeddeal.errors import BadMessageError, NoRouteError
 from knapweeddeal.messages import decode, encode
+from knapweeddeal.messages.loads import ServiceLoadPush, UpstreamLoad, UpstreamLoads
 from knapweeddeal.messages.operator import WhereRequest
 from knapweeddeal.messages.packets import ZonesPush
-from tests.packetfakes import HOST, PORT, ZONE, ForwarderHarness, route, state, syn
+from tests.packetfakes import (
+    HOST,
+    PORT,
+    SERVICE,
+    ZONE,
+    ForwarderHarness,
+    route,
+    state,
+    syn,
+)
 
 CALLER = "100.64.0.7"
 FIRST, SECOND, FAR = state(), state(2), state(2, zone="zone-b")
@@ -159,6 +169,26 @@
         self.assertEqual((2_000, 25), found["slots"])
         self.assertEqual((875_000, 25), found["cold_ms"])
 
+    def test_load_of_others(self):
+        """The load that replicas pushed is shown with its age."""
+        harness = ForwarderHarness(routes=(route(),), states=[state()])
+        busy = UpstreamLoad(
+            upstream_id="i-1", load_milli=2_500, slowness_percent=300, divert_milli=900
+        )
+        load = ServiceLoadPush(
+            service=SERVICE,
+            load_milli=2_500,
+            rejected_milli=0,
+            response_ms=90,
+            upstreams=[busy],
+            zones=[],
+        )
+        harness.pool.shared_loads.apply(UpstreamLoads(services=[load]), 10)
+        figures = ask(harness, now_ms=25).candidates[0].figures
+        found = {one.name: (one.value_milli, one.age_ms) for one in figures}
+        self.assertEqual((2_500, 15), found["shared_load"])
+        self.assertEqual((900, 15), found["diverted_share"])
+
 
 class Errors(testtools.TestCase):
     """A question that has no answer gets an error with field and value."""
