Give evacuated zones no room, permits by value, and slow upstreams their share when full

Upstreams of evacuated zones no longer count as room for others, and held SYNs get permits in the order of their value, the one that admission and links use.

--- a/knapweeddeal/loadsums.py
+++ b/knapweeddeal/loadsums.py
@@ -180,11 +180,14 @@
         "_slow_window",
         "_table",
         "_window",
+        "evacuated",
         "last_push",
     )
 
     def __init__(self, *, table, own_identity):
         self._table = table
+        #: Names of evacuated zones.
+        self.evacuated = frozenset()
         self._own_identity = own_identity
         #: Requests of the present interval: [answered, unanswered, response time,
         #: rejected] by zone of the forwarder and upstream.
@@ -264,7 +267,7 @@
         if not names:
             self.last_push = None
             return None
-        states = self._table.ready_states(names)
+        states = self._usable_states(names)
         services = [
             load
             for name in sorted(names)
@@ -273,6 +276,17 @@
         self.last_push = _bounded_push(services) if services else None
         return self.last_push
 
+    def _usable_states(self, services):
+        """Return the states of upstreams that new flows may go to, by service.
+
+        Upstreams of evacuated zones have no room for the demand of others.
+        """
+        found = self._table.ready_states(services)
+        return {
+            service: [state for state in states if state.zone not in self.evacuated]
+            for service, states in found.items()
+        }
+
     # Local sums.
 
     def _local_sums(self, window):
@@ -550,16 +564,22 @@
 
 
 def _upstream_loads(states, loads, slowness):
-    """Return the `UpstreamLoad` of busy and slow upstreams."""
+    """Return the `UpstreamLoad` of busy and slow upstreams.
+
+    A slow upstream that gets its share of slots still answers late, so it gets the
+    square of that: enough to notice that it has recovered. While no slot is free, any
+    less than its share would leave it idle, and others would reject more.
+    """
+    usable = sum(state.slots / slowness.get(state.upstream_id, 1.0) for state in states)
+    occupied = sum(loads[state.upstream_id] * state.slots for state in states)
+    power = 1 if occupied >= BUSY_LOAD * usable else 2
     listed = []
     for state in states:
         load = loads[state.upstream_id]
         factor = slowness.get(state.upstream_id, 1.0)
         if load < BUSY_LOAD and factor < SLOW_FACTOR:
             continue
-        # A slow upstream that gets its share of slots still answers late, so its share
-        # is the square of that: enough to notice that it has recovered.
-        divert = 1 - 1 / factor**2
+        divert = 1 - 1 / factor**power
         listed.append(
             UpstreamLoad(
                 upstream_id=state.upstream_id,
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -8,9 +8,10 @@
 
 from knapweeddeal.answertracker import AnswerTracker
 from knapweeddeal.clock import earliest
-from knapweeddeal.coldpermits import ColdPermits, ExpiringPayload
+from knapweeddeal.coldpermits import MAX_SYN_HOLD_MS, ColdPermits, ExpiringPayload
+from knapweeddeal.flowvalue import WaitingFlow, pick_waiting
 from knapweeddeal.heldpackets import HeldPackets
-from knapweeddeal.messages.packets import ROUTE_KEY_BYTES
+from knapweeddeal.messages.packets import NO_ROUTE_TERMS, ROUTE_KEY_BYTES
 from knapweeddeal.packetheader import (
     ECHO_SLICE,
     FIN,
@@ -467,11 +468,33 @@
         if not permits.held:
             return
         if permits.pop_answered():
-            for key, held in list(permits.held.items()):
-                self._release_syn(key, held, now_ms, out)
+            for key in self._held_by_value(now_ms):
+                self._release_syn(key, permits.held[key], now_ms, out)
         for held in permits.pop_late(now_ms):
             self._drop_late_syn(held, out)
 
+    def _held_by_value(self, now_ms):
+        """Return the keys of held SYNs in the order in which they get permits.
+
+        Fewer permits than SYNs may arrive: flows of a higher value go first.
+        """
+        held_syns = self.cold_permits.held
+        if self._admission is None:
+            return list(held_syns)
+        flows = []
+        for key, held in held_syns.items():
+            route = self._routes.get(held.data[ROUTE_SLICE])
+            terms = route.terms if route is not None else NO_ROUTE_TERMS
+            flows.append(
+                WaitingFlow(
+                    arrived_ms=held.deadline_ms - MAX_SYN_HOLD_MS,
+                    key=key,
+                    service_ms=self._admission.service_ms(held.service, terms),
+                    terms=terms,
+                )
+            )
+        return [flow.key for flow in pick_waiting(flows, len(flows), now_ms)]
+
     def _release_syn(self, key, held, now_ms, out):
         """Send a held SYN if it may be sent now, or refuse it; else keep holding it."""
         permits, flow = self.cold_permits, self._flows.get(key)
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -541,9 +541,9 @@
 
     def _adopt_evacuations(self, evacuations):
         self._evacuations = evacuations
-        push = ZonesPush(
-            version=evacuations.version, zones=evacuated_names(evacuations)
-        )
+        names = evacuated_names(evacuations)
+        self._loads.evacuated = frozenset(names)
+        push = ZonesPush(version=evacuations.version, zones=names)
         self._zones_push = EncodedMessage(message=push)
 
     def _log_evacuations(self):
--- a/tests/test_coldpermits.py
+++ b/tests/test_coldpermits.py
@@ -8,8 +8,10 @@
 from knapweeddeal.messages.cold import ColdAllowance
 from knapweeddeal.messages.packets import GONE, ServiceTerms
 from knapweeddeal.metrics import Metrics
+from knapweeddeal.packetadmission import PacketAdmission
 from knapweeddeal.packetforwarder import HEDGE_DELAY_MS
 from knapweeddeal.packetheader import RST
+from tests.admissionreplay import terms
 from tests.packetfakes import (
     SERVICE,
     ForwarderHarness,
@@ -82,6 +84,33 @@
         self.assertEqual(("10.0.0.1", 80), address)
         self.assertEqual([], harness.handle_packet(syn(port=2), 20))
 
+    def test_value_order(self):
+        """With one permit for two SYNs, the flow of higher priority gets it."""
+        harness = harness_with(cold())
+        low, high = terms("long", 2, 500, 3_000), terms("unsafe", 1, 500, 3_000)
+        routes = [route(terms=low), route(port=444, terms=high)]
+        services = list(harness.routes.services.values())
+        harness.routes.apply(routes_push(*routes, revision=2, services=services))
+        admission = PacketAdmission(
+            service_load=harness.pool.service_load,
+            metrics=harness.metrics,
+            log=harness.log,
+        )
+        harness.forwarder.set_admission(admission)
+        self.assertEqual([], harness.handle_packet(syn(port=4_001)))
+        self.assertEqual([], harness.handle_packet(syn(port=4_002, to=444)))
+        (message, _), *_ = harness.forwarder.cold_permits.pop_requests(0)
+        allowance = ColdAllowance(
+            request_id=message.request_id,
+            upstream_id=message.upstream_id,
+            count=1,
+            valid_ms=200,
+            retry_ms=0,
+        )
+        harness.forwarder.apply_cold_allowance(allowance, 5)
+        ((data, _),) = release(harness, 5)
+        self.assertEqual(4_002, int.from_bytes(data[30:32], "little"))
+
     def test_refused(self):
         """The SYN and those that follow are reset at once, without a new request."""
         harness = harness_with(cold())
--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -255,6 +255,14 @@
         self.assertThat(leaving["a"], GreaterThan(250))
         self.assertEqual(0, leaving["b"])
 
+    def test_evacuated_zone_has_no_room(self):
+        """Flows that leave a crowded zone would find no upstream there."""
+        crowded = {1: (27, 250), 2: (27, 250)}
+        self.sums.set_replica_sums(ServiceSums(sender=2, services=[]), 0)
+        self.sums.evacuated = frozenset(["b"])
+        _, push = self.tick(crowded, ticks=3)
+        self.assertEqual([], push.services[0].zones)
+
 
 class ReportSize(testtools.TestCase):
     """A forwarder's report takes no more bytes than the one that it replaced."""
