--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -201,6 +201,16 @@
         self.assertEqual("i-2", slow.upstream_id)
         self.assertThat(slow.divert_milli, GreaterThan(900))
 
+    def test_slow_and_full(self):
+        """Without a free slot a slow upstream keeps its share, or it would be idle."""
+        self.tick({1: (10, 30), 2: (10, 120), 3: (10, 30), 4: (10, 30)}, ticks=6)
+        full = {1: (33, 150), 2: (9, 600), 3: (33, 150), 4: (33, 150)}
+        _, push = self.tick(full, ticks=4)
+        (slow,) = [one for one in push.services[0].upstreams if one.divert_milli]
+        self.assertEqual("i-2", slow.upstream_id)
+        share = 1_000 - 100_000 / slow.slowness_percent
+        self.assertThat(abs(slow.divert_milli - share), LessThan(10))
+
     def test_little_room(self):
         """Only as many flows leave a crowded zone as another one has room for."""
         demand = ZoneDemand(zone="b", rate_milli=64_000)
