Time unreachable members from the start of a leadership

A replica that leads again kept the times of its earlier leadership, in which it last compared members with links.

The times are dropped when the term changes.

--- a/knapweeddeal/replicareconciler.py
+++ b/knapweeddeal/replicareconciler.py
@@ -18,11 +18,13 @@
     permanently.
     """
 
-    __slots__ = ("_unreachable_since_ms", "_min_members")
+    __slots__ = ("_unreachable_since_ms", "_min_members", "_term")
 
     def __init__(self, *, tolerated_losses):
         #: Smallest membership whose majority survives the tolerated losses.
         self._min_members = 2 * tolerated_losses + 1
+        #: Term of the leadership in which members became unreachable.
+        self._term = 0
         self._unreachable_since_ms = {}
 
     def step(self, node, connected, now_ms):
@@ -47,6 +49,9 @@
         return None
 
     def _track_reachability(self, node, connected, now_ms):
+        if node.term != self._term:
+            self._term = node.term
+            self._unreachable_since_ms = {}
         for identity in node.members:
             if identity in connected or identity == node.identity:
                 self._unreachable_since_ms.pop(identity, None)
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -25,6 +25,7 @@
 
     def __init__(self, *, members, committed=True, caught_up=(), transferring=False):
         self.identity = members[0].identity
+        self.term = 1
         self.log = FakeLog(members)
         self.members = {m.identity for m in members}
         self.transferring = transferring
@@ -143,3 +144,12 @@
         reconciler.step(node, connected, 0)
         reconciler.step(node, {**connected, 4: member(4)}, UNREACHABLE_TIMEOUT_MS - 1)
         self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
+
+    def test_a_new_leadership_restarts_the_timeout(self):
+        """Guards against a timeout that began in an earlier leadership."""
+        reconciler = ReplicaReconciler(tolerated_losses=1)
+        node = FakeNode(members=FOUR_MEMBERS)
+        connected = {2: member(2), 3: member(3)}
+        reconciler.step(node, connected, 0)
+        node.term += 1
+        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
