Remove a failed control replica once another has joined in its place

Cause: the leader added each replacement after 60 ms and removed a member out of reach after 20 s only. Three of six members were gone at the third failure, no majority, and without a leader nothing can be removed. The log shows the additions and no removal; leader and links were stable in between.

The leader keeps the number of members that were last all in reach for 10 s. If there are more, the one out of reach for longest is removed after 2 s. The number doesn't follow a join at once, as a failed member seems reachable until its link times out. A member without a replacement keeps its 20 s, as upstreams may still report to a replica that is cut off for some seconds.

--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -216,16 +216,21 @@
         node = self._replica.node
         if not self._settings.heals_itself or node.leader != self._own_replica.identity:
             return
-        record = self._reconciler.step(node, self._replica.connected, monotonic_ms())
+        connected = self._replica.connected
+        record = self._reconciler.step(node, connected, monotonic_ms())
         if record is None:
             return
+        reachable = connected.keys() | {self._own_replica.identity}
+        members = node.log.replicas
         try:
             node.propose_membership(record)
         except KnapweeddealError as error:
             log.info("could not propose a membership change", error=error.describe())
             return
         log.info(
-            "proposed a membership change", members=[r.name for r in record.replicas]
+            "proposed a membership change",
+            members=[r.name for r in record.replicas],
+            unreachable=[r.name for r in members if r.identity not in reachable],
         )
         await self._flush()
 
--- a/knapweeddeal/replicareconciler.py
+++ b/knapweeddeal/replicareconciler.py
@@ -8,6 +8,13 @@
 #: join again. Longer than the pauses, network partitions and restarts that a VM
 #: recovers from.
 UNREACHABLE_TIMEOUT_MS = 20_000
+#: The same time if another replica has joined in its place. Longer than the restart of
+#: a process, and with the timeout of a link short enough that the next VM may fail.
+REPLACED_TIMEOUT_MS = 2_000
+#: Time for which all members must be reachable before their number is the one to
+#: restore. Longer than the timeout of a link: until then a failed member seems
+#: reachable beside its replacement.
+SETTLING_TIME_MS = 10_000
 
 
 class ReplicaReconciler:
@@ -15,24 +22,31 @@
 
     Makes one membership change at a time, and only after the last one is committed.
     If another identity now uses a member's address, the member has lost its folder
-    permanently.
+    permanently. Each replica that joins while a member is unreachable replaces one, or
+    members that fail one after the other could become half of all.
     """
 
-    __slots__ = ("_unreachable_since_ms", "_min_members", "_term")
+    __slots__ = ("_unreachable_since_ms", "_members", "_min_members")
+    __slots__ += ("_settled_members", "_settling_since_ms", "_term")
 
     def __init__(self, *, tolerated_losses):
         #: Smallest membership whose majority survives the tolerated losses.
         self._min_members = 2 * tolerated_losses + 1
-        #: Term of the leadership in which members became unreachable.
+        #: Term of the leadership that the fields below are of.
         self._term = 0
         self._unreachable_since_ms = {}
+        self._members = set()
+        #: Since when the same members have all been reachable, and how many of them
+        #: last were for `SETTLING_TIME_MS`.
+        self._settling_since_ms = 0
+        self._settled_members = 0
 
     def step(self, node, connected, now_ms):
         """Return the MembershipRecord to propose, or None; also add learners.
 
         `connected` holds the reachable replicas by identity; `node` must be the leader.
         """
-        self._track_reachability(node, connected, now_ms)
+        self._track_members(node, connected, now_ms)
         if not node.is_membership_committed() or node.transferring:
             return None
         members = list(node.log.replicas)
@@ -48,36 +62,40 @@
                 return _membership_record([*members, candidate])
         return None
 
-    def _track_reachability(self, node, connected, now_ms):
+    def _track_members(self, node, connected, now_ms):
         if node.term != self._term:
             self._term = node.term
             self._unreachable_since_ms = {}
-        for identity in node.members:
-            if identity in connected or identity == node.identity:
-                self._unreachable_since_ms.pop(identity, None)
-            else:
-                self._unreachable_since_ms.setdefault(identity, now_ms)
+            self._settling_since_ms = now_ms
+            self._settled_members = len(node.members)
+        unreachable = node.members - connected.keys() - {node.identity}
+        self._unreachable_since_ms = {
+            identity: self._unreachable_since_ms.get(identity, now_ms)
+            for identity in unreachable
+        }
+        if unreachable or node.members != self._members:
+            self._members = node.members
+            self._settling_since_ms = now_ms
+        elif now_ms - self._settling_since_ms >= SETTLING_TIME_MS:
+            self._settled_members = len(node.members)
 
     def _member_to_remove(self, node, members, connected, now_ms):
         """Return a member to remove, or None."""
-        addresses = {
-            (replica.host, replica.port): identity
-            for identity, replica in connected.items()
-        }
-        for member in members:
-            if member.identity in connected or member.identity == node.identity:
-                continue
-            if addresses.get((member.host, member.port)) is not None:
-                return member
-            unreachable_ms = now_ms - self._unreachable_since_ms.get(
-                member.identity, now_ms
-            )
-            if (
-                unreachable_ms >= UNREACHABLE_TIMEOUT_MS
-                and len(members) > self._min_members
-            ):
+        addresses = {(replica.host, replica.port) for replica in connected.values()}
+        unreachable = [m for m in members if m.identity in self._unreachable_since_ms]
+        for member in unreachable:
+            if (member.host, member.port) in addresses:
                 return member
-        return None
+        if not unreachable or len(members) <= self._min_members:
+            return None
+        member = min(unreachable, key=self._unreachable_since)
+        is_replaced = len(members) > self._settled_members
+        timeout_ms = REPLACED_TIMEOUT_MS if is_replaced else UNREACHABLE_TIMEOUT_MS
+        is_due = now_ms - self._unreachable_since(member) >= timeout_ms
+        return member if is_due else None
+
+    def _unreachable_since(self, member):
+        return self._unreachable_since_ms[member.identity]
 
     def _candidates(self, node, connected):
         members = node.members
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -4,7 +4,11 @@
 import testtools
 
 from knapweeddeal.messages.control import Replica
-from knapweeddeal.replicareconciler import UNREACHABLE_TIMEOUT_MS, ReplicaReconciler
+from knapweeddeal.replicareconciler import (
+    SETTLING_TIME_MS,
+    UNREACHABLE_TIMEOUT_MS,
+    ReplicaReconciler,
+)
 
 
 def member(identity, host=None):
@@ -27,11 +31,15 @@
         self.identity = members[0].identity
         self.term = 1
         self.log = FakeLog(members)
-        self.members = {m.identity for m in members}
         self.transferring = transferring
         self.learners = set()
         self._committed = committed
-        self._caught_up = set(caught_up)
+        self.caught_up = set(caught_up)
+
+    @property
+    def members(self):
+        """Return the identities of the members."""
+        return {m.identity for m in self.log.replicas}
 
     def is_membership_committed(self):
         """Return the configured result."""
@@ -47,7 +55,7 @@
 
     def is_caught_up(self, identity):
         """Return whether a replica was configured as caught up."""
-        return identity in self._caught_up
+        return identity in self.caught_up
 
 
 THREE_MEMBERS = [member(1), member(2), member(3)]
@@ -153,3 +161,77 @@
         reconciler.step(node, connected, 0)
         node.term += 1
         self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
+
+
+STEP_MS = 100
+#: Time from a failure to the end of its link, and to the start of the next VM.
+LINK_TIMEOUT_MS = 2_500
+START_MS = 1_000
+#: Time from the start of a VM until the next one may fail.
+CATCH_UP_MS = 4_000
+
+
+class Replacements(testscenarios.TestWithScenarios, testtools.TestCase):
+    """VMs fail for good, each after the replacement of the one before has caught up.
+
+    Guards against a membership that keeps those that failed until they are half of it,
+    so that no leader can be elected.
+    """
+
+    scenarios = [
+        (name, {"members": count, "tolerated_losses": losses, "leader_fails": leader})
+        for name, count, losses, leader in (
+            ("three members", 3, 1, False),
+            ("four members", 4, 1, False),
+            ("five members", 5, 1, False),
+            ("eight members, two losses", 8, 2, False),
+            ("three members, the leader fails", 3, 1, True),
+            ("four members, the leader fails", 4, 1, True),
+        )
+    ]
+
+    def test_a_majority_is_reachable(self):
+        self.now_ms = 0
+        self.reachable = list(range(1, self.members + 1))
+        self.node = FakeNode(members=[member(i) for i in self.reachable])
+        self.reconcilers = {}
+        self.run_for(SETTLING_TIME_MS)
+        for replacement in range(self.members + 1, self.members + 8):
+            failed = self.reachable.pop(0 if self.leader_fails else -1)
+            if self.leader_fails:
+                self.node.term += 1
+            self.check_majority()
+            self.run_for(START_MS, linked=[failed])
+            self.reachable.insert(len(self.reachable) // 2, replacement)
+            self.run_for(LINK_TIMEOUT_MS - START_MS, linked=[failed])
+            self.run_for(START_MS + CATCH_UP_MS - LINK_TIMEOUT_MS)
+
+    def test_a_pause_replaces_nobody(self):
+        """Guards against removing a member that is back within the timeout."""
+        self.now_ms = 0
+        self.reachable = list(range(1, self.members + 1))
+        self.node = FakeNode(members=[member(i) for i in self.reachable])
+        self.reconcilers = {}
+        self.run_for(SETTLING_TIME_MS)
+        paused = self.reachable.pop()
+        self.run_for(UNREACHABLE_TIMEOUT_MS - STEP_MS)
+        self.assertIn(paused, self.node.members)
+
+    def run_for(self, duration_ms, *, linked=()):
+        """Advance the time; the leader sees `linked` replicas as reachable too."""
+        node, leader = self.node, self.reachable[0]
+        reconciler = self.reconcilers.setdefault(
+            leader, ReplicaReconciler(tolerated_losses=self.tolerated_losses)
+        )
+        node.identity = leader
+        node.caught_up = set(self.reachable)
+        connected = {i: member(i) for i in [*self.reachable, *linked] if i != leader}
+        for _ in range(duration_ms // STEP_MS):
+            self.now_ms += STEP_MS
+            record = reconciler.step(node, connected, self.now_ms)
+            if record is not None:
+                node.log.replicas = record.replicas
+
+    def check_majority(self):
+        reached = self.node.members & set(self.reachable)
+        self.assertGreater(2 * len(reached), len(self.node.members))
