Evaluate no load of a service without an upstream for new flows

Cause: a service's load is divided by the slots of its usable upstreams. A service stays under load for 2 s after its figures became normal and may have no usable upstream then: draining, gone, silent, or in an evacuated zone. With 0 slots the test for a busy service is `0 < 0`, false, and the division follows. Replicas exchange the sums, so all end in the same half second. The traceback of each process shows the line.

Such a service is no longer evaluated: it has no load per slot.

The new test covers the four reasons, each with load of the replica's own forwarders and of another replica's; all 8 scenarios fail without the change.

--- a/knapweeddeal/loadsums.py
+++ b/knapweeddeal/loadsums.py
@@ -355,7 +355,12 @@
     # Evaluation of a service over all replicas.
 
     def _evaluate(self, service, states, local, now_ms):
-        """Return the push of a service, or None if nothing is busy, slow or crowded."""
+        """Return the push of a service, or None if nothing is busy, slow or crowded.
+
+        Without an upstream that new flows may go to, there is no load per slot.
+        """
+        if not states:
+            return None
         memory = self._memories.setdefault(service, ServiceMemory())
         totals, demands = self._merge(service, local)
         times = _service_times(states, totals)
--- a/tests/test_loadsums.py
+++ b/tests/test_loadsums.py
@@ -18,7 +18,7 @@
     UpstreamSum,
     ZoneDemand,
 )
-from knapweeddeal.messages.packets import AnswerCounts
+from knapweeddeal.messages.packets import DRAINING, GONE, AnswerCounts
 from knapweeddeal.upstreamtable import UpstreamTable
 from tests.packetfakes import SERVICE, state
 from tests.placementreplay import Placement, ZoneLoad
@@ -278,6 +278,66 @@
         self.assertEqual([], push.services[0].zones)
 
 
+class NoUsableUpstream(testscenarios.TestWithScenarios, SumsTest):
+    """The load of a service is evaluated while no upstream takes new flows.
+
+    Guards against a division by zero that ended all replicas at the planned restart of
+    a service's only upstream, and at an evacuation.
+    """
+
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("draining", {"changes": {"status": DRAINING}}),
+            ("gone", {"changes": {"status": GONE}}),
+            ("silent", {"changes": {"silent": True}}),
+            ("evacuated", {"evacuated": frozenset(["a", "b"])}),
+        ],
+        [
+            ("own load", {"is_own": True}),
+            ("load at another replica", {"is_own": False}),
+        ],
+    )
+    changes = {}
+    evacuated = frozenset()
+
+    def load(self):
+        """Add requests that occupy 2.5 slots of each upstream; return the push."""
+        if self.is_own:
+            return self.tick(dict.fromkeys((1, 2, 3, 4), (25, 100)), ticks=3)[1]
+        upstreams = [
+            UpstreamSum(
+                upstream_id=f"i-{number}",
+                rate_milli=50_000,
+                response_ms=50,
+                rejected_milli=0,
+            )
+            for number in (1, 2, 3, 4)
+        ]
+        one = ServiceSum(
+            service=SERVICE, under_load=True, upstreams=upstreams, demands=[]
+        )
+        message = ServiceSums(sender=2, services=[one])
+        self.sums.set_replica_sums(message, self.now_ms)
+        return self.tick({}, ticks=2)[1]
+
+    def set_usable(self, usable):
+        """Make all upstreams usable or not."""
+        changes = {} if usable else self.changes
+        self.sums.evacuated = frozenset() if usable else self.evacuated
+        born_ms = 1_000 + self.now_ms
+        for number in (1, 2, 3, 4):
+            zone = "a" if number < 3 else "b"
+            started = state(number, zone=zone, born_ms=born_ms, **changes)
+            self.table.apply_state(started, self.now_ms)
+
+    def test_push(self):
+        self.assertIsNotNone(self.load())
+        self.set_usable(False)
+        self.assertIsNone(self.load())
+        self.set_usable(True)
+        self.assertIsNotNone(self.load())
+
+
 class ReportSize(testtools.TestCase):
     """A forwarder's report takes no more bytes than the one that it replaced."""
 
