Refuse texts that no message can carry

Upstreams and operators lost one replica after another.

Cause: `json.loads` returns "\ud800" as a text of length 1, so the check of texts passed, and `msgpack.packb` raised UnicodeEncodeError in the hub's task after the state had been applied. The last line of each process says so.

Texts in status reports and configurations must be encodable; else the call gets 400 with `bad_message`. On the related path, `encode` raises `bad_message` for such texts and for integers beyond 64 bits, which an argument of the command line that isn't UTF-8 reached with a traceback.

--- a/knapweeddeal/messages/base.py
+++ b/knapweeddeal/messages/base.py
@@ -279,10 +279,17 @@
 
 
 def encode(message):
-    """Return the bytes of a message."""
+    """Return the bytes of a message, or raise BadMessageError if it has none."""
     if type(message) is EncodedMessage:
         return message.data
-    return msgpack.packb(message.to_wire())
+    try:
+        return msgpack.packb(message.to_wire())
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise BadMessageError(
+            "expected texts that UTF-8 can encode and integers of 64 bits",
+            field=type(message).__name__,
+            value=error,
+        ) from None
 
 
 def decode(data):
--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -37,6 +37,13 @@
         raise BadMessageError(
             "expected a text of 1 to 64 characters", field=name, value=value
         )
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        # JSON can escape half of a surrogate pair, which no message can carry.
+        raise BadMessageError(
+            "expected a text that UTF-8 can encode", field=name, value=value
+        ) from None
     return value
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -62,6 +62,27 @@
         self.assertRaises(BadMessageError, messages.decode, self.data)
 
 
+class Unencodable(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A message that no receiver could read raises BadMessageError.
+
+    Guards against another error that ends the task of the sender.
+    """
+
+    scenarios = [
+        ("half a surrogate pair", {"name": "\ud800", "number": 1}),
+        ("undecodable argument", {"name": "\udcff", "number": 1}),
+        ("integer of 65 bits", {"name": "records", "number": 2**64}),
+        ("negative integer of 64 bits", {"name": "records", "number": -(2**63) - 1}),
+    ]
+
+    def test_encode(self):
+        message = control.ServiceEntry(
+            name=self.name, host="127.0.0.1", port=self.number, draining=[]
+        )
+        error = self.assertRaises(BadMessageError, messages.encode, message)
+        self.assertEqual("ServiceEntry", error.field)
+
+
 class Constructor(testtools.TestCase):
     """Constructors require exactly the fields of the schema, by keyword."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -120,6 +120,10 @@
         ("no slots", {"body": {**REPORT, "slots": 0}}),
         ("no port", {"body": {**REPORT, "addr": "10.0.0.1"}}),
         ("a name as address", {"body": {**REPORT, "addr": "example:80"}}),
+        *[
+            (f"half a surrogate pair as {name}", {"body": {**REPORT, name: "\ud800"}})
+            for name in ("service", "zone", "state", "addr")
+        ],
         ("id without digits", {"body": REPORT, "upstream_id": "i-"}),
         ("id too long", {"body": REPORT, "upstream_id": "i-" + "a" * 17}),
         ("id not hexadecimal", {"body": REPORT, "upstream_id": "i-xyz"}),
@@ -219,6 +223,17 @@
             "path prefix without a port",
             {"body": with_changes(routes=[{**ROUTE, "pathPrefix": "/a/"}])},
         ),
+        *[
+            (
+                f"half a surrogate pair as {name}",
+                {"body": with_changes(routes=[{**ROUTE, name: "x\udfff"}])},
+            )
+            for name in ("name", "type", "host")
+        ],
+        (
+            "half a surrogate pair as service",
+            {"body": with_changes(services=[{"name": "\ud800"}], routes=[])},
+        ),
         ("empty split", {"body": with_changes(routes=[{**SPLIT, "split": []}])}),
         (
             "no weight",
@@ -299,6 +314,9 @@
         return curio.run(run)
 
 
+UNENCODABLE = {**REPORT, "zone": "\ud800"}
+
+
 class ApiCalls(testscenarios.TestWithScenarios, testtools.TestCase):
     """Each of some consecutive calls gets the right HTTP status."""
 
@@ -326,6 +344,13 @@
             "bad report",
             {"calls": [("PUT", "/-/instances/i-1", b"x")], "statuses": [400]},
         ),
+        (
+            "report that no message can carry",
+            {
+                "calls": [("PUT", "/-/instances/i-1", UNENCODABLE)],
+                "statuses": [400],
+            },
+        ),
         ("unknown path", {"calls": [("GET", "/", b"")], "statuses": [404]}),
         ("wrong method", {"calls": [("POST", "/-/config", b"")], "statuses": [405]}),
         (
