Refuse addresses that not every part can read, and survive those in a log

Cause: the check at the boundary took four numbers below 256, padded ones and digits of other scripts included. The hub packs route keys with `inet_aton`, which reads a padded number as octal and raised OSError in the hub's task. The configuration is in the log and in the hints, so each restart ends the same way; the last line of each process is that error.

- Hosts are IPv4 addresses as `inet_pton` reads them; ports are decimal digits without padding.
Routes are checked again at the replica that takes them: `publish` of the command line took IPv6 addresses, which `inet_aton` refuses too.
- Routes of a log or of hints whose address no packet can carry are left out of what forwarders get, with a warning.
An address that `inet_aton` reads, such as `127.0.9.010`, goes on to be served from an old log.

Without the change 10 of the new scenarios of test_platform fail, and the new ones of test_packethub end the hub.

--- a/knapweeddeal/controlqueries.py
+++ b/knapweeddeal/controlqueries.py
@@ -28,6 +28,7 @@
     PublishedRoutesRequest,
     PublishRequest,
 )
+from knapweeddeal.packetconfigurations import check_routes
 from knapweeddeal.statedump import dump_text
 
 __all__ = ["local_answer", "quorum_answer", "replicas_answer"]
@@ -51,7 +52,14 @@
 
 @local_answer.register
 def _(message: PublishRequest, replica):
-    """Answer at once if the revision isn't newer, as it would change nothing."""
+    """Refuse invalid routes at any replica.
+
+    Answer at once if the revision isn't newer, as it would change nothing.
+    """
+    try:
+        check_routes(message.configuration.routes)
+    except InvalidIntentError as error:
+        return failure_answer(error)
     revision = replica.state.packets.revision
     if message.configuration.revision > revision:
         return None
--- a/knapweeddeal/dryrun.py
+++ b/knapweeddeal/dryrun.py
@@ -91,7 +91,7 @@
     address = (request.route_host, request.route_port)
     try:
         key = flow_key(caller, address)
-    except OSError:
+    except (OSError, ValueError):
         raise BadMessageError(
             "expected IPv4 addresses", field="flow", value=_flow_text(caller, address)
         ) from None
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -1,8 +1,7 @@
 """knapweeddeal.options: Checks of setting values."""
 
-import socket
-
 from knapweeddeal.errors import BadSettingError
+from knapweeddeal.ipaddresses import is_ip
 
 __all__ = [
     "address_option",
@@ -84,7 +83,7 @@
 
 def host_option(field, value, _option):
     """Return the text of an IP address."""
-    if not _is_ip(value):
+    if not is_ip(value):
         raise BadSettingError("expected an IP address", field=field, value=value)
     return value
 
@@ -93,7 +92,7 @@
     """Return host and port of an IP:PORT text."""
     host, _, port = value.rpartition(":")
     number = int(port) if port.isdecimal() else 0
-    if not _is_ip(host) or not 0 < number <= 65535:
+    if not is_ip(host) or not 0 < number <= 65535:
         raise BadSettingError("expected an address IP:PORT", field=field, value=value)
     return (host, number)
 
@@ -144,14 +143,3 @@
     if not 1 <= len(keys) <= option.maximum:
         raise BadSettingError("expected one or two keys", field=field, value=len(keys))
     return keys
-
-
-def _is_ip(text):
-    """Return whether a text is an IP address; importing `ipaddress` slows starts."""
-    for family in (socket.AF_INET, socket.AF_INET6):
-        try:
-            socket.inet_pton(family, text)
-        except OSError:
-            continue
-        return True
-    return False
--- a/knapweeddeal/packetconfigurations.py
+++ b/knapweeddeal/packetconfigurations.py
@@ -1,6 +1,7 @@
 """knapweeddeal.packetconfigurations: Checks and former services of packet routes."""
 
 from knapweeddeal.errors import InvalidIntentError
+from knapweeddeal.ipaddresses import is_ipv4
 
 __all__ = ["check_routes", "with_former_services"]
 
@@ -16,10 +17,18 @@
 
 
 def check_routes(routes):
-    """Raise InvalidIntentError for a shared address or a route without weight."""
+    """Raise InvalidIntentError for routes that no forwarder could use.
+
+    Each needs an IPv4 address of its own, as packets carry it, and a service with a
+    weight above 0.
+    """
     seen = set()
     for route in routes:
         address = f"{route.host}:{route.port}"
+        if not is_ipv4(route.host):
+            raise InvalidIntentError(
+                "expected an IPv4 address", field="host", value=address
+            )
         if address in seen:
             raise InvalidIntentError(
                 "expected one route for an address, got two",
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -48,7 +48,7 @@
     UpstreamReported,
     UpstreamStateRequested,
 )
-from knapweeddeal.packetroutes import diff_routes
+from knapweeddeal.packetroutes import diff_routes, without_unreadable_routes
 from knapweeddeal.record import Record
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from knapweeddeal.upstreamtable import UpstreamTable
@@ -563,7 +563,14 @@
             )
 
     def _set_configuration(self, configuration):
-        self._configuration = configuration
+        self._configuration = without_unreadable_routes(configuration)
+        left_out = len(configuration.routes) - len(self._configuration.routes)
+        if left_out:
+            log.warning(
+                "left out routes with an address that can't be read",
+                revision=configuration.revision,
+                routes=left_out,
+            )
         self._cold.services = {terms.name: terms for terms in configuration.services}
 
     def _is_newer(self, configuration):
--- a/knapweeddeal/packetroutes.py
+++ b/knapweeddeal/packetroutes.py
@@ -5,7 +5,13 @@
 from knapweeddeal.messages.packets import ROUTE_KEY_BYTES, RouteGroup, RoutesPush
 from knapweeddeal.packetheader import route_key
 
-__all__ = ["RouteTable", "group_routes", "pack_route_keys", "diff_routes"]
+__all__ = [
+    "RouteTable",
+    "diff_routes",
+    "group_routes",
+    "pack_route_keys",
+    "without_unreadable_routes",
+]
 
 
 class Route:
@@ -131,6 +137,25 @@
     ]
 
 
+def without_unreadable_routes(configuration):
+    """Return a configuration without routes whose address no packet can carry.
+
+    Earlier versions confirmed such routes, so a log may hold them.
+    """
+    routes = [route for route in configuration.routes if _has_key(route)]
+    if len(routes) == len(configuration.routes):
+        return configuration
+    return configuration.replace(routes=routes)
+
+
+def _has_key(route):
+    try:
+        route_key(route.host, route.port)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def pack_route_keys(routes):
     """Return the concatenated keys of routes, as encoded in the packet header."""
     return b"".join(route_key(route.host, route.port) for route in routes)
--- a/knapweeddeal/platform/configurations.py
+++ b/knapweeddeal/platform/configurations.py
@@ -11,6 +11,7 @@
 from knapweeddeal.packetconfigurations import check_routes
 from knapweeddeal.platform.fields import (
     decode_object,
+    is_port,
     number,
     optional_number,
     optional_text,
@@ -82,7 +83,7 @@
 def _port_from_prefix(entry):
     prefix = text(entry, "pathPrefix")
     port = prefix.strip("/")
-    if prefix != f"/{port}/" or not port.isdecimal():
+    if prefix != f"/{port}/" or not is_port(port):
         raise BadMessageError(
             "expected a port between slashes", field="pathPrefix", value=prefix
         )
--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -3,9 +3,11 @@
 import json
 
 from knapweeddeal.errors import BadMessageError
+from knapweeddeal.ipaddresses import is_ipv4
 
 __all__ = [
     "decode_object",
+    "is_port",
     "number",
     "optional_number",
     "optional_text",
@@ -17,6 +19,7 @@
 MAX_TEXT_CHARS = 64
 MAX_NUMBER = 2**53
 MAX_FRACTION = 10**9
+MAX_PORT = 65_535
 
 
 def decode_object(body):
@@ -80,8 +83,13 @@
 def split_address(name, value):
     """Return host and port of `IP:PORT`; raise BadMessageError."""
     host, _, port = value.rpartition(":")
-    parts = host.split(".")
-    is_host = len(parts) == 4 and all(p.isdecimal() and int(p) < 256 for p in parts)
-    if not is_host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not is_ipv4(host) or not is_port(port):
         raise BadMessageError("expected an address IP:PORT", field=name, value=value)
     return host, int(port)
+
+
+def is_port(text):
+    """Return whether a text is a port number in decimal digits."""
+    # Texts as `int` reads them may have signs, padding or digits of other scripts.
+    is_number = text.isascii() and text.isdecimal() and text[0] != "0"
+    return is_number and int(text) <= MAX_PORT
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -476,6 +476,32 @@
         self.assertTrue(last.states[-1].failing)
 
 
+class UnreadableRoute(testscenarios.TestWithScenarios, HubTest):
+    """Routes of a log that an earlier version wrote are pushed if they can be read.
+
+    Guards against one confirmed route that ends every replica at each start.
+    """
+
+    scenarios = [
+        (f"{where}, {host!r}", {"host": host, "in_hints": where == "hints"})
+        for host in ("127.0.9.08", "::1", "a\0", "")
+        for where in ("log", "hints")
+    ]
+
+    def test_pushed(self):
+        outbox = RecordingOutbox()
+        good = route()
+        routes = [route(host=self.host), good]
+        if self.in_hints:
+            hints = RestoredHints.HINTS.replace(routes=routes)
+            self.run_hub(self.subscribe(outbox), hints=hints)
+        else:
+            self.run_hub(self.subscribe(outbox), self.replicated(7, *routes))
+        (push,) = outbox.messages_of(RoutesPush)
+        self.assertEqual(7, push.revision)
+        self.assertEqual([pack_route_keys([good])], [one.keys for one in push.groups])
+
+
 class RestoredHints(testscenarios.TestWithScenarios, HubTest):
     """After all replicas were killed, forwarders get the last stored hints."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -73,6 +73,21 @@
 }
 
 
+#: Hosts that some functions read as an address and others don't, or differently.
+AMBIGUOUS_HOSTS = (
+    "127.0.9.08",
+    "127.0.9.010",
+    "0x7f.0.0.1",
+    "127.1",
+    "\u0661\u0662\u0667.0.0.1",
+    "127.0.0.1\0",
+    "127.0.0.256",
+    "127.0.0.1 ",
+    "::1",
+)
+AMBIGUOUS_PORTS = ("080", "+80", "8_0", "\u0668\u0660", " 80", "0", "65536")
+
+
 def encoded(value):
     """Return a value as the bytes of a body."""
     return value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -124,6 +139,14 @@
             (f"half a surrogate pair as {name}", {"body": {**REPORT, name: "\ud800"}})
             for name in ("service", "zone", "state", "addr")
         ],
+        *[
+            (f"host {host!r}", {"body": {**REPORT, "addr": f"{host}:80"}})
+            for host in AMBIGUOUS_HOSTS
+        ],
+        *[
+            (f"port {port!r}", {"body": {**REPORT, "addr": f"10.0.0.1:{port}"}})
+            for port in AMBIGUOUS_PORTS
+        ],
         ("id without digits", {"body": REPORT, "upstream_id": "i-"}),
         ("id too long", {"body": REPORT, "upstream_id": "i-" + "a" * 17}),
         ("id not hexadecimal", {"body": REPORT, "upstream_id": "i-xyz"}),
@@ -234,6 +257,17 @@
             "half a surrogate pair as service",
             {"body": with_changes(services=[{"name": "\ud800"}], routes=[])},
         ),
+        *[
+            (f"host {host!r}", {"body": with_changes(routes=[{**ROUTE, "host": host}])})
+            for host in AMBIGUOUS_HOSTS
+        ],
+        *[
+            (
+                f"port {port!r}",
+                {"body": with_changes(routes=[{**ROUTE, "pathPrefix": f"/{port}/"}])},
+            )
+            for port in AMBIGUOUS_PORTS
+        ],
         ("empty split", {"body": with_changes(routes=[{**SPLIT, "split": []}])}),
         (
             "no weight",
