Log only commands that every replica can read

Cause: the fields of a message are checked when it is decoded, not when it is made. A call by HTTP reaches the leader without being encoded.

A record of an earlier version that can't be decoded is skipped on every replica, with a warning and a counter. One of an unknown type still ends the process, as a later version wrote it.

--- a/knapweeddeal/commandrecords.py
+++ b/knapweeddeal/commandrecords.py
@@ -3,13 +3,35 @@
 import functools
 
 from knapweeddeal.errors import BadMessageError, InvalidIntentError
+from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.messages.control import MAX_COMMAND_BYTES
 from knapweeddeal.messages.evacuation import EvacuateRequest, EvacuationRecord
 from knapweeddeal.messages.operator import ConfirmRequest, PlanRequest
 from knapweeddeal.messages.packets import PublishRecord, PublishRequest
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
 from knapweeddeal.plans import apply_steps
 
-__all__ = ["command_record"]
+__all__ = ["command_bytes", "command_record"]
+
+#: Largest encoded record; the log adds some bytes to it.
+MAX_RECORD_BYTES = MAX_COMMAND_BYTES - 64
+
+
+def command_bytes(record):
+    """Return the bytes of a record, or raise BadMessageError if no replica reads them.
+
+    Fields are only checked when a message is decoded. A record that can't be decoded
+    must not get into the log, as each replica would fail on it, also after a restart.
+    """
+    data = encode(record)
+    if len(data) > MAX_RECORD_BYTES:
+        raise BadMessageError(
+            f"expected a command of at most {MAX_RECORD_BYTES} bytes",
+            field="bytes",
+            value=len(data),
+        )
+    decode(data)
+    return data
 
 
 @functools.singledispatch
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -5,7 +5,7 @@
 
 from functools import singledispatchmethod
 
-from knapweeddeal.commandrecords import command_record
+from knapweeddeal.commandrecords import command_bytes, command_record
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.consensus import LEADER
 from knapweeddeal.consensuslog import (
@@ -20,13 +20,15 @@
 )
 from knapweeddeal.entrytable import EntryTable
 from knapweeddeal.errors import (
+    BadMessageError,
     ConflictError,
     InvalidIntentError,
     KnapweeddealError,
     NotLeaderError,
 )
 from knapweeddeal.flowcounts import FlowCountTable
-from knapweeddeal.messages.base import decode, encode
+from knapweeddeal.logs import Log
+from knapweeddeal.messages.base import decode
 from knapweeddeal.messages.control import FlowCounts
 from knapweeddeal.messages.evacuation import ZonesRequest
 from knapweeddeal.messages.operator import (
@@ -52,6 +54,8 @@
 
 __all__ = ["ControlReplica"]
 
+log = Log(prefix="control")
+
 #: Number of election timeouts that a request may wait for a quorum.
 REQUEST_TIMEOUT_ELECTIONS = 2
 #: Interval between a follower's entry reports to the leader.
@@ -283,7 +287,7 @@
     def _start(self, message, pending):
         """Replicate an operator's command."""
         record = command_record(message, self, wall_ms=pending.wall_ms)
-        index, term = self.node.propose(encode(record))
+        index, term = self.node.propose(command_bytes(record))
         self._pending.await_commit(pending, index=index, term=term)
 
     @_start.register(StatusRequest)
@@ -313,7 +317,7 @@
     def _apply(self, record):
         answer = None
         if is_command(record):
-            answer = self.state.apply(record.index, decode(unpack_command(record)))
+            answer = self._apply_command(record)
         membership = unpack_membership(record)
         if membership is not None and membership.request_id:
             self.state.apply(record.index, membership)
@@ -323,6 +327,24 @@
             else:
                 self._dispatch(pending)
 
+    def _apply_command(self, record):
+        try:
+            command = decode(unpack_command(record))
+        except BadMessageError as error:
+            if error.field == "tag":
+                # A later version wrote the command, and other replicas apply it.
+                raise
+            # Earlier versions logged commands with values beyond the limits of fields.
+            # They have no effect, on any replica.
+            self.metrics.count("unreadable_commands")
+            log.warning(
+                "skipped a command that can't be read",
+                index=record.index,
+                error=error.describe(),
+            )
+            return failure_answer(error)
+        return self.state.apply(record.index, command)
+
     def _finish_read(self, read):
         pending = self._pending.pop_reading(read.read_id)
         if pending is None:
--- a/knapweeddeal/messages/control.py
+++ b/knapweeddeal/messages/control.py
@@ -20,6 +20,7 @@
     "FlowCount",
     "FlowCounts",
     "LogRecord",
+    "MAX_COMMAND_BYTES",
     "Replica",
     "ReplicaHello",
     "ServiceEntry",
@@ -29,6 +30,9 @@
     "VoteRequest",
 ]
 
+#: Largest command of a log record.
+MAX_COMMAND_BYTES = 1 << 24
+
 
 class ServiceEntry(Message):
     """Describe a service of the confirmed configuration.
@@ -87,7 +91,11 @@
     """Hold one record of the replicated log."""
 
     tag = 75
-    schema = {"index": Integer(), "term": Integer(), "command": Blob(max_bytes=1 << 24)}
+    schema = {
+        "index": Integer(),
+        "term": Integer(),
+        "command": Blob(max_bytes=MAX_COMMAND_BYTES),
+    }
     __slots__ = tuple(schema)
 
 
--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -2,12 +2,15 @@
 
 import random
 
+import msgpack
 import testscenarios
 import testtools
 
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import LEADER, Node
 from knapweeddeal.controlreplica import ControlReplica
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.control import (
     AppendAnswer,
     ConfigurationRequest,
@@ -26,10 +29,17 @@
     ServicesRequest,
     StatusRequest,
 )
+from knapweeddeal.messages.packets import (
+    MAX_DOCUMENT_BYTES,
+    PacketConfiguration,
+    PublishRecord,
+    PublishRequest,
+)
 from knapweeddeal.messages.replication import (
     EntryReports,
     HardState,
 )
+from tests.packetfakes import route
 
 ELECTION_MS = 100
 PLAN_LIFE_MS = 1_000
@@ -37,6 +47,14 @@
 READMIT = EvacuateRequest(operator="ana", request_id="", zone="zone-a", evacuated=False)
 
 
+def publish(*routes, document=b""):
+    """Return the request to publish routes."""
+    configuration = PacketConfiguration(
+        revision=7, routes=list(routes), document=document, services=[]
+    )
+    return PublishRequest(configuration=configuration)
+
+
 def replica_of(identity):
     """Return the replica of an identity."""
     return Replica(name=f"r{identity}", identity=identity, host="127.0.0.1", port=1)
@@ -304,6 +322,60 @@
         self.assertEqual("request_id", answer.field)
 
 
+class UnreadableCommands(testscenarios.TestWithScenarios, ReplicaTest):
+    """A command that replicas couldn't read isn't logged; if it is, it has no effect.
+
+    Guards against one accepted command that ends every replica at each start.
+    """
+
+    scenarios = [
+        ("IPv6 address", {"message": publish(route(host="::1")), "field": "host"}),
+        ("padded address", {"message": publish(route(host="10.0.0.08"))}),
+        (
+            "too many shares",
+            {"message": publish(route(*(f"s{n}" for n in range(65))))},
+        ),
+        (
+            "too many routes",
+            {
+                "message": publish(
+                    *(route(host=f"10.0.{n >> 8}.{n & 255}") for n in range(20_001))
+                )
+            },
+        ),
+        (
+            "long document",
+            {"message": publish(document=b"x" * (MAX_DOCUMENT_BYTES + 1))},
+        ),
+        ("long name of a zone", {"message": READMIT.replace(zone="z" * 65)}),
+        ("half a surrogate pair", {"message": READMIT.replace(zone="\ud800")}),
+    ]
+    field = None
+
+    def test_refused(self):
+        last_index = self.replica.node.log.last_index
+        (answer,) = self.submit(self.message)
+        self.assertIn(answer.code, ("bad_message", "invalid_intent"))
+        self.assertEqual(last_index, self.replica.node.log.last_index)
+        self.assertEqual(1, self.create_service(1))
+
+    def test_logged_by_an_earlier_version(self):
+        record = PublishRecord(
+            operator="",
+            request_id="",
+            configuration=publish(route(*(f"s{n}" for n in range(65)))).configuration,
+        )
+        self.replica.node.propose(encode(record))
+        flush(self.replica)
+        self.assertEqual(0, self.replica.state.packets.revision)
+        self.assertEqual(1, self.create_service(1))
+
+    def test_logged_by_a_later_version(self):
+        """An unknown command must not be skipped, as other replicas apply it."""
+        self.replica.node.propose(msgpack.packb([9_999, "x"]))
+        self.assertRaises(BadMessageError, flush, self.replica)
+
+
 class OperatorRequests(ReplicaTest):
     """Commands get an answer; unknown message types get an error code."""
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,6 +1,7 @@
 """tests.test_fuzz: Property tests: any input yields a value or a typed error."""
 
 import configparser
+import json
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 
 from knapweeddeal.actions import UpstreamKey
+from knapweeddeal.commandrecords import command_bytes, command_record
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.errors import (
     BadMessageError,
@@ -19,6 +21,7 @@
     KnapweeddealError,
     StreamClosedError,
 )
+from knapweeddeal.ipaddresses import is_ipv4
 from knapweeddeal.messages import (
     REGISTRY,
     Message,
@@ -28,7 +31,11 @@
     peer,
     upstream,
 )
+from knapweeddeal.messages.packets import PublishRequest
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
+from knapweeddeal.packetroutes import pack_route_keys
+from knapweeddeal.platform.configurations import decode_configuration
+from knapweeddeal.platform.reports import decode_report
 from knapweeddeal.settings import OPTIONS, read_settings
 from knapweeddeal.stream import Stream
 from knapweeddeal.ticket import TicketSealer
@@ -36,6 +43,7 @@
 from tests.directoryfakes import announce
 from tests.entrycluster import CALLER, SERVICE, EntryCluster
 from tests.messagestrategies import any_message, malformed_bytes, message_of
+from tests.test_platform import REPORT, ROUTE
 from tests.test_settings import CONTROL, ENTRY
 
 MANY_EXAMPLES = settings(derandomize=True, deadline=None, max_examples=300)
@@ -239,6 +247,74 @@
         check()
 
 
+#: Values of JSON fields: any, and variations of what the fields expect.
+ODD_JSON = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**70), 2**70),
+    st.floats(),
+    st.text(alphabet=st.characters(), max_size=70),
+    st.from_regex(r"[0-9.:/+ \u0661-\u0669]{0,24}", fullmatch=True),
+    st.from_regex(
+        r"(0{0,2}[0-9]{1,3}\.){3}0{0,2}[0-9]{1,3}:0?[0-9]{1,5}", fullmatch=True
+    ),
+    st.lists(st.none(), max_size=2),
+)
+
+
+class PlatformDocuments(testtools.TestCase):
+    """What is accepted from outside can be sent, stored and read again.
+
+    Guards against a report or document that ends the processes that handle it later.
+    """
+
+    def check_readable(self, message):
+        self.assertEqual(message, decode(encode(message)))
+
+    @MANY_EXAMPLES
+    @given(st.sampled_from(sorted(REPORT)), ODD_JSON)
+    def test_report(self, name, value):
+        body = json.dumps({**REPORT, name: value}).encode()
+        try:
+            state = decode_report("i-1", body, home=1)
+        except KnapweeddealError:
+            return
+        self.check_readable(state)
+        self.assertTrue(is_ipv4(state.host))
+
+    @MANY_EXAMPLES
+    @given(
+        st.sampled_from([*sorted(ROUTE), "split"]),
+        ODD_JSON,
+        st.integers(1, 70),
+        st.sampled_from(["route", "service", "document"]),
+    )
+    def test_configuration(self, name, value, shares, place):
+        split = [{"service": "huvo11a", "weight": 1}] * shares
+        routes = [dict(ROUTE)]
+        services = [{"name": "huvo11a"}]
+        if place == "route":
+            routes[0][name] = value
+            if name == "split":
+                routes[0].update(service=None, split=split)
+        elif place == "service":
+            services.append({"name": value, "coldPerS": value})
+        document = {"version": 1, "routes": routes, "services": services, "limits": {}}
+        if place == "document":
+            document["version"] = value
+        body = json.dumps(document).encode()
+        try:
+            configuration = decode_configuration(body)
+            record = command_record(
+                PublishRequest(configuration=configuration), None, wall_ms=0
+            )
+            command_bytes(record)
+        except KnapweeddealError:
+            return
+        self.check_readable(configuration)
+        pack_route_keys(configuration.routes)
+
+
 class Settings(testtools.TestCase):
     """Any settings file is read, or raises BadSettingError and no other error."""
 
