Contain unexpected errors of single events in the hub

The hub logs such an error with its trace, counts `hub_errors` and goes on. A report that failed isn't confirmed, so the upstream calls the next replica. Each step of the periodic work is contained by itself. The replicated log isn't: after an error there, only the state on the disk is certain.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import traceback
 
 import curio
 
@@ -213,10 +214,27 @@
             wait_ms = max(self._next_tick_ms - monotonic_ms(), 0)
             event = await curio.ignore_after(wait_ms / 1000, self._events.get)
             if event is not None:
-                await self._handle(event)
+                await self._contain(self._handle, event)
             if monotonic_ms() >= self._next_tick_ms:
                 await self._tick(monotonic_ms())
 
+    async def _contain(self, step, argument):
+        """Run a step; log an unexpected error, which must not end the process.
+
+        The directory is soft state, and what other events change isn't affected.
+        """
+        try:
+            await step(argument)
+        except Exception as error:
+            self._metrics.count("hub_errors")
+            log.warning(
+                "failed to handle an event",
+                step=step.__name__,
+                argument=type(argument).__name__,
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
+
     def _load_hints(self, hints):
         """Restore routes, upstreams and evacuations from before this start."""
         if hints is None:
@@ -246,20 +264,30 @@
 
     async def _tick(self, now_ms):
         self._next_tick_ms = now_ms + TICK_INTERVAL_MS
+        for step in (
+            self._send_heartbeats,
+            self._expire_upstreams,
+            self._detect_outliers,
+            self._push_loads,
+            self._confirm_replicated,
+            self._claim_unconfirmed,
+        ):
+            await self._contain(step, now_ms)
+        self._cold.expire(now_ms)
+
+    async def _send_heartbeats(self, _now_ms):
         heartbeats = self._table.pop_heartbeats()
         if heartbeats:
             await self._send_to_replicas(self._batch(heartbeats=heartbeats))
-        current = self._is_current(now_ms)
+
+    async def _expire_upstreams(self, now_ms):
         silent = self._table.expire(
-            now_ms=now_ms, current=current, linked=self._links.keys()
+            now_ms=now_ms,
+            current=self._is_current(now_ms),
+            linked=self._links.keys(),
         )
         if silent:
             await self._push_states(silent)
-        await self._detect_outliers(now_ms)
-        await self._push_loads(now_ms)
-        await self._confirm_replicated(now_ms)
-        await self._claim_unconfirmed(now_ms)
-        self._cold.expire(now_ms)
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -88,6 +88,22 @@
         return await super().offer(message)
 
 
+class FailingOutbox(RecordingOutbox):
+    """Fail for messages of one class, as a fault of the program would."""
+
+    def __init__(self, kind):
+        super().__init__()
+        self.kind = kind
+        self.failures = 0
+
+    async def offer(self, message):
+        """Record a message, or raise an error that the hub doesn't expect."""
+        if isinstance(getattr(message, "message", message), self.kind):
+            self.failures += 1
+            raise ZeroDivisionError
+        return await super().offer(message)
+
+
 class FakeHints:
     """Stand in for the hint file: return given hints, and count changes."""
 
@@ -209,6 +225,40 @@
         self.assertFalse(replies[1].empty())
 
 
+class UnexpectedErrors(testscenarios.TestWithScenarios, HubTest):
+    """An unexpected error in one event or periodic step is contained.
+
+    Guards against a fault in one message or service that ends the process.
+    """
+
+    scenarios = [
+        ("report", {"kind": UpstreamsPush, "is_link": False}),
+        ("subscription", {"kind": ControlState, "is_link": False}),
+        ("routes", {"kind": RoutesPush, "is_link": False}),
+        ("heartbeat and batch", {"kind": DirectoryBatch, "is_link": True}),
+    ]
+
+    def test_others_are_served(self):
+        failing, outbox = FailingOutbox(self.kind), RecordingOutbox()
+        first = (self.link if self.is_link else self.subscribe)(failing)
+        reports = [
+            UpstreamReported(state=state(number), reply=curio.Queue())
+            for number in (1, 2)
+        ]
+        self.run_hub(
+            first,
+            self.replicated(3, route()),
+            *reports,
+            "wait",
+            self.subscribe(outbox),
+        )
+        self.assertThat(failing.failures, GreaterThan(0))
+        (push,) = outbox.messages_of(RoutesPush)
+        self.assertEqual(3, push.revision)
+        (push,) = outbox.messages_of(UpstreamsPush)
+        self.assertEqual(["i-1", "i-2"], [one.upstream_id for one in push.states])
+
+
 class Propagation(HubTest):
     """Changes of routes and upstreams reach forwarders and replicas."""
 
