Apply a departure only to an upstream that is draining

Cause: a departure without a start was taken to be of the last process known under its id. A network cut held it up, the upstream restarted under its id and reported `ready`, and the departure of its predecessor then marked it as gone, for good, as no later report of the same start counts.

An upstream departs only after it has reported that it is draining, so a departure without a start now counts only if the last known process is draining. Else it is confirmed, logged and counted. `upstreamtable` decides, from the event `UpstreamDeparted`; the adapter only reads start and sequence.

With the former decision, the scenarios "ready" and "restarted" and the repeated departure of test_upstreamtable fail, and one of test_packethub.

--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -7,8 +7,8 @@
     "ForwarderMessageReceived",
     "ForwarderSubscribed",
     "ReplicatedStateChanged",
+    "UpstreamDeparted",
     "UpstreamReported",
-    "UpstreamStateRequested",
 ]
 
 
@@ -18,10 +18,13 @@
     __slots__ = ("reply", "state")
 
 
-class UpstreamStateRequested(Record):
-    """Request the state of an upstream; `reply` receives it, or None."""
+class UpstreamDeparted(Record):
+    """Carry an upstream's departure; `reply` receives True once it may be confirmed.
 
-    __slots__ = ("reply", "upstream_id")
+    `born_ms` and `sequence` are None if the departure doesn't name them.
+    """
+
+    __slots__ = ("born_ms", "reply", "sequence", "upstream_id")
 
 
 class ForwarderSubscribed(Record):
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -46,8 +46,8 @@
     ForwarderMessageReceived,
     ForwarderSubscribed,
     ReplicatedStateChanged,
+    UpstreamDeparted,
     UpstreamReported,
-    UpstreamStateRequested,
 )
 from knapweeddeal.packetroutes import diff_routes, without_unreadable_routes
 from knapweeddeal.record import Record
@@ -367,7 +367,26 @@
 
     @_handle.register
     async def _(self, event: UpstreamReported):
-        state, now_ms = event.state, monotonic_ms()
+        await self._apply_report(event.state, event.reply)
+
+    @_handle.register
+    async def _(self, event: UpstreamDeparted):
+        state = self._table.departed_state(
+            event.upstream_id, born_ms=event.born_ms, sequence=event.sequence
+        )
+        if state is None:
+            self._metrics.count("departures_ignored")
+            log.info(
+                "ignored the departure of an upstream that isn't draining",
+                upstream=event.upstream_id,
+            )
+            await event.reply.put(True)
+            return
+        await self._apply_report(state, event.reply)
+
+    async def _apply_report(self, state, reply):
+        """Apply a state received here; confirm it once other replicas have it."""
+        now_ms = monotonic_ms()
         upstream_id = state.upstream_id
         changed = self._table.apply_state(state, now_ms)
         self._metrics.count("reports")
@@ -375,7 +394,7 @@
             state, members=self._members(now_ms), now_ms=now_ms
         )
         if not changed and not is_claimed:
-            await event.reply.put(True)
+            await reply.put(True)
             return
         await self._push_states(changed)
         self._batch_id += 1
@@ -383,17 +402,13 @@
         if is_claimed:
             self._start_claim(self._batch_id, [upstream_id], now_ms)
         self._pending[self._batch_id] = PendingConfirmation(
-            reply=event.reply,
+            reply=reply,
             missing=set(self._links),
             upstream_id=state.upstream_id,
             now_ms=now_ms,
         )
         await self._confirm_replicated(now_ms)
 
-    @_handle.register
-    async def _(self, event: UpstreamStateRequested):
-        await event.reply.put(self._table.get(event.upstream_id))
-
     @_handle.register
     async def _(self, batch: DirectoryBatch):
         now_ms = monotonic_ms()
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -24,7 +24,7 @@
     PublishedRoutesRequest,
     PublishRequest,
 )
-from knapweeddeal.packetevents import UpstreamReported, UpstreamStateRequested
+from knapweeddeal.packetevents import UpstreamDeparted, UpstreamReported
 from knapweeddeal.platform.configurations import decode_configuration
 from knapweeddeal.platform.reports import decode_departure, decode_report
 
@@ -149,23 +149,23 @@
     async def _report(self, argument):
         upstream_id, body = argument
         state = decode_report(upstream_id, body, home=self._identity)
-        return await self._submit_state(state)
+        reply = curio.Queue()
+        await self._hub_events.put(UpstreamReported(state=state, reply=reply))
+        await reply.get()
+        return HttpResponse(status=OK, body=b"{}")
 
     async def _depart(self, argument):
         upstream_id, body = argument
+        born_ms, sequence = decode_departure(upstream_id, body)
         reply = curio.Queue()
         await self._hub_events.put(
-            UpstreamStateRequested(upstream_id=upstream_id, reply=reply)
+            UpstreamDeparted(
+                upstream_id=upstream_id,
+                born_ms=born_ms,
+                sequence=sequence,
+                reply=reply,
+            )
         )
-        last_state = await reply.get()
-        state = decode_departure(upstream_id, body, last_state=last_state)
-        if state is None:
-            return HttpResponse(status=OK, body=b"{}")
-        return await self._submit_state(state.replace(home=self._identity))
-
-    async def _submit_state(self, state):
-        reply = curio.Queue()
-        await self._hub_events.put(UpstreamReported(state=state, reply=reply))
         await reply.get()
         return HttpResponse(status=OK, body=b"{}")
 
--- a/knapweeddeal/platform/reports.py
+++ b/knapweeddeal/platform/reports.py
@@ -1,7 +1,7 @@
 """knapweeddeal.platform.reports: Status reports of upstreams."""
 
 from knapweeddeal.errors import BadMessageError
-from knapweeddeal.messages.packets import DRAINING, GONE, READY, UpstreamState
+from knapweeddeal.messages.packets import DRAINING, READY, UpstreamState
 from knapweeddeal.platform.fields import (
     decode_object,
     number,
@@ -47,20 +47,13 @@
     )
 
 
-def decode_departure(upstream_id, body, *, last_state):
-    """Return the final state of an upstream, or None if `last_state` is None.
-
-    A departure may name start and sequence; without them those of `last_state` hold.
-    """
+def decode_departure(upstream_id, body):
+    """Return start and sequence of a departure, or None for each that it lacks."""
     check_id(upstream_id)
-    if last_state is None:
-        return None
     report = decode_object(body) if body.strip() else {}
-    return last_state.replace(
-        born_ms=optional_number(report, "born", default=last_state.born_ms),
-        sequence=optional_number(report, "seq", default=last_state.sequence),
-        status=GONE,
-        hint=False,
+    return (
+        optional_number(report, "born", default=None),
+        optional_number(report, "seq", default=None),
     )
 
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -16,6 +16,7 @@
 from knapweeddeal.messages.packets import (
     DRAINING,
     NO_EVACUATIONS,
+    READY,
     AnswerCount,
     AnswerCounts,
     ControlState,
@@ -36,6 +37,7 @@
     ForwarderMessageReceived,
     ForwarderSubscribed,
     ReplicatedStateChanged,
+    UpstreamDeparted,
     UpstreamReported,
 )
 from knapweeddeal.packethub import TICK_INTERVAL_MS, PacketHub
@@ -225,6 +227,29 @@
         self.assertFalse(replies[1].empty())
 
 
+class Departures(testscenarios.TestWithScenarios, HubTest):
+    """A departure is confirmed; forwarders learn of that of a draining upstream."""
+
+    scenarios = [
+        ("draining", {"status": DRAINING, "pushed": ["draining", "gone"]}),
+        ("ready", {"status": READY, "pushed": ["ready"]}),
+    ]
+
+    def test_push(self):
+        outbox, replies = RecordingOutbox(), [curio.Queue(), curio.Queue()]
+        self.run_hub(
+            self.subscribe(outbox),
+            UpstreamReported(state=state(status=self.status), reply=replies[0]),
+            UpstreamDeparted(
+                upstream_id="i-1", born_ms=None, sequence=None, reply=replies[1]
+            ),
+        )
+        self.assertFalse(replies[1].empty())
+        pushes = outbox.messages_of(UpstreamsPush)
+        states = [one.status for push in pushes for one in push.states]
+        self.assertEqual(self.pushed, states)
+
+
 class UnexpectedErrors(testscenarios.TestWithScenarios, HubTest):
     """An unexpected error in one event or periodic step is contained.
 
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -106,6 +106,76 @@
         self.assertEqual(self.status, table.get("i-1").status)
 
 
+class Departure(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A departure removes the process that sent it, and no later one.
+
+    Guards against a delayed departure that removes the upstream that was started
+    under the same id meanwhile.
+    """
+
+    DRAINS = state(sequence=5, status=DRAINING)
+    RESTARTED = state(born_ms=2_000, sequence=1)
+
+    scenarios = [
+        ("unknown", {"known": [], "gone": None}),
+        ("draining", {"known": [DRAINS], "gone": 1_000}),
+        ("draining, as a hint", {"known": [DRAINS.replace(hint=True)], "gone": 1_000}),
+        (
+            "draining at another home",
+            {"known": [DRAINS.replace(home=OTHER)], "gone": 1_000},
+        ),
+        ("silent", {"known": [DRAINS.replace(silent=True)], "gone": 1_000}),
+        ("ready", {"known": [state()], "gone": None}),
+        ("restarted", {"known": [DRAINS, RESTARTED], "gone": None}),
+        (
+            "restarted and draining",
+            {
+                "known": [DRAINS, RESTARTED.replace(sequence=2, status=DRAINING)],
+                "gone": 2_000,
+            },
+        ),
+        (
+            "restarted, with the earlier start",
+            {"known": [DRAINS, RESTARTED], "born_ms": 1_000, "gone": None},
+        ),
+        (
+            "ready, with its start",
+            {"known": [DRAINS, RESTARTED], "born_ms": 2_000, "gone": 2_000},
+        ),
+        ("twice", {"known": [DRAINS], "count": 2, "gone": 1_000}),
+    ]
+    born_ms = None
+    count = 1
+
+    def test_apply(self):
+        table = table_with(*self.known)
+        before = table.get("i-1")
+        for _ in range(self.count):
+            departed = table.departed_state("i-1", born_ms=self.born_ms, sequence=None)
+            if departed is not None:
+                table.apply_state(departed, 10)
+        after = table.get("i-1")
+        if self.gone is None:
+            self.assertEqual(before, after)
+        else:
+            self.assertEqual(
+                (GONE, self.gone, OWN), (after.status, after.born_ms, after.home)
+            )
+
+
+class RepeatedDeparture(testtools.TestCase):
+    """The next process is ready, also if the departure comes again."""
+
+    def test_apply(self):
+        table = table_with(Departure.DRAINS)
+        for _ in range(2):
+            departed = table.departed_state("i-1", born_ms=None, sequence=None)
+            if departed is not None:
+                table.apply_state(departed, 10)
+            table.apply_state(Departure.RESTARTED, 20)
+        self.assertEqual(Departure.RESTARTED, table.get("i-1"))
+
+
 class SharedAddress(testscenarios.TestWithScenarios, testtools.TestCase):
     """Of two upstreams at one address, the one that started later is kept."""
 
