Let only upstreams of configured services displace others

Cause: of two upstreams at one address the later start counts, whatever its service. The same report under the id of the running upstream replaced its state.

--- a/knapweeddeal/packetconfigurations.py
+++ b/knapweeddeal/packetconfigurations.py
@@ -3,7 +3,7 @@
 from knapweeddeal.errors import InvalidIntentError
 from knapweeddeal.ipaddresses import is_ipv4
 
-__all__ = ["check_routes", "with_former_services"]
+__all__ = ["check_routes", "configured_services", "with_former_services"]
 
 #: Maximum number of former services of a route.
 MAX_FORMER_SERVICES = 64
@@ -16,6 +16,15 @@
     return new.replace(routes=routes)
 
 
+def configured_services(configuration):
+    """Return the names of all services that a configuration mentions."""
+    names = {service.name for service in configuration.services}
+    for route in configuration.routes:
+        names.update(share.service for share in route.shares)
+        names.update(route.former)
+    return names
+
+
 def check_routes(routes):
     """Raise InvalidIntentError for routes that no forwarder could use.
 
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -41,6 +41,7 @@
     UpstreamsPush,
     ZonesPush,
 )
+from knapweeddeal.packetconfigurations import configured_services
 from knapweeddeal.packetevents import (
     ForwarderDisconnected,
     ForwarderMessageReceived,
@@ -555,11 +556,14 @@
         self._replicas = event.replicas
         await self._set_evacuations(event.evacuations)
         if self._is_newer(event.configuration):
-            self._set_configuration(event.configuration)
+            changed = self._set_configuration(event.configuration)
             self._diffs = {}
             for outbox in self._forwarders:
                 await self._push_routes(outbox)
             await self._hints.mark_dirty()
+            if changed:
+                await self._push_states(changed)
+                await self._replicate(changed, 0, now_ms)
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._control_state())
@@ -606,6 +610,7 @@
             )
 
     def _set_configuration(self, configuration):
+        """Adopt a configuration; return the upstreams that changed with it."""
         self._configuration = without_unreadable_routes(configuration)
         left_out = len(configuration.routes) - len(self._configuration.routes)
         if left_out:
@@ -615,6 +620,7 @@
                 routes=left_out,
             )
         self._cold.services = {terms.name: terms for terms in configuration.services}
+        return self._table.set_services(configured_services(configuration))
 
     def _is_newer(self, configuration):
         """Return whether a configuration is newer: hints may be ahead of the log."""
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -48,6 +48,7 @@
         "_by_address",
         "_entries",
         "_own_identity",
+        "_services",
         "_silence_timeout_ms",
     )
 
@@ -55,8 +56,10 @@
         self._own_identity = own_identity
         self._silence_timeout_ms = report_ms * SILENT_REPORTS
         self._entries = {}
-        #: The upstream that started last at an address, by address.
+        #: The upstream of a configured service that started last at an address.
         self._by_address = {}
+        #: Names of the services in the configuration.
+        self._services = frozenset()
         self._unsent_heartbeats = {}
 
     # Queries.
@@ -142,6 +145,8 @@
         entry = self._entries.get(state.upstream_id)
         if entry is not None and not _is_superseded(entry.state, state):
             return []
+        if entry is not None and self._is_foreign(entry.state, state):
+            return []
         if state.status != GONE and self._is_displaced(state):
             return []
         if entry is None and state.status == GONE and state.hint:
@@ -167,6 +172,18 @@
             changed.append(state)
         return changed
 
+    def set_services(self, names):
+        """Set the names of the configured services; return the states that changed.
+
+        Upstreams that reported before their service was configured displace others at
+        their address now.
+        """
+        self._services = frozenset(names)
+        changed = []
+        for entry in sorted(self._entries.values(), key=lambda e: e.state.born_ms):
+            changed += self._displace(entry.state)
+        return changed
+
     def mark_failing(self, failing, suspects):
         """Set the failing mark of suspects of this home; return the changed states."""
         changed = []
@@ -276,14 +293,27 @@
         factor = 1 if state.home in linked else LOST_HOME_FACTOR
         return current and age_ms >= self._silence_timeout_ms * factor
 
+    def _is_foreign(self, current, state):
+        """Return whether another writer sent a report under an upstream's id.
+
+        Such a report names a service that isn't configured, while the upstream reports.
+        """
+        is_live = current.status != GONE and not current.silent
+        is_configured = current.service in self._services
+        return is_live and is_configured and state.service not in self._services
+
     def _is_displaced(self, state):
         """Return whether an upstream that started later has the address."""
         other = self._other_at_address(state)
         return other is not None and other.state.born_ms > state.born_ms
 
     def _displace(self, state):
-        """Mark the earlier upstream at the address as gone, and return its state."""
-        if state.status == GONE:
+        """Mark the earlier upstream at the address as gone, and return its state.
+
+        Reports of services that aren't configured may come from other writers, so they
+        don't say who has an address.
+        """
+        if state.status == GONE or state.service not in self._services:
             return []
         other = self._other_at_address(state)
         self._by_address[(state.host, state.port)] = state.upstream_id
@@ -293,11 +323,13 @@
         return [other.state]
 
     def _other_at_address(self, state):
-        """Return the entry of another upstream at the address, or None."""
+        """Return the entry of another configured upstream at the address, or None."""
         address = (state.host, state.port)
         other = self._entries.get(self._by_address.get(address))
         if other is None or other.state.upstream_id == state.upstream_id:
             return None
+        if other.state.service not in self._services:
+            return None
         has_address = (other.state.host, other.state.port) == address
         return other if has_address and other.state.status != GONE else None
 
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -15,6 +15,7 @@
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.packets import (
     DRAINING,
+    GONE,
     NO_EVACUATIONS,
     READY,
     AnswerCount,
@@ -250,6 +251,37 @@
         self.assertEqual(self.pushed, states)
 
 
+class UnknownService(HubTest):
+    """An upstream's address counts as its own once its service is configured.
+
+    Guards against a report of another writer that removes a running upstream.
+    """
+
+    def statuses(self, *events):
+        """Return the pushed states of upstream 1, after a later one at its address."""
+        outbox = RecordingOutbox()
+        reports = [
+            state(1, host="10.0.0.9"),
+            state(2, host="10.0.0.9", born_ms=2_000, service="archive"),
+        ]
+        self.run_hub(
+            self.subscribe(outbox),
+            self.replicated(3, route()),
+            *(UpstreamReported(state=one, reply=curio.Queue()) for one in reports),
+            *events,
+        )
+        pushes = outbox.messages_of(UpstreamsPush)
+        states = [one for push in pushes for one in push.states]
+        return [one.status for one in states if one.upstream_id == "i-1"]
+
+    def test_unknown(self):
+        self.assertEqual([READY], self.statuses())
+
+    def test_configured_later(self):
+        later = self.replicated(4, route(), route("archive", port=80))
+        self.assertEqual([READY, GONE], self.statuses(later))
+
+
 class UnexpectedErrors(testscenarios.TestWithScenarios, HubTest):
     """An unexpected error in one event or periodic step is contained.
 
