Sync what a start keeps of a log before noting it as synced

A replica that was killed between the write and the sync of a record, and lost power before its next record, ended with `corrupt_storage` at each start: the first restart had noted the record's bytes as synced in the manifest without syncing the log.

The last file is truncated and synced before its size is noted.

tests/crashdisk.py ends a process before each access to a file, at the first run and again at the restart, and takes away what was never synced, in every combination.

--- a/knapweeddeal/frames.py
+++ b/knapweeddeal/frames.py
@@ -16,6 +16,7 @@
     "read_frames",
     "read_message",
     "sync_folder",
+    "truncate_and_sync",
     "write_all",
     "write_atomically",
 ]
@@ -78,6 +79,16 @@
         view = view[file.write(view) :]
 
 
+def truncate_and_sync(path, size_bytes):
+    """Truncate a file, and sync what remains of it.
+
+    After a restart of the process, a file may hold bytes that were never synced.
+    """
+    with open(path, "r+b", buffering=0) as file:
+        os.ftruncate(file.fileno(), size_bytes)
+        os.fdatasync(file.fileno())
+
+
 def sync_folder(path):
     """Sync a folder's entries, so that created and renamed files survive a crash."""
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
--- a/knapweeddeal/journal.py
+++ b/knapweeddeal/journal.py
@@ -11,6 +11,7 @@
     decode_as,
     encode_frame,
     read_frames,
+    truncate_and_sync,
     write_all,
     write_atomically,
 )
@@ -204,7 +205,7 @@
         if payloads and payloads[-1] == SEAL:
             payloads.pop()
             end -= len(encode_frame(SEAL))
-        os.truncate(path, end)
+        truncate_and_sync(path, end)
         self._manifest.set_synced(end, 0)
 
     def _open_last(self):
--- a/knapweeddeal/storage.py
+++ b/knapweeddeal/storage.py
@@ -13,6 +13,7 @@
     encode_frame,
     read_frames,
     read_message,
+    truncate_and_sync,
     write_all,
     write_atomically,
 )
@@ -184,8 +185,7 @@
             raise corruption_error(path, 0, "the file is missing") from None
         payloads, end = read_frames(path, data, self._manifest.synced_bytes)
         self.truncated_bytes = len(data) - end
-        if self.truncated_bytes:
-            os.truncate(path, end)
+        truncate_and_sync(path, end)
         self._manifest.set_synced(end, 0)
         self.records = self._merge_records(path, payloads)
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 """tests.test_storage: Tests of the data folder with damage and torn writes."""
 
+import fcntl
 import os
 import shutil
 import tempfile
@@ -13,6 +14,7 @@
 from knapweeddeal.messages.control import LogRecord, Replica
 from knapweeddeal.messages.replication import HardState, SnapshotFile
 from knapweeddeal.storage import DataFolder
+from tests.crashdisk import CrashTest
 
 IDENTITY = 77
 
@@ -276,6 +278,44 @@
         self.assertEqual(expected, self.events)
 
 
+class Crashes(CrashTest):
+    """A kill or a loss of power before any access to a file loses nothing synced.
+
+    Guards against a folder that doesn't open again, as after a restart records count as
+    synced that were only written.
+    """
+
+    def setUp(self):
+        super().setUp()
+        # The lock of a killed process has ended with it.
+        self.patch(fcntl, "flock", lambda *_: None)
+
+    def work(self):
+        """Open a new folder and append two records, then a snapshot and one more."""
+        folder = self.open()
+        for index in (1, 2):
+            folder.append([record(index)], commit_index=index - 1)
+            self.synced = index
+        folder.set_snapshot(snapshot(2), [])
+        folder.append([record(3)])
+        self.synced = 3
+
+    def restart(self):
+        """Open the folder and return its last index."""
+        folder = self.open()
+        base = folder.snapshot.last_index if folder.snapshot else 0
+        return folder.records[-1].index if folder.records else base
+
+    def open(self):
+        """Open the folder on the disk."""
+        folder = DataFolder(path=self.disk.path, new_identity=lambda: IDENTITY)
+        self.addCleanup(folder.close)
+        return folder
+
+    def test_every_access(self):
+        self.check_every_access()
+
+
 class FullDisk(testscenarios.TestWithScenarios, FolderTest):
     """A failed write leaves no trace, and the next write succeeds.
 
