Create the manifest of a folder at once

The manifest is written with its slots and renamed once. An empty one that an earlier version left is created again if no segment holds a byte.

`Crashes` of test_journal, which ends a process before each access to a file, fails without the change, and so does its case of an earlier version's manifest.

--- a/knapweeddeal/journal.py
+++ b/knapweeddeal/journal.py
@@ -11,6 +11,7 @@
     decode_as,
     encode_frame,
     read_frames,
+    sync_folder,
     truncate_and_sync,
     write_all,
     write_atomically,
@@ -74,9 +75,11 @@
         self._path = Path(path)
         self._segment_bytes = segment_bytes
         self._max_segments = max_segments
-        self._path.mkdir(exist_ok=True)
+        if not self._path.exists():
+            self._path.mkdir()
+            sync_folder(self._path.parent)
         manifest = self._path / MANIFEST_NAME
-        if not manifest.exists():
+        if not manifest.exists() or self._is_unfinished(manifest):
             self._create(manifest)
         self._manifest = Manifest(path=manifest)
         self._segments = self._read_segments()
@@ -150,6 +153,16 @@
                 del by_id[record_id]
         return list(by_id.values())
 
+    def _is_unfinished(self, manifest):
+        """Return whether a crash interrupted the creation by an earlier version.
+
+        It wrote an empty manifest and then its slots, before the first record.
+        """
+        segments = self._path.glob("refusals-*")
+        return not any(manifest.read_bytes()) and not any(
+            path.stat().st_size for path in segments
+        )
+
     def _create(self, manifest):
         write_atomically(self._segment_path(1), b"")
         Manifest.create(manifest)
--- a/knapweeddeal/manifest.py
+++ b/knapweeddeal/manifest.py
@@ -41,15 +41,13 @@
 
     @classmethod
     def create(cls, path):
-        """Write the manifest of an empty folder."""
-        write_atomically(path, bytes(SLOT_SPACING_BYTES * SLOTS))
-        manifest = cls.__new__(cls)
-        manifest._path = path
-        manifest._file = open(path, "r+b", buffering=0)  # noqa: SIM115
-        manifest._sequence = 0
-        manifest.commit_index = 0
-        manifest.switch_files(log_number=1, synced_bytes=0, snapshot_index=0)
-        manifest.close()
+        """Write the manifest of an empty folder, all at once."""
+        data = bytearray(SLOT_SPACING_BYTES * SLOTS)
+        for sequence in range(1, SLOTS + 1):
+            slot = encode_frame(SLOT.pack(sequence, 1, 0, 0, 0))
+            offset = sequence % SLOTS * SLOT_SPACING_BYTES
+            data[offset : offset + len(slot)] = slot
+        write_atomically(path, bytes(data))
 
     def set_synced(self, synced_bytes, commit_index):
         """Persist the synced size of the log and the commit index."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,9 +9,12 @@
 import testtools
 
 from knapweeddeal.errors import CorruptStorageError
+from knapweeddeal.frames import encode_frame
 from knapweeddeal.journal import Journal
+from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.operator import RefusalsRequest
 from knapweeddeal.messages.peer import RefusalRecord
+from tests.crashdisk import CrashTest
 
 SEGMENT_BYTES = 400
 MAX_SEGMENTS = 4
@@ -222,3 +225,40 @@
     def fail_rename(self, *_):
         """Raise the error of a full disk."""
         raise OSError("no space left on device")
+
+
+class Crashes(CrashTest):
+    """A kill or a loss of power before any access to a file loses nothing synced.
+
+    Guards against a journal that doesn't open again, as a crash at its first start left
+    an empty manifest, or as records count as synced that were only written.
+    """
+
+    def work(self):
+        """Open a new journal and append records until the second segment has one."""
+        journal = self.open()
+        for number in range(1, 4):
+            journal.append([refusal(number)])
+            self.synced = number
+
+    def restart(self):
+        """Open the journal and return its number of records."""
+        return self.open().count()
+
+    def open(self):
+        """Open the journal on the disk, with two records in a segment."""
+        size_bytes = 2 * len(encode_frame(encode(refusal(1))))
+        journal = Journal(path=self.disk.path / "refusals", segment_bytes=size_bytes)
+        self.addCleanup(journal.close)
+        return journal
+
+    def test_every_access(self):
+        self.check_every_access()
+
+    def test_manifest_of_an_earlier_version(self):
+        """It was created empty, and its slots were written after it."""
+        path = self.disk.path / "refusals"
+        path.mkdir()
+        (path / "refusals-00000001").write_bytes(b"")
+        (path / "manifest").write_bytes(bytes(1_024))
+        self.assertEqual(0, self.restart())
