Refuse JSON that other readers refuse or read differently

A configuration with `NaN` or `Infinity`, in UTF-16, or with a key twice was confirmed, kept and returned byte for byte: other readers fail on it, or take the other one of two values.

Bodies are UTF-8 without a byte order mark; constants that JSON lacks and repeated keys are refused with `bad_message`.

The 9 new scenarios of test_platform fail without the change.

--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -23,9 +23,17 @@
 
 
 def decode_object(body):
-    """Return the object in a JSON body; raise BadMessageError."""
+    """Return the object in a JSON body; raise BadMessageError.
+
+    Refuses what other readers of JSON refuse or read differently: encodings besides
+    UTF-8, `NaN`, `Infinity`, and a key that an object has twice.
+    """
     try:
-        value = json.loads(body)
+        value = json.loads(
+            body.decode(),
+            object_pairs_hook=_object,
+            parse_constant=_refuse_constant,
+        )
     except (ValueError, RecursionError):
         raise BadMessageError("expected JSON", field="body") from None
     if type(value) is not dict:
@@ -33,6 +41,19 @@
     return value
 
 
+def _object(pairs):
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise BadMessageError("expected each key once", field="body", value=repeated)
+    return fields
+
+
+def _refuse_constant(name):
+    raise BadMessageError("expected a JSON number", field="body", value=name)
+
+
 def text(body, name):
     """Return a text of 1 to 64 characters; raise BadMessageError."""
     value = body.get(name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -117,6 +117,15 @@
     scenarios = [
         ("not JSON", {"body": b"{"}),
         ("not UTF-8", {"body": b"\xff\xfe{}"}),
+        ("UTF-16", {"body": json.dumps(REPORT).encode("utf-16")}),
+        ("UTF-8 with a byte order mark", {"body": b"\xef\xbb\xbf" + encoded(REPORT)}),
+        ("not a number", {"body": {**REPORT, "later": float("nan")}}),
+        ("infinity", {"body": {**REPORT, "later": [float("-inf")]}}),
+        ("a key twice", {"body": encoded(REPORT)[:-1] + b', "seq": 5}'}),
+        (
+            "a nested key twice",
+            {"body": encoded(REPORT)[:-1] + b', "a": {"b":1,"b":1}}'},
+        ),
         ("a list", {"body": []}),
         ("nested too deeply", {"body": b"[" * 100_000}),
         *[
@@ -234,6 +243,9 @@
 
     scenarios = [
         ("truncated", {"body": encoded(DOCUMENT)[:-20]}),
+        ("UTF-16", {"body": json.dumps(DOCUMENT).encode("utf-16-le")}),
+        ("not a number", {"body": with_changes(later=float("nan"))}),
+        ("a key twice", {"body": encoded(DOCUMENT)[:-1] + b', "version": 8}'}),
         ("no version", {"body": {k: v for k, v in DOCUMENT.items() if k != "version"}}),
         ("no routes", {"body": with_changes(routes=None)}),
         ("services not a list", {"body": with_changes(services="none")}),
