Soak: send input of other writers; fail on an error in a thread of a stand-in

`make run` and a soak ended with a traceback (`OSError: Bad file descriptor`) beside "broken promises: none": the callers' receiving thread closed the socket while the other one still sent. Both threads end before the socket is closed, and an error in any thread of a stand-in is a broken promise now.

A new kind of fault, `strangers`, sends reports, configurations and orders that must be refused, reports of unknown services at addresses and under ids of running upstreams, garbage to the API, and malformed packets.

--- a/demo/packets.py
+++ b/demo/packets.py
@@ -67,6 +67,7 @@
     """Run, report, and return whether all guarantees held."""
     began_s = time.monotonic()
     problems = Problems()
+    problems.watch_threads()
     cluster = Cluster(base=default_base(), fault_injection=False)
     traffic = Traffic(
         cluster=cluster,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,14 @@
 import sys
 import time
 
-from soak.cluster import FORWARDERS, ZONES, Cluster, wait_until
+from soak.cluster import (
+    API_PORT,
+    FORWARDERS,
+    PACKET_PORT,
+    ZONES,
+    Cluster,
+    wait_until,
+)
 from soak.faults import FAULTS, Faults, can_evacuate, can_remove
 from soak.peers import (
     DRAIN_LIMIT_S,
@@ -14,6 +21,7 @@
     Operator,
     Problems,
 )
+from soak.strangers import Strangers
 from soak.traffic import Traffic
 
 SERVICES = ("records", "archive")
@@ -57,6 +65,7 @@
 def run(seed, *, base, seconds, kinds):
     """Run one seed; return violations, injected faults, counts and the log folder."""
     problems = Problems()
+    problems.watch_threads()
     cluster = Cluster(base=base)
     rng = random.Random(seed)
     traffic = Traffic(
@@ -76,6 +85,14 @@
         callers=callers,
         upstreams=upstreams,
         operator=operator,
+        strangers=Strangers(
+            cluster=cluster,
+            callers=callers,
+            make_document=make_document,
+            problems=problems,
+            random=random.Random(seed),
+            ports=(API_PORT, PACKET_PORT),
+        ),
         random=rng,
         kinds=kinds,
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,8 +21,11 @@
 class Faults:
     """Inject faults at random times; some overlap."""
 
-    def __init__(self, *, cluster, callers, upstreams, operator, random, kinds):
+    def __init__(
+        self, *, cluster, callers, upstreams, operator, strangers, random, kinds
+    ):
         self._kinds = kinds
+        self._strangers = strangers
         self.cluster = cluster
         self.random = random
         self.injected = []
@@ -164,6 +167,10 @@
                 time.sleep(duration_s)
                 self._operator.readmit(zone, self._callers)
 
+    def strangers(self, duration_s):
+        """Send input that breaks the protocol."""
+        self._strangers.send(duration_s)
+
     def _serving(self):
         """Return the upstreams outside of zones that may be evacuated."""
         evacuated = self._callers.evacuated_s
@@ -200,4 +207,5 @@
     "disk": Faults.disk,
     "clock": Faults.clock,
     "evacuate": Faults.evacuate,
+    "strangers": Faults.strangers,
 }
--- a/soak/peers.py
+++ b/soak/peers.py
@@ -7,6 +7,7 @@
 import struct
 import threading
 import time
+import traceback
 
 from knapweeddeal.packetheader import ACK, FIN, RST, SYN
 
@@ -43,6 +44,16 @@
     def __init__(self):
         self.found = []
 
+    def watch_threads(self):
+        """Record a thread of a stand-in that ends by an error, from now on."""
+        threading.excepthook = self._add_thread
+
+    def _add_thread(self, hook):
+        trace = traceback.format_exception(
+            hook.exc_type, hook.exc_value, hook.exc_traceback
+        )
+        self.add("a thread ended by an error", thread=hook.thread.name, trace=trace)
+
     def add(self, kind, **details):
         """Record a violation with the present time, unless 20 are recorded."""
         line = f"{time.monotonic():.3f} {kind}: {details}"
@@ -216,8 +227,12 @@
         self._next_port = 10_000
         self._lock = threading.Lock()
         self._running = True
-        for loop in (self._receive, self._run):
-            threading.Thread(target=loop, daemon=True).start()
+        self._threads = [
+            threading.Thread(target=loop, daemon=True)
+            for loop in (self._receive, self._run)
+        ]
+        for thread in self._threads:
+            thread.start()
 
     def service_of(self, port):
         """Return the service behind a port, or None."""
@@ -230,6 +245,10 @@
     def close(self):
         """Stop opening flows and sending on them."""
         self._running = False
+        # Both use the socket.
+        for thread in self._threads:
+            thread.join()
+        self._socket.close()
 
     def check_arrival(self, sport, name, body, *, ends):
         """Check that a packet reached the upstream of its flow, with the sent body."""
@@ -308,7 +327,6 @@
                 flow = self._flows.get(fields[6])
             if flow is not None:
                 self._handle_packet(flow, fields, source)
-        self._socket.close()
 
     def _handle_packet(self, flow, fields, source):
         flags, echo = fields[0], fields[2]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,13 @@
 import os
 import subprocess
 import sys
+import threading
 
 import testscenarios
 import testtools
 
 from demo.cluster import BASE_VARIABLE, default_base
+from soak.peers import Callers, Problems
 from tests.processes import ROOT
 
 #: Kinds of faults that existed when the first seeds ran; a seed repeats its run only
@@ -29,9 +31,49 @@
     ("short run", {"seed": 1, "seconds": 6}),
     # SIGHUP ended a replica that had just started and did not handle signals yet.
     ("reload during a start", {"seed": 18, "seconds": 10, "kinds": FIRST_KINDS}),
+    # One report or configuration of another writer ended replicas, or reset flows.
+    (
+        "strangers",
+        {"seed": 101, "seconds": 4, "kinds": ("strangers", "pause", "kill replica")},
+    ),
 ]
 
 
+class StandIns(testtools.TestCase):
+    """An error in a thread of a stand-in fails the run.
+
+    Guards against a traceback beside a report without a broken promise.
+    """
+
+    def test_error(self):
+        self.patch(threading, "excepthook", threading.excepthook)
+        problems = Problems()
+        problems.watch_threads()
+        thread = threading.Thread(target=lambda: 1 / 0)
+        thread.start()
+        thread.join()
+        (found,) = problems.found
+        self.assertIn("ZeroDivisionError", found)
+
+    def test_close(self):
+        """Callers don't send on their socket after it was closed."""
+        self.patch(threading, "excepthook", threading.excepthook)
+        problems = Problems()
+        problems.watch_threads()
+        for number in range(5):
+            callers = Callers(
+                address=("127.0.0.1", 0),
+                forwarders=[("127.0.0.1", 9)],
+                routes={443: "records"},
+                service_host="198.18.0.1",
+                problems=problems,
+                seed=number,
+            )
+            callers.open_interval_s = 0.0
+            callers.close()
+        self.assertEqual([], problems.found)
+
+
 class Soak(testscenarios.TestWithScenarios, testtools.TestCase):
     """Random faults on real processes must violate no guarantee.
 
