Keep a replica running when hints can't be encoded or services stay the same

Hints that can't be encoded ended the process, although they only save time after the next start; the error is logged as a failed write is. The new test fails without the change. A configuration that mentions the same services as the one before no longer sorts all upstreams by start to compare their addresses.

--- a/knapweeddeal/directoryhints.py
+++ b/knapweeddeal/directoryhints.py
@@ -10,7 +10,11 @@
 import curio
 
 from knapweeddeal.disk import run_blocking
-from knapweeddeal.errors import CorruptStorageError, DiskFailedError
+from knapweeddeal.errors import (
+    BadMessageError,
+    CorruptStorageError,
+    DiskFailedError,
+)
 from knapweeddeal.frames import encode_frame, read_message, write_atomically
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import encode
@@ -52,9 +56,9 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
-            data = encode_frame(encode(collect()))
             try:
+                data = encode_frame(encode(collect()))
                 await run_blocking(write_atomically, self._path, data)
-            except DiskFailedError as error:
+            except (BadMessageError, DiskFailedError) as error:
                 log.warning("failed to write hints", error=error.describe())
             await curio.sleep(WRITE_INTERVAL_MS / 1000)
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -178,6 +178,8 @@
         Upstreams that reported before their service was configured displace others at
         their address now.
         """
+        if self._services == names:
+            return []
         self._services = frozenset(names)
         changed = []
         for entry in sorted(self._entries.values(), key=lambda e: e.state.born_ms):
--- a/tests/test_directoryhints.py
+++ b/tests/test_directoryhints.py
@@ -61,6 +61,12 @@
         self.write(hints(3), hints(4), hints(5), pause_s=WRITE_INTERVAL_MS / 1000)
         self.assertEqual(5, HintFile(folder=self.folder).read().revision)
 
+    def test_after_unencodable_hints(self):
+        """Guards against hints that end the process, and with it those that follow."""
+        unencodable = hints(revision=2**64)
+        self.write(unencodable, hints(5), pause_s=1.5 * WRITE_INTERVAL_MS / 1000)
+        self.assertEqual(5, HintFile(folder=self.folder).read().revision)
+
     def test_no_file(self):
         self.assertIsNone(HintFile(folder=self.folder).read())
 
