Check the routes of a publication once

The leader checks them when it makes the record; a revision that isn't newer is checked when it is answered.

The two calls of upstreams share how they wait for the hub.

--- a/knapweeddeal/commandrecords.py
+++ b/knapweeddeal/commandrecords.py
@@ -9,6 +9,7 @@
 from knapweeddeal.messages.operator import ConfirmRequest, PlanRequest
 from knapweeddeal.messages.packets import PublishRecord, PublishRequest
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
+from knapweeddeal.packetconfigurations import check_routes
 from knapweeddeal.plans import apply_steps
 
 __all__ = ["command_bytes", "command_record"]
@@ -69,6 +70,7 @@
 
 @command_record.register
 def _(message: PublishRequest, _replica, *, wall_ms):
+    check_routes(message.configuration.routes)
     return PublishRecord(
         operator="", request_id="", configuration=message.configuration
     )
--- a/knapweeddeal/controlqueries.py
+++ b/knapweeddeal/controlqueries.py
@@ -52,17 +52,17 @@
 
 @local_answer.register
 def _(message: PublishRequest, replica):
-    """Refuse invalid routes at any replica.
+    """Answer at once if the revision isn't newer, as it would change nothing.
 
-    Answer at once if the revision isn't newer, as it would change nothing.
+    Of a newer one the leader checks the routes, once.
     """
+    revision = replica.state.packets.revision
+    if message.configuration.revision > revision:
+        return None
     try:
         check_routes(message.configuration.routes)
     except InvalidIntentError as error:
         return failure_answer(error)
-    revision = replica.state.packets.revision
-    if message.configuration.revision > revision:
-        return None
     return PublishAnswer(revision=revision)
 
 
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -335,7 +335,8 @@
                 # A later version wrote the command, and other replicas apply it.
                 raise
             # Earlier versions logged commands with values beyond the limits of fields.
-            # They have no effect, on any replica.
+            # They have no effect, on any replica. For this, a limit is raised only
+            # together with a new tag.
             self.metrics.count("unreadable_commands")
             log.warning(
                 "skipped a command that can't be read",
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -149,24 +149,24 @@
     async def _report(self, argument):
         upstream_id, body = argument
         state = decode_report(upstream_id, body, home=self._identity)
-        reply = curio.Queue()
-        await self._hub_events.put(UpstreamReported(state=state, reply=reply))
-        await reply.get()
-        return HttpResponse(status=OK, body=b"{}")
+        return await self._confirm(UpstreamReported(state=state, reply=curio.Queue()))
 
     async def _depart(self, argument):
         upstream_id, body = argument
         born_ms, sequence = decode_departure(upstream_id, body)
-        reply = curio.Queue()
-        await self._hub_events.put(
+        return await self._confirm(
             UpstreamDeparted(
                 upstream_id=upstream_id,
                 born_ms=born_ms,
                 sequence=sequence,
-                reply=reply,
+                reply=curio.Queue(),
             )
         )
-        await reply.get()
+
+    async def _confirm(self, event):
+        """Return the response to an event once the hub confirms it."""
+        await self._hub_events.put(event)
+        await event.reply.get()
         return HttpResponse(status=OK, body=b"{}")
 
     # Failures.
--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -359,6 +359,12 @@
         self.assertEqual(last_index, self.replica.node.log.last_index)
         self.assertEqual(1, self.create_service(1))
 
+    def test_refused_under_an_old_revision(self):
+        """A revision that isn't newer changes nothing, but isn't confirmed either."""
+        self.assertEqual(7, self.submit(publish(route()))[0].revision)
+        (answer,) = self.submit(publish(route(host="::1")))
+        self.assertEqual("invalid_intent", answer.code)
+
     def test_logged_by_an_earlier_version(self):
         record = PublishRecord(
             operator="",
