--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -58,8 +58,8 @@
         write_faults(self.faults_path, **faults)
 
     def send_signal(self, number):
-        """Send a signal to this process."""
-        if self.child.poll() is None:
+        """Send a signal to this process, if it has been started and hasn't ended."""
+        if self.child is not None and self.child.poll() is None:
             os.kill(self.child.pid, number)
 
     def kill(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,19 @@
 """tests.test_soak: A short soak, and seeds of earlier failures."""
 
 import os
+import shutil
+import signal
 import subprocess
 import sys
+import tempfile
 import threading
+from pathlib import Path
 
 import testscenarios
 import testtools
 
 from demo.cluster import BASE_VARIABLE, default_base
+from soak.cluster import Process
 from soak.peers import Callers, Problems
 from tests.processes import ROOT
 
@@ -31,6 +36,8 @@
     ("short run", {"seed": 1, "seconds": 6}),
     # SIGHUP ended a replica that had just started and did not handle signals yet.
     ("reload during a start", {"seed": 18, "seconds": 10, "kinds": FIRST_KINDS}),
+    # A replica whose disk was being replaced got a signal, which ended a thread.
+    ("reload during a replacement", {"seed": 3330688605, "seconds": 12}),
     # One report or configuration of another writer ended replicas, or reset flows.
     (
         "strangers",
@@ -39,6 +46,22 @@
 ]
 
 
+class UnstartedProcess(testtools.TestCase):
+    """A replica gets a signal while its disk is replaced.
+
+    Guards against an error of the soak's own that ends a fault early.
+    """
+
+    def test_signal(self):
+        folder = Path(tempfile.mkdtemp(prefix="soak-"))
+        self.addCleanup(shutil.rmtree, folder)
+        process = Process(
+            folder=folder, name="replica", settings="", fault_injection=False
+        )
+        process.send_signal(signal.SIGHUP)
+        self.assertFalse(process.ended_unexpectedly())
+
+
 class StandIns(testtools.TestCase):
     """An error in a thread of a stand-in fails the run.
 
