Share a set-up of tests, and check the field that a scenario names

The two tests of Replacements start in the same way. A scenario of UnreadableCommands named the field of its error, and nothing compared it; the padded address names it now too. No assertion was loosened.

--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -330,7 +330,10 @@
 
     scenarios = [
         ("IPv6 address", {"message": publish(route(host="::1")), "field": "host"}),
-        ("padded address", {"message": publish(route(host="10.0.0.08"))}),
+        (
+            "padded address",
+            {"message": publish(route(host="10.0.0.08")), "field": "host"},
+        ),
         (
             "too many shares",
             {"message": publish(route(*(f"s{n}" for n in range(65))))},
@@ -356,6 +359,8 @@
         last_index = self.replica.node.log.last_index
         (answer,) = self.submit(self.message)
         self.assertIn(answer.code, ("bad_message", "invalid_intent"))
+        if self.field is not None:
+            self.assertEqual(self.field, answer.field)
         self.assertEqual(last_index, self.replica.node.log.last_index)
         self.assertEqual(1, self.create_service(1))
 
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -190,12 +190,15 @@
         )
     ]
 
-    def test_a_majority_is_reachable(self):
+    def setUp(self):
+        super().setUp()
         self.now_ms = 0
         self.reachable = list(range(1, self.members + 1))
         self.node = FakeNode(members=[member(i) for i in self.reachable])
         self.reconcilers = {}
         self.run_for(SETTLING_TIME_MS)
+
+    def test_a_majority_is_reachable(self):
         for replacement in range(self.members + 1, self.members + 8):
             failed = self.reachable.pop(0 if self.leader_fails else -1)
             if self.leader_fails:
@@ -208,11 +211,6 @@
 
     def test_a_pause_replaces_nobody(self):
         """Guards against removing a member that is back within the timeout."""
-        self.now_ms = 0
-        self.reachable = list(range(1, self.members + 1))
-        self.node = FakeNode(members=[member(i) for i in self.reachable])
-        self.reconcilers = {}
-        self.run_for(SETTLING_TIME_MS)
         paused = self.reachable.pop()
         self.run_for(UNREACHABLE_TIMEOUT_MS - STEP_MS)
         self.assertIn(paused, self.node.members)
