Soak: let strangers call through the client of the replicas

Strangers had their own HTTP call, ports and a literal port of the upstreams beside ReplicaClient, soak.cluster and soak.traffic. They use those; what is sent stays the same, and redirects are followed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,14 +5,7 @@
 import sys
 import time
 
-from soak.cluster import (
-    API_PORT,
-    FORWARDERS,
-    PACKET_PORT,
-    ZONES,
-    Cluster,
-    wait_until,
-)
+from soak.cluster import FORWARDERS, ZONES, Cluster, wait_until
 from soak.faults import FAULTS, Faults, can_evacuate, can_remove
 from soak.peers import (
     DRAIN_LIMIT_S,
@@ -87,11 +80,10 @@
         operator=operator,
         strangers=Strangers(
             cluster=cluster,
-            callers=callers,
+            traffic=traffic,
             make_document=make_document,
             problems=problems,
             random=random.Random(seed),
-            ports=(API_PORT, PACKET_PORT),
         ),
         random=rng,
         kinds=kinds,
--- a/soak/strangers.py
+++ b/soak/strangers.py
@@ -1,12 +1,12 @@
 """soak.strangers: Input of other writers and clients that break the protocol."""
 
-import http.client
-import json
 import socket
 import time
 
 from knapweeddeal.packetheader import SYN
+from soak.cluster import API_PORT, PACKET_PORT
 from soak.peers import CALL_TIMEOUT_S, HEADER, PACKET_SUM, host_number
+from soak.traffic import UPSTREAM_PORT
 
 __all__ = ["Strangers"]
 
@@ -27,14 +27,13 @@
 class Strangers:
     """Send calls that must be refused or change nothing, and malformed packets."""
 
-    def __init__(self, *, cluster, callers, make_document, problems, random, ports):
+    def __init__(self, *, cluster, traffic, make_document, problems, random):
         self._cluster = cluster
-        self._callers = callers
+        self._client = traffic.client
+        self._callers = traffic.callers
         self._make_document = make_document
         self._problems = problems
         self._random = random
-        #: Ports of the replicas' API and of the forwarders' packets.
-        self._api_port, self._packet_port = ports
 
     def send(self, duration_s):
         """Send random input for some time."""
@@ -59,13 +58,13 @@
         body = {**self._report(), "service": "elsewhere", "zone": "elsewhere"}
         body["born"] = time.time_ns() // 1_000_000 + 1_000
         name = f"i-{self._random.randrange(1, 16):x}"
-        self._call("PUT", f"/-/instances/{name}", json.dumps(body).encode())
+        self._client.request("PUT", f"/-/instances/{name}", body)
 
     def _report(self):
         host, upstream = self._random.choice(list(self._callers.upstreams.items()))
         return {
             "service": upstream.service,
-            "addr": f"{host}:7005",
+            "addr": f"{host}:{UPSTREAM_PORT}",
             "zone": upstream.zone,
             "slots": 2,
             "state": "ready",
@@ -92,32 +91,15 @@
         self._expect_refusal("POST", f"/-/evacuate/{zone}", None)
 
     def _expect_refusal(self, method, target, body):
-        data = json.dumps(body).encode() if body is not None else b""
-        if self._call(method, target, data) == 200:
+        if self._client.request(method, target, body)[0] == 200:
             self._problems.add("invalid call was confirmed", target=target, body=body)
 
-    def _call(self, method, target, data):
-        """Return the status of a call, or 0 without an answer."""
-        host = self._random.choice(self._cluster.hosts)
-        connection = http.client.HTTPConnection(
-            host, self._api_port, timeout=CALL_TIMEOUT_S
-        )
-        try:
-            connection.request(method, target, data)
-            return connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            return 0
-        finally:
-            connection.close()
-
     def _garbage(self):
         """Send bytes that are no request to a replica, and none of the protocol."""
         host = self._random.choice(self._cluster.hosts)
         data = self._random.randbytes(self._random.randrange(MAX_GARBAGE_BYTES))
         try:
-            with socket.create_connection(
-                (host, self._api_port), CALL_TIMEOUT_S
-            ) as one:
+            with socket.create_connection((host, API_PORT), CALL_TIMEOUT_S) as one:
                 one.sendall(data + b"\r\n\r\n")
         except OSError:
             return
@@ -129,7 +111,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for forwarder in self._cluster.forwarders:
                 for data in (self._packet(), self._packet(), self._short_packet()):
-                    sender.sendto(data, (forwarder, self._packet_port))
+                    sender.sendto(data, (forwarder, PACKET_PORT))
 
     def _short_packet(self):
         return self._random.randbytes(self._random.randrange(HEADER.size))
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -3,7 +3,7 @@
 from soak.cluster import ADVERTISED_GROUP, API_PORT, PACKET_PORT, ZONES
 from soak.peers import Callers, ReplicaClient, Upstream
 
-__all__ = ["Traffic"]
+__all__ = ["UPSTREAM_PORT", "Traffic"]
 
 UPSTREAM_PORT = 7_005
 #: Last octets of addresses: of the callers, and of the first upstream.
