--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -2,17 +2,20 @@
 
 import gc
 import importlib
+import importlib.machinery
 import os
 import signal
 import sys
 
 from knapweeddeal.errors import BadSettingError, KnapweeddealError
 from knapweeddeal.lazyimports import defer_unused_by_curio
-from knapweeddeal.logs import open_log
+from knapweeddeal.logs import Log, open_log
 from knapweeddeal.settings import CONTROL, ENTRY, FORWARDER, read_settings
 
 __all__ = ["main"]
 
+log = Log(prefix="daemon")
+
 #: Module of each role, with its `run`; a process imports only the one that it needs.
 ROLES = {
     CONTROL: "knapweeddeal.controlprocess",
@@ -101,10 +104,27 @@
 
     logging.getLogger("curio").setLevel(logging.ERROR)
     role = importlib.import_module(ROLES[settings.role])
+    _log_platform()
     gc.enable()
     gc.freeze()
     curio.run(role.run, settings, *prepared)
 
 
+def _log_platform():
+    """Log the platform, and whether msgpack runs as compiled code for it.
+
+    Libraries that were installed for another platform load, but msgpack is slower then.
+    """
+    import msgpack
+
+    log.info(
+        "loaded the libraries",
+        python=sys.version.partition(" ")[0],
+        platform=importlib.machinery.EXTENSION_SUFFIXES[0],
+        codec=msgpack.Packer.__module__,
+        path=os.path.dirname(os.path.dirname(msgpack.__file__)),
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -120,3 +120,28 @@
             settings.write(FORWARDER)
         time.sleep(0.3)
         self.assertIsNone(process.poll())
+
+
+class LoadedLibraries(testtools.TestCase):
+    """The log must tell which libraries a process runs with.
+
+    Libraries of another platform are only slower at first, which nothing else shows.
+    """
+
+    def test_logged(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "front.ini"
+        path.write_text(FORWARDER, encoding="utf-8")
+        process = subprocess.Popen(
+            [sys.executable, "-m", "knapweeddeal.daemon", str(path)],
+            cwd=ROOT,
+            env={**os.environ, "MSGPACK_PUREPYTHON": "1"},
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.kill)
+        lines = iter(process.stdout.readline, b"")
+        line = next(line for line in lines if b"daemon: loaded the libraries" in line)
+        self.assertIn(b"msgpack.fallback", line)
