Refuse to start with libraries of another platform

What was seen: control processes with libraries of x86-64 on arm64 ran, with msgpack in Python, until the first use of pyhdrh ended them, again and again after each restart.

Cause: compiled modules of another platform are simply not found; msgpack and pyrsistent fall back to Python, and the histogram library is imported at its first use. So a folder that was copied without a build shows only minutes later.

Change: a daemon compares the platform in the marker of the libraries with its own and ends with bad_install, the folder and the platform. A folder without a marker is accepted. ForeignLibraries failed before: the process ran on.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -8,7 +8,6 @@
 import compileall
 import fcntl
 import hashlib
-import importlib.machinery
 import os
 import shutil
 import subprocess
@@ -17,14 +16,14 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from knapweeddeal.libraries import MARKER_NAME, PLATFORM  # noqa: E402
+
 PACKAGE = ROOT / "knapweeddeal"
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
 TARGET = ROOT / "target"
 LIBRARIES = TARGET / "deps"
-#: File in the libraries' folder. `knapweeddeald.py` reads its first line.
-MARKER_NAME = "INSTALLED"
-#: Suffix of compiled modules for this interpreter, system and processor.
-PLATFORM = importlib.machinery.EXTENSION_SUFFIXES[0]
 #: Modules that the daemon imports, some of them only once they are used.
 MODULES = ("curio", "eliot", "h11", "hdrh.histogram", "msgpack")
 TEMPORARY_PREFIX = "install-"
--- a/knapweeddeal/daemon.py
+++ b/knapweeddeal/daemon.py
@@ -2,13 +2,13 @@
 
 import gc
 import importlib
-import importlib.machinery
 import os
 import signal
 import sys
 
-from knapweeddeal.errors import BadSettingError, KnapweeddealError
+from knapweeddeal.errors import BadInstallError, BadSettingError, KnapweeddealError
 from knapweeddeal.lazyimports import defer_unused_by_curio
+from knapweeddeal.libraries import PLATFORM, check_platform
 from knapweeddeal.logs import Log, open_log
 from knapweeddeal.settings import CONTROL, ENTRY, FORWARDER, read_settings
 
@@ -53,8 +53,9 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path, check = _arguments(sys.argv[1:] if arguments is None else arguments)
     try:
+        check_platform()
         settings = read_settings(path)
-    except BadSettingError as error:
+    except (BadInstallError, BadSettingError) as error:
         print(f"knapweeddeald: {error}", file=sys.stderr)
         return error.exit_status
     if check:
@@ -120,7 +121,7 @@
     log.info(
         "loaded the libraries",
         python=sys.version.partition(" ")[0],
-        platform=importlib.machinery.EXTENSION_SUFFIXES[0],
+        platform=PLATFORM,
         codec=msgpack.Packer.__module__,
         path=os.path.dirname(os.path.dirname(msgpack.__file__)),
     )
--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -1,6 +1,7 @@
 """knapweeddeal.errors: Exceptions, each with a stable code."""
 
 __all__ = [
+    "BadInstallError",
     "BadMessageError",
     "BadSettingError",
     "BadTicketError",
@@ -42,6 +43,13 @@
         return ": ".join(parts)
 
 
+class BadInstallError(KnapweeddealError):
+    """Report libraries that were installed for another platform."""
+
+    code = "bad_install"
+    exit_status = 4
+
+
 class BadMessageError(KnapweeddealError):
     """Report a message that violates its schema."""
 
@@ -130,6 +138,7 @@
 BY_CODE = {
     cls.code: cls
     for cls in (
+        BadInstallError,
         BadMessageError,
         BadSettingError,
         BadTicketError,
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -13,6 +13,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 BUILD = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))["build"]
 TIMEOUT_S = 60
+#: What the build command uses of the package.
+PACKAGE_FILES = ("__init__.py", "errors.py", "libraries.py")
 #: A time in the past, for files that seem older than all others.
 EARLIER_S = 1_000_000_000
 #: Modules that the fake pip installs, the last one as compiled code.
@@ -71,6 +73,8 @@
         self.root = Path(folder.name)
         shutil.copytree(ROOT / "deploy", self.root / "deploy")
         (self.root / "knapweeddeal").mkdir()
+        for name in PACKAGE_FILES:
+            shutil.copy(ROOT / "knapweeddeal" / name, self.root / "knapweeddeal")
         (self.root / "target").mkdir()
         pip = self.root / "pip"
         pip.mkdir()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -12,6 +12,7 @@
 import testtools
 
 from demo.cluster import BASE_VARIABLE, default_base
+from knapweeddeal.libraries import MARKER_NAME
 
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 20
@@ -122,6 +123,33 @@
         self.assertIsNone(process.poll())
 
 
+class ForeignLibraries(testtools.TestCase):
+    """Libraries of another platform must end a start with a clear error.
+
+    Processes ran with them, and ended when a compiled module was first used.
+    """
+
+    def test_exit_status(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        marker = Path(folder.name) / MARKER_NAME
+        marker.write_text(".cpython-311-other.so\n", encoding="utf-8")
+        path = Path(folder.name) / "front.ini"
+        path.write_text(FORWARDER, encoding="utf-8")
+        done = subprocess.run(
+            [sys.executable, "-m", "knapweeddeal.daemon", str(path)],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": folder.name},
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual(4, done.returncode, done.stderr)
+        self.assertIn("knapweeddeald: bad_install: ", done.stderr)
+        self.assertIn(f"{folder.name}='.cpython-311-other.so'", done.stderr)
+
+
 class LoadedLibraries(testtools.TestCase):
     """The log must tell which libraries a process runs with.
 
