Install the virtual environment again on another platform

Cause: as with target/deps, make took .venv as installed by the time of one file, also if it was copied from a VM with another processor or Python; formatter, linter and tests then fail to start or load Python code in place of compiled code.

Change: the stamp's name holds the platform, and an environment without it is replaced. 2 of 3 rows of test_build.Environment failed before (an environment of unknown platform was taken).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV = .venv
 PYTHON = $(VENV)/bin/python
-STAMP = $(VENV)/.installed
+# Compiled libraries are for one interpreter and platform.
+PLATFORM := $(shell python3 -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+STAMP = $(VENV)/.installed-$(PLATFORM)
 
 .PHONY: run test lint specs bench soak
 
@@ -30,6 +32,6 @@
 	$(VENV)/bin/ruff check .
 
 $(STAMP): pyproject.toml constraints.txt
-	python3 -m venv $(VENV)
+	python3 -m venv --clear $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[develop]'
 	touch $(STAMP)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -3,6 +3,7 @@
 import os
 import shutil
 import subprocess
+import sysconfig
 import tempfile
 import tomllib
 from pathlib import Path
@@ -159,3 +160,34 @@
         expected = sorted([COMPILED, *(f"{name}/__init__.py" for name in MODULES)])
         self.assertEqual(expected, sorted(self.files()))
         self.assertEqual(["deps"], [p.name for p in self.root.glob("target/deps*")])
+
+
+class Environment(testscenarios.TestWithScenarios, testtools.TestCase):
+    """`make` must not use a virtual environment that was copied from another VM.
+
+    It took any environment as installed that was newer than the requirements.
+    """
+
+    platform = sysconfig.get_config_var("SOABI")
+    scenarios = [
+        ("this platform", {"stamp": f".installed-{platform}", "installs": False}),
+        ("another platform", {"stamp": ".installed-cpython-other", "installs": True}),
+        ("unknown platform", {"stamp": ".installed", "installs": True}),
+    ]
+
+    def test_installs(self):
+        with tempfile.TemporaryDirectory() as folder:
+            for name in ("Makefile", "pyproject.toml", "constraints.txt"):
+                shutil.copyfile(ROOT / name, Path(folder) / name)
+            stamp = Path(folder) / ".venv" / self.stamp
+            stamp.parent.mkdir()
+            stamp.touch()
+            done = subprocess.run(
+                ["make", "--dry-run", "test"],
+                cwd=folder,
+                capture_output=True,
+                text=True,
+                timeout=TIMEOUT_S,
+                check=True,
+            )
+        self.assertEqual(self.installs, "pip install" in done.stdout)
