Retry a failed accept instead of ending the server

Callers saw a forwarder, or a replica, that ended with status 0, or a replica that accepted no stream any more, after connections had used up its descriptors.

Curio's `run_server` accepts in one task beside those of the connections. An OSError of `accept` (EMFILE, ENFILE, ENOBUFS, ECONNABORTED) ended that task; the server returned when the last connection closed, which ended the process, or never, while streams of other replicas stayed open. A listening socket that can't be used raises its error at once.

--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -129,7 +129,7 @@
             hub.run(),
             hints.run(hub.hints),
             journal_task.run(),
-            _serve(settings.listen, streams),
+            _serve(settings.listen, streams, core.metrics),
             _watch_signals(events, settings),
             watch_settings(settings, functools.partial(_send_seeds, events, settings)),
             *_http_servers(settings, core, hub_events, streams),
@@ -141,9 +141,9 @@
         await links.close()
 
 
-async def _serve(address, streams):
+async def _serve(address, streams, metrics):
     try:
-        await serve(address, streams.serve_stream)
+        await serve(address, streams.serve_stream, metrics=metrics)
     except OSError as error:
         raise BadSettingError(
             error.strerror or str(error), field="[daemon] listen", value=address
@@ -160,7 +160,9 @@
             port=settings.api[1],
             metrics=core.metrics,
         )
-        servers.append(serve_http(settings.api, api.handle_request))
+        servers.append(
+            serve_http(settings.api, api.handle_request, metrics=core.metrics)
+        )
     if settings.metrics is not None:
         servers.append(serve_metrics(settings.metrics, core.metrics))
     return servers
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -61,7 +61,11 @@
     await run_until_first(
         _forward(packet_socket, core),
         _serve_http(core, settings),
-        serve(settings.listen, _OperatorQueries(core=core).handle_stream),
+        serve(
+            settings.listen,
+            _OperatorQueries(core=core).handle_stream,
+            metrics=core.metrics,
+        ),
         _expire_periodically(core),
         _watch_signals(core, settings, apply_settings),
         watch_settings(settings, apply_settings),
@@ -97,7 +101,7 @@
     async def readiness(_request):
         return HttpResponse(status=200 if core.is_ready else 503, body=b"{}")
 
-    servers = [serve_http(settings.ready, readiness)]
+    servers = [serve_http(settings.ready, readiness, metrics=core.metrics)]
     if settings.metrics is not None:
         servers.append(serve_metrics(settings.metrics, core.metrics))
     await run_until_first(*servers)
--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -3,7 +3,7 @@
 import curio
 import h11
 
-from knapweeddeal.errors import BadSettingError
+from knapweeddeal.listener import accept_connections, bind_listener
 from knapweeddeal.logs import Log
 from knapweeddeal.record import Record
 
@@ -16,8 +16,6 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 #: Longest wait for the next request on a connection.
 IDLE_TIMEOUT_S = 60
-#: Connections that wait to be accepted.
-BACKLOG = 256
 
 log = Log(prefix="http")
 
@@ -60,29 +58,16 @@
     """Report a request body over the limit."""
 
 
-async def serve_http(address, handler):
+async def serve_http(address, handler, *, metrics=None):
     """Serve requests for ever with the responses of `await handler(request)`.
 
     Raises BadSettingError if the address can't be bound.
     """
-    try:
-        listener = curio.tcp_server_socket(
-            *address, backlog=BACKLOG, reuse_address=True
-        )
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field="listen",
-            value=":".join(map(str, address)),
-        ) from None
-
-    async def handle_connection(connection, _address):
-        try:
-            await _serve_connection(connection, handler)
-        finally:
-            await connection.close()
-
-    await curio.network.run_server(listener, handle_connection)
+
+    async def handle_connection(connection):
+        await _serve_connection(connection, handler)
+
+    await accept_connections(bind_listener(address), handle_connection, metrics=metrics)
 
 
 async def _serve_connection(connection, handler):
--- a/knapweeddeal/metricsserver.py
+++ b/knapweeddeal/metricsserver.py
@@ -15,4 +15,4 @@
             status=200, body=metrics.text().encode(), content_type=CONTENT_TYPE
         )
 
-    await serve_http(address, answer)
+    await serve_http(address, answer, metrics=metrics)
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -6,10 +6,10 @@
 
 from knapweeddeal.errors import (
     BadMessageError,
-    BadSettingError,
     StreamClosedError,
     UnreachableError,
 )
+from knapweeddeal.listener import accept_connections, bind_listener
 from knapweeddeal.messages.base import encode, from_wire
 
 __all__ = ["Stream", "connect", "serve"]
@@ -117,22 +117,17 @@
     return Stream(socket=connection)
 
 
-async def serve(address, handler):
+async def serve(address, handler, *, metrics=None):
     """Accept streams forever and run `handler(stream)` as a task for each.
 
     Raises BadSettingError if the address can't be bound.
     """
-    listener = _listen(address)
 
-    async def handle_connection(connection, _address):
+    async def handle_connection(connection):
         _no_delay(connection)
-        stream = Stream(socket=connection)
-        try:
-            await handler(stream)
-        finally:
-            await stream.close()
+        await handler(Stream(socket=connection))
 
-    await curio.network.run_server(listener, handle_connection)
+    await accept_connections(bind_listener(address), handle_connection, metrics=metrics)
 
 
 def _new_socket(address):
@@ -140,16 +135,5 @@
     return socket.socket(family, socket.SOCK_STREAM)
 
 
-def _listen(address):
-    try:
-        return curio.tcp_server_socket(*address, reuse_address=True)
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field="listen",
-            value=":".join(map(str, address)),
-        ) from None
-
-
 def _no_delay(connection):
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,186 @@
+"""tests.test_listener: Tests of listening sockets and their accept loop."""
+
+import errno
+import itertools
+import os
+import resource
+import socket
+import time
+from unittest import mock
+
+import curio
+import testscenarios
+import testtools
+from curio.io import Socket
+
+from knapweeddeal.httpserver import HttpResponse, serve_http
+from knapweeddeal.messages import encode
+from knapweeddeal.messages.upstream import Heartbeat
+from knapweeddeal.metrics import Metrics
+from knapweeddeal.stream import serve
+from tests.packetcluster import API, METRICS, READY, STREAMS
+from tests.processes import free_port, wait_until
+from tests.test_packetprocess import PacketCase
+
+HTTP_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+MESSAGE = encode(Heartbeat())
+#: Descriptors that a process under test may open.
+MAX_DESCRIPTORS = 60
+
+
+async def echo_first(stream):
+    """Return the first message to its sender, and keep the stream open."""
+    while True:
+        await stream.send(await stream.receive())
+
+
+async def answer(_request):
+    """Return an empty response."""
+    return HttpResponse(status=200)
+
+
+async def serve_messages(address, metrics):
+    """Serve streams of messages."""
+    await serve(address, echo_first, metrics=metrics)
+
+
+async def serve_requests(address, metrics):
+    """Serve HTTP requests."""
+    await serve_http(address, answer, metrics=metrics)
+
+
+class FailingAccept:
+    """Raise errors one after another before connections are accepted."""
+
+    def __init__(self, *errors):
+        self._errors = [OSError(number, os.strerror(number)) for number in errors]
+        self._accept = Socket.accept
+
+    async def __call__(self, listener):
+        """Accept a connection, or raise the next error."""
+        if self._errors:
+            raise self._errors.pop(0)
+        return await self._accept(listener)
+
+
+class AcceptErrors(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A failed accept is retried, also while no other connection is open."""
+
+    scenarios = [
+        (
+            f"{name} {errno.errorcode[number]}",
+            {"number": number, "server": server, "request": request},
+        )
+        for (name, server, request), number in itertools.product(
+            (
+                ("streams", serve_messages, MESSAGE),
+                ("HTTP", serve_requests, HTTP_REQUEST),
+            ),
+            (
+                errno.EMFILE,
+                errno.ENFILE,
+                errno.ENOBUFS,
+                errno.ENOMEM,
+                errno.ECONNABORTED,
+                errno.EPROTO,
+                errno.EPERM,
+                errno.ENETDOWN,
+                errno.EHOSTUNREACH,
+            ),
+        )
+    ]
+
+    def test_connection_accepted(self):
+        metrics = Metrics()
+        failing = FailingAccept(self.number, self.number)
+        with mock.patch.object(Socket, "accept", lambda s: failing(s)):
+            data = curio.run(self.exchange, metrics)
+        self.assertNotEqual(b"", data)
+        self.assertEqual(2, metrics.get("accept_errors"))
+
+    async def exchange(self, metrics):
+        """Return what the server answers to a request."""
+        address = ("127.0.0.1", free_port())
+        task = await curio.spawn(self.server, address, metrics, daemon=True)
+        await curio.sleep(0.01)
+        data = b""
+        async with await curio.open_connection(*address) as connection:
+            await connection.sendall(self.request)
+            async with curio.ignore_after(2):
+                data = await connection.recv(4_096)
+        await task.cancel()
+        return data
+
+
+class UnusableListener(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A server that can't accept any more ends, although a connection is open."""
+
+    scenarios = [
+        ("streams", {"server": serve_messages}),
+        ("HTTP", {"server": serve_requests}),
+    ]
+
+    def test_error_raised(self):
+        self.assertEqual(errno.EBADF, curio.run(self.lose_listener))
+
+    async def lose_listener(self):
+        """Return the error of a server whose second accept fails."""
+        address = ("127.0.0.1", free_port())
+        accept, accepted = Socket.accept, []
+
+        async def accept_one(listener):
+            if accepted:
+                raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+            accepted.append(await accept(listener))
+            return accepted[0]
+
+        with mock.patch.object(Socket, "accept", accept_one):
+            task = await curio.spawn(self.server, address, Metrics())
+            await curio.sleep(0.01)
+            async with await curio.open_connection(*address), curio.ignore_after(2):
+                try:
+                    await task.join()
+                except curio.TaskError as error:
+                    return error.__cause__.errno
+        return 0
+
+
+class DescriptorShortage(testscenarios.TestWithScenarios, PacketCase):
+    """A process without free descriptors goes on, and serves as soon as it has some."""
+
+    scenarios = [
+        (name, {"role": role, "port": port})
+        for name, role, port in (
+            ("readiness of a forwarder", "forwarder", READY),
+            ("metrics of a forwarder", "forwarder", METRICS),
+            ("streams of a forwarder", "forwarder", STREAMS),
+            ("HTTP interface of a replica", "replica", API),
+            ("streams of a replica", "replica", STREAMS),
+        )
+    ]
+
+    def setUp(self):
+        super().setUp()
+        number = 11 if self.role == "forwarder" else 1
+        self.host = self.cluster.host(number)
+        name = "forwarder" if self.role == "forwarder" else self.host
+        self.daemon = self.cluster.daemons[name]
+
+    def test_serves_again(self):
+        pid = self.daemon.process.pid
+        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        connections = [self.connect() for _ in range(MAX_DESCRIPTORS)]
+        wait_until(lambda: len(os.listdir(f"/proc/{pid}/fd")) == MAX_DESCRIPTORS)
+        time.sleep(0.3)
+        for connection in connections:
+            connection.close()
+        time.sleep(0.3)
+        self.assertIsNone(self.daemon.process.poll(), self.daemon.errors())
+        self.assertEqual("", self.daemon.errors())
+        wait_until(lambda: self.cluster.dump(self.host), "a dump")
+        wait_until(lambda: self.cluster.readiness() == 200, "a ready forwarder")
+
+    def connect(self):
+        """Open a connection that sends nothing."""
+        return socket.create_connection((self.host, self.port), timeout=5)
