Retry a connection for which no descriptor is left

Callers saw forwarders end with status 1, and a replica without its links to others until it restarted, when a stream broke while the process had no free descriptor.

`connect` and `SeedConnection` created the socket outside the code that handles errors of the connection. The OSError (EMFILE, ENFILE, ENOBUFS) left the task: it ended a forwarder, and the task of a replica's link, which nothing starts again. Both count as an unreachable address now, which is retried as others are.

--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -154,22 +154,31 @@
         connected = {connection.address for connection in self._connections}
         for address in self._addresses:
             if address not in connected and self._retry_at_ms.get(address, 0) <= now_ms:
-                self._connections.append(
-                    SeedConnection(address=address, core=self._core)
-                )
+                self._open(address, now_ms)
+
+    def _open(self, address, now_ms):
+        """Open a connection; a lack of descriptors counts as a failure of the seed."""
+        try:
+            connection = SeedConnection(address=address, core=self._core)
+        except OSError as error:
+            self._note_failure(address, str(error), now_ms)
+        else:
+            self._connections.append(connection)
 
     def _drop_failed(self, connection, now_ms):
-        """Close a connection that failed; log only the first failure of a seed."""
-        if connection.address not in self._retry_at_ms:
-            log.info(
-                "failed to query a seed during the start",
-                replica=connection.address,
-                why=connection.failure,
-            )
-        self._retry_at_ms[connection.address] = now_ms + RETRY_MS
+        """Close a connection that failed."""
+        self._note_failure(connection.address, connection.failure, now_ms)
         connection.close()
         self._connections.remove(connection)
 
+    def _note_failure(self, address, why, now_ms):
+        """Schedule the next attempt; log only the first failure of a seed."""
+        if address not in self._retry_at_ms:
+            log.info(
+                "failed to query a seed during the start", replica=address, why=why
+            )
+        self._retry_at_ms[address] = now_ms + RETRY_MS
+
     def _send_next_hello(self, writable):
         """Send a hello to one seed, unless the last one may still be answered."""
         unused = [connection for connection in writable if not connection.is_hello_sent]
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -102,21 +102,29 @@
 
 async def connect(address, *, timeout_ms):
     """Return a stream to an address; raise UnreachableError if none opens in time."""
-    connection = _new_socket(address)
+    try:
+        connection = _new_socket(address)
+    except OSError as error:
+        # No descriptor is left; others may close.
+        raise _unreachable(address, error) from None
     try:
         await curio.timeout_after(timeout_ms / 1000, connection.connect, address)
+        _no_delay(connection)
     except (OSError, curio.TaskTimeout) as error:
         await connection.close()
-        raise UnreachableError(
-            str(error), field="address", value=":".join(map(str, address))
-        ) from None
+        raise _unreachable(address, error) from None
     except curio.CancelledError:
         await connection.close()
         raise
-    _no_delay(connection)
     return Stream(socket=connection)
 
 
+def _unreachable(address, error):
+    return UnreachableError(
+        str(error), field="address", value=":".join(map(str, address))
+    )
+
+
 async def serve(address, handler, *, metrics=None):
     """Accept streams forever and run `handler(stream)` as a task for each.
 
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -1,10 +1,12 @@
 """tests.test_forwarderstart: Tests of a forwarder's start before its event loop."""
 
+import errno
 import os
 import random
 import socket
 import threading
 from itertools import pairwise
+from unittest import mock
 
 import testtools
 from testtools.matchers import GreaterThan, LessThan, Not
@@ -218,6 +220,20 @@
         self.replica(SECOND, CONTROL_STATE, ROUTES, UPSTREAMS)
         wait_until(self.is_ready, "routes and upstreams")
 
+    def test_no_descriptor(self):
+        """A lack of descriptors at the start delays the query and ends nothing."""
+        with mock.patch.object(
+            forwarderstart.socket, "socket", fail_without_descriptor
+        ):
+            self.assertFalse(self.is_ready())
+        self.replica(FIRST, CONTROL_STATE, ROUTES, UPSTREAMS)
+        wait_until(self.is_ready, "routes and upstreams")
+
+
+def fail_without_descriptor(*_arguments):
+    """Raise the error of a process without free descriptors."""
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
 
 class EarlyForwarding(testtools.TestCase):
     """Pending packets are forwarded before the slow import of the event loop."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -145,7 +145,36 @@
         return 0
 
 
-class DescriptorShortage(testscenarios.TestWithScenarios, PacketCase):
+class DescriptorCase(PacketCase):
+    """Base of tests of one process that has no free descriptor."""
+
+    def limit(self, name, host):
+        """Select the process under test, and limit its descriptors."""
+        self.host, self.daemon = host, self.cluster.daemons[name]
+        self.pid = self.daemon.process.pid
+        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, limits)
+
+    def open_idle(self, port):
+        """Return connections that send nothing and use up all descriptors."""
+        connections = [
+            socket.create_connection((self.host, port), timeout=5)
+            for _ in range(MAX_DESCRIPTORS)
+        ]
+        folder = f"/proc/{self.pid}/fd"
+        wait_until(lambda: len(os.listdir(folder)) == MAX_DESCRIPTORS)
+        return connections
+
+    def close_idle(self, connections):
+        """Close connections; check that the process runs and reported no error."""
+        for connection in connections:
+            connection.close()
+        time.sleep(0.3)
+        self.assertIsNone(self.daemon.process.poll(), self.daemon.errors())
+        self.assertEqual("", self.daemon.errors())
+
+
+class DescriptorShortage(testscenarios.TestWithScenarios, DescriptorCase):
     """A process without free descriptors goes on, and serves as soon as it has some."""
 
     scenarios = [
@@ -161,26 +190,42 @@
 
     def setUp(self):
         super().setUp()
-        number = 11 if self.role == "forwarder" else 1
-        self.host = self.cluster.host(number)
-        name = "forwarder" if self.role == "forwarder" else self.host
-        self.daemon = self.cluster.daemons[name]
+        if self.role == "forwarder":
+            self.limit("forwarder", self.cluster.host(11))
+        else:
+            self.limit(self.cluster.replicas[0], self.cluster.replicas[0])
 
     def test_serves_again(self):
-        pid = self.daemon.process.pid
-        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
-        connections = [self.connect() for _ in range(MAX_DESCRIPTORS)]
-        wait_until(lambda: len(os.listdir(f"/proc/{pid}/fd")) == MAX_DESCRIPTORS)
+        connections = self.open_idle(self.port)
         time.sleep(0.3)
-        for connection in connections:
-            connection.close()
-        time.sleep(0.3)
-        self.assertIsNone(self.daemon.process.poll(), self.daemon.errors())
-        self.assertEqual("", self.daemon.errors())
+        self.close_idle(connections)
         wait_until(lambda: self.cluster.dump(self.host), "a dump")
         wait_until(lambda: self.cluster.readiness() == 200, "a ready forwarder")
 
-    def connect(self):
-        """Open a connection that sends nothing."""
-        return socket.create_connection((self.host, self.port), timeout=5)
+
+class ReconnectionShortage(DescriptorCase):
+    """A process that lacks descriptors when it reconnects tries again later."""
+
+    def test_forwarder(self):
+        self.limit("forwarder", self.cluster.host(11))
+        connections = self.open_idle(READY)
+        for host in self.cluster.replicas:
+            self.cluster.restart(host)
+        time.sleep(1)
+        self.close_idle(connections)
+        wait_until(
+            lambda: len(self.cluster.dump(self.host)["subscriptions"]) == 2,
+            "two subscriptions",
+        )
+
+    def test_replica(self):
+        """Without its links to the others, a replica can't be part of a quorum."""
+        first, second, third = self.cluster.replicas
+        self.limit(first, first)
+        connections = self.open_idle(API)
+        self.cluster.restart(second)
+        self.cluster.restart(third)
+        time.sleep(1)
+        self.close_idle(connections)
+        self.cluster.daemons[third].kill()
+        self.cluster.publish(6)
