Accept the settings that the platform's pages allow

A replica or forwarder ended with status 4 at each start if a bound was a fraction, a number had a decimal point, a field was empty, a name had an underscore, or more than ten losses were tolerated.

The checks were narrower than what templates may render.

--- a/knapweeddeal/evacuations.py
+++ b/knapweeddeal/evacuations.py
@@ -2,11 +2,10 @@
 
 from knapweeddeal.errors import InvalidIntentError
 from knapweeddeal.messages.packets import MAX_EVACUATIONS, Evacuation
+from knapweeddeal.options import MAX_NAME_LENGTH, is_name
 
 __all__ = ["after_order", "check_order", "evacuated_names"]
 
-MAX_NAME_CHARS = 64
-
 
 def evacuated_names(evacuations):
     """Return the names of the evacuated zones, sorted."""
@@ -20,10 +19,11 @@
     may be readmitted although it is no longer listed.
     """
     zone = order.zone
-    is_valid = zone.replace("-", "").replace(".", "").isalnum()
-    if not is_valid or len(zone) > MAX_NAME_CHARS:
+    if len(zone) > MAX_NAME_LENGTH or not is_name(zone):
         raise InvalidIntentError(
-            "expected 1 to 64 letters, digits, - and .", field="zone", value=zone
+            f"expected 1 to {MAX_NAME_LENGTH} letters, digits, -, . and _",
+            field="zone",
+            value=zone,
         )
     known = {*listed, *evacuated_names(evacuations)}
     if listed and zone not in known:
--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -4,6 +4,7 @@
 from knapweeddeal.ipaddresses import is_ip
 
 __all__ = [
+    "MAX_NAME_LENGTH",
     "address_option",
     "addresses_option",
     "choice_option",
@@ -16,22 +17,31 @@
     "peers_option",
     "text_option",
     "integer_option",
+    "is_name",
 ]
 
+MAX_NAME_LENGTH = 64
+#: Removes the punctuation that names may have.
+NAME_PUNCTUATION = str.maketrans("", "", "-._")
+
 
 def text_option(_field, value, _option):
     """Return the text unchanged."""
     return value
 
 
+def is_name(text):
+    """Return whether a text has letters or digits, and else only `-`, `.` and `_`."""
+    return text.translate(NAME_PUNCTUATION).isalnum()
+
+
 def name_option(field, value, _option):
-    """Return a name of at most 64 letters, digits, dashes and dots."""
-    if (
-        not 0 < len(value) <= 64
-        or not value.replace("-", "").replace(".", "").isalnum()
-    ):
+    """Return a name of at most 64 letters, digits, dashes, dots and underscores."""
+    if len(value) > MAX_NAME_LENGTH or not is_name(value):
         raise BadSettingError(
-            "expected 1 to 64 letters, digits, - and .", field=field, value=value
+            f"expected 1 to {MAX_NAME_LENGTH} letters, digits, -, . and _",
+            field=field,
+            value=value,
         )
     return value
 
@@ -43,10 +53,10 @@
 
 
 def integer_option(field, value, option):
-    """Return a whole number in the option's range."""
+    """Return a whole number in the option's range, also of a text like `1200.0`."""
     try:
-        number = int(value)
-    except ValueError:
+        number = _whole_number(value)
+    except (ValueError, OverflowError):
         raise BadSettingError(
             "expected a whole number", field=field, value=value
         ) from None
@@ -54,6 +64,16 @@
     return number
 
 
+def _whole_number(value):
+    if value.lstrip("+-").isdecimal():
+        return int(value)
+    # Templates render a number as the platform holds it, which may be a float.
+    number = float(value)
+    if not number.is_integer():
+        raise ValueError(value)
+    return int(number)
+
+
 def decimal_option(field, value, option):
     """Return a decimal number in the option's range."""
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,6 @@
 """tests.test_settings: Tests of settings and their checks."""
 
+import re
 import tempfile
 from pathlib import Path
 
@@ -47,6 +48,29 @@
 """
 
 
+TEMPLATES = Path(__file__).resolve().parent.parent / "knapweeddeal" / "platform"
+CONTROL_TEMPLATE, FORWARDER_TEMPLATE = "control.ini", "forwarder.ini"
+#: Values of the placeholders that both templates use, or that one requires.
+PLACEHOLDERS = {
+    "{{ip}}": "10.1.0.10",
+    "{{node}}": "front-1",
+    "{{zone}}": "zone-a",
+    "{{portRange.0}}": "7720",
+    "{{seeds}}": "10.1.0.13:8166",
+    "{{dataDir}}": "/data",
+    "{{listen.control}}": "10.1.0.10:8166",
+    "{{listen.dataAddr}}": "10.1.0.10:8172",
+    "{{listen.ready}}": "10.1.0.10:8167",
+    "{{bootstrap}}": "true",
+    "{{tolerate.machines}}": "1",
+    "{{heartbeatMs}}": "1200",
+    "{{limits.linkMbps}}": "350.0",
+    "{{bounds.coldOver}}": "1.5",
+    "{{bounds.coldSlack}}": "5",
+    "{{#zones}}{{@}}{{,}}{{/zones}}": "zone-a,zone-b",
+}
+
+
 class SettingsFile(testtools.TestCase):
     """Base of tests with a settings file of their own."""
 
@@ -154,6 +178,45 @@
             self.assertIn(word, str(error))
 
 
+class PlatformValues(testscenarios.TestWithScenarios, SettingsFile):
+    """Values that the platform's pages allow don't keep a process from starting."""
+
+    scenarios = [
+        (
+            f"{role} {key} = {text or 'nothing'}",
+            {"role": role, "key": key, "text": text, "value": value},
+        )
+        for role, key, text, value in (
+            (CONTROL_TEMPLATE, "zone", "us_east-1", "us_east-1"),
+            (CONTROL_TEMPLATE, "zones", "us_east-1,zone.b", ("us_east-1", "zone.b")),
+            (CONTROL_TEMPLATE, "may_found", "", False),
+            (CONTROL_TEMPLATE, "tolerated_losses", "", 1),
+            (CONTROL_TEMPLATE, "tolerated_losses", "1.0", 1),
+            (CONTROL_TEMPLATE, "tolerated_losses", "12", 12),
+            (CONTROL_TEMPLATE, "report_ms", "", 1_200),
+            (CONTROL_TEMPLATE, "report_ms", "800.0", 800),
+            (CONTROL_TEMPLATE, "cold_slack", "2.5", 2.5),
+            (CONTROL_TEMPLATE, "cold_slack", "3", 3),
+            (CONTROL_TEMPLATE, "cold_over", "2", 2),
+            (CONTROL_TEMPLATE, "data_folder", "/a b/c%d;e#f", "/a b/c%d;e#f"),
+            (FORWARDER_TEMPLATE, "name", "front_1.a", "front_1.a"),
+            (FORWARDER_TEMPLATE, "zone", "us_east-1", "us_east-1"),
+            (FORWARDER_TEMPLATE, "link_mbps", "350", 350),
+            (FORWARDER_TEMPLATE, "link_mbps", "", None),
+        )
+    ]
+
+    def test_value(self):
+        template = TEMPLATES / self.role
+        settings = template.read_text(encoding="utf-8")
+        for placeholder, text in PLACEHOLDERS.items():
+            settings = settings.replace(placeholder, text)
+        old = re.search(rf"^{self.key} = .*$", settings, re.MULTILINE).group()
+        self.write(settings.replace(old, f"{self.key} = {self.text}"))
+        read = read_settings(str(self.path))
+        self.assertEqual(self.value, getattr(read, self.key))
+
+
 class UnusableFile(SettingsFile):
     """An unreadable or invalid file ends in BadSettingError, not in a traceback."""
 
