Refuse a settings file of another role when settings are reloaded

A process ended with a KeyError when its settings file held another role's settings at SIGHUP or at the periodic check. `reload` compared the new values with the old ones by keys that only the new role has. It raises BadSettingError now, which is logged, and the previous settings are kept.

--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -453,6 +453,12 @@
         """
         self._loaded_version = _file_version(self._path)
         fresh = read_settings(self._path).values()
+        if fresh["role"] != self.role:
+            raise BadSettingError(
+                f"must stay {self.role} while the process runs",
+                field=_field(self._path, "daemon", "role"),
+                value=fresh["role"],
+            )
         changed = {key for key, value in fresh.items() if self._values[key] != value}
         reloadable = {o.key for o in OPTIONS if self.role in o.reload_roles}
         for key in changed & reloadable:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -262,3 +262,15 @@
         self.write(ENTRY.replace(KEY_1, KEY_2) + "[timing]\nlease_ms = x\n")
         self.assertRaises(BadSettingError, settings.reload)
         self.assertEqual(before, settings.values())
+
+    def test_other_role(self):
+        """A file of another role changes nothing, and doesn't end the process."""
+        for first, second in ((FORWARDER, CONTROL), (CONTROL, FORWARDER)):
+            with self.subTest(second=second):
+                self.write(first)
+                settings = read_settings(str(self.path))
+                before = settings.values()
+                self.write(second)
+                error = self.assertRaises(BadSettingError, settings.reload)
+                self.assertIn("[daemon] role", str(error))
+                self.assertEqual(before, settings.values())
