Start also when standard output is closed

A daemon that was started without a standard output ended with status 1 and a traceback: `LineSink` set the closed descriptor to non-blocking. It writes nothing then; the number is not used later either, as a socket or a file of the data folder may get it.

--- a/knapweeddeal/loglines.py
+++ b/knapweeddeal/loglines.py
@@ -37,7 +37,10 @@
 
 
 class LineSink:
-    """Write one JSON object per line; drop and count lines that a full pipe rejects."""
+    """Write one JSON object per line; drop and count lines that a full pipe rejects.
+
+    Writes nothing if the descriptor is closed at the start.
+    """
 
     __slots__ = ("_limiter", "_descriptor", "_pending", "dropped")
 
@@ -46,10 +49,16 @@
         self._descriptor = descriptor
         self._pending = b""
         self.dropped = 0
-        os.set_blocking(descriptor, False)
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            # A closed descriptor may become that of a socket or of durable state.
+            self._descriptor = None
 
     def write(self, prefix, level, text, fields):
         """Write a line, unless prefix and text are over the rate limit."""
+        if self._descriptor is None:
+            return
         now_ms = boot_ms()
         left_out = self._limiter.acquire((prefix, text), now_ms)
         if left_out is None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -120,3 +120,27 @@
             settings.write(FORWARDER)
         time.sleep(0.3)
         self.assertIsNone(process.poll())
+
+
+class ClosedStreams(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A process whose standard streams are closed runs as with a log that is lost."""
+
+    scenarios = [
+        (str(closed), {"closed": closed})
+        for closed in ((0,), (1,), (2,), (1, 2), (0, 1, 2))
+    ]
+
+    def test_runs(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "front.ini"
+        path.write_text(FORWARDER, encoding="utf-8")
+        process = subprocess.Popen(
+            [sys.executable, "deploy/knapweeddeald.py", str(path)],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            preexec_fn=lambda: [os.close(number) for number in self.closed],
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.assertRaises(subprocess.TimeoutExpired, process.wait, 2)
--- a/tests/test_loglines.py
+++ b/tests/test_loglines.py
@@ -83,3 +83,20 @@
         self.assertEqual(0, self.sink.dropped)
         self.assertEqual(self.LINES, len(lines) + dropped)
         self.assertEqual(self.LINES - 1, lines[-1]["number"])
+
+
+class ClosedDescriptor(testtools.TestCase):
+    """Lines for a closed descriptor must not reach a file that gets its number."""
+
+    def test_reused_number(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        os.close(writer)
+        sink = LineSink(descriptor=writer)
+        other_reader, other_writer = os.pipe()
+        self.addCleanup(os.close, other_reader)
+        self.addCleanup(os.close, other_writer)
+        self.assertIn(writer, (other_reader, other_writer))
+        os.set_blocking(other_reader, False)
+        sink.write("part", "info", "does a thing", {})
+        self.assertRaises(BlockingIOError, os.read, other_reader, 1)
