--- a/knapweeddeal/settings.py
+++ b/knapweeddeal/settings.py
@@ -99,6 +99,7 @@
         key=key,
         check=integer_option,
         default=str(default),
+        empty=default,
         unit="ms",
         minimum=1,
         maximum=maximum,
@@ -191,6 +192,7 @@
         key="may_found",
         check=flag_option,
         default="true",
+        empty=False,
         roles=(CONTROL,),
         text="Whether empty replicas may found a new log.",
     ),
@@ -199,9 +201,9 @@
         key="tolerated_losses",
         check=integer_option,
         default="1",
+        empty=1,
         unit="replicas",
-        minimum=0,
-        maximum=10,
+        maximum=1_000,
         roles=(CONTROL,),
         text="Disks that may be lost at once; bounds the removal of silent members.",
     ),
@@ -236,7 +238,7 @@
     Option(
         section="control",
         key="cold_slack",
-        check=integer_option,
+        check=decimal_option,
         default=str(DEFAULT_COLD_SLACK),
         empty=DEFAULT_COLD_SLACK,
         unit="packets",
@@ -451,6 +453,12 @@
         """
         self._loaded_version = _file_version(self._path)
         fresh = read_settings(self._path).values()
+        if fresh["role"] != self.role:
+            raise BadSettingError(
+                f"must stay {self.role} while the process runs",
+                field=_field(self._path, "daemon", "role"),
+                value=fresh["role"],
+            )
         changed = {key for key, value in fresh.items() if self._values[key] != value}
         reloadable = {o.key for o in OPTIONS if self.role in o.reload_roles}
         for key in changed & reloadable:
