Push confirmed routes that a replica's own log applies too late

Callers of some forwarders were handled by the former routes for up to 6.3 s after a confirmation, while two control VMs had slow, stalled or full disks: new routes were reset, moved ones led to the former service.

A replica pushes routes once its own log has applied them, which needs its own sync and word from a leader that keeps its term. With slow syncs a replica still counts as current most of the time, so forwarders stay subscribed; and a leader that loses its majority right after a commit leaves healthy replicas without that word. Replicas now state the revision of their routes to each other; one whose log hasn't applied a revision after 0.7 s requests the routes from a replica that has.

--- a/knapweeddeal/controlstreams.py
+++ b/knapweeddeal/controlstreams.py
@@ -29,10 +29,13 @@
 from knapweeddeal.messages.operator import RefusalsRequest
 from knapweeddeal.messages.packets import (
     AnswerCounts,
+    ControlState,
     DirectoryAck,
     DirectoryBatch,
     Evacuations,
     ForwarderHello,
+    PacketConfiguration,
+    RoutesRequest,
 )
 from knapweeddeal.messages.peer import PeerHello, RefusalBatch
 from knapweeddeal.messages.replication import ReplicaState
@@ -42,6 +45,7 @@
     ForwarderDisconnected,
     ForwarderMessageReceived,
     ForwarderSubscribed,
+    ReplicaMessageReceived,
 )
 from knapweeddeal.record import printed_name
 
@@ -248,6 +252,17 @@
         await streams.forward_to_hub(message)
 
 
+@_handle_replica.register(ControlState)
+@_handle_replica.register(PacketConfiguration)
+@_handle_replica.register(RoutesRequest)
+async def _(message, streams, link):
+    """Forward what concerns routes unless they are of another cluster's log."""
+    if streams.is_same_cluster(link):
+        await streams.forward_to_hub(
+            ReplicaMessageReceived(message=message, sender=link.hello.identity)
+        )
+
+
 @functools.singledispatch
 async def _answer(message, streams):
     return await streams.submit_to_core(message)
--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -6,6 +6,7 @@
     "ForwarderDisconnected",
     "ForwarderMessageReceived",
     "ForwarderSubscribed",
+    "ReplicaMessageReceived",
     "ReplicatedStateChanged",
     "UpstreamDeparted",
     "UpstreamReported",
@@ -45,6 +46,12 @@
     __slots__ = ("outbox",)
 
 
+class ReplicaMessageReceived(Record):
+    """Carry the state of a replica, its request for routes, or routes for this one."""
+
+    __slots__ = ("message", "sender")
+
+
 class ReplicatedStateChanged(Record):
     """Carry routes, evacuations and members of the log; `current`: it has a leader."""
 
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -15,6 +15,7 @@
 from knapweeddeal.coldbound import DEFAULT_COLD_OVER, DEFAULT_COLD_SLACK, ColdBound
 from knapweeddeal.coldhome import ColdHome
 from knapweeddeal.evacuations import evacuated_names
+from knapweeddeal.heldrevisions import HeldRevisions
 from knapweeddeal.loadsums import LoadSums
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import EncodedMessage
@@ -46,6 +47,7 @@
     ForwarderDisconnected,
     ForwarderMessageReceived,
     ForwarderSubscribed,
+    ReplicaMessageReceived,
     ReplicatedStateChanged,
     UpstreamDeparted,
     UpstreamReported,
@@ -108,6 +110,7 @@
         "_evacuations",
         "_events",
         "_forwarders",
+        "_held_revisions",
         "_hints",
         "_answers",
         "_links",
@@ -145,6 +148,7 @@
         self._answers = AnswerSums(table=self._table, own_identity=own_replica.identity)
         self._loads = LoadSums(table=self._table, own_identity=own_replica.identity)
         self._configuration = None
+        self._held_revisions = HeldRevisions()
         #: The evacuations of the highest version that is known here.
         self._evacuations = NO_EVACUATIONS
         #: The encoded push of their zones.
@@ -196,13 +200,18 @@
         configuration = self._configuration
         states = self._table.states(monotonic_ms())
         return PacketHints(
-            revision=configuration.revision if configuration else 0,
+            revision=self._revision,
             routes=configuration.routes if configuration else [],
             states=[state for state in states if state.status != GONE],
             services=configuration.services if configuration else [],
             evacuations=self._evacuations,
         )
 
+    @property
+    def _revision(self):
+        """Return the revision of the routes that are pushed, or 0."""
+        return self._configuration.revision if self._configuration else 0
+
     def _is_current(self, now_ms):
         return self._current and now_ms - self._state_received_ms < STATE_STALE_MS
 
@@ -272,6 +281,7 @@
             self._push_loads,
             self._confirm_replicated,
             self._claim_unconfirmed,
+            self._request_missing_routes,
         ):
             await self._contain(step, now_ms)
         self._cold.expire(now_ms)
@@ -447,6 +457,7 @@
         if is_new:
             if self._evacuations.version:
                 await event.outbox.offer(self._evacuations)
+            await event.outbox.offer(self._control_state())
             states = self._table.states(monotonic_ms())
             await event.outbox.offer(self._batch(states=states))
             log.info("connected to a replica", replica=event.state.replica.name)
@@ -555,21 +566,54 @@
         self._current = event.current
         self._replicas = event.replicas
         await self._set_evacuations(event.evacuations)
-        if self._is_newer(event.configuration):
-            changed = self._set_configuration(event.configuration)
-            self._diffs = {}
-            for outbox in self._forwarders:
-                await self._push_routes(outbox)
-            await self._hints.mark_dirty()
-            if changed:
-                await self._push_states(changed)
-                await self._replicate(changed, 0, now_ms)
+        await self._adopt_configuration(event.configuration, now_ms)
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._control_state())
             if event.current:
                 await self._push_silent(now_ms)
 
+    @_handle.register
+    async def _(self, event: ReplicaMessageReceived):
+        now_ms, message = monotonic_ms(), event.message
+        if isinstance(message, ControlState):
+            self._held_revisions.record(event.sender, message.revision, now_ms)
+        elif isinstance(message, RoutesRequest):
+            await self._send_routes(self._links.get(event.sender))
+        elif await self._adopt_configuration(message, now_ms):
+            self._metrics.count("routes_from_replicas")
+            log.warning(
+                "got routes from another replica, as the log here is behind",
+                revision=message.revision,
+                replica=f"{event.sender:016x}",
+            )
+
+    async def _send_routes(self, outbox):
+        """Send the routes to a replica, without the document that its log has."""
+        if outbox is not None and self._configuration is not None:
+            await outbox.offer(self._configuration.replace(document=b""))
+
+    async def _request_missing_routes(self, now_ms):
+        """Request routes that others have and the own log hasn't applied in time."""
+        identity = self._held_revisions.due_request(self._revision, self._links, now_ms)
+        if identity is not None:
+            await self._links[identity].offer(RoutesRequest())
+
+    async def _adopt_configuration(self, configuration, now_ms):
+        """Push a committed configuration if it is newer; return whether it is."""
+        if not self._is_newer(configuration):
+            return False
+        changed = self._set_configuration(configuration)
+        self._diffs = {}
+        for outbox in self._forwarders:
+            await self._push_routes(outbox)
+        await self._send_to_replicas(self._control_state())
+        await self._hints.mark_dirty()
+        if changed:
+            await self._push_states(changed)
+            await self._replicate(changed, 0, now_ms)
+        return True
+
     async def _set_evacuations(self, evacuations):
         """Adopt evacuations of a higher version, and push them at once.
 
@@ -641,7 +685,7 @@
         return ControlState(
             zone=self._zone,
             current=self._is_current(monotonic_ms()),
-            revision=self._configuration.revision if self._configuration else 0,
+            revision=self._revision,
             replicas=self._replicas,
         )
 
--- a/tests/packetcluster.py
+++ b/tests/packetcluster.py
@@ -52,9 +52,10 @@
 class PacketCluster:
     """Run replicas and a forwarder; hold the sockets of a caller and an upstream."""
 
-    def __init__(self, *, replicas=3, link_mbps=""):
+    def __init__(self, *, replicas=3, link_mbps="", fault_injection=False):
         self.folder = Path(tempfile.mkdtemp(prefix="packets-"))
         self.base = int(os.environ.get(BASE_VARIABLE, 0)) or default_base()
+        self._fault_injection = fault_injection
         self.replicas = [self.host(n) for n in range(1, replicas + 1)]
         self.daemons = {host: self._replica(host) for host in self.replicas}
         self.forwarder = self._forwarder(self.host(11), link_mbps)
@@ -95,7 +96,12 @@
             },
             "timing": {"election_ms": 300, "heartbeat_ms": 100, "report_ms": 1000},
         }
-        return Daemon(folder=self.folder, name=f"control-{host}", sections=sections)
+        return Daemon(
+            folder=self.folder,
+            name=f"control-{host}",
+            sections=sections,
+            fault_injection=self._fault_injection,
+        )
 
     def _forwarder(self, host, link_mbps):
         sections = {
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -37,6 +37,7 @@
     ForwarderDisconnected,
     ForwarderMessageReceived,
     ForwarderSubscribed,
+    ReplicaMessageReceived,
     ReplicatedStateChanged,
     UpstreamDeparted,
     UpstreamReported,
@@ -427,6 +428,76 @@
         )
 
 
+class RoutesOfReplicas(HubTest):
+    """A replica gets the routes that its own log doesn't apply in time from another.
+
+    Guards against forwarders that keep old routes as their replicas' disks are slow.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.other, self.forwarder = RecordingOutbox(), RecordingOutbox()
+        self.begin = [
+            self.replicated(3, route()),
+            self.subscribe(self.forwarder),
+            self.link(self.other),
+        ]
+
+    @staticmethod
+    def received(message):
+        """Return the event of a message from the other replica."""
+        return ReplicaMessageReceived(message=message, sender=OTHER.identity)
+
+    def stated(self, revision):
+        """Return the event that the other replica holds a revision."""
+        return self.received(
+            ControlState(zone="zone-b", current=True, revision=revision, replicas=[])
+        )
+
+    def pushed(self):
+        """Return the revisions that the forwarder got, each with its base."""
+        pushes = self.forwarder.messages_of(RoutesPush)
+        return [(push.revision, push.base) for push in pushes]
+
+    def test_revision_stated(self):
+        """Replicas learn of a held revision with the link, and of each later one."""
+        self.run_hub(*self.begin, self.replicated(4, route()))
+        stated = [s.revision for s in self.other.messages_of(ControlState)]
+        self.assertEqual([3, 4], stated)
+
+    def test_requested(self):
+        self.run_hub(*self.begin, self.stated(5), "wait", "wait")
+        self.assertEqual(1, len(self.other.messages_of(RoutesRequest)))
+
+    def test_log_in_time(self):
+        log_event = self.replicated(5, route())
+        self.run_hub(*self.begin, self.stated(5), log_event, "wait", "wait")
+        self.assertEqual([], self.other.messages_of(RoutesRequest))
+
+    def test_answered(self):
+        """A request is answered with the routes, without the operator's document."""
+        first, *rest = self.begin
+        configuration = first.configuration.replace(document=b"{}")
+        first = first.replace(configuration=configuration)
+        self.run_hub(first, *rest, self.received(RoutesRequest()))
+        (answer,) = self.other.messages_of(PacketConfiguration)
+        self.assertEqual(configuration.replace(document=b""), answer)
+
+    def test_adopted(self):
+        """Routes from a replica are pushed, and not again once the log has them."""
+        routes = [route(), route(port=8_443)]
+        newer = self.replicated(5, *routes)
+        hint_file = self.run_hub(
+            *self.begin,
+            self.received(newer.configuration),
+            self.replicated(4, route(port=9_443)),
+            newer,
+            self.received(self.replicated(4).configuration),
+        )
+        self.assertEqual([(3, 0), (5, 3)], self.pushed())
+        self.assertEqual(routes, hint_file.collected.routes)
+
+
 class ColdRequests(HubTest):
     """Requests for permits reach the home, and its answer the forwarder.
 
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -5,18 +5,25 @@
 import struct
 import time
 
+import curio
+import testscenarios
 import testtools
 
 from knapweeddeal.clock import boot_ms
 from knapweeddeal.errors import KnapweeddealError
 from knapweeddeal.forwarderlinks import SUBSCRIPTION_COUNT
+from knapweeddeal.messages.packets import ForwarderHello, RoutesPush
+from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.packetheader import RST, SYN
+from knapweeddeal.stream import connect
 from tests.packetcluster import ROUTE_HOST, ROUTE_PORT, STREAMS, PacketCluster, document
 from tests.processes import wait_until
 from tests.test_cmdline import run as run_tool
 
 #: 4 requests a second x 1.5 + 5.
 COLD_BOUND = 11
+#: Time in which a confirmed configuration must be in force at forwarders.
+APPLY_S = 3.0
 ID_PREFIX = bytes.fromhex("000000000000ab12")
 
 
@@ -24,10 +31,13 @@
     """Base of tests with a cluster that forwards packets to an upstream."""
 
     LINK_MBPS = ""
+    FAULT_INJECTION = False
 
     def setUp(self):
         super().setUp()
-        self.cluster = PacketCluster(link_mbps=self.LINK_MBPS)
+        self.cluster = PacketCluster(
+            link_mbps=self.LINK_MBPS, fault_injection=self.FAULT_INJECTION
+        )
         self.addCleanup(self.cluster.close)
         self.cluster.start()
         self.cluster.publish(5)
@@ -208,6 +218,44 @@
         return received is None and self.cluster.receive_at_caller()[0] == RST
 
 
+class FaultyDisk(testscenarios.TestWithScenarios, PacketCase):
+    """A replica pushes confirmed routes while its own disk stalls, fails or is slow.
+
+    Guards against forwarders that keep old routes, as all replicas that they are
+    subscribed to have such disks.
+    """
+
+    FAULT_INJECTION = True
+    scenarios = [
+        ("stalled", {"faults": {"stalled": True}}),
+        ("full", {"faults": {"full": True}}),
+        ("slow", {"faults": {"sync_ms": 2_000}}),
+    ]
+
+    def test_pushed_in_time(self):
+        cluster = self.cluster
+        roles = {host: cluster.dump(host)["role"] for host in cluster.replicas}
+        host = next(host for host, role in roles.items() if role == "follower")
+        cluster.daemons[host].set_faults(**self.faults)
+        for version in (6, 7, 8):
+            cluster.publish(version)
+        self.assertTrue(curio.run(self._is_pushed, host, 8))
+
+    async def _is_pushed(self, host, revision):
+        """Return whether a replica pushes a revision in the time that it has."""
+        stream = await connect((host, STREAMS), timeout_ms=1_000)
+        await stream.send(ForwarderHello(name="other", zone="zone-a", revision=0))
+        pushed, until_s = 0, time.monotonic() + APPLY_S
+        while pushed < revision and time.monotonic() < until_s:
+            await stream.send(Heartbeat())
+            message = await stream.receive()
+            if isinstance(message, RoutesPush):
+                pushed = message.revision
+            await curio.sleep(0.05)
+        await stream.close()
+        return pushed == revision
+
+
 class NarrowLink(PacketCase):
     """Packets wait for a narrow link; a stop and a reload lose none of them."""
 
