Repeat a push of routes that found the queue of a forwarder full

A replica noted a push of routes as done although the full queue of a forwarder's stream had refused it. The forwarder kept its old routes until the next publication. It is repeated with the next heartbeat now, as pushes of evacuated zones are. Found by reading; test_push_refused fails before.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -490,8 +490,7 @@
         await event.outbox.offer(self._control_state())
         # Before the upstreams, which a forwarder may select once it knows them.
         await self._push_zones(event.outbox)
-        if existing is None:
-            await self._push_routes(event.outbox)
+        await self._push_routes(event.outbox)
         await event.outbox.offer(self._all_upstreams_push(monotonic_ms()))
 
     @_handle.register
@@ -529,8 +528,8 @@
             )
             return
         if isinstance(event.message, RoutesRequest):
-            self._forwarders[event.outbox].configuration = None
-            await self._push_routes(event.outbox)
+            forwarder.configuration = None
+        await self._push_routes(event.outbox)
         await self._push_zones(event.outbox)
         await event.outbox.offer(self._control_state())
 
@@ -760,12 +759,15 @@
         return configuration is not None and hello.revision == configuration.revision
 
     async def _push_routes(self, outbox):
-        configuration = self._configuration
-        if configuration is None or not configuration.revision:
+        """Push the routes to a forwarder unless it has them.
+
+        With each heartbeat it is tried again, as a full outbox refuses a push.
+        """
+        forwarder, configuration = self._forwarders[outbox], self._configuration
+        if forwarder.configuration is configuration or not self._revision:
             return
-        forwarder = self._forwarders[outbox]
-        previous, forwarder.configuration = forwarder.configuration, configuration
-        await outbox.offer(self._routes_push(previous))
+        if await outbox.offer(self._routes_push(forwarder.configuration)):
+            forwarder.configuration = configuration
 
     def _routes_push(self, previous):
         """Return the encoded push from a previous configuration to the present one."""
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -32,6 +32,7 @@
     UpstreamsPush,
 )
 from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packetevents import (
     ForwarderDisconnected,
@@ -377,6 +378,23 @@
         (change,) = outbox.messages_of(RoutesPush)
         self.assertEqual([4, 3], [change.revision, change.base])
 
+    def test_push_refused(self):
+        """A push that finds the outbox full is repeated with the next heartbeat.
+
+        Guards against a forwarder that keeps old routes until the next publication.
+        """
+        outbox = RecordingOutbox()
+        outbox.refused = RoutesPush
+        heartbeat = ForwarderMessageReceived(message=Heartbeat(), outbox=outbox)
+        self.run_hub(
+            self.subscribe(outbox),
+            self.replicated(3, route()),
+            heartbeat,
+            heartbeat,
+        )
+        (push,) = outbox.messages_of(RoutesPush)
+        self.assertEqual([3, 0], [push.revision, push.base])
+
     def test_leader_lost(self):
         """Forwarders are notified at once when the replica has no leader."""
         outbox = RecordingOutbox()
