Wait at the start for a disk that fails and for the folder's lock

`open_when_writable` waited only for a full disk. Errors of the setting still end the process.

test_other_error tried one such error, a missing path; UnusableFolder has four.

--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -7,6 +7,7 @@
     "ConflictError",
     "CorruptStorageError",
     "DiskFailedError",
+    "FolderLockedError",
     "KnapweeddealError",
     "InvalidIntentError",
     "NoQuorumError",
@@ -63,6 +64,10 @@
     exit_status = 4
 
 
+class FolderLockedError(BadSettingError):
+    """Report a data folder that another process has locked."""
+
+
 class NoRouteError(KnapweeddealError):
     """Report an address for which a forwarder has no route."""
 
--- a/knapweeddeal/storage.py
+++ b/knapweeddeal/storage.py
@@ -5,7 +5,7 @@
 import os
 from pathlib import Path
 
-from knapweeddeal.errors import BadSettingError
+from knapweeddeal.errors import FolderLockedError
 from knapweeddeal.frames import (
     FRAME_HEADER,
     corruption_error,
@@ -124,7 +124,7 @@
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             lock.close()
-            raise BadSettingError(
+            raise FolderLockedError(
                 "the data folder is locked by another process",
                 field="data_folder",
                 value=self._path,
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,10 +1,19 @@
 """tests.test_disk: Tests of blocking file access in threads."""
 
+import errno
+import os
+import tempfile
+import threading
+from pathlib import Path
+
 import curio
+import testscenarios
 import testtools
 
+from knapweeddeal import disk
 from knapweeddeal.disk import open_when_writable, retry_until_done, run_blocking
-from knapweeddeal.errors import DiskFailedError
+from knapweeddeal.errors import BadSettingError, DiskFailedError
+from knapweeddeal.storage import DataFolder
 
 
 def fail():
@@ -40,22 +49,70 @@
         self.assertEqual(3, len(attempts))
 
 
-class OpenWhenWritable(testtools.TestCase):
-    """A full disk delays the start; any other error ends it, as waiting won't help."""
+class OpenWhenWritable(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An error that may pass delays the start and doesn't end the process."""
+
+    scenarios = [
+        (errno.errorcode[number], {"number": number})
+        for number in (
+            errno.ENOSPC,
+            errno.EDQUOT,
+            errno.EIO,
+            errno.EROFS,
+            errno.EMFILE,
+            errno.ENFILE,
+            errno.ENOMEM,
+        )
+    ]
 
-    def test_full(self):
+    def test_opened_later(self):
         attempts = []
 
         def open_files():
             attempts.append(len(attempts))
             if len(attempts) < 3:
-                fail()
+                raise OSError(self.number, os.strerror(self.number), "log-1")
             return "opened"
 
         self.assertEqual("opened", curio.run(open_when_writable, open_files))
         self.assertEqual(3, len(attempts))
 
-    def test_other_error(self):
-        self.assertRaises(
-            FileNotFoundError, curio.run, open_when_writable, open, "/nowhere"
-        )
+
+class UnusableFolder(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An error of the setting ends the start, as waiting won't help."""
+
+    scenarios = [
+        (errno.errorcode[number], {"number": number})
+        for number in (errno.ENOENT, errno.ENOTDIR, errno.EACCES, errno.ENAMETOOLONG)
+    ]
+
+    def test_raised(self):
+        def open_files():
+            raise OSError(self.number, os.strerror(self.number), "log-1")
+
+        error = self.assertRaises(OSError, curio.run, open_when_writable, open_files)
+        self.assertEqual(self.number, error.errno)
+
+
+class LockedFolder(testtools.TestCase):
+    """A killed process may hold its lock until the disk has answered."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name)
+
+    def open(self):
+        """Open the data folder."""
+        return DataFolder(path=self.path, new_identity=lambda: 7)
+
+    def test_released(self):
+        threading.Timer(0.5, self.open().close).start()
+        curio.run(open_when_writable, self.open).close()
+
+    def test_not_released(self):
+        """A folder that another process uses ends the start with a clear error."""
+        self.patch(disk, "LOCK_WAIT_MS", 300)
+        self.addCleanup(self.open().close)
+        self.assertRaises(BadSettingError, curio.run, open_when_writable, self.open)
