Ignore SIGHUP before the launcher imports anything

A process that got SIGHUP just after its start ended with status -1. The launcher ignored it only after `signal` and `pathlib`, whose imports take longer than the start of the interpreter. It uses the built-in `_signal` first now.

--- a/deploy/knapweeddeald.py
+++ b/deploy/knapweeddeald.py
@@ -1,13 +1,15 @@
 """Run the daemon from a checkout, without the start-up time of `-m` and of the GC."""
 
-import gc
-import signal
-import sys
-from pathlib import PurePath
+import _signal
+
+# SIGHUP ends a process that does not handle it. `signal` and `pathlib` import further
+# modules, which takes longer than the interpreter itself; `_signal` is built in.
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import gc  # noqa: E402
+import sys  # noqa: E402
+from pathlib import PurePath  # noqa: E402
 
-# The daemon does so too, but on a fraction of a core its import is slow enough for a
-# SIGHUP to arrive first and end the process.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
 gc.disable()
 sys.path.insert(0, str(PurePath(__file__).parent.parent))
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -122,6 +122,39 @@
         self.assertIsNone(process.poll())
 
 
+#: Stands in for a module of the standard library that takes time to import.
+SLOW_MODULE = """
+import _signal
+import sys
+
+sys.exit(_signal.getsignal(_signal.SIGHUP) is not _signal.SIG_IGN)
+"""
+
+
+class SlowImports(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The launcher ignores SIGHUP before it imports what isn't built in.
+
+    SIGHUP ended processes during these imports, on a fraction of a core for 0.1 s.
+    """
+
+    scenarios = [(name, {"name": name}) for name in ("enum", "pathlib")]
+
+    def test_ignored_before(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        (Path(folder.name) / f"{self.name}.py").write_text(SLOW_MODULE, "utf-8")
+        done = subprocess.run(
+            [sys.executable, "-S", "deploy/knapweeddeald.py", "--check"],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": folder.name},
+            capture_output=True,
+            preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual((0, b""), (done.returncode, done.stderr))
+
+
 class ClosedStreams(testscenarios.TestWithScenarios, testtools.TestCase):
     """A process whose standard streams are closed runs as with a log that is lost."""
 
