Soak: start processes with the default action of SIGHUP

Importing `soak.faultydaemon` for its variable's name made the runner ignore SIGHUP. The processes that soaks and tests start inherited that from exec on, so that a start that SIGHUP ends on the platform went on here. Only the program itself ignores it now.

Evidence: test_default failed before and passes now.

--- a/soak/faultydaemon.py
+++ b/soak/faultydaemon.py
@@ -3,10 +3,12 @@
 `soak.launch` writes the file; while there is none, no fault is active.
 """
 
-import signal
+import _signal
 
-# As in deploy/knapweeddeald.py: SIGHUP during the imports must not end the process.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+if __name__ == "__main__":
+    # As in deploy/knapweeddeald.py: SIGHUP during the imports must not end the process.
+    # Not on import, as the processes that the importer starts would inherit it.
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import errno  # noqa: E402
 import json  # noqa: E402
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,30 @@
 ]
 
 
+#: Exits with status 1 if processes that a soak starts would ignore SIGHUP from exec on.
+INHERITED = """
+import signal, sys
+import soak.__main__, tests.processes
+sys.exit(signal.getsignal(signal.SIGHUP) is not signal.SIG_DFL)
+"""
+
+
+class InheritedSignals(testtools.TestCase):
+    """Started processes get the default action of SIGHUP, as on the platform.
+
+    They inherited that it was ignored, which hid an end by SIGHUP during a start.
+    """
+
+    def test_default(self):
+        done = subprocess.run(
+            [sys.executable, "-c", INHERITED],
+            cwd=ROOT,
+            preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
+            check=False,
+        )
+        self.assertEqual(0, done.returncode)
+
+
 class UnstartedProcess(testtools.TestCase):
     """A replica gets a signal while its disk is replaced.
 
