Let a repeated publication join the work that the first call started

Callers of `PUT /-/config` saw 503 for as long as they sent a document whose handling takes longer than the call's timeout of 850 ms, although the document was in force. The timeout cancelled the call together with its work, so each call started over: decoding in the event loop, then a further copy of the record in the log. Meanwhile heartbeats, reads and reports of the process waited.

A publication is now a task of its own. It is found again by the digest of the bytes, and outlives the call. The validity of documents is remembered by the same digest, so one that a higher revision has overtaken, the one in force, and an invalid one are answered at once; nothing is confirmed that was not found valid here or isn't in force byte for byte. Documents are decoded in a thread, one at a time, and only where no other replica is known to lead. The command is encoded and checked there too, and the leader applies it without decoding it again. A publication that is submitted again waits for its record if the log still has it.

Evidence: the six rows of ResentDocuments fail on the code before (with its fakes adapted to the interface); ResubmittedPublication, DocumentsWithoutDecoding and DecodingInThread cover the other parts.

--- a/knapweeddeal/commandrecords.py
+++ b/knapweeddeal/commandrecords.py
@@ -11,15 +11,53 @@
 from knapweeddeal.messages.replication import ConfirmRecord, PlanRecord
 from knapweeddeal.packetconfigurations import check_routes
 from knapweeddeal.plans import apply_steps
+from knapweeddeal.record import Record
 
-__all__ = ["command_bytes", "command_record"]
+__all__ = [
+    "EncodedCommand",
+    "PreparedPublication",
+    "command_record",
+    "encode_command",
+    "prepare_publication",
+]
 
 #: Largest encoded record; the log adds some bytes to it.
 MAX_RECORD_BYTES = MAX_COMMAND_BYTES - 64
 
 
-def command_bytes(record):
-    """Return the bytes of a record, or raise BadMessageError if no replica reads them.
+class EncodedCommand(Record):
+    """Hold the bytes of a command, and the record that every replica reads in them."""
+
+    __slots__ = ("data", "record")
+
+
+class PreparedPublication:
+    """Publish a configuration that was checked and encoded outside the event loop.
+
+    `position` is the index and term of its record in the log, or None: a publication
+    that is submitted again waits for the record that it has there.
+    """
+
+    __slots__ = ("command", "position")
+
+    def __init__(self, *, command):
+        self.command = command
+        self.position = None
+
+    @property
+    def revision(self):
+        """Return the revision of the configuration."""
+        return self.command.record.configuration.revision
+
+
+def prepare_publication(configuration):
+    """Return the publication of a configuration whose routes were checked."""
+    record = PublishRecord(operator="", request_id="", configuration=configuration)
+    return PreparedPublication(command=encode_command(record))
+
+
+def encode_command(record):
+    """Return the encoded record, or raise BadMessageError if no replica can read it.
 
     Fields are only checked when a message is decoded. A record that can't be decoded
     must not get into the log, as each replica would fail on it, also after a restart.
@@ -31,8 +69,7 @@
             field="bytes",
             value=len(data),
         )
-    decode(data)
-    return data
+    return EncodedCommand(data=data, record=decode(data))
 
 
 @functools.singledispatch
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -142,6 +142,15 @@
         """Return the id of the cluster that the folder belongs to, or 0."""
         return self._cluster.cluster
 
+    @property
+    def packets(self):
+        """Return the packet routes in force, as far as this replica has applied."""
+        return self._replica.state.packets
+
+    def check_leader(self):
+        """Raise NotLeaderError if another replica is known to lead."""
+        self._replica.check_leader()
+
     def hello(self):
         """Return the messages that open a stream to another replica."""
         hello = ReplicaHello(
--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -155,6 +155,7 @@
     if settings.api is not None:
         api = PlatformApi(
             send_request=streams.submit_to_core,
+            replica=core,
             hub_events=hub_events,
             identity=core.identity,
             port=settings.api[1],
--- a/knapweeddeal/controlqueries.py
+++ b/knapweeddeal/controlqueries.py
@@ -3,6 +3,7 @@
 import functools
 import json
 
+from knapweeddeal.commandrecords import PreparedPublication
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.errors import BadMessageError, InvalidIntentError
 from knapweeddeal.evacuations import check_order
@@ -66,6 +67,15 @@
     return PublishAnswer(revision=revision)
 
 
+@local_answer.register
+def _(publication: PreparedPublication, replica):
+    """Answer at once if the revision isn't newer; the routes were checked before."""
+    revision = replica.state.packets.revision
+    if publication.revision > revision:
+        return None
+    return PublishAnswer(revision=revision)
+
+
 @local_answer.register
 def _(message: EvacuateRequest, replica):
     """Refuse an invalid order at any replica.
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -5,7 +5,11 @@
 
 from functools import singledispatchmethod
 
-from knapweeddeal.commandrecords import command_bytes, command_record
+from knapweeddeal.commandrecords import (
+    PreparedPublication,
+    command_record,
+    encode_command,
+)
 from knapweeddeal.configurationstate import failure_answer
 from knapweeddeal.consensus import LEADER
 from knapweeddeal.consensuslog import (
@@ -227,6 +231,11 @@
         replica = self._leader_replica()
         return replica.name if replica else ""
 
+    def check_leader(self):
+        """Raise NotLeaderError if another replica is known to lead."""
+        if self.node.leader not in (0, self.node.identity):
+            raise self._not_leader()
+
     def candidates(self):
         """Return the connected replicas that are not members."""
         members = self.node.members
@@ -272,13 +281,11 @@
         if answer is not None:
             self._reply(pending, answer)
             return
-        leader = self.node.leader
-        if not leader or self.node.transferring:
+        if not self.node.leader or self.node.transferring:
             self._pending.await_leader(pending)
             return
         try:
-            if leader != self.node.identity:
-                raise self._not_leader()
+            self.check_leader()
             self._start(pending.message, pending)
         except KnapweeddealError as error:
             self._reply(pending, failure_answer(error))
@@ -287,8 +294,19 @@
     def _start(self, message, pending):
         """Replicate an operator's command."""
         record = command_record(message, self, wall_ms=pending.wall_ms)
-        index, term = self.node.propose(command_bytes(record))
-        self._pending.await_commit(pending, index=index, term=term)
+        self._propose(encode_command(record), pending)
+
+    @_start.register
+    def _(self, publication: PreparedPublication, pending):
+        """Replicate a publication, or wait for its record if the log still has it."""
+        if publication.position is not None:
+            index, term = publication.position
+            if self.node.log.term_at(index) == term:
+                self._pending.await_commit(
+                    pending, command=publication.command, index=index, term=term
+                )
+                return
+        publication.position = self._propose(publication.command, pending)
 
     @_start.register(StatusRequest)
     @_start.register(ServicesRequest)
@@ -312,22 +330,33 @@
         self._swap = ReplicaSwap(call_id=pending.call_id, request=request, replica=self)
         self._advance_swap()
 
+    def _propose(self, command, pending):
+        """Append a command to the log; return its index and term."""
+        index, term = self.node.propose(command.data)
+        self._pending.await_commit(pending, command=command, index=index, term=term)
+        return index, term
+
     # Results.
 
     def _apply(self, record):
+        proposed = self._pending.pop_proposed(record.index)
         answer = None
         if is_command(record):
-            answer = self._apply_command(record)
+            answer = self._apply_command(record, proposed)
         membership = unpack_membership(record)
         if membership is not None and membership.request_id:
             self.state.apply(record.index, membership)
-        for pending in self._pending.pop_proposed(record.index):
+        for pending in proposed:
             if pending.term == record.term:
                 self._reply(pending, answer)
             else:
                 self._dispatch(pending)
 
-    def _apply_command(self, record):
+    def _apply_command(self, record, proposed):
+        """Apply a command; one that was proposed here needn't be decoded again."""
+        for pending in proposed:
+            if pending.term == record.term:
+                return self.state.apply(record.index, pending.command.record)
         try:
             command = decode(unpack_command(record))
         except BadMessageError as error:
--- a/knapweeddeal/pendingrequests.py
+++ b/knapweeddeal/pendingrequests.py
@@ -27,6 +27,7 @@
 
     __slots__ = (
         "call_id",
+        "command",
         "received_ms",
         "index",
         "message",
@@ -41,7 +42,8 @@
         self.message = message
         self.deadline_ms = deadline_ms
         self.wall_ms = wall_ms
-        #: Log index and term of the proposed command; 0 before it is proposed.
+        #: The proposed command, with its log index and term; 0 before it is proposed.
+        self.command = None
         self.index = 0
         self.term = 0
 
@@ -67,8 +69,9 @@
         """Hold a request until a leader is known."""
         self._waiting.append(pending)
 
-    def await_commit(self, pending, *, index, term):
+    def await_commit(self, pending, *, command, index, term):
         """Hold a command until its record is committed."""
+        pending.command = command
         pending.index, pending.term = index, term
         self._proposed[pending.call_id] = pending
 
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -22,10 +22,9 @@
     PublishAnswer,
     PublishedAnswer,
     PublishedRoutesRequest,
-    PublishRequest,
 )
 from knapweeddeal.packetevents import UpstreamDeparted, UpstreamReported
-from knapweeddeal.platform.configurations import decode_configuration
+from knapweeddeal.platform.publisher import Publisher
 from knapweeddeal.platform.reports import decode_departure, decode_report
 
 __all__ = ["PlatformApi"]
@@ -52,8 +51,9 @@
     """Translate HTTP requests into messages, and answers into HTTP responses."""
 
     __slots__ = ("_send_request", "_hub_events", "_identity", "_metrics", "_port")
+    __slots__ += ("_publisher",)
 
-    def __init__(self, *, send_request, hub_events, identity, port, metrics):
+    def __init__(self, *, send_request, replica, hub_events, identity, port, metrics):
         #: Coroutine function that sends an operator's message to the replica.
         self._send_request = send_request
         self._hub_events = hub_events
@@ -61,6 +61,9 @@
         #: Port of this API, the same on all VMs.
         self._port = port
         self._metrics = metrics
+        self._publisher = Publisher(
+            send_request=send_request, replica=replica, metrics=metrics
+        )
 
     async def handle_request(self, request):
         """Return the HTTP response to a request, and record its duration."""
@@ -108,16 +111,7 @@
     # Operators.
 
     async def _publish(self, body):
-        configuration = decode_configuration(body)
-        answer = await self._send_request(PublishRequest(configuration=configuration))
-        response = _response(answer)
-        log.info(
-            "confirmed a published configuration",
-            revision=configuration.revision,
-            routes=len(configuration.routes),
-            in_force=answer.revision,
-        )
-        return response
+        return _response(await self._publisher.publish(body))
 
     async def _read(self, _body):
         return _response(await self._send_request(PublishedRoutesRequest()))
--- a/knapweeddeal/record.py
+++ b/knapweeddeal/record.py
@@ -32,6 +32,7 @@
     "OperatorRequest": "OperatorAsk",
     "PingRequest": "PingAsk",
     "PlanRequest": "PlanAsk",
+    "PreparedPublication": "PublishAsk",
     "PublishRequest": "PublishAsk",
     "PublishedRoutesRequest": "PublishedAsk",
     "RefusalsRequest": "RefusalsAsk",
--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -1,11 +1,13 @@
 """tests.test_controlreplica: Tests of the logic of a control replica."""
 
 import random
+from unittest import mock
 
 import msgpack
 import testscenarios
 import testtools
 
+from knapweeddeal.commandrecords import prepare_publication
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import LEADER, Node
 from knapweeddeal.controlreplica import ControlReplica
@@ -13,7 +15,9 @@
 from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.control import (
     AppendAnswer,
+    AppendRequest,
     ConfigurationRequest,
+    LogRecord,
     Replica,
     VoteAnswer,
 )
@@ -145,6 +149,28 @@
         """Return the answers that are ready."""
         return [answer.message for answer in self.replica.pop_answers()]
 
+    def become_leader(self):
+        """Let replica 2 grant its votes and send nothing afterwards."""
+        node = self.replica.node
+        for pre in (True, False):
+            answer = VoteAnswer(term=node.term + pre, voter=2, granted=True, pre=pre)
+            node.receive(2, answer, self.now_ms)
+            flush(self.replica)
+        self.assertEqual(LEADER, node.role)
+
+    def catch_up(self, identity):
+        """Let a replica acknowledge all records."""
+        node = self.replica.node
+        answer = AppendAnswer(
+            term=node.term,
+            follower=identity,
+            success=True,
+            match_index=node.log.last_index,
+            round=1 << 30,
+        )
+        node.receive(identity, answer, self.now_ms)
+        flush(self.replica)
+
     def create_service(self, number):
         """Plan and confirm a new service, and return the version."""
         plan = self.submit(plan_request(number))[0]
@@ -207,15 +233,6 @@
         )
     ]
 
-    def become_leader(self):
-        """Let replica 2 grant its votes and send nothing afterwards."""
-        node = self.replica.node
-        for pre in (True, False):
-            answer = VoteAnswer(term=node.term + pre, voter=2, granted=True, pre=pre)
-            node.receive(2, answer, self.now_ms)
-            flush(self.replica)
-        self.assertEqual(LEADER, node.role)
-
     def test_refused_after_two_election_timeouts(self):
         if self.leads:
             self.become_leader()
@@ -263,19 +280,6 @@
         )
         return self.submit(request)
 
-    def catch_up(self, identity):
-        """Let a replica acknowledge all records."""
-        node = self.replica.node
-        answer = AppendAnswer(
-            term=node.term,
-            follower=identity,
-            success=True,
-            match_index=node.log.last_index,
-            round=1 << 30,
-        )
-        node.receive(identity, answer, self.now_ms)
-        flush(self.replica)
-
     def names(self, answer):
         """Return the names of the members."""
         return [replica.name for replica in answer.members]
@@ -398,3 +402,72 @@
         plan = self.submit(plan_request())[0]
         self.assertIsInstance(plan, PlanAnswer)
         self.assertEqual(self.now_ms + PLAN_LIFE_MS, plan.expires_ms)
+
+
+class ResubmittedPublication(ReplicaTest):
+    """A publication that is submitted again waits for the record that the log has.
+
+    Each call that was sent again appended the whole configuration once more.
+    """
+
+    members = (1, 2)
+
+    def setUp(self):
+        super().setUp()
+        self.become_leader()
+        self.publication = prepare_publication(publish(route()).configuration)
+        self.assertEqual([], self.submit(self.publication))
+
+    def commands(self):
+        """Return the publications in the log."""
+        log = self.replica.node.log
+        records = log.slice(1, log.last_index)
+        return [r for r in records if r.command[1:] == self.publication.command.data]
+
+    def check_answered(self, count):
+        """Let replica 2 acknowledge all; check answers and the number of records."""
+        self.catch_up(2)
+        answers = self.answers()
+        self.assertEqual([7] * count, [answer.revision for answer in answers])
+        self.assertEqual(1, len(self.commands()))
+        self.assertEqual(7, self.replica.state.packets.revision)
+
+    def test_same_term(self):
+        self.submit(self.publication, call_id=8)
+        self.check_answered(2)
+
+    def test_after_another_election(self):
+        self.wait(2 * ELECTION_MS)
+        self.answers()
+        self.wait(2 * ELECTION_MS)
+        self.become_leader()
+        self.submit(self.publication, call_id=8)
+        self.check_answered(1)
+
+    def test_after_another_leader_replaced_the_record(self):
+        node = self.replica.node
+        index, term = self.publication.position
+        record = LogRecord(index=index, term=term + 1, command=b"\2")
+        request = AppendRequest(
+            term=term + 1,
+            leader=2,
+            previous_index=index - 1,
+            previous_term=node.log.term_at(index - 1),
+            records=[record],
+            commit_index=index,
+            round=1,
+        )
+        node.receive(2, request, self.now_ms)
+        flush(self.replica)
+        self.assertEqual(["not_leader"], [answer.code for answer in self.answers()])
+        self.assertEqual([], self.commands())
+        self.wait(4 * ELECTION_MS)
+        self.become_leader()
+        self.submit(self.publication, call_id=8)
+        self.check_answered(1)
+
+    def test_decoded_once(self):
+        """The leader applies what it proposed without decoding it again."""
+        with mock.patch("knapweeddeal.controlreplica.decode") as decode:
+            self.check_answered(1)
+        self.assertEqual([], decode.call_args_list)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from knapweeddeal.actions import UpstreamKey
-from knapweeddeal.commandrecords import command_bytes, command_record
+from knapweeddeal.commandrecords import command_record, encode_command
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.errors import (
     BadMessageError,
@@ -308,7 +308,7 @@
             record = command_record(
                 PublishRequest(configuration=configuration), None, wall_ms=0
             )
-            command_bytes(record)
+            encode_command(record)
         except KnapweeddealError:
             return
         self.check_readable(configuration)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,14 @@
 """tests.test_platform: Tests of the platform's formats and calls."""
 
 import json
+import time
+from unittest import mock
 
 import curio
 import testscenarios
 import testtools
 
-from knapweeddeal.commandrecords import command_record
+from knapweeddeal.commandrecords import PreparedPublication, command_record
 from knapweeddeal.configurationstate import ConfigurationState, failure_answer
 from knapweeddeal.controlqueries import local_answer
 from knapweeddeal.errors import KnapweeddealError, NoQuorumError, NotLeaderError
@@ -18,7 +20,6 @@
     PublishedAnswer,
     PublishedRoutesRequest,
     PublishRecord,
-    PublishRequest,
     RouteTerms,
     ServiceTerms,
 )
@@ -322,7 +323,9 @@
 class FakeReplica:
     """Stand in for the replicated log and the hub."""
 
-    def __init__(self, *, error=None):
+    def __init__(self, *, error=None, replication_s=0.0):
+        #: Time until a majority has the record of a publication.
+        self.replication_s = replication_s
         self.state = ConfigurationState()
         self.zones = ("zone-a", "zone-b")
         self.table = UpstreamTable(own_identity=1, report_ms=1_000)
@@ -330,17 +333,32 @@
         self.events = curio.Queue()
         self.api = PlatformApi(
             send_request=self.answer_request,
+            replica=self,
             hub_events=self.events,
             identity=1,
             port=8166,
             metrics=Metrics(),
         )
 
+    @property
+    def packets(self):
+        """Return the packet routes in force."""
+        return self.state.packets
+
+    def check_leader(self):
+        """Raise the error of a replica that isn't the leader."""
+        if isinstance(self.error, NotLeaderError):
+            raise self.error
+
     async def answer_request(self, message):
         """Answer an operator's message as a leader does."""
         if self.error is not None:
             return failure_answer(self.error)
-        if isinstance(message, (EvacuateRequest, PublishRequest)):
+        if isinstance(message, PreparedPublication):
+            await curio.sleep(self.replication_s)
+            record = message.command.record
+            return local_answer(message, self) or self.state.apply(1, record)
+        if isinstance(message, EvacuateRequest):
             record = command_record(message, None, wall_ms=0)
             return local_answer(message, self) or self.state.apply(1, record)
         assert isinstance(message, PublishedRoutesRequest)
@@ -371,6 +389,8 @@
         return curio.run(run)
 
 
+#: The function that decodes documents.
+DECODER = "knapweeddeal.platform.publisher.decode_configuration"
 UNENCODABLE = {**REPORT, "zone": "\ud800"}
 
 
@@ -476,3 +496,134 @@
         restored = ConfigurationState()
         restored.restore(state.encode_snapshot())
         self.assertEqual(state.packets, restored.packets)
+
+
+class ResentDocuments(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A document that takes longer than a call is confirmed when it is sent again.
+
+    Each call started over, so a document that outlived the timeout once was answered
+    with 503 for ever, although it was in force.
+    """
+
+    TIMEOUT_MS = 200
+    SLOW_S = 0.26
+    FIRST = with_changes(version=7)
+    SECOND = with_changes(version=8, routes=[ROUTE])
+    INVALID = with_changes(version=6, routes=[{**ROUTE, "timeoutMs": 0}])
+
+    scenarios = [
+        ("slow decoding", {"bodies": [FIRST, FIRST], "decoding_s": SLOW_S}),
+        ("slow replication", {"bodies": [FIRST, FIRST], "replication_s": SLOW_S}),
+        (
+            "both slow",
+            {
+                "bodies": [FIRST, FIRST, FIRST],
+                "statuses": [503, 503, 200],
+                "decoding_s": SLOW_S,
+                "replication_s": 0.2,
+            },
+        ),
+        (
+            "overtaken",
+            {
+                "bodies": [FIRST, SECOND, SECOND, FIRST],
+                "statuses": [503, 503, 200, 200],
+                "decoding_s": SLOW_S,
+                "decodings": 2,
+            },
+        ),
+        (
+            "invalid",
+            {
+                "bodies": [INVALID, INVALID],
+                "statuses": [503, 400],
+                "decoding_s": SLOW_S,
+            },
+        ),
+        (
+            "invalid and lower",
+            {
+                "bodies": [FIRST, INVALID, INVALID],
+                "statuses": [200, 400, 400],
+                "decodings": 2,
+            },
+        ),
+    ]
+    statuses = (503, 200)
+    decoding_s = replication_s = 0.0
+    decodings = 1
+
+    def test_statuses(self):
+        def decode_slowly(body):
+            decoded.append(body)
+            time.sleep(self.decoding_s)
+            return decode_configuration(body)
+
+        decoded = []
+        replica = FakeReplica(replication_s=self.replication_s)
+        with (
+            mock.patch(DECODER, decode_slowly),
+            mock.patch("knapweeddeal.platform.api.ANSWER_TIMEOUT_MS", self.TIMEOUT_MS),
+        ):
+            calls = [("PUT", "/-/config", body) for body in self.bodies]
+            responses = replica.call(*calls)
+        self.assertEqual(list(self.statuses), [r.status for r in responses])
+        self.assertEqual(self.decodings, len(decoded))
+
+
+class DocumentsWithoutDecoding(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A document whose answer doesn't depend on its content isn't decoded.
+
+    Followers decoded each document only to name the leader.
+    """
+
+    FOLLOWER = NotLeaderError("", field="leader", value="10.0.0.4:7000")
+    NO_LEADER = NotLeaderError("")
+    INI = b"[publication]\nrevision = 7\n"
+
+    scenarios = [
+        ("in force", {"status": 200}),
+        ("in force, at a follower", {"status": 200, "error": FOLLOWER}),
+        ("in force, without a leader", {"status": 200, "error": NO_LEADER}),
+        ("newer", {"body": with_changes(version=8), "status": 307, "error": FOLLOWER}),
+        ("invalid", {"body": b"{", "status": 307, "error": FOLLOWER}),
+        # The command line published it; as the body of a call it is invalid.
+        ("INI in force", {"body": INI, "in_force": INI, "status": 400, "decodings": 1}),
+    ]
+    body = in_force = encoded(DOCUMENT)
+    decodings = 0
+    error = None
+
+    def test_status(self):
+        replica = FakeReplica(error=self.error)
+        configuration = decode_configuration(encoded(DOCUMENT))
+        replica.state.packets = configuration.replace(document=self.in_force)
+        with mock.patch(DECODER, wraps=decode_configuration) as decode:
+            (response,) = replica.call(("PUT", "/-/config", self.body))
+        self.assertEqual(self.status, response.status)
+        self.assertEqual(self.decodings, decode.call_count)
+
+
+class DecodingInThread(testtools.TestCase):
+    """Other tasks run while a document is decoded: heartbeats had to wait for it."""
+
+    def test_read_meanwhile(self):
+        def decode_slowly(body):
+            time.sleep(0.3)
+            return decode_configuration(body)
+
+        async def run():
+            calls = curio.TaskGroup()
+            for method in ("PUT", "GET"):
+                request = HttpRequest(
+                    method=method, target="/-/config", body=encoded(DOCUMENT)
+                )
+                await calls.spawn(self.replica.api.handle_request, request)
+            first = await calls.next_done()
+            await calls.join()
+            return first.result.status
+
+        self.replica = FakeReplica()
+        with mock.patch(DECODER, decode_slowly):
+            self.assertEqual(503, curio.run(run))
+        self.assertEqual(7, self.replica.packets.revision)
