Don't encode a published configuration for digest and hints in the event loop

While a large configuration took effect, each replica answered nothing for some tenths of a second. Applying a record computed the digest that finds repeated requests, for which it encoded the record, also if it has no request id and so no stored answer. The hints for the next start were encoded in the event loop too.

The digest is now computed only for a record with a request id, which leaves stored results as they are; hints are encoded in the thread that writes them. Both tests fail on the code before.

--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -122,17 +122,15 @@
 
     def apply(self, index, record):
         """Apply the record at an index and return its answer."""
+        if not record.request_id:
+            return self._answer(index, record)
         key = (record.operator, record.request_id)
         digest = _digest(record)
         stored = self._results.get(key)
         if stored is not None:
             return _stored_answer(stored, digest)
-        try:
-            answer = _apply(record, self, index)
-        except KnapweeddealError as error:
-            answer = failure_answer(error)
-        if record.request_id:
-            self._store_result(key, digest, answer)
+        answer = self._answer(index, record)
+        self._store_result(key, digest, answer)
         return answer
 
     def plan(self, index, record):
@@ -196,6 +194,12 @@
         self.evacuations = after_order(self.evacuations, record)
         return EvacuateAnswer(version=self.evacuations.version)
 
+    def _answer(self, index, record):
+        try:
+            return _apply(record, self, index)
+        except KnapweeddealError as error:
+            return failure_answer(error)
+
     def _advance_clock(self, now_ms):
         """Advance the clock and remove expired plans."""
         self._clock_ms = max(self._clock_ms, now_ms)
--- a/knapweeddeal/directoryhints.py
+++ b/knapweeddeal/directoryhints.py
@@ -57,8 +57,12 @@
             await self._dirty.wait()
             self._dirty.clear()
             try:
-                data = encode_frame(encode(collect()))
-                await run_blocking(write_atomically, self._path, data)
+                # Many routes take long to encode; heartbeats must not wait for it.
+                await run_blocking(_write, self._path, collect())
             except (BadMessageError, DiskFailedError) as error:
                 log.warning("failed to write hints", error=error.describe())
             await curio.sleep(WRITE_INTERVAL_MS / 1000)
+
+
+def _write(path, hints):
+    write_atomically(path, encode_frame(encode(hints)))
--- a/tests/test_configurationstate.py
+++ b/tests/test_configurationstate.py
@@ -1,16 +1,24 @@
 """tests.test_configurationstate: Tests of plans, confirmations and retries."""
 
+from unittest import mock
+
 import testscenarios
 import testtools
 
 from knapweeddeal import configurationstate
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, IntentStep
+from knapweeddeal.messages.packets import (
+    PacketConfiguration,
+    PublishAnswer,
+    PublishRecord,
+)
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
     MembershipRecord,
     PlanRecord,
 )
+from tests.packetfakes import route
 
 PLAN_LIFE_MS = 1_000
 
@@ -188,6 +196,26 @@
         self.assertEqual(record, self.state.stored_answer("ana", "r1"))
 
 
+class WithoutRequestId(testtools.TestCase):
+    """A record without a request id has no stored answer, so it isn't encoded for one.
+
+    Each replica encoded each published configuration again when it applied it.
+    """
+
+    def test_not_encoded(self):
+        record = PublishRecord(
+            operator="",
+            request_id="",
+            configuration=PacketConfiguration(
+                revision=7, routes=[route()], document=b"", services=[]
+            ),
+        )
+        with mock.patch("knapweeddeal.configurationstate.encode") as encode:
+            answer = ConfigurationState().apply(1, record)
+        self.assertEqual(PublishAnswer(revision=7), answer)
+        self.assertEqual([], encode.call_args_list)
+
+
 class MemoryBounds(testscenarios.TestWithScenarios, StateTest):
     """Memory is bounded, and evicted commands can't take effect twice."""
 
--- a/tests/test_directoryhints.py
+++ b/tests/test_directoryhints.py
@@ -1,13 +1,16 @@
 """tests.test_directoryhints: Tests of the hint file on a replica's disk."""
 
 import tempfile
+import threading
 from pathlib import Path
+from unittest import mock
 
 import curio
 import testscenarios
 import testtools
 
 from knapweeddeal.directoryhints import WRITE_INTERVAL_MS, HintFile
+from knapweeddeal.messages.base import encode
 from knapweeddeal.messages.packets import NO_EVACUATIONS, PacketHints
 from tests.packetfakes import route, state
 
@@ -67,6 +70,19 @@
         self.write(unencodable, hints(5), pause_s=1.5 * WRITE_INTERVAL_MS / 1000)
         self.assertEqual(5, HintFile(folder=self.folder).read().revision)
 
+    def test_encoded_in_a_thread(self):
+        """Many routes take long to encode, and the event loop had to wait for it."""
+        threads = []
+
+        def encode_in_thread(message):
+            threads.append(threading.current_thread())
+            return encode(message)
+
+        with mock.patch("knapweeddeal.directoryhints.encode", encode_in_thread):
+            self.write(hints())
+        self.assertEqual(1, len(threads))
+        self.assertIsNot(threading.main_thread(), threads[0])
+
     def test_no_file(self):
         self.assertIsNone(HintFile(folder=self.folder).read())
 
