Apply large commands in a thread instead of the event loop of the core

Each Ready now waits in order to be applied; a thread applies one with more than 64 KiB of commands, and the core handles events meanwhile.

The leader finds what it proposed by index and term, so it doesn't decode it again even if the call has expired.

--- a/knapweeddeal/consensusready.py
+++ b/knapweeddeal/consensusready.py
@@ -48,6 +48,11 @@
         """Return whether there is anything to do."""
         return any(getattr(self, name) for name in self.__slots__)
 
+    def size_to_apply_bytes(self):
+        """Return the size of the snapshot and of the commands to apply."""
+        snapshot_bytes = len(self.snapshot.data) if self.snapshot else 0
+        return snapshot_bytes + sum(len(record.command) for record in self.committed)
+
     def must_persist(self):
         """Return whether there is anything to sync."""
         return bool(self.state or self.snapshot or self.records)
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+from collections import deque
 from functools import singledispatchmethod
 
 import curio
@@ -11,6 +12,7 @@
 from knapweeddeal.consensus import Node
 from knapweeddeal.controlcluster import ControlCluster
 from knapweeddeal.controlevents import (
+    CommandsExecuted,
     EntryFlows,
     EntryGone,
     EntryRequest,
@@ -46,6 +48,8 @@
 HUB_REPORT_INTERVAL_MS = 400
 #: Maximum number of events handled before the results are persisted and sent.
 MAX_EVENTS_PER_STEP = 256
+#: Commands of more bytes are applied in a thread, as heartbeats can't wait for them.
+MAX_BYTES_IN_LOOP = 64 * 1024
 
 
 class ControlCore:
@@ -70,6 +74,8 @@
         "_reported_hub_state",
         "_logged_leader",
         "_dialed_members",
+        "_executing",
+        "_unapplied",
     )
 
     def __init__(self, *, settings, folder, events, links, hub_events):
@@ -96,6 +102,10 @@
         self._stop_deadline_ms = 0
         self._logged_leader = None
         self._dialed_members = set()
+        #: Each Ready that is persisted and sent but not applied, in order, and whether
+        #: a thread applies the first one.
+        self._unapplied = deque()
+        self._executing = False
         #: Last state reported to the hub, and the time of the next report.
         self._reported_hub_state = None
         self._next_hub_report_ms = 0
@@ -265,6 +275,7 @@
 
     async def _flush(self):
         replica = self._replica
+        await self._apply()
         while True:
             ready = replica.node.pop_ready()
             if not ready:
@@ -273,12 +284,36 @@
             if ready.must_persist():
                 await self._persist(ready)
             await self._send(ready.after_sync)
-            replica.apply(ready)
+            self._unapplied.append(ready)
+            await self._apply()
         await self._answer()
         await self._push()
         await self._snapshot()
         await self._cluster.bind_after_bootstrap()
 
+    async def _apply(self):
+        """Apply each Ready in order, up to one that a thread has to apply."""
+        while self._unapplied and not self._executing:
+            if self._unapplied[0].size_to_apply_bytes() > MAX_BYTES_IN_LOOP:
+                self._executing = True
+                await curio.spawn(self._execute, self._unapplied[0], daemon=True)
+            else:
+                self._replica.apply(self._unapplied.popleft())
+
+    async def _execute(self, ready):
+        """Apply the commands of a Ready in a thread, and send the answers as event."""
+        began_us = monotonic_us()
+        answers, error = [], None
+        try:
+            answers = await curio.run_in_thread(self._replica.execute, ready)
+        except Exception as raised:
+            # The core ends with it, as with an error of a command applied in the loop.
+            error = raised
+        self._replica.metrics.record_us("execute", monotonic_us() - began_us)
+        await self._events.put(
+            CommandsExecuted(ready=ready, answers=answers, error=error)
+        )
+
     async def _persist(self, ready):
         replica = self._replica
         began_us = monotonic_us()
@@ -309,6 +344,9 @@
                 await outbox.offer(ConfigurationPush(configuration=configuration))
 
     async def _snapshot(self):
+        if self._unapplied:
+            # The state lags behind the index that a snapshot would name.
+            return
         snapshot = self._replica.take_snapshot(self._folder.log_size_bytes())
         if snapshot is None:
             return
@@ -371,6 +409,14 @@
         except BadMessageError as error:
             log.warning("dropped a message from a replica", error=error.describe())
 
+    @_handle.register
+    async def _(self, event: CommandsExecuted):
+        if event.error is not None:
+            raise event.error
+        self._unapplied.popleft()
+        self._executing = False
+        self._replica.complete(event.ready, event.answers)
+
     @_handle.register
     async def _(self, event: OperatorRequest):
         call_id = self._next_call_id
--- a/knapweeddeal/controlevents.py
+++ b/knapweeddeal/controlevents.py
@@ -3,6 +3,7 @@
 from knapweeddeal.record import Record
 
 __all__ = [
+    "CommandsExecuted",
     "EntryRequest",
     "EntryFlows",
     "EntryGone",
@@ -49,6 +50,12 @@
     __slots__ = ()
 
 
+class CommandsExecuted(Record):
+    """Report the answers to the commands of a Ready, or what `error` was raised."""
+
+    __slots__ = ("answers", "error", "ready")
+
+
 class SeedsChanged(Record):
     """Report the new seed addresses of the control replicas."""
 
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -77,6 +77,7 @@
         "_election_ms",
         "_now_ms",
         "_pending",
+        "_proposed_commands",
         "_next_entry_report_ms",
         "_snapshot_records",
         "_swap",
@@ -121,6 +122,8 @@
         self._now_ms = now_ms
         self._next_entry_report_ms = 0
         self._pending = PendingRequests(metrics=self.metrics)
+        #: Commands that this replica proposed, by index and term, until applied.
+        self._proposed_commands = {}
         self._swap = None
         if node.snapshot is not None:
             state.restore(node.snapshot.data)
@@ -179,10 +182,22 @@
 
     def apply(self, ready):
         """Apply a Ready that was persisted and sent."""
+        self.complete(ready, self.execute(ready))
+
+    def execute(self, ready):
+        """Apply the commands of a Ready to the state; return the answers, in order.
+
+        May run in a thread: nothing else changes the state, and what it replaces stays
+        as it is for those who read it meanwhile.
+        """
         if ready.snapshot is not None:
             self.state.restore(ready.snapshot.data)
-        for record in ready.committed:
-            self._apply(record)
+        return [self._execute(record) for record in ready.committed]
+
+    def complete(self, ready, answers):
+        """Answer the requests that a Ready completes, after `execute`."""
+        for record, answer in zip(ready.committed, answers, strict=True):
+            self._complete(record, answer)
         for read in ready.reads:
             self._finish_read(read)
         if self._swap is not None:
@@ -302,9 +317,7 @@
         if publication.position is not None:
             index, term = publication.position
             if self.node.log.term_at(index) == term:
-                self._pending.await_commit(
-                    pending, command=publication.command, index=index, term=term
-                )
+                self._pending.await_commit(pending, index=index, term=term)
                 return
         publication.position = self._propose(publication.command, pending)
 
@@ -333,30 +346,35 @@
     def _propose(self, command, pending):
         """Append a command to the log; return its index and term."""
         index, term = self.node.propose(command.data)
-        self._pending.await_commit(pending, command=command, index=index, term=term)
+        self._proposed_commands[index, term] = command
+        self._pending.await_commit(pending, index=index, term=term)
         return index, term
 
     # Results.
 
-    def _apply(self, record):
-        proposed = self._pending.pop_proposed(record.index)
-        answer = None
+    def _execute(self, record):
         if is_command(record):
-            answer = self._apply_command(record, proposed)
+            return self._execute_command(record)
         membership = unpack_membership(record)
         if membership is not None and membership.request_id:
             self.state.apply(record.index, membership)
-        for pending in proposed:
+        return None
+
+    def _complete(self, record, answer):
+        outdated = [key for key in self._proposed_commands if key[0] <= record.index]
+        for key in outdated:
+            del self._proposed_commands[key]
+        for pending in self._pending.pop_proposed(record.index):
             if pending.term == record.term:
                 self._reply(pending, answer)
             else:
                 self._dispatch(pending)
 
-    def _apply_command(self, record, proposed):
+    def _execute_command(self, record):
         """Apply a command; one that was proposed here needn't be decoded again."""
-        for pending in proposed:
-            if pending.term == record.term:
-                return self.state.apply(record.index, pending.command.record)
+        proposed = self._proposed_commands.get((record.index, record.term))
+        if proposed is not None:
+            return self.state.apply(record.index, proposed.record)
         try:
             command = decode(unpack_command(record))
         except BadMessageError as error:
--- a/knapweeddeal/pendingrequests.py
+++ b/knapweeddeal/pendingrequests.py
@@ -27,7 +27,6 @@
 
     __slots__ = (
         "call_id",
-        "command",
         "received_ms",
         "index",
         "message",
@@ -42,8 +41,7 @@
         self.message = message
         self.deadline_ms = deadline_ms
         self.wall_ms = wall_ms
-        #: The proposed command, with its log index and term; 0 before it is proposed.
-        self.command = None
+        #: Log index and term of the proposed command; 0 before it is proposed.
         self.index = 0
         self.term = 0
 
@@ -69,9 +67,8 @@
         """Hold a request until a leader is known."""
         self._waiting.append(pending)
 
-    def await_commit(self, pending, *, command, index, term):
+    def await_commit(self, pending, *, index, term):
         """Hold a command until its record is committed."""
-        pending.command = command
         pending.index, pending.term = index, term
         self._proposed[pending.call_id] = pending
 
--- /dev/null
+++ b/tests/test_controlcore.py
@@ -0,0 +1,169 @@
+"""tests.test_controlcore: Tests of the task that runs a control replica."""
+
+import tempfile
+import time
+from types import SimpleNamespace
+from unittest import mock
+
+import curio
+import testtools
+
+from knapweeddeal.commandrecords import prepare_publication
+from knapweeddeal.configurationstate import ConfigurationState
+from knapweeddeal.controlcore import MAX_BYTES_IN_LOOP, ControlCore
+from knapweeddeal.controlevents import OperatorRequest
+from knapweeddeal.controlreplica import ControlReplica
+from knapweeddeal.errors import BadMessageError
+from knapweeddeal.messages.operator import FailureAnswer, MetricsRequest
+from knapweeddeal.messages.packets import (
+    PacketConfiguration,
+    PublishAnswer,
+    PublishedRoutesRequest,
+)
+from knapweeddeal.storage import DataFolder
+from tests.packetfakes import route
+
+ADDRESS = ("127.0.0.1", 1)
+SETTINGS = SimpleNamespace(
+    control={"r1": ADDRESS},
+    election_ms=200,
+    heals_itself=False,
+    heartbeat_ms=100,
+    listen=ADDRESS,
+    may_found=True,
+    name="r1",
+    plan_life_ms=1_000,
+    stop_ms=100,
+    tolerated_losses=0,
+    zones=(),
+)
+
+
+def publication(revision):
+    """Return a publication that is too large to be applied in the event loop."""
+    configuration = PacketConfiguration(
+        revision=revision,
+        routes=[route()],
+        document=b"x" * MAX_BYTES_IN_LOOP,
+        services=[],
+    )
+    return prepare_publication(configuration)
+
+
+class LargeCommands(testtools.TestCase):
+    """A replica handles events while it applies a large command.
+
+    Heartbeats had to wait for it, so that a majority lost its leader with each large
+    configuration.
+    """
+
+    APPLY_S = 0.1
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = DataFolder(path=folder.name, new_identity=lambda: 1)
+        self.addCleanup(self.folder.close)
+        self.events = curio.Queue()
+        #: Whether the state applies a record now.
+        self.applying = False
+        self.error = None
+
+    async def ask(self, message):
+        """Return the answer to an operator's message."""
+        reply = curio.Queue()
+        await self.events.put(OperatorRequest(message=message, reply=reply))
+        return await reply.get()
+
+    async def publish(self, revision):
+        """Start a publication, and return its task once its record is applied."""
+        task = await curio.spawn(self.ask, publication(revision))
+        while not self.applying and not task.terminated:
+            await curio.sleep(0.01)
+        return task
+
+    def run_core(self, use):
+        """Run `use()` beside a replica that is the only member; return the task."""
+        apply = ConfigurationState.apply
+
+        def apply_slowly(state, index, record):
+            self.applying = True
+            time.sleep(self.APPLY_S)
+            if self.error is not None:
+                raise self.error
+            answer = apply(state, index, record)
+            self.applying = False
+            return answer
+
+        async def run():
+            core = ControlCore(
+                settings=SETTINGS,
+                folder=self.folder,
+                events=self.events,
+                links=mock.Mock(connect_to=mock.AsyncMock()),
+                hub_events=curio.Queue(),
+            )
+            task = await curio.spawn(core.run)
+            while isinstance(await self.ask(PublishedRoutesRequest()), FailureAnswer):
+                await curio.sleep(0.01)
+            await curio.timeout_after(10, use, task)
+            await task.cancel()
+
+        with mock.patch.object(ConfigurationState, "apply", apply_slowly):
+            curio.run(run)
+
+    def test_other_request_meanwhile(self):
+        async def use(_core):
+            task = await self.publish(7)
+            await self.ask(MetricsRequest())
+            self.assertTrue(self.applying)
+            self.assertEqual(PublishAnswer(revision=7), await task.join())
+
+        self.run_core(use)
+
+    def test_read_meanwhile(self):
+        """A read waits for what was committed before it, and never returns less."""
+
+        async def use(_core):
+            task = await self.publish(7)
+            answer = await self.ask(PublishedRoutesRequest())
+            self.assertEqual(7, answer.configuration.revision)
+            await task.join()
+
+        self.run_core(use)
+
+    def test_two_in_order(self):
+        async def use(_core):
+            tasks = [await self.publish(7), await self.publish(8)]
+            answers = [await task.join() for task in tasks]
+            self.assertEqual([7, 8], [answer.revision for answer in answers])
+
+        self.run_core(use)
+
+    def test_no_snapshot_meanwhile(self):
+        """A snapshot names the index of records that the state may lack still."""
+
+        def take_snapshot(_replica, _log_bytes):
+            taken.append(self.applying)
+
+        async def use(_core):
+            task = await self.publish(7)
+            await self.ask(MetricsRequest())
+            await task.join()
+
+        taken = []
+        with mock.patch.object(ControlReplica, "take_snapshot", take_snapshot):
+            self.run_core(use)
+        self.assertEqual({False}, set(taken))
+
+    def test_unknown_command(self):
+        """An error that ends the process does so too if it is raised in the thread."""
+        self.error = BadMessageError("unknown message tag", field="tag")
+
+        async def use(core):
+            await self.publish(7)
+            await core.wait()
+            self.assertIs(self.error, core.exception)
+
+        self.run_core(use)
