Let the event loop of a control replica go on while a document is read

A body of some MiB that has arrived is read without a pause for other tasks. While a thread decodes another document, each of the reads also waits for the thread, 5 ms by default. Samples of the event loop showed up to 1.15 s in the reads of one body.

Other tasks now get a turn after each read, and a thread gives way after 1 ms. LargeBody fails on the code before.

--- a/knapweeddeal/controlprocess.py
+++ b/knapweeddeal/controlprocess.py
@@ -3,6 +3,7 @@
 import functools
 import secrets
 import signal
+import sys
 from pathlib import Path
 
 import curio
@@ -35,6 +36,9 @@
 #: Queue limit of the core and of the hub; streams block when a queue is full.
 MAX_WAITING_EVENTS = 4_096
 JOURNAL_NAME = "refusals"
+#: Time after which a busy thread lets the event loop continue, which may have to wait
+#: for it at each system call. By default it is five times as long.
+THREAD_SWITCH_MS = 1
 
 
 async def run(settings):
@@ -42,6 +46,7 @@
 
     Raises CorruptStorageError, DiskFailedError or BadSettingError.
     """
+    sys.setswitchinterval(THREAD_SWITCH_MS / 1000)
     folder, journal = await _open_files(settings)
     try:
         await _run_tasks(settings, folder, journal)
--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -7,7 +7,7 @@
 from knapweeddeal.logs import Log
 from knapweeddeal.record import Record
 
-__all__ = ["HttpRequest", "HttpResponse", "serve_http"]
+__all__ = ["HttpRequest", "HttpResponse", "read_request", "serve_http"]
 
 READ_BYTES = 64 * 1024
 #: Largest request line and headers.
@@ -90,7 +90,7 @@
     try:
         while True:
             request = await curio.timeout_after(
-                IDLE_TIMEOUT_S, _next_request, connection, state
+                IDLE_TIMEOUT_S, read_request, connection, state
             )
             if request is None:
                 return
@@ -120,13 +120,15 @@
     await connection.sendall(data)
 
 
-async def _next_request(connection, state):
+async def read_request(connection, state):
     """Return the next request, or None at the end of the connection."""
     head, body = None, bytearray()
     while True:
         event = state.next_event()
         if event is h11.NEED_DATA:
             state.receive_data(await connection.recv(READ_BYTES))
+            # Reading doesn't yield while data is there, and a body may have 4 MiB.
+            await curio.sleep(0)
         elif type(event) is h11.Request:
             head = event
         elif type(event) is h11.Data:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,10 +1,16 @@
 """tests.test_httpserver: Tests of the HTTP server."""
 
 import curio
+import h11
 import testscenarios
 import testtools
 
-from knapweeddeal.httpserver import MAX_BODY_BYTES, HttpResponse, serve_http
+from knapweeddeal.httpserver import (
+    MAX_BODY_BYTES,
+    HttpResponse,
+    read_request,
+    serve_http,
+)
 from tests.processes import free_port
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -65,3 +71,44 @@
         await connection.close()
         await server.cancel()
         return answer
+
+
+class BufferedConnection:
+    """Stand in for a connection whose data has arrived, so that reads don't block."""
+
+    def __init__(self, data):
+        self.data = data
+
+    async def recv(self, size):
+        """Return the next bytes."""
+        part, self.data = self.data[:size], self.data[size:]
+        return part
+
+
+class LargeBody(testtools.TestCase):
+    """Other tasks run while a body is read that has arrived already.
+
+    A replica lost its leadership while it read one document.
+    """
+
+    BODY_BYTES = 1 << 20
+    MIN_TURNS = 10
+
+    def test_turns(self):
+        head = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        connection = BufferedConnection(head % self.BODY_BYTES + b"x" * self.BODY_BYTES)
+        turns = []
+
+        async def take_turns():
+            while True:
+                turns.append(len(connection.data))
+                await curio.sleep(0)
+
+        async def run():
+            other = await curio.spawn(take_turns, daemon=True)
+            request = await read_request(connection, h11.Connection(h11.SERVER))
+            await other.cancel()
+            return request
+
+        self.assertEqual(self.BODY_BYTES, len(curio.run(run).body))
+        self.assertGreater(len(set(turns)), self.MIN_TURNS)
