--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -565,12 +565,12 @@
         self._current = event.current
         self._replicas = event.replicas
         await self._set_evacuations(event.evacuations)
-        await self._adopt_configuration(event.configuration, now_ms)
+        await self._adopt_configuration(event.configuration)
         if was_current != event.current:
             for outbox in self._forwarders:
                 await outbox.offer(self._control_state())
             if event.current:
-                await self._push_silent(now_ms)
+                await self._push_silent(monotonic_ms())
 
     @_handle.register
     async def _(self, event: ReplicaMessageReceived):
@@ -579,7 +579,7 @@
             self._held_revisions.record(event.sender, message.revision, now_ms)
         elif isinstance(message, RoutesRequest):
             await self._send_routes(self._links.get(event.sender))
-        elif await self._adopt_configuration(message, now_ms):
+        elif await self._adopt_configuration(message):
             self._metrics.count("routes_from_replicas")
             log.warning(
                 "got routes from another replica, as the log here is behind",
@@ -598,7 +598,7 @@
         if identity is not None:
             await self._links[identity].offer(RoutesRequest())
 
-    async def _adopt_configuration(self, configuration, now_ms):
+    async def _adopt_configuration(self, configuration):
         """Push a committed configuration if it is newer; return whether it is."""
         if not self._is_newer(configuration):
             return False
@@ -610,7 +610,7 @@
         await self._hints.mark_dirty()
         if changed:
             await self._push_states(changed)
-            await self._replicate(changed, 0, now_ms)
+            await self._replicate(changed, 0, monotonic_ms())
         return True
 
     async def _set_evacuations(self, evacuations):
@@ -766,15 +766,21 @@
         forwarder, configuration = self._forwarders[outbox], self._configuration
         if forwarder.configuration is configuration or not self._revision:
             return
-        if await outbox.offer(self._routes_push(forwarder.configuration)):
+        push = await self._routes_push(forwarder.configuration)
+        if await outbox.offer(push):
             forwarder.configuration = configuration
 
-    def _routes_push(self, previous):
-        """Return the encoded push from a previous configuration to the present one."""
+    async def _routes_push(self, previous):
+        """Return the encoded push from a previous configuration to the present one.
+
+        It is made in a thread, as the streams to other replicas and the replicated log
+        share the event loop. Only this task changes what it is made of.
+        """
         base = previous.revision if previous else 0
         if base not in self._diffs:
-            push = diff_routes(previous, self._configuration)
-            self._diffs[base] = EncodedMessage(message=push)
+            self._diffs[base] = await curio.run_in_thread(
+                _encode_routes_push, previous, self._configuration
+            )
         return self._diffs[base]
 
     # Confirmations.
@@ -798,6 +804,10 @@
             await pending.reply.put(True)
 
 
+def _encode_routes_push(previous, configuration):
+    return EncodedMessage(message=diff_routes(previous, configuration))
+
+
 def _to_hint(state, home):
     """Return a state marked as a hint, neither silent nor failing."""
     return state.replace(home=home, hint=True, silent=False, failing=False)
