Record in the log how many members to restore

Callers saw: after several replacements of control VMs, each with the end of the leader between the addition of the replacement and the removal of the failed member, no configuration was confirmed or read any more.

Cause: only the leader knew the number of members to restore, and since when members were unreachable. Its successor took the larger number for the usual one, began the 20 s anew, and kept the failed member, until half of the members were gone.

Change: the leader records the number once all members have been reachable for 10 s, and at the first leadership. Every replica observes which members are unreachable, so that the timeouts go on when the leader changes. Observations count only if they went on until the new term.

--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -17,6 +17,7 @@
 )
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
+    MemberCountRecord,
     MembershipRecord,
     PlanRecord,
     StateImage,
@@ -58,7 +59,7 @@
     """
 
     __slots__ = ("_clock_ms", "_plans", "_result_bytes", "_results", "configuration")
-    __slots__ += ("evacuations", "packets")
+    __slots__ += ("evacuations", "packets", "settled_members")
 
     def __init__(self):
         self.configuration = Configuration(version=0, services=[])
@@ -66,6 +67,8 @@
             revision=0, routes=[], document=b"", services=[]
         )
         self.evacuations = NO_EVACUATIONS
+        #: Last recorded number of members; 0 if none is recorded.
+        self.settled_members = 0
         self._clock_ms = 0
         self._plans = {}
         self._results = {}
@@ -83,6 +86,7 @@
                 results=list(self._results.values()),
                 packets=self.packets,
                 evacuations=self.evacuations,
+                settled_members=self.settled_members,
             )
         )
 
@@ -99,6 +103,7 @@
             "packet_routes": len(self.packets.routes),
             "evacuation_version": self.evacuations.version,
             "evacuated_zones": evacuated_names(self.evacuations),
+            "settled_members": self.settled_members,
             "services": len(self.configuration.services),
             "plans": len(self._plans),
             "results": len(self._results),
@@ -113,6 +118,7 @@
         self.configuration = image.configuration
         self.packets = image.packets
         self.evacuations = image.evacuations
+        self.settled_members = image.settled_members
         self._clock_ms = image.clock_ms
         self._plans = {plan.plan_id: plan for plan in image.plans}
         self._results = {
@@ -255,6 +261,12 @@
     return record
 
 
+@_apply.register
+def _(record: MemberCountRecord, state, _index):
+    state.settled_members = record.members
+    return record
+
+
 def _conflict_error(version):
     return ConflictError(
         f"version {version} was confirmed first", field="version", value=version
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -7,6 +7,7 @@
 import curio
 
 from knapweeddeal.clock import monotonic_ms, monotonic_us, wall_ms
+from knapweeddeal.commandrecords import command_bytes
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import Node
 from knapweeddeal.controlcluster import ControlCluster
@@ -31,7 +32,12 @@
     ReplicaHello,
 )
 from knapweeddeal.messages.packets import ReplicaNotice
-from knapweeddeal.messages.replication import InitialMembership, ReplicaState
+from knapweeddeal.messages.replication import (
+    InitialMembership,
+    MemberCountRecord,
+    MembershipRecord,
+    ReplicaState,
+)
 from knapweeddeal.packetevents import ReplicatedStateChanged
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from knapweeddeal.replicareconciler import ReplicaReconciler
@@ -213,26 +219,44 @@
 
     async def _reconcile_members(self):
         """Propose to add a candidate or remove a lost member, one at a time."""
-        node = self._replica.node
-        if not self._settings.heals_itself or node.leader != self._own_replica.identity:
+        replica, reconciler, now_ms = self._replica, self._reconciler, monotonic_ms()
+        node, connected = replica.node, replica.connected
+        if not self._settings.heals_itself:
+            return
+        if node.leader != self._own_replica.identity:
+            reconciler.observe(node, connected, now_ms)
             return
-        connected = self._replica.connected
-        record = self._reconciler.step(node, connected, monotonic_ms())
+        settled_members = replica.state.settled_members
+        record = reconciler.step(node, connected, now_ms, settled_members)
         if record is None:
             return
-        reachable = connected.keys() | {self._own_replica.identity}
-        members = node.log.replicas
         try:
-            node.propose_membership(record)
+            self._propose(record)
         except KnapweeddealError as error:
             log.info("could not propose a membership change", error=error.describe())
             return
+        await self._flush()
+
+    @singledispatchmethod
+    def _propose(self, record):
+        raise TypeError(record)
+
+    @_propose.register
+    def _(self, record: MembershipRecord):
+        replica = self._replica
+        members = replica.node.log.replicas
+        reachable = replica.connected.keys() | {self._own_replica.identity}
+        replica.node.propose_membership(record)
         log.info(
             "proposed a membership change",
             members=[r.name for r in record.replicas],
             unreachable=[r.name for r in members if r.identity not in reachable],
         )
-        await self._flush()
+
+    @_propose.register
+    def _(self, record: MemberCountRecord):
+        self._replica.node.propose(command_bytes(record))
+        log.info("proposed the number of members to restore", members=record.members)
 
     async def _report_to_hub(self):
         replica, now_ms = self._replica, monotonic_ms()
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -17,6 +17,7 @@
     "HardState",
     "IdentityFile",
     "LeadershipTransfer",
+    "MemberCountRecord",
     "MembershipRecord",
     "PlanRecord",
     "ReplicaState",
@@ -61,6 +62,18 @@
     __slots__ = tuple(schema)
 
 
+class MemberCountRecord(Message):
+    """Record how many members the membership has when no VM is replaced."""
+
+    tag = 194
+    schema = {
+        "operator": Text(max_chars=64),
+        "request_id": REQUEST_ID,
+        "members": Integer(minimum=1),
+    }
+    __slots__ = tuple(schema)
+
+
 class LeadershipTransfer(Message):
     """Request that a caught-up replica starts an election at once."""
 
@@ -136,7 +149,7 @@
 
 
 class StateImage(Message):
-    """Hold the whole replicated state."""
+    """Hold the whole replicated state; `settled_members` 0 if none is recorded."""
 
     tag = 139
     schema = {
@@ -146,9 +159,10 @@
         "results": ListOf(Nested(StoredResult)),
         "packets": Nested(PacketConfiguration),
         "evacuations": Nested(Evacuations),
+        "settled_members": Integer(),
     }
     __slots__ = tuple(schema)
-    defaults = (NO_EVACUATIONS.to_wire(),)
+    defaults = (NO_EVACUATIONS.to_wire(), 0)
 
 
 class IdentityFile(Message):
--- a/tests/test_configurationstate.py
+++ b/tests/test_configurationstate.py
@@ -1,5 +1,6 @@
 """tests.test_configurationstate: Tests of plans, confirmations and retries."""
 
+import msgpack
 import testscenarios
 import testtools
 
@@ -8,6 +9,7 @@
 from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, IntentStep
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
+    MemberCountRecord,
     MembershipRecord,
     PlanRecord,
 )
@@ -188,6 +190,21 @@
         self.assertEqual(record, self.state.stored_answer("ana", "r1"))
 
 
+class MemberCounts(StateTest):
+    """The number of members outlives restarts and snapshots of earlier versions."""
+
+    def test_last_record_counts(self):
+        for count in (3, 4):
+            record = MemberCountRecord(operator="", request_id="", members=count)
+            self.apply(record)
+            self.assertEqual(count, self.restored.settled_members)
+
+    def test_snapshot_without_the_field(self):
+        image = msgpack.packb(msgpack.unpackb(self.state.encode_snapshot())[:-1])
+        self.state.restore(image)
+        self.assertEqual(0, self.state.settled_members)
+
+
 class MemoryBounds(testscenarios.TestWithScenarios, StateTest):
     """Memory is bounded, and evicted commands can't take effect twice."""
 
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -4,7 +4,9 @@
 import testtools
 
 from knapweeddeal.messages.control import Replica
+from knapweeddeal.messages.replication import MemberCountRecord
 from knapweeddeal.replicareconciler import (
+    REPLACED_TIMEOUT_MS,
     SETTLING_TIME_MS,
     UNREACHABLE_TIMEOUT_MS,
     ReplicaReconciler,
@@ -140,8 +142,9 @@
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=self.members, **self.node)
         connected = {replica.identity: replica for replica in self.connected}
-        record = reconciler.step(node, connected, 0)
-        record = reconciler.step(node, connected, self.after_ms) or record
+        count = len(self.members)
+        record = reconciler.step(node, connected, 0, count)
+        record = reconciler.step(node, connected, self.after_ms, count) or record
         proposed = {replica.identity for replica in record.replicas} if record else None
         self.assertEqual(self.expected, proposed)
 
@@ -149,18 +152,57 @@
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
         connected = {2: member(2), 3: member(3)}
-        reconciler.step(node, connected, 0)
-        reconciler.step(node, {**connected, 4: member(4)}, UNREACHABLE_TIMEOUT_MS - 1)
-        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
+        reconciler.step(node, connected, 0, 4)
+        all_connected = {**connected, 4: member(4)}
+        reconciler.step(node, all_connected, UNREACHABLE_TIMEOUT_MS - 1, 4)
+        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4))
 
     def test_a_new_leadership_restarts_the_timeout(self):
         """Guards against a timeout that began in an earlier leadership."""
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
         connected = {2: member(2), 3: member(3)}
-        reconciler.step(node, connected, 0)
+        reconciler.step(node, connected, 0, 4)
         node.term += 1
-        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
+        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4))
+
+    def test_observations_count_for_a_new_leader(self):
+        """Guards against dead members that stay as long as leaders change."""
+        reconciler = ReplicaReconciler(tolerated_losses=1)
+        node = FakeNode(members=FOUR_MEMBERS)
+        connected = {2: member(2), 3: member(3)}
+        for now_ms in range(0, UNREACHABLE_TIMEOUT_MS, REPLACED_TIMEOUT_MS):
+            node.term += 1
+            reconciler.observe(node, connected, now_ms)
+        record = reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4)
+        self.assertEqual(THREE_MEMBERS, record.replicas)
+
+
+class Counts(testscenarios.TestWithScenarios, testtools.TestCase):
+    """The number of members that the leader records when it has settled.
+
+    Guards against a successor that takes a failed member beside its replacement for
+    one member more, and against one that records the same number again and again.
+    """
+
+    scenarios = [
+        ("none is recorded", {"recorded": 0, "expected": [4]}),
+        ("the recorded one", {"recorded": 4, "expected": []}),
+        ("one joined long ago", {"recorded": 3, "expected": [4]}),
+        ("one joined just now", {"recorded": 3, "until_ms": -100, "expected": []}),
+        ("one is unreachable", {"recorded": 3, "reachable": [2, 3], "expected": []}),
+    ]
+    reachable = [2, 3, 4]
+    until_ms = 1_000
+
+    def test_recorded(self):
+        reconciler = ReplicaReconciler(tolerated_losses=2)
+        node = FakeNode(members=FOUR_MEMBERS)
+        connected = {identity: member(identity) for identity in self.reachable}
+        times_ms = range(0, SETTLING_TIME_MS + self.until_ms, STEP_MS)
+        steps = [reconciler.step(node, connected, t, self.recorded) for t in times_ms]
+        counts = [record.members for record in steps if record is not None]
+        self.assertEqual(self.expected, counts)
 
 
 STEP_MS = 100
@@ -169,6 +211,8 @@
 START_MS = 1_000
 #: Time from the start of a VM until the next one may fail.
 CATCH_UP_MS = 4_000
+#: Time from the end of a leader's process until it is back.
+RESTART_MS = 1_000
 
 
 class Replacements(testscenarios.TestWithScenarios, testtools.TestCase):
@@ -196,6 +240,7 @@
         self.reachable = list(range(1, self.members + 1))
         self.node = FakeNode(members=[member(i) for i in self.reachable])
         self.reconcilers = {}
+        self.settled_members = 0
         self.run_for(SETTLING_TIME_MS)
 
     def test_a_majority_is_reachable(self):
@@ -209,26 +254,58 @@
             self.run_for(LINK_TIMEOUT_MS - START_MS, linked=[failed])
             self.run_for(START_MS + CATCH_UP_MS - LINK_TIMEOUT_MS)
 
+    def test_a_majority_is_reachable_if_leaders_end_after_additions(self):
+        """Guards against a successor that doesn't know which number to restore."""
+        for replacement in range(self.members + 1, self.members + 8):
+            failed = self.reachable.pop(0 if self.leader_fails else -1)
+            if self.leader_fails:
+                self.node.term += 1
+            self.check_majority()
+            self.run_for(START_MS, linked=[failed])
+            self.reachable.insert(len(self.reachable) // 2, replacement)
+            self.run_for(2 * STEP_MS, linked=[failed])
+            self.assertIn(replacement, self.node.members)
+            self.restart_leader(failed)
+            self.run_for(CATCH_UP_MS)
+
     def test_a_pause_replaces_nobody(self):
         """Guards against removing a member that is back within the timeout."""
         paused = self.reachable.pop()
         self.run_for(UNREACHABLE_TIMEOUT_MS - STEP_MS)
         self.assertIn(paused, self.node.members)
 
+    def restart_leader(self, failed):
+        """End the leader's process; the next replica leads when it is back."""
+        leader = self.reachable.pop(0)
+        self.reconcilers.pop(leader)
+        self.node.term += 1
+        self.run_for(RESTART_MS, linked=[failed])
+        self.reachable.insert(len(self.reachable) // 2, leader)
+
     def run_for(self, duration_ms, *, linked=()):
-        """Advance the time; the leader sees `linked` replicas as reachable too."""
-        node, leader = self.node, self.reachable[0]
-        reconciler = self.reconcilers.setdefault(
-            leader, ReplicaReconciler(tolerated_losses=self.tolerated_losses)
-        )
-        node.identity = leader
-        node.caught_up = set(self.reachable)
-        connected = {i: member(i) for i in [*self.reachable, *linked] if i != leader}
+        """Advance the time; replicas see `linked` ones as reachable too."""
+        self.node.caught_up = set(self.reachable)
         for _ in range(duration_ms // STEP_MS):
             self.now_ms += STEP_MS
-            record = reconciler.step(node, connected, self.now_ms)
-            if record is not None:
-                node.log.replicas = record.replicas
+            for identity in self.reachable:
+                seen = {*self.reachable, *linked} - {identity}
+                self.step(identity, {i: member(i) for i in seen})
+
+    def step(self, identity, connected):
+        """Step one replica; the first reachable one leads."""
+        node, now_ms = self.node, self.now_ms
+        node.identity = identity
+        reconciler = self.reconcilers.setdefault(
+            identity, ReplicaReconciler(tolerated_losses=self.tolerated_losses)
+        )
+        if identity != self.reachable[0]:
+            reconciler.observe(node, connected, now_ms)
+            return
+        record = reconciler.step(node, connected, now_ms, self.settled_members)
+        if isinstance(record, MemberCountRecord):
+            self.settled_members = record.members
+        elif record is not None:
+            node.log.replicas = record.replicas
 
     def check_majority(self):
         reached = self.node.members & set(self.reachable)
