--- a/tests/test_configurationstate.py
+++ b/tests/test_configurationstate.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+import msgpack
 import testscenarios
 import testtools
 
@@ -15,6 +16,7 @@
 )
 from knapweeddeal.messages.replication import (
     ConfirmRecord,
+    MemberCountRecord,
     MembershipRecord,
     PlanRecord,
 )
@@ -216,6 +218,21 @@
         self.assertEqual([], encode.call_args_list)
 
 
+class MemberCounts(StateTest):
+    """The number of members outlives restarts and snapshots of earlier versions."""
+
+    def test_last_record_counts(self):
+        for count in (3, 4):
+            record = MemberCountRecord(operator="", request_id="", members=count)
+            self.apply(record)
+            self.assertEqual(count, self.restored.settled_members)
+
+    def test_snapshot_without_the_field(self):
+        image = msgpack.packb(msgpack.unpackb(self.state.encode_snapshot())[:-1])
+        self.state.restore(image)
+        self.assertEqual(0, self.state.settled_members)
+
+
 class MemoryBounds(testscenarios.TestWithScenarios, StateTest):
     """Memory is bounded, and evicted commands can't take effect twice."""
 
