Limit the HTTP connections that wait for a request

A replica or forwarder answered nobody while clients held more idle connections than it has descriptors: each was kept for 60 s. A server has at most 400 connections now. Over that, the one that has waited longest for a request, or for the rest of it, is closed; clients that send requests stay connected.

Evidence: the four scenarios of ConnectionLimit failed before and pass now.

--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -1,5 +1,7 @@
 """knapweeddeal.httpserver: An HTTP/1.1 server for short requests."""
 
+import contextlib
+
 import curio
 import h11
 
@@ -16,6 +18,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 #: Longest wait for the next request on a connection.
 IDLE_TIMEOUT_S = 60
+#: Connections of one server at a time. A process has up to two servers, several hundred
+#: streams, and 1,335 descriptors on the smallest VMs.
+MAX_CONNECTIONS = 400
 
 log = Log(prefix="http")
 
@@ -63,20 +68,64 @@
 
     Raises BadSettingError if the address can't be bound.
     """
+    waiting = _WaitingConnections(metrics=metrics)
 
     async def handle_connection(connection):
-        await _serve_connection(connection, handler)
+        async with waiting.limit():
+            await _serve_connection(connection, handler, waiting)
 
     await accept_connections(bind_listener(address), handle_connection, metrics=metrics)
 
 
-async def _serve_connection(connection, handler):
+class _WaitingConnections:
+    """Limit the connections of a server by closing those that wait for a request.
+
+    The longest wait ends first: clients that do nothing would otherwise keep the
+    descriptors from those that send requests.
+    """
+
+    __slots__ = ("_metrics", "_open", "_tasks")
+
+    def __init__(self, *, metrics):
+        self._metrics = metrics
+        self._open = 0
+        #: Tasks of waiting connections, the longest wait first.
+        self._tasks = {}
+
+    @contextlib.asynccontextmanager
+    async def limit(self):
+        """Count this task's connection, and close another one over the limit."""
+        self._open += 1
+        try:
+            if self._open > MAX_CONNECTIONS:
+                await self._close_longest_wait()
+            yield
+        finally:
+            self._open -= 1
+
+    async def _close_longest_wait(self):
+        for task in self._tasks:
+            del self._tasks[task]
+            if self._metrics is not None:
+                self._metrics.count("http_connections_closed")
+            await task.cancel(blocking=False)
+            return
+
+    async def wait(self, read, *arguments):
+        """Return the next request of this task's connection."""
+        task = await curio.current_task()
+        self._tasks[task] = None
+        try:
+            return await curio.timeout_after(IDLE_TIMEOUT_S, read, *arguments)
+        finally:
+            self._tasks.pop(task, None)
+
+
+async def _serve_connection(connection, handler, waiting):
     state = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
     try:
         while True:
-            request = await curio.timeout_after(
-                IDLE_TIMEOUT_S, _next_request, connection, state
-            )
+            request = await waiting.wait(_next_request, connection, state)
             if request is None:
                 return
             await _send(connection, state, await handler(request))
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,9 +1,12 @@
 """tests.test_httpserver: Tests of the HTTP server."""
 
+from unittest import mock
+
 import curio
 import testscenarios
 import testtools
 
+from knapweeddeal import httpserver
 from knapweeddeal.httpserver import MAX_BODY_BYTES, HttpResponse, serve_http
 from tests.processes import free_port
 
@@ -65,3 +68,70 @@
         await connection.close()
         await server.cancel()
         return answer
+
+
+class ConnectionLimit(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Clients that wait, or send slowly, don't keep descriptors from others."""
+
+    scenarios = [
+        ("idle", {"data": b""}),
+        ("after a request", {"data": GET}),
+        ("half a head", {"data": GET[:10]}),
+        ("half a body", {"data": PUT[:-1]}),
+    ]
+    LIMIT = 4
+
+    def test_longest_wait_closed(self):
+        with mock.patch.object(httpserver, "MAX_CONNECTIONS", self.LIMIT, create=True):
+            closed = curio.run(self.open_connections)
+        self.assertEqual([True, True, False, False, False, False], closed)
+
+    async def open_connections(self):
+        """Return which of six connections the server has closed."""
+        address = ("127.0.0.1", free_port())
+        server = await curio.spawn(serve_http, address, echo, daemon=True)
+        await curio.sleep(0.01)
+        connections = []
+        for _ in range(self.LIMIT + 2):
+            connections.append(await curio.open_connection(*address))
+            await connections[-1].sendall(self.data)
+            await curio.sleep(0.01)
+        closed = [await self.is_closed(connection) for connection in connections]
+        for connection in connections:
+            await connection.close()
+        await server.cancel()
+        return closed
+
+    @staticmethod
+    async def is_closed(connection):
+        """Return whether the server ended a connection."""
+        async with curio.ignore_after(0.1):
+            while await connection.recv(4_096):
+                pass
+            return True
+        return False
+
+
+class BusyConnection(testtools.TestCase):
+    """A connection that sends requests outlives those that wait longer."""
+
+    def test_kept(self):
+        with mock.patch.object(httpserver, "MAX_CONNECTIONS", 3, create=True):
+            self.assertEqual(20, curio.run(self.count_answers))
+
+    async def count_answers(self):
+        """Return the answers to 20 requests beside 20 idle connections."""
+        address = ("127.0.0.1", free_port())
+        server = await curio.spawn(serve_http, address, echo, daemon=True)
+        await curio.sleep(0.01)
+        busy, answers = await curio.open_connection(*address), 0
+        idle = []
+        for _ in range(20):
+            idle.append(await curio.open_connection(*address))
+            await curio.sleep(0.01)
+            await busy.sendall(GET)
+            answers += (await busy.recv(4_096)).startswith(b"HTTP/1.1 200")
+        for connection in (busy, *idle):
+            await connection.close()
+        await server.cancel()
+        return answers
