Contain unexpected errors in packets, pushes and links

One packet or one push that raised an unexpected error ended a forwarder, and one message on a replica's link ended that link until the process restarted. No such input is known; a message of another writer has ended replicas before.

A packet is dropped, logged with its trace and counted; a stream is closed and opened again, which begins with the state that was missed; at the start another seed is queried. What ends a process on purpose stays as it is.

--- a/knapweeddeal/forwarderlinks.py
+++ b/knapweeddeal/forwarderlinks.py
@@ -1,5 +1,7 @@
 """knapweeddeal.forwarderlinks: A forwarder's subscriptions to control replicas."""
 
+import traceback
+
 import curio
 
 from knapweeddeal.clock import monotonic_ms
@@ -41,6 +43,15 @@
         stale = False
         try:
             stale = await link.run()
+        except Exception as error:
+            # A new stream begins with all upstreams and all routes that were missed.
+            core.metrics.count("subscription_errors")
+            log.warning(
+                "failed to handle a message of a control replica",
+                replica=address,
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
         finally:
             selector.release_address(
                 address, failed=not stale, stale=stale, now_ms=monotonic_ms()
--- a/knapweeddeal/forwarderstart.py
+++ b/knapweeddeal/forwarderstart.py
@@ -12,7 +12,6 @@
 import msgpack
 
 from knapweeddeal.clock import monotonic_ms
-from knapweeddeal.errors import BadMessageError
 from knapweeddeal.forwardercore import ForwarderCore, Subscription
 from knapweeddeal.logs import Log
 from knapweeddeal.messages.base import encode, from_wire
@@ -245,8 +244,9 @@
                 self._handle_message(from_wire(wire))
         except BlockingIOError:
             return
-        except (OSError, ValueError, BadMessageError) as error:
-            self.failure = str(error)
+        except Exception as error:
+            # Another seed may send what can be handled.
+            self.failure = repr(error)
 
     def _handle_message(self, message):
         self._core.handle_message(message, self._subscription, monotonic_ms())
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -63,14 +63,29 @@
         out, now_ms, received = [], monotonic_ms(), 0
         self._forwarder.release_held(now_ms, out)
         for data in self._receive_pending():
-            self._forwarder.handle_packet(data, now_ms, out)
             received += 1
+            try:
+                self._forwarder.handle_packet(data, now_ms, out)
+            except Exception as error:
+                # One packet must not end the process, which forwards all others.
+                self._report_fault(error)
         self._forwarder.release_permitted(now_ms, out)
         self._forwarder.send_due_hedges(now_ms, out)
         for data, address in self._egress.release(out, now_ms):
             self._send(data, address)
         return received
 
+    def _report_fault(self, error):
+        # Imported late, as it isn't needed for the first packets.
+        import traceback
+
+        self._metrics.count("packet_errors")
+        log.warning(
+            "failed to handle a packet",
+            error=repr(error),
+            trace="".join(traceback.format_exception(error)),
+        )
+
     def _receive_pending(self):
         for _ in range(MAX_PACKETS_PER_TURN):
             try:
--- a/knapweeddeal/replicalink.py
+++ b/knapweeddeal/replicalink.py
@@ -1,8 +1,11 @@
 """knapweeddeal.replicalink: Outgoing streams from one control replica to the others."""
 
+import traceback
+
 import curio
 
 from knapweeddeal.errors import KnapweeddealError, StreamClosedError
+from knapweeddeal.logs import Log
 from knapweeddeal.messages.control import ReplicaHello
 from knapweeddeal.messages.replication import ReplicaState
 from knapweeddeal.outbox import Outbox
@@ -12,6 +15,8 @@
 
 __all__ = ["LinkDown", "LinkPool", "LinkUp", "ReplicaLink"]
 
+log = Log(prefix="control")
+
 #: Pause before another attempt to connect.
 RECONNECT_DELAY_MS = 100
 #: Maximum number of addresses that one replica connects to.
@@ -46,16 +51,25 @@
         """Connect, and reconnect after each failure, until cancelled."""
         while True:
             try:
-                stream = await connect(self._address, timeout_ms=self._timeout_ms)
-            except KnapweeddealError:
-                await curio.sleep(RECONNECT_DELAY_MS / 1000)
-                continue
-            try:
-                await self._serve_stream(stream)
+                await self._connect_once()
             except KnapweeddealError:
-                await curio.sleep(RECONNECT_DELAY_MS / 1000)
-            finally:
-                await stream.close()
+                # The next attempt follows; `LinkDown` tells that a link was lost.
+                pass
+            except Exception as error:
+                log.warning(
+                    "lost a link to an unexpected error",
+                    replica=self._address,
+                    error=repr(error),
+                    trace=traceback.format_exc(),
+                )
+            await curio.sleep(RECONNECT_DELAY_MS / 1000)
+
+    async def _connect_once(self):
+        stream = await connect(self._address, timeout_ms=self._timeout_ms)
+        try:
+            await self._serve_stream(stream)
+        finally:
+            await stream.close()
 
     async def _serve_stream(self, stream):
         await stream.send_all(self._hello())
