Let earlier versions ignore the recorded number of members

Seen in a cluster of old and new replicas: when a new one led, it recorded the number of members, and each old replica ended with "unknown message tag" at once and after each start.

Cause: a replica must not skip a command that it doesn't know, as others apply it and the states would differ. For a number that only a leader uses, a replica without it does no harm: a leader that knows none records one.

Change: a type of record for optional commands. Earlier versions apply only the types that they know and pass over others; this one skips an optional command of a later version.

The new test of an optional command fails if its unknown tag is raised as for other commands.

--- a/knapweeddeal/consensus.py
+++ b/knapweeddeal/consensus.py
@@ -13,6 +13,7 @@
     pack_command,
     pack_membership,
     pack_noop,
+    pack_optional_command,
 )
 from knapweeddeal.consensusready import Envelope, ReadReady, Ready
 from knapweeddeal.errors import (
@@ -184,6 +185,13 @@
         """
         return self._require_leadership().propose(pack_command(command))
 
+    def propose_optional(self, command):
+        """Append a command that replicas of earlier versions ignore.
+
+        Return and raise the same as `propose`.
+        """
+        return self._require_leadership().propose(pack_optional_command(command))
+
     def propose_membership(self, record):
         """Append a membership that adds or removes one replica.
 
--- a/knapweeddeal/consensuslog.py
+++ b/knapweeddeal/consensuslog.py
@@ -9,9 +9,11 @@
 __all__ = [
     "ConsensusLog",
     "is_command",
+    "is_optional_command",
     "pack_command",
     "pack_noop",
     "pack_membership",
+    "pack_optional_command",
     "unpack_command",
     "unpack_membership",
 ]
@@ -20,6 +22,8 @@
 COMMAND_TYPE = b"\0"
 MEMBERSHIP_TYPE = b"\1"
 NOOP_TYPE = b"\2"
+#: A command that a replica of an earlier version, which doesn't know it, ignores.
+OPTIONAL_COMMAND_TYPE = b"\3"
 
 
 def pack_command(data):
@@ -27,6 +31,11 @@
     return COMMAND_TYPE + data
 
 
+def pack_optional_command(data):
+    """Return the bytes of a record with a command that replicas may ignore."""
+    return OPTIONAL_COMMAND_TYPE + data
+
+
 def pack_membership(record):
     """Return the bytes of a record with a membership."""
     return MEMBERSHIP_TYPE + encode(record)
@@ -39,7 +48,12 @@
 
 def is_command(record):
     """Return whether a record carries an embedder's command."""
-    return record.command[:1] == COMMAND_TYPE
+    return record.command[:1] in (COMMAND_TYPE, OPTIONAL_COMMAND_TYPE)
+
+
+def is_optional_command(record):
+    """Return whether a record carries a command that replicas may ignore."""
+    return record.command[:1] == OPTIONAL_COMMAND_TYPE
 
 
 def unpack_command(record):
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -255,7 +255,7 @@
 
     @_propose.register
     def _(self, record: MemberCountRecord):
-        self._replica.node.propose(command_bytes(record))
+        self._replica.node.propose_optional(command_bytes(record))
         log.info("proposed the number of members to restore", members=record.members)
 
     async def _report_to_hub(self):
--- a/knapweeddeal/controlreplica.py
+++ b/knapweeddeal/controlreplica.py
@@ -10,6 +10,7 @@
 from knapweeddeal.consensus import LEADER
 from knapweeddeal.consensuslog import (
     is_command,
+    is_optional_command,
     unpack_command,
     unpack_membership,
 )
@@ -331,7 +332,7 @@
         try:
             command = decode(unpack_command(record))
         except BadMessageError as error:
-            if error.field == "tag":
+            if error.field == "tag" and not is_optional_command(record):
                 # A later version wrote the command, and other replicas apply it.
                 raise
             # Earlier versions logged commands with values beyond the limits of fields.
--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -38,6 +38,7 @@
 from knapweeddeal.messages.replication import (
     EntryReports,
     HardState,
+    MemberCountRecord,
 )
 from tests.packetfakes import route
 
@@ -386,6 +387,22 @@
         self.replica.node.propose(msgpack.packb([9_999, "x"]))
         self.assertRaises(BadMessageError, flush, self.replica)
 
+    def test_optional_one_logged_by_a_later_version(self):
+        """Guards against replicas that end while others are updated."""
+        self.replica.node.propose_optional(msgpack.packb([9_999, "x"]))
+        flush(self.replica)
+        self.assertEqual(1, self.create_service(1))
+
+
+class MemberCounts(ReplicaTest):
+    """A recorded number of members takes effect on the replicas that apply it."""
+
+    def test_in_force(self):
+        record = MemberCountRecord(operator="", request_id="", members=4)
+        self.replica.node.propose_optional(encode(record))
+        flush(self.replica)
+        self.assertEqual(4, self.replica.state.settled_members)
+
 
 class OperatorRequests(ReplicaTest):
     """Commands get an answer; unknown message types get an error code."""
