--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -274,7 +274,7 @@
 
     @_propose.register
     def _(self, record: MemberCountRecord):
-        self._replica.node.propose(encode_command(record).data)
+        self._replica.node.propose_optional(encode_command(record).data)
         log.info("proposed the number of members to restore", members=record.members)
 
     async def _report_to_hub(self):
