Test slow publications and commands with gates instead of times

The tests of repeated publications and of large commands slept in the slow step, so a busy machine could have failed them. The step now waits until the test opens it. What is checked is the same, and that no document is decoded twice in any scenario.

--- a/tests/test_controlcore.py
+++ b/tests/test_controlcore.py
@@ -1,7 +1,7 @@
 """tests.test_controlcore: Tests of the task that runs a control replica."""
 
 import tempfile
-import time
+import threading
 from types import SimpleNamespace
 from unittest import mock
 
@@ -26,7 +26,7 @@
 ADDRESS = ("127.0.0.1", 1)
 SETTINGS = SimpleNamespace(
     control={"r1": ADDRESS},
-    election_ms=200,
+    election_ms=500,
     heals_itself=False,
     heartbeat_ms=100,
     listen=ADDRESS,
@@ -57,7 +57,8 @@
     configuration.
     """
 
-    APPLY_S = 0.1
+    #: Longest wait for the gate, so that a test fails instead of hanging.
+    GATE_TIMEOUT_S = 1
 
     def setUp(self):
         super().setUp()
@@ -68,6 +69,8 @@
         self.events = curio.Queue()
         #: Whether the state applies a record now.
         self.applying = False
+        #: Records are applied only while this is set.
+        self.gate = threading.Event()
         self.error = None
 
     async def ask(self, message):
@@ -89,7 +92,7 @@
 
         def apply_slowly(state, index, record):
             self.applying = True
-            time.sleep(self.APPLY_S)
+            self.gate.wait(self.GATE_TIMEOUT_S)
             if self.error is not None:
                 raise self.error
             answer = apply(state, index, record)
@@ -118,6 +121,7 @@
             task = await self.publish(7)
             await self.ask(MetricsRequest())
             self.assertTrue(self.applying)
+            self.gate.set()
             self.assertEqual(PublishAnswer(revision=7), await task.join())
 
         self.run_core(use)
@@ -127,8 +131,11 @@
 
         async def use(_core):
             task = await self.publish(7)
-            answer = await self.ask(PublishedRoutesRequest())
-            self.assertEqual(7, answer.configuration.revision)
+            read = await curio.spawn(self.ask, PublishedRoutesRequest())
+            await self.ask(MetricsRequest())
+            self.assertFalse(read.terminated)
+            self.gate.set()
+            self.assertEqual(7, (await read.join()).configuration.revision)
             await task.join()
 
         self.run_core(use)
@@ -136,6 +143,7 @@
     def test_two_in_order(self):
         async def use(_core):
             tasks = [await self.publish(7), await self.publish(8)]
+            self.gate.set()
             answers = [await task.join() for task in tasks]
             self.assertEqual([7, 8], [answer.revision for answer in answers])
 
@@ -150,6 +158,8 @@
         async def use(_core):
             task = await self.publish(7)
             await self.ask(MetricsRequest())
+            self.assertTrue(self.applying)
+            self.gate.set()
             await task.join()
 
         taken = []
@@ -163,6 +173,7 @@
 
         async def use(core):
             await self.publish(7)
+            self.gate.set()
             await core.wait()
             self.assertIs(self.error, core.exception)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,7 @@
 """tests.test_platform: Tests of the platform's formats and calls."""
 
 import json
-import time
+import threading
 from unittest import mock
 
 import curio
@@ -323,9 +323,7 @@
 class FakeReplica:
     """Stand in for the replicated log and the hub."""
 
-    def __init__(self, *, error=None, replication_s=0.0):
-        #: Time until a majority has the record of a publication.
-        self.replication_s = replication_s
+    def __init__(self, *, error=None):
         self.state = ConfigurationState()
         self.zones = ("zone-a", "zone-b")
         self.table = UpstreamTable(own_identity=1, report_ms=1_000)
@@ -355,7 +353,6 @@
         if self.error is not None:
             return failure_answer(self.error)
         if isinstance(message, PreparedPublication):
-            await curio.sleep(self.replication_s)
             record = message.command.record
             return local_answer(message, self) or self.state.apply(1, record)
         if isinstance(message, EvacuateRequest):
@@ -391,6 +388,8 @@
 
 #: The function that decodes documents.
 DECODER = "knapweeddeal.platform.publisher.decode_configuration"
+#: The timeout of a call.
+TIMEOUT = "knapweeddeal.platform.api.ANSWER_TIMEOUT_MS"
 UNENCODABLE = {**REPORT, "zone": "\ud800"}
 
 
@@ -498,6 +497,33 @@
         self.assertEqual(state.packets, restored.packets)
 
 
+class SlowReplica(FakeReplica):
+    """Decode or replicate documents only while a gate is open."""
+
+    #: Longest wait for the gate, so that a test fails instead of hanging.
+    GATE_TIMEOUT_S = 5
+
+    def __init__(self, *, slow_step):
+        super().__init__()
+        self.gate = threading.Event()
+        #: The bodies that were decoded.
+        self.decoded = []
+        self._slow_step = slow_step
+
+    def decode(self, body):
+        """Decode a document."""
+        self.decoded.append(body)
+        if self._slow_step == "decode":
+            self.gate.wait(self.GATE_TIMEOUT_S)
+        return decode_configuration(body)
+
+    async def answer_request(self, message):
+        """Answer an operator's message as a slow leader does."""
+        while self._slow_step == "replicate" and not self.gate.is_set():
+            await curio.sleep(0.01)
+        return await super().answer_request(message)
+
+
 class ResentDocuments(testscenarios.TestWithScenarios, testtools.TestCase):
     """A document that takes longer than a call is confirmed when it is sent again.
 
@@ -505,70 +531,67 @@
     with 503 for ever, although it was in force.
     """
 
-    TIMEOUT_MS = 200
-    SLOW_S = 0.26
     FIRST = with_changes(version=7)
     SECOND = with_changes(version=8, routes=[ROUTE])
     INVALID = with_changes(version=6, routes=[{**ROUTE, "timeoutMs": 0}])
 
+    #: The calls in `late` time out; those in `after` follow once the step is fast.
     scenarios = [
-        ("slow decoding", {"bodies": [FIRST, FIRST], "decoding_s": SLOW_S}),
-        ("slow replication", {"bodies": [FIRST, FIRST], "replication_s": SLOW_S}),
         (
-            "both slow",
-            {
-                "bodies": [FIRST, FIRST, FIRST],
-                "statuses": [503, 503, 200],
-                "decoding_s": SLOW_S,
-                "replication_s": 0.2,
-            },
+            "slow decoding",
+            {"step": "decode", "late": [FIRST, FIRST], "after": [(FIRST, 200)]},
+        ),
+        (
+            "slow replication",
+            {"step": "replicate", "late": [FIRST, FIRST], "after": [(FIRST, 200)]},
         ),
         (
             "overtaken",
             {
-                "bodies": [FIRST, SECOND, SECOND, FIRST],
-                "statuses": [503, 503, 200, 200],
-                "decoding_s": SLOW_S,
-                "decodings": 2,
+                "step": "decode",
+                "late": [FIRST, SECOND],
+                "after": [(SECOND, 200), (FIRST, 200), (SECOND, 200)],
             },
         ),
         (
-            "invalid",
+            "overtaken while it is replicated",
             {
-                "bodies": [INVALID, INVALID],
-                "statuses": [503, 400],
-                "decoding_s": SLOW_S,
+                "step": "replicate",
+                "late": [FIRST, SECOND],
+                "after": [(SECOND, 200), (FIRST, 200)],
             },
         ),
+        (
+            "invalid",
+            {"step": "decode", "late": [INVALID], "after": [(INVALID, 400)]},
+        ),
         (
             "invalid and lower",
-            {
-                "bodies": [FIRST, INVALID, INVALID],
-                "statuses": [200, 400, 400],
-                "decodings": 2,
-            },
+            {"after": [(FIRST, 200), (INVALID, 400), (INVALID, 400)]},
         ),
     ]
-    statuses = (503, 200)
-    decoding_s = replication_s = 0.0
-    decodings = 1
+    step = None
+    late = ()
 
     def test_statuses(self):
-        def decode_slowly(body):
-            decoded.append(body)
-            time.sleep(self.decoding_s)
-            return decode_configuration(body)
-
-        decoded = []
-        replica = FakeReplica(replication_s=self.replication_s)
-        with (
-            mock.patch(DECODER, decode_slowly),
-            mock.patch("knapweeddeal.platform.api.ANSWER_TIMEOUT_MS", self.TIMEOUT_MS),
-        ):
-            calls = [("PUT", "/-/config", body) for body in self.bodies]
-            responses = replica.call(*calls)
-        self.assertEqual(list(self.statuses), [r.status for r in responses])
-        self.assertEqual(self.decodings, len(decoded))
+        replica = SlowReplica(slow_step=self.step)
+
+        async def put(body, timeout_ms):
+            request = HttpRequest(method="PUT", target="/-/config", body=encoded(body))
+            with mock.patch(TIMEOUT, timeout_ms):
+                return (await replica.api.handle_request(request)).status
+
+        async def run():
+            late = [await put(body, 50) for body in self.late]
+            replica.gate.set()
+            return late, [await put(body, 5_000) for body, _ in self.after]
+
+        with mock.patch(DECODER, replica.decode):
+            late, after = curio.run(run)
+        self.assertEqual([503] * len(self.late), late)
+        self.assertEqual([status for _, status in self.after], after)
+        # No document is decoded twice.
+        self.assertEqual(sorted(set(replica.decoded)), sorted(replica.decoded))
 
 
 class DocumentsWithoutDecoding(testscenarios.TestWithScenarios, testtools.TestCase):
@@ -608,22 +631,22 @@
     """Other tasks run while a document is decoded: heartbeats had to wait for it."""
 
     def test_read_meanwhile(self):
-        def decode_slowly(body):
-            time.sleep(0.3)
-            return decode_configuration(body)
+        replica = SlowReplica(slow_step="decode")
+
+        async def call(method):
+            request = HttpRequest(
+                method=method, target="/-/config", body=encoded(DOCUMENT)
+            )
+            return (await replica.api.handle_request(request)).status
 
         async def run():
-            calls = curio.TaskGroup()
-            for method in ("PUT", "GET"):
-                request = HttpRequest(
-                    method=method, target="/-/config", body=encoded(DOCUMENT)
-                )
-                await calls.spawn(self.replica.api.handle_request, request)
-            first = await calls.next_done()
-            await calls.join()
-            return first.result.status
-
-        self.replica = FakeReplica()
-        with mock.patch(DECODER, decode_slowly):
-            self.assertEqual(503, curio.run(run))
-        self.assertEqual(7, self.replica.packets.revision)
+            publishing = await curio.spawn(call, "PUT")
+            while not replica.decoded:
+                await curio.sleep(0.01)
+            statuses = [await call("GET")]
+            replica.gate.set()
+            statuses.append(await publishing.join())
+            return statuses
+
+        with mock.patch(DECODER, replica.decode), mock.patch(TIMEOUT, 5_000):
+            self.assertEqual([503, 200], curio.run(run))
