Wait for an address that is in use instead of ending

A forwarder or replica ended with status 4 at each start while another process still had one of its addresses, also for the metrics, whose port is fixed in the deploy file and may be another program's.

A bind that fails with EADDRINUSE is retried for 10 s, for streams, HTTP and packets, as a killed process keeps its sockets until its last access to the disk has ended. An address that the VM lacks still ends the start at once.

--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -74,7 +74,8 @@
         async with waiting.limit():
             await _serve_connection(connection, handler, waiting)
 
-    await accept_connections(bind_listener(address), handle_connection, metrics=metrics)
+    listener = await bind_listener(address)
+    await accept_connections(listener, handle_connection, metrics=metrics)
 
 
 class _WaitingConnections:
--- a/knapweeddeal/listener.py
+++ b/knapweeddeal/listener.py
@@ -17,6 +17,11 @@
 #: Pause after a lack of descriptors or memory, which ends when connections close. The
 #: kernel keeps the waiting connections meanwhile.
 RETRY_MS = 100
+#: Longest wait for an address: a process that was killed keeps its sockets until its
+#: last access to the disk has ended.
+BIND_WAIT_MS = 10_000
+#: Errors of a bind that may pass.
+PASSING_BIND_ERRORS = frozenset((errno.EADDRINUSE, errno.EMFILE, errno.ENFILE))
 #: Minimum time between two log lines about failed accepts.
 LOG_INTERVAL_MS = 1_000
 #: Errors of one connection, which the kernel has removed: the next one can be accepted.
@@ -27,19 +32,31 @@
 )
 
 
-def bind_listener(address, *, field="listen"):
+async def bind_listener(address, *, field="listen"):
     """Return a listening socket; raise BadSettingError if the address can't be bound.
 
-    `field` is the setting that the error names.
+    Waits `BIND_WAIT_MS` for an address that is in use. `field` is the setting that the
+    error names.
     """
-    try:
-        return curio.tcp_server_socket(*address, backlog=BACKLOG, reuse_address=True)
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field=field,
-            value=":".join(map(str, address)),
-        ) from None
+    deadline_ms = monotonic_ms() + BIND_WAIT_MS
+    while True:
+        try:
+            return curio.tcp_server_socket(
+                *address, backlog=BACKLOG, reuse_address=True
+            )
+        except OSError as error:
+            if error.errno not in PASSING_BIND_ERRORS or monotonic_ms() >= deadline_ms:
+                raise bind_error(error, address, field) from None
+        await curio.sleep(RETRY_MS / 1000)
+
+
+def bind_error(error, address, field):
+    """Return the error for an address that can't be bound."""
+    return BadSettingError(
+        f"can't be bound: {error.strerror}",
+        field=field,
+        value=":".join(map(str, address)),
+    )
 
 
 async def accept_connections(listener, handler, *, metrics=None):
--- a/knapweeddeal/packetsocket.py
+++ b/knapweeddeal/packetsocket.py
@@ -1,6 +1,8 @@
 """knapweeddeal.packetsocket: The UDP socket of a forwarder."""
 
+import errno
 import socket
+import time
 
 from knapweeddeal.clock import earliest, monotonic_ms
 from knapweeddeal.errors import BadSettingError
@@ -10,6 +12,9 @@
 
 log = Log(prefix="forwarder")
 
+#: Longest wait for an address that is in use, and the pause between attempts.
+BIND_WAIT_MS = 10_000
+BIND_RETRY_MS = 20
 #: Receive buffer of the socket; the kernel drops datagrams beyond it.
 RECEIVE_BUFFER_BYTES = 512 * 1024
 #: Read size; the largest datagram has a prefix of 8 bytes, a header of 32 bytes and
@@ -20,19 +25,28 @@
 
 
 def bind_packet_socket(address):
-    """Return a non-blocking UDP socket bound to an address; raise BadSettingError."""
+    """Return a non-blocking UDP socket bound to an address; raise BadSettingError.
+
+    Waits `BIND_WAIT_MS` for an address that is in use, as listeners do.
+    """
     udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     udp_socket.setblocking(False)
     udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    try:
-        udp_socket.bind(address)
-    except OSError as error:
-        raise BadSettingError(
-            f"can't be bound: {error.strerror}",
-            field="[forwarder] packets",
-            value=":".join(map(str, address)),
-        ) from None
-    return udp_socket
+    deadline_ms = monotonic_ms() + BIND_WAIT_MS
+    while True:
+        try:
+            udp_socket.bind(address)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or monotonic_ms() >= deadline_ms:
+                udp_socket.close()
+                raise BadSettingError(
+                    f"can't be bound: {error.strerror}",
+                    field="[forwarder] packets",
+                    value=":".join(map(str, address)),
+                ) from None
+        else:
+            return udp_socket
+        time.sleep(BIND_RETRY_MS / 1000)
 
 
 class PacketSocket:
--- a/knapweeddeal/stream.py
+++ b/knapweeddeal/stream.py
@@ -135,7 +135,8 @@
         _no_delay(connection)
         await handler(Stream(socket=connection))
 
-    await accept_connections(bind_listener(address), handle_connection, metrics=metrics)
+    listener = await bind_listener(address)
+    await accept_connections(listener, handle_connection, metrics=metrics)
 
 
 def _new_socket(address):
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -13,12 +13,22 @@
 import testtools
 from curio.io import Socket
 
+from knapweeddeal import listener
+from knapweeddeal.errors import BadSettingError
 from knapweeddeal.httpserver import HttpResponse, serve_http
 from knapweeddeal.messages import encode
 from knapweeddeal.messages.upstream import Heartbeat
 from knapweeddeal.metrics import Metrics
+from knapweeddeal.metricsserver import serve_metrics
 from knapweeddeal.stream import serve
-from tests.packetcluster import API, METRICS, READY, STREAMS
+from tests.packetcluster import (
+    API,
+    METRICS,
+    PACKETS,
+    READY,
+    STREAMS,
+    PacketCluster,
+)
 from tests.processes import free_port, wait_until
 from tests.test_packetprocess import PacketCase
 
@@ -229,3 +239,73 @@
         self.close_idle(connections)
         self.cluster.daemons[third].kill()
         self.cluster.publish(6)
+
+
+def is_listening(address):
+    """Return whether a connection to an address opens."""
+    try:
+        socket.create_connection(address, timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+class AddressInUse(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A process whose address another one still has waits instead of ending."""
+
+    scenarios = [
+        (name, {"number": number, "port": port, "kind": kind})
+        for name, number, port, kind in (
+            ("streams of a forwarder", 11, STREAMS, socket.SOCK_STREAM),
+            ("readiness of a forwarder", 11, READY, socket.SOCK_STREAM),
+            ("metrics of a forwarder", 11, METRICS, socket.SOCK_STREAM),
+            ("packets of a forwarder", 11, PACKETS, socket.SOCK_DGRAM),
+            ("streams of a replica", 1, STREAMS, socket.SOCK_STREAM),
+            ("HTTP interface of a replica", 1, API, socket.SOCK_STREAM),
+        )
+    ]
+
+    def test_waits(self):
+        cluster = PacketCluster()
+        self.addCleanup(cluster.close)
+        with socket.socket(socket.AF_INET, self.kind) as other:
+            # Connections of an earlier test may be in TIME_WAIT.
+            if self.kind == socket.SOCK_STREAM:
+                other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((cluster.host(self.number), self.port))
+            if self.kind == socket.SOCK_STREAM:
+                other.listen()
+            cluster.start()
+            time.sleep(2)
+        for number in (1, 11):
+            address = (cluster.host(number), STREAMS)
+            wait_until(lambda a=address: is_listening(a), "streams")
+        wait_until(lambda: is_listening((cluster.host(1), API)), "an HTTP interface")
+        wait_until(lambda: cluster.readiness() == 503, "readiness")
+        wait_until(lambda: is_listening((cluster.host(11), METRICS)), "metrics")
+        for name, daemon in cluster.daemons.items():
+            self.assertIsNone(daemon.process.poll(), name)
+
+
+class AddressOfAnother(testtools.TestCase):
+    """An address that stays in use ends the process, except that of metrics."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(listener, "BIND_WAIT_MS", 200)
+        other = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(other.close)
+        self.address = other.getsockname()
+
+    def test_streams(self):
+        self.assertRaises(BadSettingError, curio.run, serve, self.address, echo_first)
+
+    def test_requests(self):
+        self.assertRaises(BadSettingError, curio.run, serve_http, self.address, answer)
+
+    def test_metrics(self):
+        async def serve_for_a_second():
+            async with curio.timeout_after(1):
+                await serve_metrics(self.address, Metrics())
+
+        self.assertRaises(curio.TaskTimeout, curio.run, serve_for_a_second)
