Forget control replicas that were replaced, and rank seeds that are gone last

A forwarder kept every address that was ever listed and ranked one that failed last for 1 s only, so most attempts went to VMs that are gone. Replicas list members and connected replicas with each heartbeat: an address that one with a leader doesn't list is forgotten once it has failed, and ranked last until then. Seeds are kept, but ranked after listed addresses too.

Evidence: GoneReplica fails before the change.

--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -206,7 +206,11 @@
     def _handle_control_state(self, message, subscription, now_ms):
         self._update_subscription(message, subscription, now_ms)
         self._selector.set_zone(subscription.address, message.zone)
-        self._selector.add_addresses((r.host, r.port) for r in message.replicas)
+        addresses = [(replica.host, replica.port) for replica in message.replicas]
+        if message.current and addresses:
+            self._selector.set_members(addresses, now_ms)
+        else:
+            self._selector.add_addresses(addresses)
         for replica in message.replicas:
             if (replica.host, replica.port) == subscription.address:
                 subscription.identity = replica.identity
--- a/knapweeddeal/forwarderprocess.py
+++ b/knapweeddeal/forwarderprocess.py
@@ -50,8 +50,7 @@
     async def apply_settings():
         core.egress.set_rate(settings.link_mbps)
         core.set_admission(settings.admission)
-        selector.add_addresses(settings.seed_addresses)
-        selector.remove_failed(set(settings.seed_addresses), monotonic_ms())
+        selector.set_seeds(settings.seed_addresses, monotonic_ms())
 
     log.info("started", name=settings.name, zone=settings.zone)
     tasks = [
--- a/knapweeddeal/replicaselector.py
+++ b/knapweeddeal/replicaselector.py
@@ -11,11 +11,13 @@
 class KnownReplica:
     """Hold the state of one control replica at a known address."""
 
-    __slots__ = ("failed_until_ms", "stale_until_ms", "zone")
+    __slots__ = ("failed_until_ms", "is_member", "stale_until_ms", "zone")
 
     def __init__(self):
         #: Its availability zone, or "" until it has reported one.
         self.zone = ""
+        #: Whether it is a member, as far as replicas with a leader have told.
+        self.is_member = True
         self.failed_until_ms = 0
         self.stale_until_ms = 0
 
@@ -23,11 +25,12 @@
 class ReplicaSelector:
     """Hold the addresses of replicas: the seeds, and those that replicas report."""
 
-    __slots__ = ("_in_use", "_replicas", "_random", "_zone")
+    __slots__ = ("_in_use", "_replicas", "_random", "_seeds", "_zone")
 
     def __init__(self, *, seeds, zone, random):
         self._zone = zone
         self._random = random
+        self._seeds = set(seeds)
         self._replicas = {address: KnownReplica() for address in seeds}
         self._in_use = set()
 
@@ -48,19 +51,34 @@
 
     # Commands.
 
+    def set_seeds(self, seeds, now_ms):
+        """Replace the seeds; remove all other addresses that failed lately."""
+        self._seeds = set(seeds)
+        self.add_addresses(seeds)
+        self._remove_failed((), now_ms)
+
     def add_addresses(self, addresses):
         """Add addresses from a replica or the settings; keep all others."""
-        listed = set(addresses)
-        if not listed:
-            return
-        for address in listed - set(self._replicas):
+        for address in set(addresses) - set(self._replicas):
             self._replicas[address] = KnownReplica()
 
-    def remove_failed(self, keep, now_ms):
-        """Remove unused addresses that failed lately, except those in `keep`."""
+    def set_members(self, addresses, now_ms):
+        """Add the addresses that a replica with a leader lists.
+
+        Others are removed if they failed lately, and seeds are ranked last: each
+        attempt to connect to a VM that is gone takes the whole time limit.
+        """
+        members = set(addresses)
+        self.add_addresses(members)
+        self._remove_failed(members, now_ms)
+        for address, replica in self._replicas.items():
+            replica.is_member = address in members
+
+    def _remove_failed(self, keep, now_ms):
+        """Remove unused addresses that failed lately, except seeds and `keep`."""
+        kept = self._seeds.union(keep, self._in_use)
         for address, replica in list(self._replicas.items()):
-            failing = now_ms < replica.failed_until_ms
-            if failing and address not in keep and address not in self._in_use:
+            if now_ms < replica.failed_until_ms and address not in kept:
                 del self._replicas[address]
 
     def acquire(self, now_ms):
@@ -93,6 +111,7 @@
         return (
             now_ms < replica.failed_until_ms,
             now_ms < replica.stale_until_ms,
+            not replica.is_member,
             replica.zone != self._zone,
             self._random(),
         )
--- a/tests/test_forwardercore.py
+++ b/tests/test_forwardercore.py
@@ -11,7 +11,7 @@
 from tests.admissionreplay import terms
 from tests.packetfakes import ZONE, route, routes_push, state, syn
 
-FIRST, SECOND = ("10.0.0.1", 1), ("10.0.0.2", 1)
+FIRST, SECOND, GONE = ("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)
 
 
 class FakeSettings:
@@ -24,12 +24,16 @@
     admission = "on"
 
 
-def make_core():
+def make_selector():
+    """Return a selector that knows the first replica."""
+    return ReplicaSelector(seeds=[FIRST], zone=ZONE, random=lambda: 0.0)
+
+
+def make_core(*, selector=None):
     """Return a core with subscriptions to two replicas, and the subscriptions."""
-    selector = ReplicaSelector(seeds=[FIRST], zone=ZONE, random=lambda: 0.0)
     core = ForwarderCore(
         settings=FakeSettings(),
-        selector=selector,
+        selector=selector or make_selector(),
         random=lambda: 0.0,
         metrics=Metrics(),
     )
@@ -39,6 +43,14 @@
     return core, subscriptions
 
 
+def replicas(*addresses):
+    """Return replicas at some addresses."""
+    return [
+        Replica(name=f"r{n}", identity=n, host=host, port=port)
+        for n, (host, port) in enumerate(addresses, 1)
+    ]
+
+
 def control_state(*, current):
     """Return the state that a replica reports."""
     return ControlState(zone=ZONE, current=current, revision=1, replicas=[])
@@ -97,6 +109,31 @@
         self.assertEqual(200, first.stale_since_ms)
 
 
+class GoneReplica(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A forwarder forgets a replaced replica once one with a leader lists it no more.
+
+    Guards against a forwarder that spends its time on connections to replaced VMs.
+    """
+
+    scenarios = [
+        ("with a leader", {"current": True, "known": {FIRST, SECOND}}),
+        ("without a leader", {"current": False, "known": {FIRST, SECOND, GONE}}),
+    ]
+
+    def test_known(self):
+        selector = make_selector()
+        core, (first, _) = make_core(selector=selector)
+        message = control_state(current=True)
+        core.handle_message(message.replace(replicas=replicas(GONE)), first, 0)
+        self.assertEqual([FIRST, GONE], sorted(core.dump()["replicas"]))
+        while selector.acquire(0) != GONE:
+            pass
+        selector.release_address(GONE, failed=True, stale=False, now_ms=0)
+        message = control_state(current=self.current)
+        core.handle_message(message.replace(replicas=replicas(SECOND)), first, 1)
+        self.assertEqual(self.known, set(core.dump()["replicas"]))
+
+
 class ColdRequests(testtools.TestCase):
     """Requests for permits go to the home if it is subscribed.
 
@@ -106,12 +143,9 @@
     def test_stream(self):
         core, (first, second) = make_core()
         first.outbox, second.outbox = "to first", "to second"
-        replicas = [
-            Replica(name=f"r{n}", identity=n, host=host, port=port)
-            for n, (host, port) in enumerate((FIRST, SECOND), start=1)
-        ]
         for subscription in (first, second):
-            message = control_state(current=True).replace(replicas=replicas)
+            message = control_state(current=True)
+            message = message.replace(replicas=replicas(FIRST, SECOND))
             core.handle_message(message, subscription, 0)
         core.handle_message(
             UpstreamsPush(whole=True, states=[state(home=2, cold_ms=9_000)]), first, 0
--- a/tests/test_replicaselector.py
+++ b/tests/test_replicaselector.py
@@ -60,10 +60,16 @@
         selector.acquire(0)
         selector.acquire(0)
         selector.release_address(FAR, failed=True, stale=False, now_ms=0)
-        selector.add_addresses([THIRD])
-        selector.remove_failed({THIRD}, 1)
+        selector.set_seeds([THIRD], 1)
         self.assertEqual({NEAR, THIRD}, set(selector.addresses))
 
+    def test_seed_last(self):
+        """A seed that is listed nowhere is tried after the members, in any zone."""
+        selector = make_selector(NEAR)
+        selector.set_members([FAR, THIRD], 0)
+        order = [selector.acquire(0) for _ in range(3)]
+        self.assertEqual((NEAR, {FAR, THIRD}), (order[2], set(order[:2])))
+
     def test_has_available(self):
         selector = make_selector(NEAR, FAR)
         selector.acquire(0)
@@ -72,3 +78,35 @@
         self.assertFalse(selector.has_available(0))
         selector.release_address(FAR, failed=True, stale=False, now_ms=0)
         self.assertFalse(selector.has_available(1))
+
+
+class GoneVMs(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An address that fails and is listed nowhere any more is forgotten.
+
+    Guards against a forwarder that spends its time on connections to replaced VMs.
+    """
+
+    #: Each is asked at `now_ms` after THIRD failed at 0 with its state as given.
+    scenarios = [
+        ("gone", {"forgotten": True}),
+        ("seed", {"seeds": (NEAR, THIRD)}),
+        ("listed", {"members": (NEAR, FAR, THIRD)}),
+        ("worked since", {"now_ms": FAILED_MS}),
+        ("in use again", {"in_use": True}),
+        ("without a leader", {"outcome": {"failed": False, "stale": True}}),
+    ]
+    seeds, members = (NEAR,), (NEAR, FAR)
+    now_ms, in_use, forgotten = 1, False, False
+    outcome = {"failed": True, "stale": False}
+
+    def test_members(self):
+        selector = make_selector(*self.seeds)
+        selector.add_addresses([THIRD])
+        for _ in range(2):
+            selector.acquire(0)
+        selector.release_address(THIRD, now_ms=0, **self.outcome)
+        if self.in_use:
+            selector.acquire(0)
+        selector.set_members(self.members, self.now_ms)
+        known = {NEAR, FAR} if self.forgotten else {NEAR, FAR, THIRD}
+        self.assertEqual(known, set(selector.addresses))
