Let new links between replicas take the place of links to gone VMs

A control replica keeps 64 links at most and never gave one up. One that had run through 60 replacements of other control VMs by ones at new addresses couldn't link to later ones, without a log line. At the limit a new link takes the place of one that is down and whose address is of no member. Found by reading; the case "one replaced" of test_replicalink fails before.

--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -209,7 +209,9 @@
             self._dialed_members = members
             names = sorted(replica.name for replica in members)
             log.info("membership changed", members=names)
-            await self._dial((replica.host, replica.port) for replica in members)
+            addresses = frozenset((replica.host, replica.port) for replica in members)
+            self._links.members = addresses
+            await self._dial(addresses)
 
     async def _reconcile_members(self):
         """Propose to add a candidate or remove a lost member, one at a time."""
--- a/knapweeddeal/replicalink.py
+++ b/knapweeddeal/replicalink.py
@@ -34,8 +34,10 @@
     """Keep a connection to one address, and send the queued messages."""
 
     __slots__ = ("_address", "_events", "_heartbeat_ms", "_hello", "_timeout_ms")
+    __slots__ += ("is_up",)
 
     def __init__(self, *, address, hello, events, heartbeat_ms, timeout_ms):
+        self.is_up = False
         self._address = address
         self._hello = hello
         self._events = events
@@ -64,10 +66,12 @@
         if not isinstance(hello, ReplicaHello) or not isinstance(state, ReplicaState):
             raise StreamClosedError("expected the hello and state of a control replica")
         outbox = Outbox()
+        self.is_up = True
         await self._events.put(LinkUp(state=state, outbox=outbox))
         try:
             await self._exchange(stream, outbox)
         finally:
+            self.is_up = False
             await self._events.put(LinkDown(identity=hello.identity, outbox=outbox))
 
     async def _exchange(self, stream, outbox):
@@ -91,20 +95,34 @@
 class LinkPool:
     """Keep one link to each address; `hello` returns the opening messages."""
 
-    __slots__ = ("_events", "_heartbeat_ms", "_tasks", "_timeout_ms", "hello")
+    __slots__ = ("_events", "_heartbeat_ms", "_links", "_tasks", "_timeout_ms", "hello")
+    __slots__ += ("members",)
 
     def __init__(self, *, events, heartbeat_ms, timeout_ms):
         self._events = events
         self._heartbeat_ms = heartbeat_ms
         self._timeout_ms = timeout_ms
+        #: Links and their tasks, by address.
+        self._links = {}
         self._tasks = {}
+        #: Addresses of the members, whose links are kept while they are down.
+        self.members = frozenset()
         self.hello = None
 
     async def connect_to(self, address):
-        """Start a link to an address unless one exists or the limit is reached."""
-        if address in self._tasks or len(self._tasks) >= MAX_LINKS:
+        """Start a link to an address unless one exists.
+
+        At the limit it takes the place of one that is down and of no member.
+        """
+        if address in self._tasks:
             return
-        link = ReplicaLink(
+        if len(self._tasks) >= MAX_LINKS:
+            unused = self._unused_address()
+            if unused is None:
+                return
+            del self._links[unused]
+            await self._tasks.pop(unused).cancel()
+        link = self._links[address] = ReplicaLink(
             address=address,
             hello=self.hello,
             events=self._events,
@@ -113,6 +131,13 @@
         )
         self._tasks[address] = await curio.spawn(link.run, daemon=True)
 
+    def _unused_address(self):
+        """Return the oldest address that is down and of no member, or None."""
+        for address, link in self._links.items():
+            if not link.is_up and address not in self.members:
+                return address
+        return None
+
     async def close(self):
         """Cancel all links."""
         for task in self._tasks.values():
