Tell linked replicas the cluster that a replica has joined

What callers saw: a control VM that was replaced by an empty one, and whose disk then stalled, failed or was slow, didn't push confirmed routes to its forwarders in 3 s.

Cause: its streams to the other replicas were opened before it had joined. They held cluster 0 for it until the streams were opened again, and ignored its requests for routes, its control states and its evacuations, which only replicas of the same cluster may send. A replica that bootstraps the cluster sends its state again, one that joins it didn't.

A replica now sends its state on all links once its folder is bound, however it was bound. The others then accept its messages.

--- a/knapweeddeal/controlcluster.py
+++ b/knapweeddeal/controlcluster.py
@@ -99,6 +99,7 @@
         """Bind an unbound folder to the cluster whose leader sends it records."""
         if cluster and not self.cluster:
             await retry_until_done(self._folder.set_cluster, cluster)
+            await self._send_state()
 
     async def bind_after_bootstrap(self):
         """Bind the folder to its cluster after the first record was synced."""
@@ -109,8 +110,7 @@
         await retry_until_done(
             self._folder.set_cluster, cluster_id_for(initial_members)
         )
-        for outbox in self._outboxes.values():
-            await outbox.offer(self.state_message())
+        await self._send_state()
         for state in list(self._states.values()):
             await self.send_initial_membership(state)
 
@@ -125,5 +125,13 @@
             initial = InitialMembership(cluster=self.cluster, replicas=initial_members)
             await outbox.offer(initial)
 
+    async def _send_state(self):
+        """Send the cluster id on the streams that were opened without one.
+
+        The others would go on to ignore what only replicas of their cluster may send.
+        """
+        for outbox in self._outboxes.values():
+            await outbox.offer(self.state_message())
+
     def _is_uninitialized(self):
         return not self.cluster and not self._node.log.last_index
--- a/tests/test_packetprocess.py
+++ b/tests/test_packetprocess.py
@@ -241,6 +241,25 @@
             cluster.publish(version)
         self.assertTrue(curio.run(self._is_pushed, host, 8))
 
+    def test_pushed_by_a_replaced_replica(self):
+        """Guard against replicas that ignore one which joined without a folder."""
+        cluster = self.cluster
+        roles = {host: cluster.dump(host)["role"] for host in cluster.replicas}
+        host = next(host for host, role in roles.items() if role == "follower")
+        cluster.restart(host, empty=True)
+        cluster.publish(6)
+        wait_until(lambda: self._has_applied(host, 6), "a replica that joined")
+        cluster.daemons[host].set_faults(**self.faults)
+        for version in (7, 8):
+            cluster.publish(version)
+        self.assertTrue(curio.run(self._is_pushed, host, 8))
+
+    def _has_applied(self, host, revision):
+        try:
+            return self.cluster.dump(host)["packet_revision"] == revision
+        except KnapweeddealError:
+            return False
+
     async def _is_pushed(self, host, revision):
         """Return whether a replica pushes a revision in the time that it has."""
         stream = await connect((host, STREAMS), timeout_ms=1_000)
