Test that a replaced proposal isn't applied

A leader keeps the commands that it proposed, to apply them without decoding. Nothing tested that the term belongs to the key: looked up by index alone, the replica would put in force what another leader had replaced.

The present code passes it.

--- a/tests/test_controlreplica.py
+++ b/tests/test_controlreplica.py
@@ -10,6 +10,7 @@
 from knapweeddeal.commandrecords import prepare_publication
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.consensus import LEADER, Node
+from knapweeddeal.consensuslog import pack_command
 from knapweeddeal.controlreplica import ControlReplica
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.messages.base import encode
@@ -432,6 +433,22 @@
         self.assertEqual(1, len(self.commands()))
         self.assertEqual(7, self.replica.state.packets.revision)
 
+    def replace_record(self, command):
+        """Let replica 2 lead and commit another command at the publication's index."""
+        node = self.replica.node
+        index, term = self.publication.position
+        request = AppendRequest(
+            term=term + 1,
+            leader=2,
+            previous_index=index - 1,
+            previous_term=node.log.term_at(index - 1),
+            records=[LogRecord(index=index, term=term + 1, command=command)],
+            commit_index=index,
+            round=1,
+        )
+        node.receive(2, request, self.now_ms)
+        flush(self.replica)
+
     def test_same_term(self):
         self.submit(self.publication, call_id=8)
         self.check_answered(2)
@@ -445,20 +462,7 @@
         self.check_answered(1)
 
     def test_after_another_leader_replaced_the_record(self):
-        node = self.replica.node
-        index, term = self.publication.position
-        record = LogRecord(index=index, term=term + 1, command=b"\2")
-        request = AppendRequest(
-            term=term + 1,
-            leader=2,
-            previous_index=index - 1,
-            previous_term=node.log.term_at(index - 1),
-            records=[record],
-            commit_index=index,
-            round=1,
-        )
-        node.receive(2, request, self.now_ms)
-        flush(self.replica)
+        self.replace_record(b"\2")
         self.assertEqual(["not_leader"], [answer.code for answer in self.answers()])
         self.assertEqual([], self.commands())
         self.wait(4 * ELECTION_MS)
@@ -466,6 +470,12 @@
         self.submit(self.publication, call_id=8)
         self.check_answered(1)
 
+    def test_another_publication_replaced_the_record(self):
+        """Guard against applying what was proposed instead of what was committed."""
+        other = prepare_publication(publish().configuration.replace(revision=6))
+        self.replace_record(pack_command(other.command.data))
+        self.assertEqual(6, self.replica.state.packets.revision)
+
     def test_decoded_once(self):
         """The leader applies what it proposed without decoding it again."""
         with mock.patch("knapweeddeal.controlreplica.decode") as decode:
