Test of large commands: don't depend on how long a sync takes

test_other_request_meanwhile failed once in 16 runs. It asked for the metrics while a record was applied for 0.1 s, but the core may first persist its commit index: with syncs of 0.11 s it failed in each run (one of one).

The record now ends only after the answer has come, or after 5 s. With syncs of 0.2 s it still fails, as the publication then outlasts the 0.4 s that a request may wait.

--- a/tests/test_controlcore.py
+++ b/tests/test_controlcore.py
@@ -1,6 +1,7 @@
 """tests.test_controlcore: Tests of the task that runs a control replica."""
 
 import tempfile
+import threading
 import time
 from types import SimpleNamespace
 from unittest import mock
@@ -58,6 +59,8 @@
     """
 
     APPLY_S = 0.1
+    #: Longest time for which a test holds back the end of a record.
+    MAX_HOLD_S = 5
 
     def setUp(self):
         super().setUp()
@@ -68,6 +71,9 @@
         self.events = curio.Queue()
         #: Whether the state applies a record now.
         self.applying = False
+        #: Cleared by a test that decides when the record ends.
+        self.may_end = threading.Event()
+        self.may_end.set()
         self.error = None
 
     async def ask(self, message):
@@ -90,6 +96,7 @@
         def apply_slowly(state, index, record):
             self.applying = True
             time.sleep(self.APPLY_S)
+            self.may_end.wait(self.MAX_HOLD_S)
             if self.error is not None:
                 raise self.error
             answer = apply(state, index, record)
@@ -115,9 +122,11 @@
 
     def test_other_request_meanwhile(self):
         async def use(_core):
+            self.may_end.clear()
             task = await self.publish(7)
             await self.ask(MetricsRequest())
             self.assertTrue(self.applying)
+            self.may_end.set()
             self.assertEqual(PublishAnswer(revision=7), await task.join())
 
         self.run_core(use)
