Replace libraries that can't be read; test that they are loaded

Found by the review of the fix: a dangling link or a name that isn't UTF-8 in target/deps ended the build with a traceback, as the error left is_complete. Such a folder is replaced now; the row "dangling link" failed before. Nothing tested that a library which can't be loaded fails the build: the row "can't be loaded" fails without that step.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -49,9 +49,10 @@
     """Return whether a folder holds what an install for this platform left."""
     try:
         marker = (folder / MARKER_NAME).read_text(encoding="utf-8")
+        return marker == marker_text(folder)
     except (OSError, ValueError):
+        # Damage may also be a file that can't be read, or a name that isn't UTF-8.
         return False
-    return marker == marker_text(folder)
 
 
 def marker_text(folder):
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -21,7 +21,8 @@
 #: Modules that the fake pip installs, the last one as compiled code.
 MODULES = ("curio", "eliot", "h11", "hdrh/histogram", "msgpack")
 COMPILED = "msgpack/_cmsgpack.cpython-311-any.so"
-#: A pip that notes each run. The variable FAIL lets it end after the first module.
+#: A pip that notes each run. The variable FAIL lets it end after the first module, and
+#: BROKEN lets it install modules that can't be loaded.
 FAKE_PIP = """
 import os, pathlib, sys
 names = {modules}
@@ -31,7 +32,7 @@
 for name in names:
     path = target / name / "__init__.py"
     path.parent.mkdir(parents=True, exist_ok=True)
-    path.write_text(f"NAME = {{name!r}}\\n")
+    path.write_text(os.environ.get("BROKEN", f"NAME = {{name!r}}\\n"))
     if "FAIL" in os.environ:
         sys.exit(1)
 (target / "{compiled}").write_text("code for this VM")
@@ -64,6 +65,11 @@
     (libraries / "removed.py").write_text("")
 
 
+def add_dangling_link(libraries):
+    """Add a link to nothing, which can't be read."""
+    (libraries / "link.py").symlink_to("nowhere")
+
+
 class Build(testscenarios.TestWithScenarios, testtools.TestCase):
     """Run the build command in a copy of the deploy files, with a fake pip."""
 
@@ -101,7 +107,9 @@
     def files(self):
         """Return the libraries' files and contents, but for marker and bytecode."""
         return {
-            str(path.relative_to(self.libraries)): path.read_text("utf-8")
+            str(path.relative_to(self.libraries)): (
+                path.read_text("utf-8") if path.exists() else None
+            )
             for path in self.libraries.rglob("*")
             if path.suffix in (".py", ".so")
         }
@@ -119,6 +127,7 @@
         ("module truncated", {"damage": staticmethod(truncate_module)}),
         ("another VM", {"damage": staticmethod(copy_from_another_vm)}),
         ("leftover", {"damage": staticmethod(add_leftover)}),
+        ("dangling link", {"damage": staticmethod(add_dangling_link)}),
     ]
 
     def test_replaced(self):
@@ -154,8 +163,13 @@
 class FailedInstall(Build):
     """An install that fails must fail the build, and the next one must start anew."""
 
+    scenarios = [
+        ("broken off", {"variables": {"FAIL": "1"}}),
+        ("can't be loaded", {"variables": {"BROKEN": "raise ImportError"}}),
+    ]
+
     def test_failed(self):
-        self.assertNotEqual(0, self.build(FAIL="1"))
+        self.assertNotEqual(0, self.build(**self.variables))
         self.assertEqual(0, self.build())
         expected = sorted([COMPILED, *(f"{name}/__init__.py" for name in MODULES)])
         self.assertEqual(expected, sorted(self.files()))
