Request routes from each replica that is ahead in turn

Found by the review: with revisions 10 at a replica that doesn't answer and 9 at one that does, each request went to the first, until its link timed out. The replica with the fewest requests is next now. test_lower_revision failed before.

--- a/knapweeddeal/heldrevisions.py
+++ b/knapweeddeal/heldrevisions.py
@@ -1,5 +1,7 @@
 """knapweeddeal.heldrevisions: Revisions of the routes that other replicas hold."""
 
+from collections import Counter
+
 __all__ = ["HeldRevisions"]
 
 #: Time that the own log has to apply a revision that another replica holds. A healthy
@@ -16,13 +18,15 @@
     the record is committed. With slow disks both can take seconds.
     """
 
-    __slots__ = ("_held", "_next_request_ms", "_since_ms")
+    __slots__ = ("_held", "_next_request_ms", "_requests", "_since_ms")
 
     def __init__(self):
         #: Highest revision by identity of a replica, while it is above the own one.
         self._held = {}
         #: When each of these revisions was first heard of.
         self._since_ms = {}
+        #: Number of requests to each of these replicas.
+        self._requests = Counter()
         self._next_request_ms = 0
 
     def record(self, identity, revision, now_ms):
@@ -41,11 +45,13 @@
         if not ahead:
             return None
         self._next_request_ms = now_ms + REQUEST_INTERVAL_MS
-        chosen = max(ahead, key=self._held.get)
-        # The last to be chosen again, as it may not answer.
-        self._held[chosen] = self._held.pop(chosen)
+        # One that was requested from may not answer, so others are first then.
+        chosen = min(ahead, key=lambda i: (self._requests[i], -self._held[i]))
+        self._requests[chosen] += 1
         return chosen
 
     def _forget_up_to(self, own_revision):
         self._held = {i: r for i, r in self._held.items() if r > own_revision}
         self._since_ms = {r: t for r, t in self._since_ms.items() if r > own_revision}
+        if not self._held:
+            self._requests.clear()
--- a/tests/test_heldrevisions.py
+++ b/tests/test_heldrevisions.py
@@ -59,6 +59,12 @@
         self.assertEqual(3, self.due(start_ms + REQUEST_INTERVAL_MS))
         self.assertEqual(2, self.due(start_ms + 2 * REQUEST_INTERVAL_MS))
 
+    def test_lower_revision(self):
+        """One that holds a lower revision is next, as the first may be frozen."""
+        self.revisions.record(2, 6, 0)
+        times_ms = [LOG_DELAY_MS + n * REQUEST_INTERVAL_MS for n in range(3)]
+        self.assertEqual([2, 3, 2], [self.due(now_ms) for now_ms in times_ms])
+
     def test_answered(self):
         self.assertEqual(2, self.due(LOG_DELAY_MS))
         later_ms = LOG_DELAY_MS + REQUEST_INTERVAL_MS
