Tell the cluster on a link that opened while a replica joined

Found by the review: a hello that was sent before the replica had joined, and reported after it, left cluster 0 at the other replica, which ignored its requests for routes and its evacuations. The state is sent again once the link is up. test_state_sent failed before.

--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -416,6 +416,8 @@
             return
         self._cluster.link_up(event)
         self._replica.peer_connected(state.replica)
+        # This replica may have joined its cluster since it sent its hello.
+        await event.outbox.offer(self.state_message())
         for report in self._replica.flow_counts.local_reports():
             await event.outbox.offer(report)
         await self._cluster.send_initial_membership(state)
--- a/tests/test_controlcore.py
+++ b/tests/test_controlcore.py
@@ -14,12 +14,15 @@
 from knapweeddeal.controlevents import OperatorRequest
 from knapweeddeal.controlreplica import ControlReplica
 from knapweeddeal.errors import BadMessageError
+from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.operator import FailureAnswer, MetricsRequest
 from knapweeddeal.messages.packets import (
     PacketConfiguration,
     PublishAnswer,
     PublishedRoutesRequest,
 )
+from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.replicalink import LinkUp
 from knapweeddeal.storage import DataFolder
 from tests.packetfakes import route
 
@@ -178,3 +181,40 @@
             self.assertIs(self.error, core.exception)
 
         self.run_core(use)
+
+
+class NewLink(testtools.TestCase):
+    """A replica that joins while a link opens tells its cluster on that link.
+
+    Its hello said that it had none, so the other replica ignored its messages.
+    """
+
+    def test_state_sent(self):
+        with tempfile.TemporaryDirectory() as name:
+            folder = DataFolder(path=name, new_identity=lambda: 1)
+            self.addCleanup(folder.close)
+            state = curio.run(self.linked, folder)
+        self.assertNotEqual(0, state.cluster)
+
+    async def linked(self, folder):
+        """Return the state that a replica sends on a new link."""
+        events, outbox = curio.Queue(), mock.Mock(offer=mock.AsyncMock())
+        core = ControlCore(
+            settings=SETTINGS,
+            folder=folder,
+            events=events,
+            links=mock.Mock(connect_to=mock.AsyncMock()),
+            hub_events=curio.Queue(),
+        )
+        task = await curio.spawn(core.run)
+        while not core.cluster:
+            await curio.sleep(0.01)
+        other = Replica(name="r2", identity=2, host="127.0.0.1", port=2)
+        hello = ReplicaState(replica=other, cluster=core.cluster, listed=[])
+        await events.put(LinkUp(state=hello, outbox=outbox))
+        reply = curio.Queue()
+        await events.put(OperatorRequest(message=MetricsRequest(), reply=reply))
+        await reply.get()
+        await task.cancel()
+        sent = [call.args[0] for call in outbox.offer.call_args_list]
+        return next(message for message in sent if isinstance(message, ReplicaState))
