Attribute a departure to the process that reported over its connection

What callers saw: an upstream restarted under its id while its VM was cut off, and reported `draining` soon after the cut.

Cause: a departure has no body. It was taken to be of the last process known under the id if that was draining, and both processes were.

Evidence: `directory: received a new state of an upstream` shows `status=gone` with the `born_ms` of the next process right after the held-up DELETE.

Change: the API remembers per connection which upstream reported last, and with what start. A departure over that connection is of that process, as TCP keeps the order of its sender's calls, and changes nothing if another start is known. It also counts if this replica didn't get the `draining` report. A departure with an unknown start no longer removes the process that is known: other writers may invent one.

Tests: test_platform DelayedDeparture ("earlier process", "reported as draining elsewhere") failed before; test_upstreamtable Departure.

--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -26,9 +26,12 @@
 
 
 class HttpRequest(Record):
-    """Hold a complete request."""
+    """Hold a complete request.
 
-    __slots__ = ("body", "method", "target")
+    `session` is a dictionary for values that the handler keeps for a connection.
+    """
+
+    __slots__ = ("body", "method", "session", "target")
 
 
 class HttpResponse(Record):
@@ -124,9 +127,10 @@
 
 async def _serve_connection(connection, handler, waiting):
     state = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    session = {}
     try:
         while True:
-            request = await waiting.wait(read_request, connection, state)
+            request = await waiting.wait(read_request, connection, state, session)
             if request is None:
                 return
             await _send(connection, state, await handler(request))
@@ -155,7 +159,7 @@
     await connection.sendall(data)
 
 
-async def read_request(connection, state):
+async def read_request(connection, state, session):
     """Return the next request, or None at the end of the connection."""
     head, body = None, bytearray()
     while True:
@@ -175,6 +179,7 @@
                 method=head.method.decode(),
                 target=head.target.decode(),
                 body=bytes(body),
+                session=session,
             )
         elif type(event) is h11.ConnectionClosed:
             return None
--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -22,7 +22,8 @@
 class UpstreamDeparted(Record):
     """Carry an upstream's departure; `reply` receives True once it may be confirmed.
 
-    `born_ms` and `sequence` are None if the departure doesn't name them.
+    `born_ms` and `sequence` are None if they aren't known. `born_ms` is named by the
+    departure or by the last report of the upstream over its connection.
     """
 
     __slots__ = ("born_ms", "reply", "sequence", "upstream_id")
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -46,6 +46,10 @@
 }
 OTHER = "api_other"
 
+#: Key in a session of the upstream that reported last: its id and start. A departure
+#: has no body, so only its connection shows which process sent it.
+REPORTER = "reporter"
+
 OK = 200
 TEMPORARY_REDIRECT = 307
 BAD_REQUEST = 400
@@ -99,7 +103,7 @@
         elif path.startswith(UPSTREAMS_PREFIX):
             upstream_id = path[len(UPSTREAMS_PREFIX) :]
             handlers = {"PUT": self._report, "DELETE": self._depart}
-            argument = (upstream_id, request.body)
+            argument = (upstream_id, request)
         elif path.startswith(EVACUATION_PREFIX):
             handlers = {"POST": self._evacuate, "DELETE": self._readmit}
             argument = path[len(EVACUATION_PREFIX) :]
@@ -148,13 +152,16 @@
     # Upstreams.
 
     async def _report(self, argument):
-        upstream_id, body = argument
-        state = decode_report(upstream_id, body, home=self._identity)
+        upstream_id, request = argument
+        state = decode_report(upstream_id, request.body, home=self._identity)
+        request.session[REPORTER] = (upstream_id, state.born_ms)
         return await self._confirm(UpstreamReported(state=state, reply=curio.Queue()))
 
     async def _depart(self, argument):
-        upstream_id, body = argument
-        born_ms, sequence = decode_departure(upstream_id, body)
+        upstream_id, request = argument
+        born_ms, sequence = decode_departure(upstream_id, request.body)
+        if born_ms is None:
+            born_ms = _reported_start(request.session, upstream_id)
         return await self._confirm(
             UpstreamDeparted(
                 upstream_id=upstream_id,
@@ -194,6 +201,12 @@
         return HttpResponse(status=status, body=body)
 
 
+def _reported_start(session, upstream_id):
+    """Return the start that an upstream reported over a connection, or None."""
+    reporter_id, born_ms = session.get(REPORTER, (None, None))
+    return born_ms if reporter_id == upstream_id else None
+
+
 @functools.singledispatch
 def _response(answer):
     raise KnapweeddealError(
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -120,15 +120,17 @@
     def departed_state(self, upstream_id, *, born_ms, sequence):
         """Return the state that a departure leaves, or None if it changes nothing.
 
-        A departure without a start is of the last one known, if that is draining: an
-        upstream departs only after it has reported so. If it is ready, an earlier
-        process sent the departure under the same id, and the network delayed it.
+        The network may have delayed a departure that an earlier process sent under the
+        same id. One with a start counts only for that process. One without is of the
+        last one known, if that is draining: an upstream departs only after it has
+        reported so.
         """
         last = self.get(upstream_id)
         if last is None or (born_ms is None and last.status == READY):
             return None
+        if born_ms not in (None, last.born_ms):
+            return None
         return last.replace(
-            born_ms=last.born_ms if born_ms is None else born_ms,
             sequence=last.sequence if sequence is None else sequence,
             status=GONE,
             home=self._own_identity,
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -109,7 +109,7 @@
 
         async def run():
             other = await curio.spawn(take_turns, daemon=True)
-            request = await read_request(connection, h11.Connection(h11.SERVER))
+            request = await read_request(connection, h11.Connection(h11.SERVER), {})
             await other.cancel()
             return request
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,15 +7,19 @@
 import curio
 import testscenarios
 import testtools
+from testtools.matchers import StartsWith
 
 from knapweeddeal.commandrecords import PreparedPublication, command_record
 from knapweeddeal.configurationstate import ConfigurationState, failure_answer
 from knapweeddeal.controlqueries import local_answer
 from knapweeddeal.errors import KnapweeddealError, NoQuorumError, NotLeaderError
-from knapweeddeal.httpserver import HttpRequest
+from knapweeddeal.httpserver import HttpRequest, serve_http
+from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.evacuation import EvacuateRequest
 from knapweeddeal.messages.packets import (
     DRAINING,
+    GONE,
+    READY,
     PublishAnswer,
     PublishedAnswer,
     PublishedRoutesRequest,
@@ -25,10 +29,12 @@
 )
 from knapweeddeal.metrics import Metrics
 from knapweeddeal.packetevents import UpstreamReported
+from knapweeddeal.packethub import PacketHub
 from knapweeddeal.platform.api import PlatformApi
 from knapweeddeal.platform.configurations import decode_configuration
 from knapweeddeal.platform.reports import decode_departure, decode_report
 from knapweeddeal.upstreamtable import UpstreamTable
+from tests.processes import free_port
 
 REPORT = {
     "service": "huvo11a",
@@ -320,6 +326,11 @@
         self.assertIn(error.code, ("bad_message", "invalid_intent"))
 
 
+def http_request(method, target, body):
+    """Return a request over a new connection."""
+    return HttpRequest(method=method, target=target, body=encoded(body), session={})
+
+
 class FakeReplica:
     """Stand in for the replicated log and the hub."""
 
@@ -376,9 +387,7 @@
         async def run():
             hub = await curio.spawn(self.serve_hub, daemon=True)
             responses = [
-                await self.api.handle_request(
-                    HttpRequest(method=method, target=target, body=encoded(body))
-                )
+                await self.api.handle_request(http_request(method, target, body))
                 for method, target, body in calls
             ]
             await hub.cancel()
@@ -469,6 +478,132 @@
                 self.assertEqual("http://10.0.0.4:8166/-/config", response.location)
 
 
+def status_report(state, *, start=1, upstream="i-1"):
+    """Return a call with a status report of one start of an upstream."""
+    report = {**REPORT, "state": state, "born": start, "seq": 1 + (state != "ready")}
+    return ("PUT", f"/-/instances/{upstream}", report)
+
+
+class NoHints:
+    """Stand in for an empty hint file."""
+
+    def read(self):
+        """Return None."""
+
+    async def mark_dirty(self):
+        """Do nothing."""
+
+
+class DelayedDeparture(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A departure over a connection is of the process that reported over it.
+
+    Guards against a delayed departure that ends the next process under the id, which
+    drains too: a forwarder resets its open flows then.
+    """
+
+    DEPARTURE = ("DELETE", "/-/instances/i-1", b"")
+    EARLIER = ("earlier", status_report("draining"))
+    NEXT = ("next", status_report("draining", start=2))
+
+    #: Calls over named connections.
+    scenarios = [
+        (
+            "earlier process",
+            {"calls": [EARLIER, NEXT, ("earlier", DEPARTURE)], "status": DRAINING},
+        ),
+        (
+            "earlier process, next one ready",
+            {
+                "calls": [
+                    EARLIER,
+                    ("next", status_report("ready", start=2)),
+                    ("earlier", DEPARTURE),
+                ],
+                "status": READY,
+            },
+        ),
+        (
+            "present process",
+            {"calls": [EARLIER, NEXT, ("next", DEPARTURE)], "status": GONE},
+        ),
+        (
+            "present process after the earlier one",
+            {
+                "calls": [EARLIER, NEXT, ("earlier", DEPARTURE), ("next", DEPARTURE)],
+                "status": GONE,
+            },
+        ),
+        (
+            "reported as draining elsewhere",
+            {
+                "calls": [("next", status_report("ready")), ("next", DEPARTURE)],
+                "status": GONE,
+            },
+        ),
+        (
+            "connection of another upstream",
+            {
+                "calls": [
+                    ("other", status_report("draining", start=2, upstream="i-2")),
+                    EARLIER,
+                    ("other", DEPARTURE),
+                ],
+                "status": GONE,
+            },
+        ),
+    ]
+
+    def test_status(self):
+        self.assertEqual(self.status, curio.run(self.final_status))
+
+    async def final_status(self):
+        """Make the calls at a control replica, and return the status of `i-1`."""
+        replica = Replica(name="own", identity=1, host="10.0.0.1", port=1)
+        events, metrics = curio.Queue(), Metrics()
+        hub = PacketHub(
+            own_replica=replica,
+            zone="zone-a",
+            report_ms=1_200,
+            events=events,
+            metrics=metrics,
+            hints=NoHints(),
+        )
+        api = PlatformApi(
+            send_request=None,
+            replica=None,
+            hub_events=events,
+            identity=replica.identity,
+            port=8166,
+            metrics=metrics,
+        )
+        address = ("127.0.0.1", free_port())
+        tasks = [
+            await curio.spawn(hub.run, daemon=True),
+            await curio.spawn(serve_http, address, api.handle_request, daemon=True),
+        ]
+        await curio.sleep(0.01)
+        await self.make_calls(address)
+        for task in tasks:
+            await task.cancel()
+        states = {one.upstream_id: one for one in hub.dump()["upstreams"]}
+        return states["i-1"].status
+
+    async def make_calls(self, address):
+        """Make each call over its connection."""
+        connections = {}
+        for name, (method, target, body) in self.calls:
+            if name not in connections:
+                connections[name] = await curio.open_connection(*address)
+            data = encoded(body)
+            head = f"{method} {target} HTTP/1.1\r\nHost: x\r\n"
+            head += f"Content-Length: {len(data)}\r\n\r\n"
+            await connections[name].sendall(head.encode() + data)
+            answer = await connections[name].recv(65_536)
+            self.assertThat(answer, StartsWith(b"HTTP/1.1 200"))
+        for connection in connections.values():
+            await connection.close()
+
+
 class CallMetrics(testtools.TestCase):
     """Methods that callers make up share one histogram.
 
@@ -592,7 +727,7 @@
         replica = SlowReplica(slow_step=self.step)
 
         async def put(body, timeout_ms):
-            request = HttpRequest(method="PUT", target="/-/config", body=encoded(body))
+            request = http_request("PUT", "/-/config", body)
             with mock.patch(TIMEOUT, timeout_ms):
                 return (await replica.api.handle_request(request)).status
 
@@ -649,9 +784,7 @@
         replica = SlowReplica(slow_step="decode")
 
         async def call(method):
-            request = HttpRequest(
-                method=method, target="/-/config", body=encoded(DOCUMENT)
-            )
+            request = http_request(method, "/-/config", DOCUMENT)
             return (await replica.api.handle_request(request)).status
 
         async def run():
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -142,6 +142,18 @@
             "ready, with its start",
             {"known": [DRAINS, RESTARTED], "born_ms": 2_000, "gone": 2_000},
         ),
+        (
+            "restarted and draining, with the earlier start",
+            {
+                "known": [DRAINS, RESTARTED.replace(sequence=2, status=DRAINING)],
+                "born_ms": 1_000,
+                "gone": None,
+            },
+        ),
+        (
+            "draining, with a start that isn't known",
+            {"known": [DRAINS], "born_ms": 2_000, "gone": None},
+        ),
         ("twice", {"known": [DRAINS], "count": 2, "gone": 1_000}),
     ]
     born_ms = None
