Believe a departure without a start only once the restarted upstream is silent

Cause: the replica knew that two processes had reported under the id, and took the departure to be of the later one without any evidence.

Change: if an earlier process is known under the id, a departure without a start is deferred: the upstream goes on draining, and is gone once it has missed three reports, which its forwarders and the other replicas learn then. A report that follows the departure proves that its sender is another process, and clears it. Two checks in a row must find the upstream silent, as after a pause of the replica its reports wait to be applied. Ids that had one process keep their departure at once, so ordinary releases don't change. Each departure is counted by what became of it (`departures_accepted`, `_deferred`, `_ignored`).

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -55,7 +55,7 @@
 from knapweeddeal.packetroutes import diff_routes, without_unreadable_routes
 from knapweeddeal.record import Record
 from knapweeddeal.replicalink import LinkDown, LinkUp
-from knapweeddeal.upstreamtable import UpstreamTable
+from knapweeddeal.upstreamtable import ACCEPTED, DEFERRED, UpstreamTable
 
 __all__ = ["PacketHub"]
 
@@ -292,13 +292,17 @@
             await self._send_to_replicas(self._batch(heartbeats=heartbeats))
 
     async def _expire_upstreams(self, now_ms):
-        silent = self._table.expire(
+        changed = self._table.expire(
             now_ms=now_ms,
             current=self._is_current(now_ms),
             linked=self._links.keys(),
         )
-        if silent:
-            await self._push_states(silent)
+        if not changed:
+            return
+        await self._push_states(changed)
+        gone = [state for state in changed if state.status == GONE]
+        if gone:
+            await self._replicate(gone, 0, now_ms)
 
     async def _detect_outliers(self, now_ms):
         """Send answer totals to the replicas and mark outliers as failing."""
@@ -382,18 +386,24 @@
 
     @_handle.register
     async def _(self, event: UpstreamDeparted):
-        state = self._table.departed_state(
-            event.upstream_id, born_ms=event.born_ms, sequence=event.sequence
-        )
-        if state is None:
-            self._metrics.count("departures_ignored")
-            log.info(
-                "ignored the departure of an upstream that isn't draining",
-                upstream=event.upstream_id,
-            )
-            await event.reply.put(True)
+        upstream_id = event.upstream_id
+        verdict = self._table.judge_departure(upstream_id, event.born_ms)
+        self._metrics.count(f"departures_{verdict}")
+        if verdict == ACCEPTED:
+            state = self._table.departed_state(upstream_id, event.sequence)
+            await self._apply_report(state, event.reply)
             return
-        await self._apply_report(state, event.reply)
+        if verdict == DEFERRED:
+            self._table.defer_departure(upstream_id)
+        last = self._table.get(upstream_id)
+        log.info(
+            f"{verdict} a departure",
+            upstream=upstream_id,
+            born_ms=event.born_ms,
+            known_born_ms=last.born_ms if last else None,
+            known_status=last.status if last else None,
+        )
+        await event.reply.put(True)
 
     async def _apply_report(self, state, reply):
         """Apply a state received here; confirm it once other replicas have it."""
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -4,11 +4,11 @@
 does no I/O; callers pass the time.
 """
 
-from knapweeddeal.messages.packets import GONE, READY, UpstreamHeartbeat
+from knapweeddeal.messages.packets import DRAINING, GONE, READY, UpstreamHeartbeat
 from knapweeddeal.record import Record
 from knapweeddeal.timeconstants import NEVER_MS
 
-__all__ = ["SILENT_REPORTS", "UpstreamTable"]
+__all__ = ["ACCEPTED", "DEFERRED", "IGNORED", "SILENT_REPORTS", "UpstreamTable"]
 
 #: Missed reports after which an upstream counts as silent: one may be lost, and one
 #: may be delayed a second by a replica that is down.
@@ -23,16 +23,22 @@
 #: smaller ones are due to different delays of reports.
 COLD_RESTART_MS = 100
 
+#: What becomes of a departure: the upstream is gone at once, or once it is silent, or
+#: it stays as it is.
+ACCEPTED, DEFERRED, IGNORED = "accepted", "deferred", "ignored"
+
 
 class UpstreamEntry(Record):
     """Hold an upstream's state and the time of its last report or heartbeat.
 
     `last_sent` is the last state of it that was sent to forwarders, or None;
-    `sent_cold_until_ms` the end of its cold time that they know.
+    `sent_cold_until_ms` the end of its cold time that they know. `is_restarted`: an
+    earlier process reported under its id. `is_departing`: a departure that may be of
+    that one arrived after the last report.
     """
 
     __slots__ = ("cold_until_ms", "received_ms", "state", "last_sent")
-    __slots__ += ("sent_cold_until_ms",)
+    __slots__ += ("is_departing", "is_restarted", "sent_cold_until_ms")
 
     def lacks_cold_time(self, cold_until_ms, now_ms):
         """Return whether forwarders know a shorter cold time, or that it has ended."""
@@ -117,25 +123,33 @@
         entry = self._entries.get(upstream_id)
         return entry.state if entry else None
 
-    def departed_state(self, upstream_id, *, born_ms, sequence):
-        """Return the state that a departure leaves, or None if it changes nothing.
+    def judge_departure(self, upstream_id, born_ms):
+        """Return what becomes of a departure; `born_ms` is its start, or None.
 
         The network may have delayed a departure that an earlier process sent under the
-        same id. One with a start counts only for that process. One without is of the
-        last one known, if that is draining: an upstream departs only after it has
-        reported so.
+        same id. One with a start counts only for that process. One without may be of
+        the last process known if that is draining, as an upstream departs only after
+        it has reported so. Where an earlier one is known, the next report shows which
+        of them departed.
         """
-        last = self.get(upstream_id)
-        if last is None or (born_ms is None and last.status == READY):
-            return None
-        if born_ms not in (None, last.born_ms):
-            return None
-        return last.replace(
-            sequence=last.sequence if sequence is None else sequence,
-            status=GONE,
-            home=self._own_identity,
-            hint=False,
-        )
+        entry = self._entries.get(upstream_id)
+        if entry is None or entry.state.status == GONE:
+            return IGNORED
+        if born_ms is not None:
+            return ACCEPTED if born_ms == entry.state.born_ms else IGNORED
+        if entry.state.status != DRAINING:
+            return IGNORED
+        return DEFERRED if entry.is_restarted else ACCEPTED
+
+    def departed_state(self, upstream_id, sequence):
+        """Return the state that a departure leaves; `sequence` is its own, or None."""
+        last = self._entries[upstream_id].state
+        if sequence is not None:
+            last = last.replace(sequence=sequence)
+        return self._gone(last)
+
+    def _gone(self, state):
+        return state.replace(status=GONE, home=self._own_identity, hint=False)
 
     # Commands.
 
@@ -158,6 +172,8 @@
         cold_until_ms = now_ms + state.cold_ms
         self._entries[state.upstream_id] = UpstreamEntry(
             state=state,
+            is_departing=_remains_departing(entry, state),
+            is_restarted=_is_restarted(entry, state),
             received_ms=now_ms,
             cold_until_ms=cold_until_ms,
             last_sent=entry.last_sent if entry else None,
@@ -174,6 +190,10 @@
             changed.append(state)
         return changed
 
+    def defer_departure(self, upstream_id):
+        """Count an upstream as gone once it is silent, unless it reports before."""
+        self._entries[upstream_id].is_departing = True
+
     def set_services(self, names):
         """Set the names of the configured services; return the states that changed.
 
@@ -272,12 +292,19 @@
         Upstreams of another home count as silent only while the replicated state is
         `current`, that is, has a leader: a partitioned replica may lack their reports.
         `linked` holds the identities of connected replicas.
+
+        One with a deferred departure is gone at the call after that: after a pause of
+        this replica, reports may still wait to be applied.
         """
         changed = []
         for entry in list(self._entries.values()):
             age_ms = now_ms - entry.received_ms
             if age_ms >= UPSTREAM_RETENTION_MS:
                 self._remove(entry.state)
+            elif entry.is_departing and entry.state.silent:
+                entry.state = self._gone(entry.state)
+                entry.is_departing = False
+                changed.append(entry.state)
             elif self._is_silent(entry.state, age_ms, current, linked):
                 entry.state = entry.state.replace(silent=True)
                 changed.append(entry.state)
@@ -339,6 +366,20 @@
         return other if has_address and other.state.status != GONE else None
 
 
+def _is_restarted(entry, state):
+    """Return whether a state is of a later process than one known before."""
+    if entry is None:
+        return False
+    return entry.is_restarted or entry.state.born_ms < state.born_ms
+
+
+def _remains_departing(entry, state):
+    """Return whether a deferred departure arrived after the report of a state."""
+    if entry is None or state.status == GONE:
+        return False
+    return entry.is_departing and entry.state.version_key == state.version_key
+
+
 def _is_superseded(current, state):
     if current.status == GONE and state.born_ms <= current.born_ms:
         return False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -540,6 +540,14 @@
                 "status": GONE,
             },
         ),
+        (
+            "new connection",
+            {"calls": [EARLIER, NEXT, ("new", DEPARTURE)], "status": DRAINING},
+        ),
+        (
+            "new connection, no earlier process",
+            {"calls": [NEXT, ("new", DEPARTURE)], "status": GONE},
+        ),
         (
             "connection of another upstream",
             {
