Refuse a departure that changes nothing of a live upstream

What callers saw: a departure was confirmed with 200 also if it was ignored. Where the replica hadn't heard of `draining`, the upstream ended in the belief that it was out, and got new flows until it had missed three reports (read, and shown by the tests; not seen in a run of real processes).

Cause: the hub confirmed what it ignored, as a delayed departure's sender is gone anyway.

Change: a departure without a start of an upstream that is ready here, and one with a later start than known, get 503 (`not_draining`), so that the sender asks the next replica, which may know more. Those of an earlier process, or of an upstream that is gone or unknown, are confirmed as before.

--- a/knapweeddeal/errors.py
+++ b/knapweeddeal/errors.py
@@ -13,6 +13,7 @@
     "InvalidIntentError",
     "NoQuorumError",
     "NoRouteError",
+    "NotDrainingError",
     "NotLeaderError",
     "StreamClosedError",
     "UnreachableError",
@@ -104,6 +105,13 @@
     exit_status = 7
 
 
+class NotDrainingError(KnapweeddealError):
+    """Report a departure of an upstream that isn't known to be draining."""
+
+    code = "not_draining"
+    exit_status = 7
+
+
 class NotLeaderError(KnapweeddealError):
     """Report that another control replica leads; value names it."""
 
@@ -154,6 +162,7 @@
         InvalidIntentError,
         NoQuorumError,
         NoRouteError,
+        NotDrainingError,
         NotLeaderError,
         StreamClosedError,
         UnreachableError,
--- a/knapweeddeal/packetevents.py
+++ b/knapweeddeal/packetevents.py
@@ -20,7 +20,7 @@
 
 
 class UpstreamDeparted(Record):
-    """Carry an upstream's departure; `reply` receives True once it may be confirmed.
+    """Carry an upstream's departure; `reply` receives whether to confirm it.
 
     `born_ms` and `sequence` are None if they aren't known. `born_ms` is named by the
     departure or by the last report of the upstream over its connection.
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -55,7 +55,7 @@
 from knapweeddeal.packetroutes import diff_routes, without_unreadable_routes
 from knapweeddeal.record import Record
 from knapweeddeal.replicalink import LinkDown, LinkUp
-from knapweeddeal.upstreamtable import ACCEPTED, DEFERRED, UpstreamTable
+from knapweeddeal.upstreamtable import ACCEPTED, DEFERRED, REFUSED, UpstreamTable
 
 __all__ = ["PacketHub"]
 
@@ -403,7 +403,7 @@
             known_born_ms=last.born_ms if last else None,
             known_status=last.status if last else None,
         )
-        await event.reply.put(True)
+        await event.reply.put(verdict != REFUSED)
 
     async def _apply_report(self, state, reply):
         """Apply a state received here; confirm it once other replicas have it."""
--- a/knapweeddeal/platform/api.py
+++ b/knapweeddeal/platform/api.py
@@ -11,6 +11,7 @@
     InvalidIntentError,
     KnapweeddealError,
     NoQuorumError,
+    NotDrainingError,
     NotLeaderError,
     error_from_code,
 )
@@ -174,7 +175,10 @@
     async def _confirm(self, event):
         """Return the response to an event once the hub confirms it."""
         await self._hub_events.put(event)
-        await event.reply.get()
+        if not await event.reply.get():
+            raise NotDrainingError(
+                "another replica may know more", field="id", value=event.upstream_id
+            )
         return HttpResponse(status=OK, body=b"{}")
 
     # Failures.
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -8,7 +8,8 @@
 from knapweeddeal.record import Record
 from knapweeddeal.timeconstants import NEVER_MS
 
-__all__ = ["ACCEPTED", "DEFERRED", "IGNORED", "SILENT_REPORTS", "UpstreamTable"]
+__all__ = ["ACCEPTED", "DEFERRED", "IGNORED", "REFUSED", "SILENT_REPORTS"]
+__all__ += ["UpstreamTable"]
 
 #: Missed reports after which an upstream counts as silent: one may be lost, and one
 #: may be delayed a second by a replica that is down.
@@ -24,8 +25,9 @@
 COLD_RESTART_MS = 100
 
 #: What becomes of a departure: the upstream is gone at once, or once it is silent, or
-#: it stays as it is.
+#: it stays as it is. A refused one isn't confirmed, as another replica may know more.
 ACCEPTED, DEFERRED, IGNORED = "accepted", "deferred", "ignored"
+REFUSED = "refused"
 
 
 class UpstreamEntry(Record):
@@ -135,10 +137,13 @@
         entry = self._entries.get(upstream_id)
         if entry is None or entry.state.status == GONE:
             return IGNORED
+        known_ms = entry.state.born_ms
+        if born_ms is not None and born_ms != known_ms:
+            return IGNORED if born_ms < known_ms else REFUSED
         if born_ms is not None:
-            return ACCEPTED if born_ms == entry.state.born_ms else IGNORED
+            return ACCEPTED
         if entry.state.status != DRAINING:
-            return IGNORED
+            return REFUSED
         return DEFERRED if entry.is_restarted else ACCEPTED
 
     def departed_state(self, upstream_id, sequence):
