Clear the mark of a reused address once the upstream has another one

What callers saw: an upstream whose former address another one has, and which was started again at a further address, has its open flows reset the moment it departs, while it still serves, instead of a second later (shown by the test; not seen in a run).

Cause: the forwarder keeps the mark by id. It was set for the earlier process and never cleared when the next one reported an address that nobody else holds.

Test: test_packetforwarder UndeliverablePackets "gone upstream that restarted at another address before"; it failed before.

--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -417,6 +417,7 @@
         holder = self._by_address.get(upstream.address)
         if holder in (None, upstream) or holder.address != upstream.address:
             self._by_address[upstream.address] = upstream
+            upstream.is_address_reused = False
             return
         born_ms = upstream.state.born_ms
         newer, older = upstream, holder
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -40,6 +40,8 @@
     ADDRESS_SUCCESSOR = state(2, born_ms=5_000, service="other").replace(
         host=state().host, port=state().port
     )
+    MOVED = state(born_ms=9_000, host="10.0.0.50")
+    MOVED_AND_GONE = MOVED.replace(status=GONE)
     scenarios = [
         ("no route", {"harness_fields": {"routes": ()}, "data": syn(), "reset": True}),
         (
@@ -148,6 +150,20 @@
                 "forwarded": True,
             },
         ),
+        (
+            "gone upstream that restarted at another address before",
+            {
+                "harness_fields": {
+                    "routes": (route(),),
+                    "states": [state(), ADDRESS_SUCCESSOR, MOVED, MOVED_AND_GONE],
+                },
+                "data": packet(echo=ECHO, data=b"x"),
+                "now_ms": 0,
+                "reset": False,
+                "forwarded": True,
+                "host": MOVED.host,
+            },
+        ),
         (
             "ready upstream at the address of an earlier, gone one",
             {
@@ -190,6 +206,7 @@
     ]
     is_current = True
     forwarded = False
+    host = "10.0.0.1"
     now_ms = EXIT_GRACE_MS
 
     def test_answer(self):
@@ -198,7 +215,7 @@
         ).handle_packet(self.data, self.now_ms)
         expected = [(build_reset(self.data), CALLER)] if self.reset else []
         if self.forwarded:
-            expected = [((1).to_bytes(8, "big") + self.data, ("10.0.0.1", 80))]
+            expected = [((1).to_bytes(8, "big") + self.data, (self.host, 80))]
         self.assertEqual(expected, out)
 
 
