Forget the counts and ejection of an upstream that was started again

Cause: the replica keeps counts and ejections by id. The report of a later start cleared the mark, and the next check set it again.

Change: they are forgotten when the start of a suspect changes.

Test: test_packethub OutlierMarking.test_next_process; it failed before.

--- a/knapweeddeal/answersums.py
+++ b/knapweeddeal/answersums.py
@@ -16,12 +16,14 @@
 class AnswerSums:
     """Feed the outlier detector with counts, and mark upstreams in the directory."""
 
-    __slots__ = ("_detector", "_own_identity", "_table", "_totals_sent")
+    __slots__ = ("_detector", "_own_identity", "_starts", "_table", "_totals_sent")
 
     def __init__(self, *, table, own_identity):
         self._table = table
         self._own_identity = own_identity
         self._detector = OutlierDetector()
+        #: Start of the process that the counts of each suspect are of.
+        self._starts = {}
         #: Whether the last totals for the other replicas weren't empty.
         self._totals_sent = False
 
@@ -57,6 +59,7 @@
 
     def mark_failing(self, now_ms):
         """Update the marks of upstreams; return the changed states."""
+        self._forget_restarted()
         suspects = self._detector.suspects()
         services = self._table.peers_by_service(suspects)
         failing = self._detector.detect_failing(services, now_ms)
@@ -72,6 +75,15 @@
             )
         return changed
 
+    def _forget_restarted(self):
+        """Forget the counts and ejections of upstreams that were started again."""
+        states = [self._table.get(one) for one in self._detector.suspects()]
+        starts = {one.upstream_id: one.born_ms for one in states if one is not None}
+        for upstream_id, born_ms in starts.items():
+            if self._starts.get(upstream_id, born_ms) != born_ms:
+                self._detector.forget(upstream_id)
+        self._starts = starts
+
     def clear(self, upstream_id):
         """Forget the counts of an upstream."""
         self._detector.clear(upstream_id)
--- a/knapweeddeal/outlierdetector.py
+++ b/knapweeddeal/outlierdetector.py
@@ -77,6 +77,11 @@
         for _, totals in self._replica_totals.values():
             totals.pop(upstream_id, None)
 
+    def forget(self, upstream_id):
+        """Discard the counts and ejections of an upstream's earlier process."""
+        self.clear(upstream_id)
+        self._ejections.pop(upstream_id, None)
+
     def detect_failing(self, services, now_ms):
         """Return the failing upstreams; `services` holds ready ones by service."""
         self._discard_expired(now_ms)
--- a/tests/test_packethub.py
+++ b/tests/test_packethub.py
@@ -728,6 +728,31 @@
         last = outbox.messages_of(UpstreamsPush)[-1]
         self.assertTrue(last.states[-1].failing)
 
+    def test_next_process(self):
+        """What an earlier process left unanswered doesn't mark the next one.
+
+        Guards against an upstream that restarted and gets no flows until the ejection
+        of its predecessor ends.
+        """
+        outbox = RecordingOutbox()
+        counted = ForwarderMessageReceived(message=self.counts(_3=4), outbox=outbox)
+        restarted = UpstreamReported(
+            state=state(3, home=1, born_ms=2_000), reply=curio.Queue()
+        )
+        self.run_hub(
+            *self.reports(),
+            self.subscribe(outbox),
+            counted,
+            "wait",
+            restarted,
+            "wait",
+        )
+        self.assertEqual({"i-3"}, self.marked(outbox))
+        last = outbox.messages_of(UpstreamsPush)[-1]
+        self.assertEqual(
+            [(2_000, False)], [(one.born_ms, one.failing) for one in last.states]
+        )
+
 
 class UnreadableRoute(testscenarios.TestWithScenarios, HubTest):
     """Routes of a log that an earlier version wrote are pushed if they can be read.
