Log accepted departures with the start that they were attributed to

The log told what became of other departures only, and not whether the connection had shown the process; what a replica believed is part of each line.

--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -387,15 +387,9 @@
     @_handle.register
     async def _(self, event: UpstreamDeparted):
         upstream_id = event.upstream_id
+        last = self._table.get(upstream_id)
         verdict = self._table.judge_departure(upstream_id, event.born_ms)
         self._metrics.count(f"departures_{verdict}")
-        if verdict == ACCEPTED:
-            state = self._table.departed_state(upstream_id, event.sequence)
-            await self._apply_report(state, event.reply)
-            return
-        if verdict == DEFERRED:
-            self._table.defer_departure(upstream_id)
-        last = self._table.get(upstream_id)
         log.info(
             f"{verdict} a departure",
             upstream=upstream_id,
@@ -403,6 +397,12 @@
             known_born_ms=last.born_ms if last else None,
             known_status=last.status if last else None,
         )
+        if verdict == ACCEPTED:
+            state = self._table.departed_state(upstream_id, event.sequence)
+            await self._apply_report(state, event.reply)
+            return
+        if verdict == DEFERRED:
+            self._table.defer_departure(upstream_id)
         await event.reply.put(verdict != REFUSED)
 
     async def _apply_report(self, state, reply):
