Refuse numbers in settings and arguments that int can't read

Cause: `int` raises ValueError for them, and only BadSettingError is expected.

Change: ports have at most five ASCII digits, weights at most 19. A path with a NUL and a ticket key id that is given twice are refused by name as well.

--- a/knapweeddeal/options.py
+++ b/knapweeddeal/options.py
@@ -21,12 +21,15 @@
 ]
 
 MAX_NAME_LENGTH = 64
+MAX_PORT_DIGITS = 5
 #: Removes the punctuation that names may have.
 NAME_PUNCTUATION = str.maketrans("", "", "-._")
 
 
-def text_option(_field, value, _option):
-    """Return the text unchanged."""
+def text_option(field, value, _option):
+    """Return the text unchanged; no path may hold a NUL."""
+    if "\0" in value:
+        raise BadSettingError("expected a text without NUL", field=field, value=value)
     return value
 
 
@@ -111,12 +114,18 @@
 def address_option(field, value, _option):
     """Return host and port of an IP:PORT text."""
     host, _, port = value.rpartition(":")
-    number = int(port) if port.isdecimal() else 0
+    number = _port_number(port)
     if not is_ip(host) or not 0 < number <= 65535:
         raise BadSettingError("expected an address IP:PORT", field=field, value=value)
     return (host, number)
 
 
+def _port_number(text):
+    """Return the number of up to five ASCII digits, or 0."""
+    is_port = len(text) <= MAX_PORT_DIGITS and text.isascii() and text.isdecimal()
+    return int(text) if is_port else 0
+
+
 def addresses_option(field, value, option):
     """Return the addresses of a text like `IP:PORT, IP:PORT`."""
     parts = (item.strip() for item in value.split(","))
@@ -159,6 +168,8 @@
                 field=field,
                 value=key_id,
             )
+        if key_id in keys:
+            raise BadSettingError("duplicate key id", field=field, value=key_id)
         keys[key_id] = key
     if not 1 <= len(keys) <= option.maximum:
         raise BadSettingError("expected one or two keys", field=field, value=len(keys))
--- a/knapweeddeal/publications.py
+++ b/knapweeddeal/publications.py
@@ -18,6 +18,8 @@
 HEADER_SECTION = "publication"
 #: First word of a section with the terms of a service, before its name.
 SERVICE_SECTION = "service"
+#: Digits of the largest number that a message carries, 2**63.
+MAX_DIGITS = 19
 
 
 def read_publication(path):
@@ -89,7 +91,9 @@
 
 
 def _whole_number(field, text, *, minimum):
-    if not text.isdecimal() or int(text) < minimum:
+    # `int` refuses texts of more than 4,300 digits.
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+    if not is_number or int(text) < minimum:
         raise InvalidIntentError(
             "expected a whole number in the allowed range", field=field, value=text
         )
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -160,6 +160,48 @@
         self.assertNotIn("Traceback", output + errors)
 
 
+class HostileValues(testscenarios.TestWithScenarios, testtools.TestCase):
+    """Any value of an argument gives a documented exit status, not a traceback."""
+
+    #: `None` stands for the value.
+    COMMANDS = [
+        ["drain", None, "u"],
+        ["drain", "s", None],
+        ["confirm", None],
+        ["evacuate", None],
+        ["plan", None],
+        ["plan", "--file", None],
+        ["publish", None],
+        ["replica-add", None, "1", "127.0.0.1:1"],
+        ["replica-add", "n", None, "127.0.0.1:1"],
+        ["replica-add", "n", "1", None],
+        ["replica-remove", None],
+        ["refusals", "--since", None],
+        ["refusals", "--limit", None],
+        ["where", None, *WHERE[2:], "--at", "127.0.0.1:1"],
+        [*WHERE, "--at", None],
+        ["--operator", None, "zones"],
+        ["--request-id", None, "evacuate", "zone-a"],
+        ["--control", None, "status"],
+        ["--timeout-ms", None, "zones"],
+    ]
+    VALUES = ["", "-1", "٣", "9" * 5_000, "127.0.0.1:" + "9" * 5_000]
+    scenarios = [
+        (f"{' '.join(part or '?' for part in command)}", {"command": command})
+        for command in COMMANDS
+    ]
+
+    def test_exit_status(self):
+        for value in self.VALUES:
+            arguments = [value if part is None else part for part in self.command]
+            if "--control" not in arguments:
+                arguments = ["--control", NO_LISTENER, *arguments]
+            with self.subTest(value=value[:20]):
+                status, output, errors = run("--timeout-ms", "50", *arguments)
+                self.assertIn(status, range(2, 9), errors)
+                self.assertNotIn("Traceback", output + errors)
+
+
 class Help(testscenarios.TestWithScenarios, testtools.TestCase):
     """Every operation prints its help text."""
 
--- a/tests/test_publications.py
+++ b/tests/test_publications.py
@@ -61,6 +61,10 @@
         ("no address", {"text": HEAD + "[a]\nservices = b", "field": "address"}),
         ("no services", {"text": HEAD + "[a]\naddress = 1.2.3.4:5", "field": "serv"}),
         ("bad weight", {"text": HEAD + GOOD.replace(":9", ":x"), "field": "serv"}),
+        (
+            "weight too long",
+            {"text": HEAD + GOOD.replace(":9", ":" + "9" * 5_000), "field": "serv"},
+        ),
         (
             "two routes with one address",
             {"text": HEAD + GOOD + GOOD.replace("[a]", "[b]"), "field": "routes"},
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -48,6 +48,8 @@
 """
 
 
+#: More digits than `int` reads.
+LONG_NUMBER = "9" * 5_000
 TEMPLATES = Path(__file__).resolve().parent.parent / "knapweeddeal" / "platform"
 CONTROL_TEMPLATE, FORWARDER_TEMPLATE = "control.ini", "forwarder.ini"
 #: Values of the placeholders that both templates use, or that one requires.
@@ -112,6 +114,25 @@
             ),
             ("port too large", ENTRY, ":7000", ":70000", ["listen", "70000"]),
             ("port 0", ENTRY, ":7000", ":0", ["listen", ":0"]),
+            ("port too long", ENTRY, ":7000", f":{LONG_NUMBER}", ["listen", "999"]),
+            ("port in other digits", ENTRY, ":7000", ":٣", ["listen", ":٣"]),
+            (
+                "listed port too long",
+                FORWARDER,
+                ":7001",
+                f":{LONG_NUMBER}",
+                ["seeds", "999"],
+            ),
+            (
+                "number too long",
+                CONTROL,
+                "data_folder = data",
+                f"data_folder = data\ntolerated_losses = {LONG_NUMBER}",
+                ["tolerated_losses", "999"],
+            ),
+            ("NUL in a path", CONTROL, "= data", "= da\0ta", ["data_folder", "ta"]),
+            ("key id twice", ENTRY, KEY_1, f"{KEY_1},1:{'22' * 16}")
+            + (["ticket_keys", "'1'"],),
             ("duplicate key", ENTRY, "name = entry-1", "name = a\nname = b", ["name"]),
             ("no section", ENTRY, "[daemon]", "", ["test.ini"]),
             ("unknown key", ENTRY, "zone =", "colour = red\nzone =", ["colour", "red"]),
