Soak: check that late departures don't end the next process under an id

After the faults, an upstream drains, is started again under its id and drains again; the departures of its earlier process arrive then, over the connection of its reports and over a new one.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,9 @@
 PUBLISH_INTERVAL_S = 1.0
 #: Time for which flows are observed after a drain must have taken effect.
 OBSERVE_S = 1.0
+#: Time for which open flows are observed after a late departure; forwarders reset them
+#: a second after an upstream is gone.
+DEPARTURE_OBSERVE_S = 2.5
 #: Second octets of the loopback addresses that runs use.
 LOOPBACK_BASES = range(150, 198)
 
@@ -95,6 +98,8 @@
         faults.run(seconds)
         check_recovery(callers, operator, problems)
         check_drain(callers, upstreams, problems)
+        check_departure(traffic, problems)
+        upstreams = traffic.upstreams
         evacuated = check_evacuation(callers, upstreams, operator, problems)
         check_durability(cluster, operator, problems)
         if evacuated:
@@ -167,6 +172,37 @@
     time.sleep(DRAIN_LIMIT_S + OBSERVE_S)
 
 
+def check_departure(traffic, problems):
+    """Check that late departures of a process don't end flows of the next one.
+
+    The next one has the same id and is draining too. The callers record open flows
+    that are reset.
+    """
+    serving = [upstream for upstream in traffic.upstreams if upstream.is_serving]
+    earlier = next((u for u in serving if can_remove(u, serving)), None)
+    if earlier is None:
+        return
+    kept, new = traffic.client.connect(), traffic.client.connect()
+    earlier.drain()
+    if not wait_until(lambda: earlier.drain_confirmed_s, timeout_s=RECOVERY_TIMEOUT_S):
+        problems.add("drain not confirmed", upstream=earlier.name)
+        return
+    earlier.call_over(kept, "PUT")
+    successor = traffic.restart(earlier)
+    if not wait_until(lambda: successor.opening_packets, timeout_s=RECOVERY_TIMEOUT_S):
+        problems.add("no flow opened after a restart", upstream=successor.name)
+    time.sleep(OBSERVE_S)
+    successor.drain()
+    if not wait_until(
+        lambda: successor.drain_confirmed_s, timeout_s=RECOVERY_TIMEOUT_S
+    ):
+        problems.add("drain not confirmed", upstream=successor.name)
+    for connection in (kept, new):
+        earlier.call_over(connection, "DELETE")
+        connection.close()
+    time.sleep(DEPARTURE_OBSERVE_S)
+
+
 def check_evacuation(callers, upstreams, operator, problems):
     """Check that an evacuated zone gets no opening packet; leave it evacuated.
 
--- a/soak/peers.py
+++ b/soak/peers.py
@@ -1,5 +1,6 @@
 """soak.peers: Simulated upstreams, callers and an operator that check guarantees."""
 
+import contextlib
 import http.client
 import json
 import random
@@ -96,8 +97,12 @@
         self._started_ms = time.time_ns() // 1_000_000
         self._socket = udp_socket(address)
         self.alive = True
-        for loop in (self._serve, self._report):
-            threading.Thread(target=loop, daemon=True).start()
+        self._threads = [
+            threading.Thread(target=loop, daemon=True)
+            for loop in (self._serve, self._report)
+        ]
+        for thread in self._threads:
+            thread.start()
 
     def drain(self):
         """Report the state draining from now on."""
@@ -109,23 +114,52 @@
         self.is_serving = False
         self.alive = False
 
+    def start_again(self):
+        """End this process, and return the next one under its id and address."""
+        self.crash()
+        for thread in self._threads:
+            thread.join()
+        return Upstream(
+            name=self.name,
+            service=self.service,
+            zone=self.zone,
+            address=self._address,
+            callers=self.callers,
+            problems=self._problems,
+            client=self._client,
+        )
+
+    def call_over(self, connection, method):
+        """Send a report or departure over an `HTTPConnection` that stays open."""
+        body = json.dumps(self._next_report()) if method == "PUT" else None
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request(method, self._target, body)
+            connection.getresponse().read()
+
+    @property
+    def _target(self):
+        return f"/-/instances/{self.name}"
+
+    def _next_report(self):
+        self._sequence += 1
+        host, port = self._address
+        return {
+            "service": self.service,
+            "addr": f"{host}:{port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 2,
+            "state": self._state,
+            "coldLeftMs": 0,
+            "seq": self._sequence,
+            "born": self._started_ms,
+        }
+
     def _report(self):
         while self.alive:
-            self._sequence += 1
-            state = self._state
-            host, port = self._address
-            body = {
-                "service": self.service,
-                "addr": f"{host}:{port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": 2,
-                "state": state,
-                "coldLeftMs": 0,
-                "seq": self._sequence,
-                "born": self._started_ms,
-            }
-            status = self._client.request_any("PUT", f"/-/instances/{self.name}", body)
+            body = self._next_report()
+            state = body["state"]
+            status = self._client.request_any("PUT", self._target, body)
             if status == 200 and state == "draining" and self.drain_confirmed_s is None:
                 self.drain_confirmed_s = time.monotonic()
             time.sleep(0.5)
@@ -367,6 +401,11 @@
             host = location.split("//")[1].split(":")[0]
         return 0, b""
 
+    def connect(self):
+        """Return an `HTTPConnection` to a random replica."""
+        host = self._random.choice(self._hosts)
+        return http.client.HTTPConnection(host, self._port, timeout=CALL_TIMEOUT_S)
+
     def request_any(self, method, target, body):
         """Try the replicas in random order; return the first status below 500, or 0."""
         for host in self._random.sample(self._hosts, len(self._hosts)):
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -41,6 +41,13 @@
         """Return all upstreams."""
         return list(self.callers.upstreams.values())
 
+    def restart(self, upstream):
+        """Start an upstream again under its id; return the next process."""
+        hosts = {known: host for host, known in self.callers.upstreams.items()}
+        successor = upstream.start_again()
+        self.callers.upstreams[hosts[upstream]] = successor
+        return successor
+
     def close(self):
         """Stop callers and upstreams."""
         self.callers.close()
