--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -137,9 +137,9 @@
         entry = self._entries.get(upstream_id)
         if entry is None or entry.state.status == GONE:
             return IGNORED
-        known_ms = entry.state.born_ms
-        if born_ms is not None and born_ms != known_ms:
-            return IGNORED if born_ms < known_ms else REFUSED
+        known_born_ms = entry.state.born_ms
+        if born_ms is not None and born_ms != known_born_ms:
+            return IGNORED if born_ms < known_born_ms else REFUSED
         if born_ms is not None:
             return ACCEPTED
         if entry.state.status != DRAINING:
