--- a/tests/consensussearch.py
+++ b/tests/consensussearch.py
@@ -16,7 +16,7 @@
 from knapweeddeal.messages.base import encode
 from tests.consensussimulation import ELECTION_MS, HEARTBEAT_MS, FakeDisk, replica
 
-__all__ = ["Disk", "Replica", "World", "led"]
+__all__ = ["Disk", "Replica", "World", "led", "parted"]
 
 MEMBERS = (1, 2, 3)
 #: Longer than any election timeout, so that no leader counts as live.
@@ -348,5 +348,24 @@
     return world
 
 
+def parted(**budgets):
+    """Return a world in which nodes 1 and 2 hold records that nobody else has.
+
+    Node 1 has a command of term 2, node 2 the first record of term 3. Both were started
+    again, and can't reach each other.
+    """
+    world = led(pairs=(), writes=1, elections=1)
+    world.write(1)
+    world.restart(1)
+    world.pairs = ({2, 3},)
+    world.elect(2)
+    while world.replicas[2].node.role != LEADER:
+        world.deliver(next(iter(world.channels)))
+    world.channels = {}
+    world.restart(2)
+    world.budgets, world.pairs = budgets, ({1, 3}, {2, 3})
+    return world
+
+
 def _items(mapping):
     return tuple(sorted(mapping.items()))
--- a/tests/test_consensussearch.py
+++ b/tests/test_consensussearch.py
@@ -5,10 +5,11 @@
 import testscenarios
 import testtools
 
+from knapweeddeal import leadership
 from knapweeddeal.consensus import Node
 from knapweeddeal.leadership import Leadership
 from knapweeddeal.messages.control import VoteRequest
-from tests.consensussearch import Disk, World, led
+from tests.consensussearch import Disk, World, led, parted
 from tests.statesearch import search
 
 MAX_STATES = 60_000
@@ -23,6 +24,7 @@
     ("a write and another leader", led, {"elections": 1, "writes": 1}),
     ("a read and another leader", led, {"elections": 1, "reads_left": 1}),
     ("another leader and a crash", led, {"elections": 1, "crashes": 1}),
+    ("records of two terms", parted, {"elections": 3}),
 ]
 
 
@@ -190,3 +192,25 @@
         with mock.patch.object(Leadership, self.name, self.rule):
             result = search(led(**self.options), max_states=MAX_STATES)
         self.assertIn("stale", result.violation)
+
+
+def commit_any_term(leadership):
+    """Commit up to the last index that a majority synced, whatever its term."""
+    node = leadership._node
+    matches = sorted(map(leadership._match_index_of, node.members), reverse=True)
+    index = matches[len(matches) // 2]
+    if index > node.commit_index:
+        node.commit_to(index)
+        leadership.broadcast()
+
+
+class OmittedTermRule(testtools.TestCase):
+    """The search finds a lost record if a leader commits one of an earlier term."""
+
+    def test_violation(self):
+        rule = mock.patch.object(Leadership, "advance_commit", commit_any_term)
+        # One record in each message, so that one of an earlier term is synced alone.
+        one_record = mock.patch.object(leadership, "MAX_APPEND_BYTES", 1)
+        with rule, one_record:
+            result = search(parted(elections=4), max_states=MAX_STATES)
+        self.assertIn("committed", result.violation)
