--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -27,6 +27,7 @@
     "test_failures",
     "test_specs",
     "test_controlprocess",
+    "test_consensussearch",
     "test_zones",
     "test_operations",
     "test_journal",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,8 @@
 """tests.test_settings: Tests of settings and their checks."""
 
+import configparser
+import contextlib
+import io
 import re
 import tempfile
 from pathlib import Path
@@ -9,7 +12,7 @@
 
 from knapweeddeal import daemon
 from knapweeddeal.errors import BadSettingError
-from knapweeddeal.settings import read_settings
+from knapweeddeal.settings import OPTIONS, read_settings
 
 KEY_1, KEY_2 = "1:" + "00" * 16, "2:" + "11" * 16
 ENTRY = f"""
@@ -199,6 +202,61 @@
             self.assertIn(word, str(error))
 
 
+class HostileValues(testscenarios.TestWithScenarios, SettingsFile):
+    """Any value of a setting is read, or refused as a bad setting.
+
+    Guards against values that end a process by an error that it doesn't expect.
+    """
+
+    VALUES = (
+        "",
+        "\0",
+        "-0",
+        "nan",
+        "1e400",
+        "0x10",
+        "1_0",
+        "٣",
+        "²",
+        "%(x)s",
+        "a,,b",
+        "a" * 10_000,
+        LONG_NUMBER,
+        f"10.0.0.1:{LONG_NUMBER}",
+        f"a=10.0.0.1:{LONG_NUMBER}",
+        f"{LONG_NUMBER}:{'ab' * 16}",
+        "10.0.0.1:٣",
+        "::1",
+        "a=",
+        "1:",
+    )
+    scenarios = [
+        (f"{role}, {option.key}", {"base": base, "option": option})
+        for role, base in (
+            ("entry", ENTRY),
+            ("control", CONTROL),
+            ("forwarder", FORWARDER),
+        )
+        for option in OPTIONS
+        if role in option.roles
+    ]
+
+    def test_refused_or_read(self):
+        section, key = self.option.section, self.option.key
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_string(self.base)
+        if not parser.has_section(section):
+            parser.add_section(section)
+        for value in self.VALUES:
+            parser[section][key] = value
+            text = io.StringIO()
+            parser.write(text)
+            self.write(text.getvalue())
+            with self.subTest(value=value[:20]), contextlib.suppress(BadSettingError):
+                settings = read_settings(str(self.path))
+                self.assertNotIn("\0", str(getattr(settings, key)))
+
+
 class PlatformValues(testscenarios.TestWithScenarios, SettingsFile):
     """Values that the platform's pages allow don't keep a process from starting."""
 
