--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,7 +21,7 @@
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.18.0.1", 443)
 SERVICE = "records"
 ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"]
 #: Labels in the report of the other writer; it has about 1.6 MB.
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,6 +10,7 @@
 
 from lab import (  # noqa: E402
     BOUNDS,
+    SERVER_PORT,
     CannotRunError,
     Lab,
     document,
@@ -19,10 +20,10 @@
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.18.0.1", 443)
 SERVICE = "records"
 ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"]
-FLOWS = 40
+FLOWS = 60
 
 
 def case(record):
@@ -32,6 +33,7 @@
         # The last bytes of the addresses are 9 and 10.
         replaced = start(lab, 9, starts=1, zone=ZONES[0])
         other = start(lab, 10, starts=1, zone=ZONES[1])
+        start(lab, 12, starts=1, zone=ZONES[2])
         client = lab.client()
         flows = open_flows(client, other, record)
         if TROUBLE:
@@ -48,11 +50,11 @@
         ]
 
 
-def start(lab, number, *, starts, zone):
+def start(lab, number, *, starts, zone, port=SERVER_PORT):
     """Start a backend; its id holds its address, and how often one started there."""
     host = lab.cluster.address(4, number)
     name = f"i-{number_of(host):08x}{starts:08x}"
-    return lab.backend(name=name, service=SERVICE, zone=zone, host=host)
+    return lab.backend(name=name, service=SERVICE, zone=zone, host=host, port=port)
 
 
 def open_flows(client, backend, record):
@@ -69,13 +71,13 @@
 
 
 def replace(lab, replaced):
-    """Replace a backend as planned; its address is used again after 2.5 s."""
+    """Replace a backend as planned: the new one starts first, the old one drains."""
+    start(lab, 9, starts=2, zone=ZONES[0], port=SERVER_PORT + 1)
+    time.sleep(1.0)
     replaced.drain()
     wait_until(lambda: replaced.drain_confirmed_s, "draining wasn't confirmed")
     time.sleep(BOUNDS["drainMs"] / 1000 + 0.5)
     replaced.leave()
-    time.sleep(2.5)
-    start(lab, 9, starts=2, zone=ZONES[0])
 
 
 if __name__ == "__main__":
