--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -1,6 +1,7 @@
 """knapweeddeal.platform.fields: Validation of JSON bodies and their fields."""
 
 import json
+from collections import Counter
 
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.ipaddresses import is_ipv4
@@ -44,8 +45,8 @@
 def _object(pairs):
     fields = dict(pairs)
     if len(fields) < len(pairs):
-        names = [name for name, _ in pairs]
-        repeated = next(name for name in names if names.count(name) > 1)
+        counts = Counter(name for name, _ in pairs)
+        repeated = next(name for name, count in counts.items() if count > 1)
         raise BadMessageError("expected each key once", field="body", value=repeated)
     return fields
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 from unittest import mock
 
 import curio
@@ -11,7 +12,12 @@
 from knapweeddeal.commandrecords import PreparedPublication, command_record
 from knapweeddeal.configurationstate import ConfigurationState, failure_answer
 from knapweeddeal.controlqueries import local_answer
-from knapweeddeal.errors import KnapweeddealError, NoQuorumError, NotLeaderError
+from knapweeddeal.errors import (
+    BadMessageError,
+    KnapweeddealError,
+    NoQuorumError,
+    NotLeaderError,
+)
 from knapweeddeal.httpserver import HttpRequest, serve_http
 from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.evacuation import EvacuateRequest
@@ -31,6 +37,7 @@
 from knapweeddeal.packethub import PacketHub
 from knapweeddeal.platform.api import PlatformApi
 from knapweeddeal.platform.configurations import decode_configuration
+from knapweeddeal.platform.fields import decode_object
 from knapweeddeal.platform.reports import decode_departure, decode_report
 from knapweeddeal.upstreamtable import UpstreamTable
 from tests.processes import free_port
@@ -177,6 +184,32 @@
         self.assertEqual("bad_message", error.code)
 
 
+class RepeatedKeyTime(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A body with a repeated key is refused before its caller gives up.
+
+    The time grew with the square of the number of keys: a report with 80,000 of them
+    stopped a replica for minutes.
+    """
+
+    #: Callers go to another replica after this time.
+    PATIENCE_S = 1.0
+    KEYS = [f'"key-{number:06d}":0' for number in range(40_000)]
+
+    scenarios = [
+        ("last key", {"body": ",".join([*KEYS, KEYS[-1]])}),
+        ("last key is the first", {"body": ",".join([*KEYS, KEYS[0]])}),
+        ("each key", {"body": ",".join(KEYS + KEYS)}),
+        ("nested", {"body": f'"a":[{{{",".join([*KEYS, KEYS[-1]])}}}]'}),
+        ("after many objects", {"body": f'"a":[{"{}," * 40_000}{{"b":0,"b":0}}]'}),
+    ]
+
+    def test_time(self):
+        body = f"{{{self.body}}}".encode()
+        started_s = time.thread_time()
+        self.assertRaises(BadMessageError, decode_object, body)
+        self.assertLess(time.thread_time() - started_s, self.PATIENCE_S)
+
+
 class Departures(testscenarios.TestWithScenarios, testtools.TestCase):
     """A departure may name start and sequence."""
 
