Refuse long status reports undecoded

Status reports are decoded in the event loop, and the HTTP server takes bodies of up to 4 MiB. An upstream's report has some 300 bytes.

With the check taken out, the rows "too long" of BadReports and BadDepartures fail.

--- a/knapweeddeal/platform/reports.py
+++ b/knapweeddeal/platform/reports.py
@@ -14,6 +14,9 @@
 
 #: Status by the state that a report names.
 STATUS_BY_STATE = {"ready": READY, "draining": DRAINING}
+#: Largest status report or departure. An upstream's have some 300 bytes; they are
+#: decoded in the event loop, where long ones would hold up heartbeats.
+MAX_REPORT_BYTES = 64 * 1024
 #: Hexadecimal digits that fit into the 8-byte upstream id before a packet.
 MAX_ID_DIGITS = 16
 MAX_SLOTS = 100_000
@@ -22,7 +25,7 @@
 
 def decode_report(upstream_id, body, *, home):
     """Return the state in a status report; raise BadMessageError."""
-    report = decode_object(body)
+    report = _decode_short(body)
     state = text(report, "state")
     if state not in STATUS_BY_STATE:
         raise BadMessageError("expected ready or draining", field="state", value=state)
@@ -50,13 +53,23 @@
 def decode_departure(upstream_id, body):
     """Return start and sequence of a departure, or None for each that it lacks."""
     check_id(upstream_id)
-    report = decode_object(body) if body.strip() else {}
+    report = _decode_short(body) if body.strip() else {}
     return (
         optional_number(report, "born", default=None),
         optional_number(report, "seq", default=None),
     )
 
 
+def _decode_short(body):
+    if len(body) > MAX_REPORT_BYTES:
+        raise BadMessageError(
+            f"expected a report of at most {MAX_REPORT_BYTES} bytes",
+            field="body",
+            value=f"{len(body)} bytes",
+        )
+    return decode_object(body)
+
+
 def check_id(upstream_id):
     """Return an id whose digits fit before a packet; raise BadMessageError."""
     digits = upstream_id.rpartition("-")[2]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,7 +38,11 @@
 from knapweeddeal.platform.api import PlatformApi
 from knapweeddeal.platform.configurations import decode_configuration
 from knapweeddeal.platform.fields import decode_object
-from knapweeddeal.platform.reports import decode_departure, decode_report
+from knapweeddeal.platform.reports import (
+    MAX_REPORT_BYTES,
+    decode_departure,
+    decode_report,
+)
 from knapweeddeal.upstreamtable import UpstreamTable
 from tests.processes import free_port
 
@@ -123,6 +127,11 @@
         body = encoded({**REPORT, "later": [1]})
         self.assertEqual(4, decode_report("i-1", body, home=5).sequence)
 
+    def test_longest(self):
+        body = encoded(REPORT)
+        body += b" " * (MAX_REPORT_BYTES - len(body))
+        self.assertEqual(4, decode_report("i-1", body, home=5).sequence)
+
 
 class BadReports(testscenarios.TestWithScenarios, testtools.TestCase):
     """A malformed report or id is rejected as a bad message."""
@@ -167,6 +176,7 @@
             (f"port {port!r}", {"body": {**REPORT, "addr": f"10.0.0.1:{port}"}})
             for port in AMBIGUOUS_PORTS
         ],
+        ("too long", {"body": {**REPORT, "later": "x" * 65_536}}),
         ("id without digits", {"body": REPORT, "upstream_id": "i-"}),
         ("id too long", {"body": REPORT, "upstream_id": "i-" + "a" * 17}),
         ("id not hexadecimal", {"body": REPORT, "upstream_id": "i-xyz"}),
@@ -231,6 +241,7 @@
         ("not JSON", {"body": b"{"}),
         ("text as start", {"body": b'{"born": "1"}'}),
         ("empty start", {"body": b'{"born": null}'}),
+        ("too long", {"body": encoded({"born": 1, "later": "x" * 65_536})}),
         ("bad id", {"body": b"", "upstream_id": "i-xyz"}),
     ]
     upstream_id = "i-1"
