--- a/knapweeddeal/httpserver.py
+++ b/knapweeddeal/httpserver.py
@@ -16,6 +16,8 @@
 MAX_HEAD_BYTES = 16 * 1024
 #: Largest request body.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Events read in a row before the task yields: a body may come in chunks of one byte.
+MAX_EVENTS_BEFORE_YIELD = 64
 #: Longest wait for the next request on a connection.
 IDLE_TIMEOUT_S = 60
 #: Connections of one server at a time. A process has up to two servers, several hundred
@@ -133,6 +135,8 @@
             request = await waiting.wait(read_request, connection, state, session)
             if request is None:
                 return
+            # Neither reading nor answering yields while further requests are buffered.
+            await curio.sleep(0)
             await _send(connection, state, await handler(request))
             if state.our_state is h11.MUST_CLOSE:
                 return
@@ -161,9 +165,12 @@
 
 async def read_request(connection, state, session):
     """Return the next request, or None at the end of the connection."""
-    head, body = None, bytearray()
+    head, body, events = None, bytearray(), 0
     while True:
         event = state.next_event()
+        events += 1
+        if events % MAX_EVENTS_BEFORE_YIELD == 0:
+            await curio.sleep(0)
         if event is h11.NEED_DATA:
             state.receive_data(await connection.recv(READ_BYTES))
             # Reading doesn't yield while data is there, and a body may have 4 MiB.
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,5 +1,6 @@
 """tests.test_httpserver: Tests of the HTTP server."""
 
+from itertools import pairwise
 from unittest import mock
 
 import curio
@@ -95,11 +96,24 @@
     """
 
     BODY_BYTES = 1 << 20
+    CHUNKS = 10_000
     MIN_TURNS = 10
 
     def test_turns(self):
         head = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
-        connection = BufferedConnection(head % self.BODY_BYTES + b"x" * self.BODY_BYTES)
+        body, turns = self.read(head % self.BODY_BYTES + b"x" * self.BODY_BYTES)
+        self.assertEqual(self.BODY_BYTES, len(body))
+        self.assertGreater(len(set(turns)), self.MIN_TURNS)
+
+    def test_chunks_of_one_byte(self):
+        head = b"PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body, turns = self.read(head + b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n")
+        self.assertEqual(self.CHUNKS, len(body))
+        self.assertGreater(len(turns), self.MIN_TURNS)
+
+    def read(self, data):
+        """Return the body in some data, and what was left at each turn of a task."""
+        connection = BufferedConnection(data)
         turns = []
 
         async def take_turns():
@@ -113,8 +127,47 @@
             await other.cancel()
             return request
 
-        self.assertEqual(self.BODY_BYTES, len(curio.run(run).body))
-        self.assertGreater(len(set(turns)), self.MIN_TURNS)
+        return curio.run(run).body, turns
+
+
+class BufferedRequests(testtools.TestCase):
+    """Other tasks run between requests that have arrived already.
+
+    One connection with many small requests held up the heartbeats of a replica.
+    """
+
+    REQUESTS = 500
+    MAX_REQUESTS_IN_A_ROW = 10
+
+    def test_turns(self):
+        handled, handled_by_turn = [], []
+
+        async def count(request):
+            handled.append(request)
+            return HttpResponse(status=200)
+
+        async def take_turns():
+            while True:
+                handled_by_turn.append(len(handled))
+                await curio.sleep(0)
+
+        async def run():
+            address = ("127.0.0.1", free_port())
+            server = await curio.spawn(serve_http, address, count, daemon=True)
+            await curio.sleep(0.01)
+            connection = await curio.open_connection(*address)
+            other = await curio.spawn(take_turns, daemon=True)
+            await connection.sendall(GET * self.REQUESTS + CLOSE)
+            while await connection.recv(1 << 20):
+                pass
+            await connection.close()
+            await other.cancel()
+            await server.cancel()
+
+        curio.run(run)
+        self.assertEqual(self.REQUESTS + 1, len(handled))
+        in_a_row = max(after - before for before, after in pairwise(handled_by_turn))
+        self.assertLessEqual(in_a_row, self.MAX_REQUESTS_IN_A_ROW)
 
 
 class ConnectionLimit(testscenarios.TestWithScenarios, testtools.TestCase):
