Give upstreams whose ids yield the same echo different ones

Packets name their upstream by an echo of 32 bits, made from the 64 bits of the id. Forwarders led each echo to the upstream that they had learned of last, and nothing logged or exported the collision.

An id yields a sequence of echoes now. A new upstream takes the first one that no other holds; its index is part of its state and only increases, so that processes which learn of upstreams in different orders agree, also after restarts. Flows that were open when an echo moved go on by the flow table and get the new echo.

--- a/knapweeddeal/forwardercore.py
+++ b/knapweeddeal/forwardercore.py
@@ -19,6 +19,7 @@
 from knapweeddeal.packetroutes import RouteTable
 from knapweeddeal.packetupstreams import UpstreamPool
 from knapweeddeal.record import printed_name
+from knapweeddeal.upstreamechoes import log_echo_move
 
 __all__ = ["ForwarderCore", "Subscription"]
 
@@ -269,8 +270,13 @@
 
     def _handle_upstreams(self, message, subscription, now_ms):
         changed_states = self.pool.apply_states(
-            message.states, now_ms, current=subscription.has_leader
+            message.states,
+            now_ms,
+            current=subscription.has_leader,
+            whole=message.whole,
         )
+        for move in self.pool.pop_echo_moves():
+            log_echo_move(move, log=log, metrics=self.metrics)
         for state in changed_states:
             log.info(
                 "received a new state of an upstream",
@@ -340,6 +346,8 @@
         "status": state.status,
         "silent": state.silent,
         "failing": state.failing,
+        "echo": upstream.echo.hex(),
+        "echo_index": state.echo_index,
         "open_flows": upstream.open_flows,
         "answered_ms": upstream.answered_ms,
         "suspect_until_ms": upstream.suspect_until_ms,
--- a/knapweeddeal/messages/packets.py
+++ b/knapweeddeal/messages/packets.py
@@ -58,6 +58,8 @@
 MAX_ROUTES = 20_000
 #: Largest number of evacuated zones.
 MAX_EVACUATIONS = 1_000
+#: Largest index of an upstream's echo.
+MAX_ECHO_INDEX = 1_000
 #: Length of a route's key in a packet: port and IPv4 address.
 ROUTE_KEY_BYTES = 6
 
@@ -198,6 +200,7 @@
     "status",
     "silent",
     "failing",
+    "echo_index",
 )
 
 
@@ -208,6 +211,8 @@
     `silent`: its reports are overdue. `failing`: forwarders counted too many unanswered
     requests to it. `home`: the replica that received its last report. `hint`: the
     state was read from disk when the replica started, and not reported since.
+    `echo_index`: which echo of its id it has, see `upstreamechoes`; above 0 only if
+    echoes of other upstreams collided with it.
     """
 
     tag = 170
@@ -226,8 +231,15 @@
         "failing": Flag(),
         "home": Integer(),
         "hint": Flag(),
+        "echo_index": Integer(maximum=MAX_ECHO_INDEX),
     }
     __slots__ = tuple(schema)
+    defaults = (0,)
+
+    def to_wire(self):
+        """Return the wire form, which earlier versions read if the index is 0."""
+        wire = super().to_wire()
+        return wire if self.echo_index else wire[:-1]
 
     @property
     def version_key(self):
--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -20,6 +20,7 @@
     ROUTE_SLICE,
     RST,
     SYN,
+    UPSTREAM_PREFIX_BYTES,
     build_reset,
     describe_flow,
     flow_caller_host,
@@ -62,6 +63,9 @@
 SEQUENCE_SLICE = slice(8, 12)
 #: Position of the acknowledgement number in the header.
 ACKNOWLEDGED_SLICE = slice(12, 16)
+#: Position of the echo in the bytes for an upstream.
+PAYLOAD_ECHO_START = UPSTREAM_PREFIX_BYTES + ECHO_SLICE.start
+PAYLOAD_ECHO_STOP = UPSTREAM_PREFIX_BYTES + ECHO_SLICE.stop
 #: Longest age of an entry in the flow table.
 MAX_FLOW_AGE_MS = 60_000
 #: Size limit of the flow table; beyond it the oldest flows are removed.
@@ -427,7 +431,7 @@
             self._reset(data, out, decision.refusal, service=decision.service)
 
     def _send_syn(self, data, upstream, out):
-        payload = upstream.prefix + data[:2] + upstream.echo + data[6:]
+        payload = _with_echo(upstream.prefix + data, upstream.echo)
         out.append((payload, upstream.address))
 
     # SYNs to cold upstreams of services that state a rate for them.
@@ -446,7 +450,7 @@
             self._send_syn(data, upstream, out)
             return
         expires_ms = self.cold_permits.take(upstream, now_ms)
-        payload = ExpiringPayload(upstream.prefix + data[:2] + upstream.echo + data[6:])
+        payload = ExpiringPayload(_with_echo(upstream.prefix + data, upstream.echo))
         payload.expires_ms = expires_ms
         out.append((payload, upstream.address))
 
@@ -541,7 +545,7 @@
     # Packets after the SYN.
 
     def _handle_later_packet(self, data, route, now_ms, out):
-        upstream = self._pool.find_by_echo(data[ECHO_SLICE])
+        upstream = self._find_upstream(data, route)
         if upstream is None:
             self._metrics.count("packets_unknown_upstream")
             self._log.info(
@@ -570,7 +574,33 @@
             )
             return
         self._track_flow(data, route, upstream, now_ms)
-        out.append((upstream.prefix + data, upstream.address))
+        payload = upstream.prefix + data
+        if data[ECHO_SLICE] != upstream.echo:
+            # Both ends place the last echo that they got in their next packets.
+            payload = _with_echo(payload, upstream.echo)
+        out.append((payload, upstream.address))
+
+    def _find_upstream(self, data, route):
+        """Return the upstream that a packet's echo means, or None.
+
+        Flows that an upstream had before its echo moved are known by the flow table, or
+        if the holder of the echo serves other services.
+        """
+        echo = data[ECHO_SLICE]
+        holder, former = self._pool.find_by_echo(echo), self._pool.former_holders(echo)
+        if not former:
+            return holder
+        flow = self._flows.get(data[FLOW_SLICE])
+        offered = (flow.upstream, *flow.tried) if flow is not None else ()
+        candidates = [
+            upstream
+            for upstream in (holder, *former)
+            if upstream is not None and upstream.state.service in route.services
+        ]
+        for upstream in candidates:
+            if upstream in offered:
+                return upstream
+        return candidates[0] if candidates else holder
 
     def _track_flow(self, data, route, upstream, now_ms):
         """Update the flow table, and the load and answers of the upstream."""
@@ -728,3 +758,8 @@
                 if flow.is_open:
                     self._close(flow)
                 del self._flows[key]
+
+
+def _with_echo(payload, echo):
+    """Return the bytes for an upstream with another echo in the packet's header."""
+    return payload[:PAYLOAD_ECHO_START] + echo + payload[PAYLOAD_ECHO_STOP:]
--- a/knapweeddeal/packethub.py
+++ b/knapweeddeal/packethub.py
@@ -55,6 +55,7 @@
 from knapweeddeal.packetroutes import diff_routes, without_unreadable_routes
 from knapweeddeal.record import Record
 from knapweeddeal.replicalink import LinkDown, LinkUp
+from knapweeddeal.upstreamechoes import log_echo_move
 from knapweeddeal.upstreamtable import ACCEPTED, DEFERRED, REFUSED, UpstreamTable
 
 __all__ = ["PacketHub"]
@@ -251,8 +252,8 @@
             log.info("starting without hints")
             return
         now_ms, home = monotonic_ms(), self._own_replica.identity
-        for state in hints.states:
-            self._table.apply_state(_to_hint(state, home), now_ms)
+        states = [_to_hint(state, home) for state in hints.states]
+        self._table.apply_states(states, now_ms)
         self._table.pop_unsent(self._table.states(now_ms))
         self._adopt_evacuations(hints.evacuations)
         if hints.revision:
@@ -433,9 +434,7 @@
     @_handle.register
     async def _(self, batch: DirectoryBatch):
         now_ms = monotonic_ms()
-        changed = []
-        for state in batch.states:
-            changed += self._table.apply_state(state, now_ms)
+        changed = self._table.apply_states(batch.states, now_ms)
         for heartbeat in batch.beats:
             changed += self._table.apply_heartbeat(heartbeat, batch.sender, now_ms)
         self._cold.record_changes(changed)
@@ -720,6 +719,8 @@
 
     async def _push_states(self, states):
         self._full_push = None
+        for move in self._table.pop_echo_moves():
+            log_echo_move(move, log=log, metrics=self._metrics)
         for state in states:
             if state.failing:
                 self._answers.clear(state.upstream_id)
--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -12,6 +12,12 @@
 from knapweeddeal.record import Record
 from knapweeddeal.sharedloads import SharedLoads
 from knapweeddeal.timeconstants import NEVER_MS
+from knapweeddeal.upstreamechoes import (
+    EchoTable,
+    id_number,
+    in_echo_order,
+    upstream_echo,
+)
 
 __all__ = [
     "COLD_MARGIN_MS",
@@ -19,7 +25,6 @@
     "RANK_REASONS",
     "PacketUpstream",
     "UpstreamPool",
-    "echo_from_number",
 ]
 
 #: Half-life of the load that a request adds to an upstream: requests take 5 to 40 ms,
@@ -42,9 +47,11 @@
 
 #: Time for which an upstream that reported its exit may still handle packets.
 EXIT_GRACE_MS = 1_000
-#: Time after which a gone or silent upstream is removed: twice the maximum age of an
+#: Time after which no flow of a gone or silent upstream is open: the maximum age of an
 #: entry in the flow table.
-UPSTREAM_RETENTION_MS = 120_000
+FLOW_RETENTION_MS = 60_000
+#: Time after which a gone or silent upstream is removed.
+UPSTREAM_RETENTION_MS = 2 * FLOW_RETENTION_MS
 #: Upper bound of the random number that breaks ties between equal loads.
 TIE_BREAK_SPREAD = 0.01
 #: Why an upstream precedes another, by the first position in which their ranks differ.
@@ -58,14 +65,6 @@
 NO_UPSTREAMS = ((), ())
 
 ID_PREFIX = struct.Struct(">Q")
-ECHO = struct.Struct("<I")
-ECHO_MASK = 2**32 - 1
-
-
-def echo_from_number(number):
-    """Return the echo that identifies an upstream in packets; never zero."""
-    folded = (number ^ (number >> 32)) & ECHO_MASK
-    return ECHO.pack(folded or 1)
 
 
 class PacketUpstream:
@@ -79,6 +78,7 @@
         "cold_until_ms",
         "echo",
         "is_same_zone",
+        "keeps_echo",
         "load",
         "load_ms",
         "open_flows",
@@ -91,9 +91,11 @@
         "suspect_until_ms",
     )
 
-    def __init__(self, *, state, number, zone):
-        self.echo = echo_from_number(number)
-        self.prefix = ID_PREFIX.pack(number)
+    def __init__(self, *, state, zone):
+        self.echo = upstream_echo(state.upstream_id, state.echo_index)
+        #: Whether flows with its echo may still be open.
+        self.keeps_echo = True
+        self.prefix = ID_PREFIX.pack(id_number(state.upstream_id))
         self.load = 0.0
         self.load_ms = 0
         self.open_flows = 0
@@ -120,6 +122,7 @@
         self.state_ms = now_ms
         if state.status != GONE and not state.silent:
             self.absent_since_ms = None
+            self.keeps_echo = True
         elif self.absent_since_ms is None:
             self.absent_since_ms = now_ms
         self.address = (state.host, state.port)
@@ -227,20 +230,23 @@
 
     __slots__ = (
         "_by_address",
-        "_by_echo",
         "_by_id",
+        "_echoes",
+        "_former_holders",
         "_ready_by_service",
         "_all_by_service",
     )
     __slots__ += ("_random",)
-    __slots__ += ("_zone", "collisions", "evacuated", "evacuation_version")
+    __slots__ += ("_zone", "evacuated", "evacuation_version")
     __slots__ += ("is_pushed", "shared_loads")
 
     def __init__(self, *, zone, random):
         self._zone = zone
         self._random = random
         self._by_id = {}
-        self._by_echo = {}
+        self._echoes = EchoTable()
+        #: Upstreams that had an echo before they moved to the next one, by echo.
+        self._former_holders = {}
         #: The latest-started upstream at each address.
         self._by_address = {}
         #: Upstreams of each service in any status, by id.
@@ -248,7 +254,6 @@
         #: Ready upstreams of each service outside of evacuated zones: in this zone, in
         #: other zones.
         self._ready_by_service = {}
-        self.collisions = 0
         #: Names of evacuated zones, and their version.
         self.evacuated = frozenset()
         self.evacuation_version = 0
@@ -266,7 +271,11 @@
 
     def find_by_echo(self, echo):
         """Return the upstream with the echo of a packet, or None."""
-        return self._by_echo.get(echo)
+        return self._echoes.get(echo)
+
+    def former_holders(self, echo):
+        """Return the upstreams that had an echo before, the last to move first."""
+        return self._former_holders.get(echo, ())
 
     def __len__(self):
         """Return the number of upstreams that aren't gone."""
@@ -343,21 +352,37 @@
 
     # Commands.
 
-    def apply_states(self, states, now_ms, *, current):
+    def apply_states(self, states, now_ms, *, current, whole=False):
         """Apply states from a replica; return those that changed the routing.
 
         A new silent mark is ignored unless the sending replica has a leader
         (`current`), as a partitioned one may lack reports; the rest of the state is
         applied. Replicas apply the same rule, except to upstreams whose home they are.
+        `whole`: these are all upstreams that the replica knows.
         """
         self.is_pushed = True
-        changed = [
-            state for state in states if self._apply_state(state, now_ms, current)
-        ]
+        if whole and current:
+            self._note_unlisted({state.upstream_id for state in states})
+        changed = []
+        for state in in_echo_order(states):
+            changed += self._apply_state(state, now_ms, current)
         for service in {state.service for state in changed}:
             self._rebuild_ready(service)
         return changed
 
+    def _note_unlisted(self, listed_ids):
+        """Let others have the echoes of upstreams that the replicas have removed.
+
+        A forwarder that was frozen missed that they left.
+        """
+        for upstream_id, upstream in self._by_id.items():
+            if upstream_id not in listed_ids:
+                upstream.keeps_echo = False
+
+    def pop_echo_moves(self):
+        """Return the `EchoMove` of each collision of echoes since the last call."""
+        return self._echoes.pop_moves()
+
     def set_evacuated(self, push, services, now_ms):
         """Apply a push of evacuated zones; return whether its version is higher.
 
@@ -378,20 +403,21 @@
         return True
 
     def _apply_state(self, state, now_ms, current):
-        """Apply a state unless it is outdated; return whether routing changed."""
+        """Apply a state unless it is outdated; return the states that changed routing.
+
+        The index of the echo is applied in any case, as it only increases.
+        """
         upstream = self._by_id.get(state.upstream_id)
         if upstream is None:
-            self._add(state, now_ms)
-            return True
+            return self._add(state, now_ms)
+        moved = self._raise_echo(upstream, state.echo_index)
         old = upstream.state
-        if state.version_key < old.version_key:
-            return False
-        if old.status == GONE and state.born_ms <= old.born_ms:
-            return False
-        if state.hint and not old.hint:
-            return False
+        if _is_outdated(old, state):
+            return moved
         if state.silent and not old.silent and not current:
             state = state.replace(silent=False)
+        if state.echo_index < old.echo_index:
+            state = state.replace(echo_index=old.echo_index)
         upstream.set_state(state, now_ms)
         upstream.is_same_zone = state.zone == self._zone
         self._resolve_address(upstream)
@@ -399,18 +425,44 @@
             del self._all_by_service[old.service][state.upstream_id]
             self._rebuild_ready(old.service)
             self._add_to_service(upstream)
-        return not state.has_same_routing(old)
+        return moved if state.has_same_routing(old) else [*moved, state]
 
     def _add(self, state, now_ms):
-        number = id_number(state.upstream_id)
-        upstream = PacketUpstream(state=state, number=number, zone=self._zone)
+        upstream = PacketUpstream(state=state, zone=self._zone)
         upstream.set_state(state, now_ms)
-        if upstream.echo in self._by_echo:
-            self.collisions += 1
-        self._by_echo[upstream.echo] = upstream
+        others = self._claim_echo(upstream)
         self._by_id[state.upstream_id] = upstream
         self._add_to_service(upstream)
         self._resolve_address(upstream)
+        return [upstream.state, *others]
+
+    def _raise_echo(self, upstream, index):
+        """Adopt a higher index of an echo; return the states that changed."""
+        if upstream.absent_since_ms is None:
+            upstream.keeps_echo = True
+        if index <= upstream.state.echo_index:
+            return []
+        self._echoes.release(upstream.state)
+        upstream.state = upstream.state.replace(echo_index=index)
+        others = self._claim_echo(upstream)
+        return [upstream.state, *others]
+
+    def _claim_echo(self, upstream):
+        """Claim an upstream's echo; return the states of others that lost theirs."""
+        others = [one for one in self._echoes.claim(upstream) if one is not upstream]
+        for one in (upstream, *others):
+            if one.state.echo_index:
+                self._set_echo(one)
+        return [one.state for one in others]
+
+    def _set_echo(self, upstream):
+        state = upstream.state
+        upstream.echo = upstream_echo(state.upstream_id, state.echo_index)
+        for index in range(state.echo_index):
+            former = upstream_echo(state.upstream_id, index)
+            holders = self._former_holders.setdefault(former, [])
+            if upstream not in holders:
+                holders.insert(0, upstream)
 
     def _resolve_address(self, upstream):
         """Mark the older of two upstreams at an address; its process has ended."""
@@ -432,13 +484,19 @@
         for upstream in list(self._by_id.values()):
             if upstream.is_absent(now_ms, UPSTREAM_RETENTION_MS):
                 self._remove(upstream)
+            elif upstream.is_absent(now_ms, FLOW_RETENTION_MS):
+                upstream.keeps_echo = False
 
     def _remove(self, upstream):
         upstream_id, service = upstream.state.upstream_id, upstream.state.service
         del self._by_id[upstream_id]
         del self._all_by_service[service][upstream_id]
-        if self._by_echo.get(upstream.echo) is upstream:
-            del self._by_echo[upstream.echo]
+        self._echoes.release(upstream.state)
+        for index in range(upstream.state.echo_index):
+            former = upstream_echo(upstream_id, index)
+            self._former_holders[former].remove(upstream)
+            if not self._former_holders[former]:
+                del self._former_holders[former]
         if self._by_address.get(upstream.address) is upstream:
             del self._by_address[upstream.address]
         self._rebuild_ready(service)
@@ -455,6 +513,10 @@
         self._ready_by_service[service] = (same_zone, other_zone)
 
 
-def id_number(upstream_id):
-    """Return the number from the hexadecimal digits at the end of an upstream's id."""
-    return int(upstream_id.rpartition("-")[2], 16)
+def _is_outdated(old, state):
+    """Return whether a state is older than the last one, or of an ended process."""
+    if state.version_key < old.version_key:
+        return True
+    if old.status == GONE and state.born_ms <= old.born_ms:
+        return True
+    return state.hint and not old.hint
--- a/knapweeddeal/platform/reports.py
+++ b/knapweeddeal/platform/reports.py
@@ -47,6 +47,7 @@
         failing=False,
         home=home,
         hint=False,
+        echo_index=0,
     )
 
 
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -7,6 +7,7 @@
 from knapweeddeal.messages.packets import DRAINING, GONE, READY, UpstreamHeartbeat
 from knapweeddeal.record import Record
 from knapweeddeal.timeconstants import NEVER_MS
+from knapweeddeal.upstreamechoes import EchoTable, in_echo_order
 
 __all__ = ["ACCEPTED", "DEFERRED", "IGNORED", "REFUSED", "SILENT_REPORTS"]
 __all__ += ["UpstreamTable"]
@@ -42,6 +43,9 @@
     __slots__ = ("cold_until_ms", "received_ms", "state", "last_sent")
     __slots__ += ("is_departing", "is_restarted", "sent_cold_until_ms")
 
+    #: An entry is kept longer than any flow of its upstream.
+    keeps_echo = True
+
     def lacks_cold_time(self, cold_until_ms, now_ms):
         """Return whether forwarders know a shorter cold time, or that it has ended."""
         sent_ms = self.sent_cold_until_ms
@@ -54,6 +58,7 @@
     __slots__ = (
         "_unsent_heartbeats",
         "_by_address",
+        "_echoes",
         "_entries",
         "_own_identity",
         "_services",
@@ -66,6 +71,7 @@
         self._entries = {}
         #: The upstream of a configured service that started last at an address.
         self._by_address = {}
+        self._echoes = EchoTable()
         #: Names of the services in the configuration.
         self._services = frozenset()
         self._unsent_heartbeats = {}
@@ -161,8 +167,34 @@
     def apply_state(self, state, now_ms):
         """Apply a state; return the states that changed, the newest last.
 
-        A state older than the present one, or after a removal, changes nothing.
+        A state older than the present one, or after a removal, changes nothing but the
+        echo, whose index only increases.
         """
+        entry = self._entries.get(state.upstream_id)
+        if entry is None:
+            return self._apply(state, now_ms)
+        moved = self._raise_echo(entry, state.echo_index)
+        if state.echo_index < entry.state.echo_index:
+            state = state.replace(echo_index=entry.state.echo_index)
+        return moved + self._apply(state, now_ms)
+
+    def apply_states(self, states, now_ms):
+        """Apply states from another replica; return the states that changed."""
+        changed = []
+        for state in in_echo_order(states):
+            changed += self.apply_state(state, now_ms)
+        return changed
+
+    def _raise_echo(self, entry, index):
+        """Adopt a higher index of an echo; return the states that changed."""
+        if index <= entry.state.echo_index:
+            return []
+        self._echoes.release(entry.state)
+        entry.state = entry.state.replace(echo_index=index)
+        others = self._claim_echo(entry)
+        return [entry.state, *others]
+
+    def _apply(self, state, now_ms):
         entry = self._entries.get(state.upstream_id)
         if entry is not None and not _is_superseded(entry.state, state):
             return []
@@ -174,26 +206,45 @@
             return []
         if self._remains_failing(entry, state):
             state = state.replace(failing=True)
+        if entry is None:
+            return self._add(state, now_ms)
         cold_until_ms = now_ms + state.cold_ms
-        self._entries[state.upstream_id] = UpstreamEntry(
+        is_changed = _differs(entry.state, state) or (
+            state.cold_ms and entry.lacks_cold_time(cold_until_ms, now_ms)
+        )
+        entry.is_departing = _remains_departing(entry, state)
+        entry.is_restarted |= entry.state.born_ms < state.born_ms
+        entry.state = state
+        entry.received_ms = now_ms
+        entry.cold_until_ms = cold_until_ms
+        self._note_heartbeat(state)
+        return [*self._displace(state), state] if is_changed else self._displace(state)
+
+    def _add(self, state, now_ms):
+        """Add an upstream; return its state and those that changed with it."""
+        entry = self._entries[state.upstream_id] = UpstreamEntry(
             state=state,
-            is_departing=_remains_departing(entry, state),
-            is_restarted=_is_restarted(entry, state),
+            is_departing=False,
+            is_restarted=False,
             received_ms=now_ms,
-            cold_until_ms=cold_until_ms,
-            last_sent=entry.last_sent if entry else None,
-            sent_cold_until_ms=entry.sent_cold_until_ms if entry else NEVER_MS,
+            cold_until_ms=now_ms + state.cold_ms,
+            last_sent=None,
+            sent_cold_until_ms=NEVER_MS,
         )
+        # One that this replica learns of by its report, as the first one, is new.
+        is_new = state.home == self._own_identity and not state.hint
+        others = self._claim_echo(entry, is_new=is_new)
+        self._note_heartbeat(entry.state)
+        return [*others, *self._displace(entry.state), entry.state]
+
+    def _note_heartbeat(self, state):
         if state.home == self._own_identity:
             self._unsent_heartbeats[state.upstream_id] = state
-        changed = self._displace(state)
-        if (
-            entry is None
-            or _differs(entry.state, state)
-            or (state.cold_ms and entry.lacks_cold_time(cold_until_ms, now_ms))
-        ):
-            changed.append(state)
-        return changed
+
+    def _claim_echo(self, entry, *, is_new=False):
+        """Claim the echo of an entry; return the states of others that lost theirs."""
+        moved = self._echoes.claim(entry, is_new=is_new)
+        return [other.state for other in moved if other is not entry]
 
     def defer_departure(self, upstream_id):
         """Count an upstream as gone once it is silent, unless it reports before."""
@@ -260,6 +311,10 @@
                 entry.last_sent = state
         return unsent
 
+    def pop_echo_moves(self):
+        """Return the `EchoMove` of each collision of echoes since the last call."""
+        return self._echoes.pop_moves()
+
     def apply_heartbeat(self, heartbeat, home, now_ms):
         """Apply a heartbeat that another replica received; return what changed."""
         entry = self._entries.get(heartbeat.upstream_id)
@@ -317,6 +372,7 @@
 
     def _remove(self, state):
         del self._entries[state.upstream_id]
+        self._echoes.release(state)
         address = (state.host, state.port)
         if self._by_address.get(address) == state.upstream_id:
             del self._by_address[address]
@@ -371,16 +427,9 @@
         return other if has_address and other.state.status != GONE else None
 
 
-def _is_restarted(entry, state):
-    """Return whether a state is of a later process than one known before."""
-    if entry is None:
-        return False
-    return entry.is_restarted or entry.state.born_ms < state.born_ms
-
-
 def _remains_departing(entry, state):
     """Return whether a deferred departure arrived after the report of a state."""
-    if entry is None or state.status == GONE:
+    if state.status == GONE:
         return False
     return entry.is_departing and entry.state.version_key == state.version_key
 
--- a/tests/coldsimulation.py
+++ b/tests/coldsimulation.py
@@ -179,7 +179,7 @@
     def __init__(self, network, name):
         self.network, self.name, self.suspended_until_ms = network, name, 0
         self.permits = ColdPermits(metrics=Metrics())
-        self.upstream = PacketUpstream(state=state(), number=1, zone=ZONE)
+        self.upstream = PacketUpstream(state=state(), zone=ZONE)
         self.network.at(network.now_ms + SYN_INTERVAL_MS, self.offer_syn)
 
     def offer_syn(self):
--- a/tests/packetfakes.py
+++ b/tests/packetfakes.py
@@ -81,6 +81,7 @@
         "failing": False,
         "home": 1,
         "hint": False,
+        "echo_index": 0,
     }
     return UpstreamState(**{**values, **changes})
 
--- a/tests/test_packetforwarder.py
+++ b/tests/test_packetforwarder.py
@@ -11,8 +11,8 @@
     EXIT_GRACE_MS,
     SUSPECT_MS,
     UPSTREAM_RETENTION_MS,
-    echo_from_number,
 )
+from knapweeddeal.upstreamechoes import echo_from_number
 from tests.packetfakes import (
     CALLER_PORT,
     SERVICE,
