Keep a flow at its upstream if a copy of its SYN went to the colliding one

The soak starts upstreams now whose ids yield the echoes of running ones. A flow now holds the echo with which its upstream was chosen, and only that one counts.

OfferedTwice failed before.

--- a/knapweeddeal/packetforwarder.py
+++ b/knapweeddeal/packetforwarder.py
@@ -111,11 +111,11 @@
 class Flow:
     """Hold an entry of the flow table; packets are routed correctly without it."""
 
-    __slots__ = ("is_open", "opened_ms", "request", "seen_ms", "tried", "upstream")
-    __slots__ += ("request_ack", "timed_request")
+    __slots__ = ("echo", "is_open", "opened_ms", "request", "seen_ms", "tried")
+    __slots__ += ("request_ack", "timed_request", "upstream")
 
     def __init__(self, *, upstream, now_ms):
-        self.upstream = upstream
+        self.set_upstream(upstream, upstream.echo)
         self.tried = []
         self.opened_ms = now_ms
         self.seen_ms = now_ms
@@ -126,6 +126,11 @@
         self.timed_request = None
         self.request_ack = b""
 
+    def set_upstream(self, upstream, echo):
+        """Set the upstream, and the echo that its packets had at that time."""
+        self.upstream = upstream
+        self.echo = echo
+
 
 class Forwarder:
     """Choose an upstream at the SYN, then route by the echo; reset unroutable flows."""
@@ -374,7 +379,7 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
-        flow.upstream = upstream
+        flow.set_upstream(upstream, upstream.echo)
         flow.seen_ms = now_ms
         flow.tried.append(upstream)
         upstream.add_load(SYN_LOAD, now_ms)
@@ -591,15 +596,13 @@
         if not former:
             return holder
         flow = self._flows.get(data[FLOW_SLICE])
-        offered = (flow.upstream, *flow.tried) if flow is not None else ()
+        if flow is not None and flow.echo == echo and flow.upstream in former:
+            return flow.upstream
         candidates = [
             upstream
             for upstream in (holder, *former)
             if upstream is not None and upstream.state.service in route.services
         ]
-        for upstream in candidates:
-            if upstream in offered:
-                return upstream
         return candidates[0] if candidates else holder
 
     def _track_flow(self, data, route, upstream, now_ms):
@@ -610,9 +613,10 @@
             if data[0] & (FIN | RST):
                 return
             flow = self._flows[key] = Flow(upstream=upstream, now_ms=now_ms)
-        if flow.upstream is not upstream and flow.is_open:
-            self._close(flow)
-        flow.upstream = upstream
+        if flow.upstream is not upstream:
+            if flow.is_open:
+                self._close(flow)
+            flow.set_upstream(upstream, data[ECHO_SLICE])
         flow.seen_ms = now_ms
         if not flow.is_open:
             flow.is_open = True
@@ -725,7 +729,7 @@
             suspect=flow.upstream.is_suspect(now_ms),
             upstream=next_upstream.state.upstream_id,
         )
-        flow.upstream = next_upstream
+        flow.set_upstream(next_upstream, next_upstream.echo)
         flow.tried.append(next_upstream)
         self._send_permitted(hedge.data, next_upstream, now_ms, out)
         if len(flow.tried) < MAX_UPSTREAMS_TRIED:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,8 @@
 
 SERVICES = ("records", "archive")
 UPSTREAMS_PER_SERVICE = 3
+#: Upstreams that start later with the echoes of the first ones.
+COLLIDING = 3
 SERVICE_HOST = "198.18.0.1"
 FIRST_PORT = 443
 #: Limits for the first flows after a start and for recovery after the last fault.
@@ -95,6 +97,7 @@
         cluster.start()
         if not wait_until(lambda: callers.served > 20, timeout_s=START_TIMEOUT_S):
             problems.add("no flow was served after the start")
+        traffic.add_colliding(COLLIDING)
         faults.run(seconds)
         check_recovery(callers, operator, problems)
         check_drain(callers, upstreams, problems)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -24,16 +24,34 @@
             seed=seed,
         )
         services = list(routes.values())
+        self._cluster = cluster
+        self._problems = problems
         for number in range(per_service * len(services)):
-            host = cluster.host(ADVERTISED_GROUP, FIRST_UPSTREAM_HOST_NUMBER + number)
-            self.callers.upstreams[host] = Upstream(
+            self._start(
                 name=f"i-{number + 1:x}",
                 service=services[number % len(services)],
                 zone=ZONES[number // len(services) % len(ZONES)],
-                address=(host, UPSTREAM_PORT),
-                callers=self.callers,
-                problems=problems,
-                client=self.client,
+            )
+
+    def _start(self, *, name, service, zone):
+        number = FIRST_UPSTREAM_HOST_NUMBER + len(self.callers.upstreams)
+        host = self._cluster.host(ADVERTISED_GROUP, number)
+        self.callers.upstreams[host] = Upstream(
+            name=name,
+            service=service,
+            zone=zone,
+            address=(host, UPSTREAM_PORT),
+            callers=self.callers,
+            problems=self._problems,
+            client=self.client,
+        )
+
+    def add_colliding(self, count):
+        """Start upstreams whose ids yield the echoes of the first ones."""
+        for other in self.upstreams[:count]:
+            number = int(other.name.rpartition("-")[2], 16)
+            self._start(
+                name=f"i-{number:x}{0:08x}", service=other.service, zone=other.zone
             )
 
     @property
--- a/tests/test_upstreamechoes.py
+++ b/tests/test_upstreamechoes.py
@@ -16,7 +16,7 @@
     EchoReplay,
     colliding_state,
 )
-from tests.packetfakes import ForwarderHarness, packet, route, state
+from tests.packetfakes import ForwarderHarness, packet, route, state, syn
 
 
 class EchoSequence(testscenarios.TestWithScenarios, testtools.TestCase):
@@ -257,6 +257,26 @@
         self.assertEqual(upstream_echo(moved.upstream_id, 1), echo)
 
 
+class OfferedTwice(testtools.TestCase):
+    """A flow stays where it opened if a copy of its SYN went to the colliding upstream.
+
+    The two copies came to different forwarders, and the packets of the flow come to
+    both.
+    """
+
+    def test_packets(self):
+        holder = colliding_state(0)
+        moved = colliding_state(1, echo_index=1)
+        harness = ForwarderHarness(routes=[route()], states=[moved])
+        harness.handle_packet(syn(port=40_001))
+        harness.pool.apply_states([holder], 0, current=True)
+        echo = upstream_echo(holder.upstream_id, 0)
+        ((_, address),) = harness.handle_packet(
+            packet(port=40_001, echo=echo, data=b"x")
+        )
+        self.assertEqual(holder.host, address[0])
+
+
 class SearchedOrders(testscenarios.TestWithScenarios, testtools.TestCase):
     """No order of messages and restarts leads a flow away from its upstream.
 
