--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,8 @@
 )
 #: Seeds by their failure or purpose, with the time for which faults are injected.
 SEEDS = [
+    # Flows moved to an upstream with a colliding id, as two forwarders had offered
+    # copies of one SYN to both.
     ("short run", {"seed": 1, "seconds": 6}),
     # SIGHUP ended a replica that had just started and did not handle signals yet.
     ("reload during a start", {"seed": 18, "seconds": 10, "kinds": FIRST_KINDS}),
