--- a/knapweeddeal/packetupstreams.py
+++ b/knapweeddeal/packetupstreams.py
@@ -410,7 +410,9 @@
         upstream = self._by_id.get(state.upstream_id)
         if upstream is None:
             return self._add(state, now_ms)
-        moved = self._raise_echo(upstream, state.echo_index)
+        if upstream.absent_since_ms is None:
+            upstream.keeps_echo = True
+        moved = self._set_echoes(self._echoes.adopt_index(upstream, state.echo_index))
         old = upstream.state
         if _is_outdated(old, state):
             return moved
@@ -430,39 +432,26 @@
     def _add(self, state, now_ms):
         upstream = PacketUpstream(state=state, zone=self._zone)
         upstream.set_state(state, now_ms)
-        others = self._claim_echo(upstream)
+        others = [one for one in self._echoes.claim(upstream) if one is not upstream]
+        moved = self._set_echoes(others)
+        if upstream.state.echo_index:
+            self._set_echoes([upstream])
         self._by_id[state.upstream_id] = upstream
         self._add_to_service(upstream)
         self._resolve_address(upstream)
-        return [upstream.state, *others]
-
-    def _raise_echo(self, upstream, index):
-        """Adopt a higher index of an echo; return the states that changed."""
-        if upstream.absent_since_ms is None:
-            upstream.keeps_echo = True
-        if index <= upstream.state.echo_index:
-            return []
-        self._echoes.release(upstream.state)
-        upstream.state = upstream.state.replace(echo_index=index)
-        others = self._claim_echo(upstream)
-        return [upstream.state, *others]
-
-    def _claim_echo(self, upstream):
-        """Claim an upstream's echo; return the states of others that lost theirs."""
-        others = [one for one in self._echoes.claim(upstream) if one is not upstream]
-        for one in (upstream, *others):
-            if one.state.echo_index:
-                self._set_echo(one)
-        return [one.state for one in others]
-
-    def _set_echo(self, upstream):
-        state = upstream.state
-        upstream.echo = upstream_echo(state.upstream_id, state.echo_index)
-        for index in range(state.echo_index):
-            former = upstream_echo(state.upstream_id, index)
-            holders = self._former_holders.setdefault(former, [])
-            if upstream not in holders:
-                holders.insert(0, upstream)
+        return [upstream.state, *moved]
+
+    def _set_echoes(self, moved):
+        """Set the echoes of upstreams whose index rose; return their states."""
+        for upstream in moved:
+            state = upstream.state
+            upstream.echo = upstream_echo(state.upstream_id, state.echo_index)
+            for index in range(state.echo_index):
+                former = upstream_echo(state.upstream_id, index)
+                holders = self._former_holders.setdefault(former, [])
+                if upstream not in holders:
+                    holders.insert(0, upstream)
+        return [upstream.state for upstream in moved]
 
     def _resolve_address(self, upstream):
         """Mark the older of two upstreams at an address; its process has ended."""
--- a/knapweeddeal/upstreamechoes.py
+++ b/knapweeddeal/upstreamechoes.py
@@ -124,6 +124,17 @@
             )
         )
 
+    def adopt_index(self, holder, index):
+        """Adopt a higher index that another process found.
+
+        Return the holders whose index rose.
+        """
+        if index <= holder.state.echo_index:
+            return []
+        self.release(holder.state)
+        holder.state = holder.state.replace(echo_index=index)
+        return [holder, *self.claim(holder)]
+
     def release(self, state):
         """Remove the claim of a state, unless another upstream holds its echo."""
         echo = upstream_echo(state.upstream_id, state.echo_index)
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -173,10 +173,10 @@
         entry = self._entries.get(state.upstream_id)
         if entry is None:
             return self._apply(state, now_ms)
-        moved = self._raise_echo(entry, state.echo_index)
+        moved = self._echoes.adopt_index(entry, state.echo_index)
         if state.echo_index < entry.state.echo_index:
             state = state.replace(echo_index=entry.state.echo_index)
-        return moved + self._apply(state, now_ms)
+        return [one.state for one in moved] + self._apply(state, now_ms)
 
     def apply_states(self, states, now_ms):
         """Apply states from another replica; return the states that changed."""
@@ -185,15 +185,6 @@
             changed += self.apply_state(state, now_ms)
         return changed
 
-    def _raise_echo(self, entry, index):
-        """Adopt a higher index of an echo; return the states that changed."""
-        if index <= entry.state.echo_index:
-            return []
-        self._echoes.release(entry.state)
-        entry.state = entry.state.replace(echo_index=index)
-        others = self._claim_echo(entry)
-        return [entry.state, *others]
-
     def _apply(self, state, now_ms):
         entry = self._entries.get(state.upstream_id)
         if entry is not None and not _is_superseded(entry.state, state):
@@ -233,19 +224,15 @@
         )
         # One that this replica learns of by its report, as the first one, is new.
         is_new = state.home == self._own_identity and not state.hint
-        others = self._claim_echo(entry, is_new=is_new)
+        moved = self._echoes.claim(entry, is_new=is_new)
         self._note_heartbeat(entry.state)
+        others = [other.state for other in moved if other is not entry]
         return [*others, *self._displace(entry.state), entry.state]
 
     def _note_heartbeat(self, state):
         if state.home == self._own_identity:
             self._unsent_heartbeats[state.upstream_id] = state
 
-    def _claim_echo(self, entry, *, is_new=False):
-        """Claim the echo of an entry; return the states of others that lost theirs."""
-        moved = self._echoes.claim(entry, is_new=is_new)
-        return [other.state for other in moved if other is not entry]
-
     def defer_departure(self, upstream_id):
         """Count an upstream as gone once it is silent, unless it reports before."""
         self._entries[upstream_id].is_departing = True
--- a/tests/test_upstreamechoes.py
+++ b/tests/test_upstreamechoes.py
@@ -222,6 +222,23 @@
         self.assertIs(new, pool.find_by_echo(new.echo))
 
 
+class LearnedAfterMove(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A forwarder that starts after a move leads older flows to their upstream."""
+
+    scenarios = [
+        ("other service", {"holder": {"service": "sheets"}}),
+        ("holder unknown", {"holder": None}),
+    ]
+
+    def test_packet(self):
+        moved = colliding_state(1, echo_index=1)
+        known = [moved] if self.holder is None else [colliding_state(0, **self.holder)]
+        harness = ForwarderHarness(routes=[route()], states=[*known, moved])
+        former_echo = upstream_echo(moved.upstream_id, 0)
+        ((_, address),) = harness.handle_packet(packet(echo=former_echo, data=b"x"))
+        self.assertEqual(moved.host, address[0])
+
+
 class MovedEcho(testscenarios.TestWithScenarios, testtools.TestCase):
     """Flows of an upstream whose echo moved stay at it, and get its new echo.
 
