--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -5,7 +5,6 @@
 import socket
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -16,8 +15,6 @@
 BASE_VARIABLE = "KNAPWEEDDEAL_LOOPBACK"
 #: Time after SIGTERM at which a process is killed.
 STOP_S = 15
-#: Where Linux has a memory file system.
-MEMORY_FOLDER = "/dev/shm"
 
 
 def default_base():
@@ -25,17 +22,6 @@
     return 200 + os.getpid() % 55
 
 
-def use_memory_folder():
-    """Keep temporary folders on a memory file system, if there is one.
-
-    Replicas sync their files, which takes long on a disk that others use. `TMPDIR` is
-    left as it is if it is set; processes that this one starts inherit it.
-    """
-    if "TMPDIR" not in os.environ and os.access(MEMORY_FOLDER, os.W_OK | os.X_OK):
-        os.environ["TMPDIR"] = MEMORY_FOLDER
-        tempfile.tempdir = None
-
-
 class Cluster:
     """Start and stop daemons and stand-ins, each with a file for its output.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,6 @@
 import sys
 import time
 
-from demo.cluster import use_memory_folder
 from soak.cluster import FORWARDERS, ZONES, Cluster, wait_until
 from soak.faults import FAULTS, Faults, can_evacuate, can_remove
 from soak.peers import (
@@ -250,7 +249,6 @@
 
 def main():
     """Run seeds one after another; return the exit status."""
-    use_memory_folder()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "seeds", nargs="*", type=int, help="seeds; random ones if none is given"
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -15,7 +15,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from demo.cluster import BASE_VARIABLE, use_memory_folder
+from demo.cluster import BASE_VARIABLE
 
 ROOT = Path(__file__).resolve().parent.parent
 #: Processes that run tests concurrently.
@@ -205,7 +205,6 @@
 
 def main():
     """Run all tests or those of the command line; return the exit status."""
-    use_memory_folder()
     arguments = sys.argv[1:]
     if arguments[:1] == [ONE_MODULE_OPTION]:
         run_module_here(arguments[1])
