Test that echoes are kept by upstreams that return, and freed by removed ones

Found by taking out rules: a forwarder that let another upstream have the echo of one that is back, and a table that kept the echo of a removed one, failed no test.

--- a/tests/test_upstreamechoes.py
+++ b/tests/test_upstreamechoes.py
@@ -222,6 +222,45 @@
         self.assertIs(new, pool.find_by_echo(new.echo))
 
 
+class ReturnedUpstream(testscenarios.TestWithScenarios, testtools.TestCase):
+    """An upstream that is back keeps its echo, as flows may be open again."""
+
+    SILENT = colliding_state(0, sequence=2, silent=True)
+
+    scenarios = [
+        ("silent before", {"pushes": [([SILENT], False)]}),
+        ("not listed before", {"pushes": [([], True)]}),
+    ]
+
+    def test_index(self):
+        pool = ForwarderHarness(states=[colliding_state(0)]).pool
+        for states, whole in self.pushes:
+            pool.apply_states(states, 0, current=True, whole=whole)
+        pool.expire_upstreams(FLOW_RETENTION_MS)
+        for returned in (colliding_state(0, sequence=3), colliding_state(1)):
+            pool.apply_states([returned], FLOW_RETENTION_MS, current=True)
+        self.assertEqual([0, 1], [one.state.echo_index for one in pool.all()])
+
+
+class RemovedUpstream(testtools.TestCase):
+    """The echo of an upstream that was removed is free.
+
+    A replica whose table still led to it would move each new upstream.
+    """
+
+    def test_replica(self):
+        table = UpstreamTable(own_identity=1, report_ms=1_200)
+        table.apply_state(colliding_state(0), 0)
+        table.expire(now_ms=UPSTREAM_RETENTION_MS, current=True, linked=())
+        (changed,) = table.apply_state(colliding_state(1), UPSTREAM_RETENTION_MS)
+        self.assertEqual(0, changed.echo_index)
+
+    def test_forwarder(self):
+        pool = ForwarderHarness(states=[colliding_state(0, status=GONE)]).pool
+        pool.expire_upstreams(UPSTREAM_RETENTION_MS)
+        self.assertIsNone(pool.find_by_echo(upstream_echo(COLLIDING_IDS[0], 0)))
+
+
 class LearnedAfterMove(testscenarios.TestWithScenarios, testtools.TestCase):
     """A forwarder that starts after a move leads older flows to their upstream."""
 
