--- a/review/lab3/case.py
+++ b/review/lab3/case.py
@@ -58,14 +58,32 @@
 class Case:
     """Run the system, `per_service` backends of each service, and clients."""
 
-    def __init__(self, *, folder, per_service=4, cores=4, fronts=4):
+    def __init__(self, *, folder, per_service=4, cores=4, fronts=4, can_cut=False):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(Path(folder) / "record.txt")
-        self.system = System(cores=cores, fronts=fronts)
+        self.system = System(cores=cores, fronts=fronts, can_cut=can_cut)
         self.backends = []
         self.clients = None
         self._per_service = per_service
 
+    def add_backend(self, *, service, zone, backend_id=None, daemon=None):
+        """Start a backend, which reports to a core machine first if one is given."""
+        position = len(self.backends) + 1
+        backend = Backend(
+            system=self.system,
+            record=self.record,
+            backend_id=backend_id or f"i-7f3a9{position:03x}",
+            service=service,
+            zone=zone,
+            ip=self.system.address(BACKEND_GROUP, position),
+            client_ip=self.system.address(CLIENT_GROUP, 1),
+            daemon=daemon,
+        )
+        self.backends.append(backend)
+        if self.clients is not None:
+            self.clients.backends[backend.ip] = backend
+        return backend
+
     def start(self):
         """Start everything; return whether the system serves."""
         system = self.system
@@ -73,17 +91,7 @@
         client_ip = system.address(CLIENT_GROUP, 1)
         for service in ROUTES:
             for number in range(self._per_service):
-                position = len(self.backends) + 1
-                backend = Backend(
-                    system=system,
-                    record=self.record,
-                    backend_id=f"i-7f3a9{position:03x}",
-                    service=service,
-                    zone=ZONES[number % len(ZONES)],
-                    ip=system.address(BACKEND_GROUP, position),
-                    client_ip=client_ip,
-                )
-                self.backends.append(backend)
+                self.add_backend(service=service, zone=ZONES[number % len(ZONES)])
         if not system.publish(document(7)):
             return False
         self.record.write("operator: version 7 is confirmed")
--- a/review/lab3/peers.py
+++ b/review/lab3/peers.py
@@ -72,7 +72,18 @@
 class Backend:
     """Accept flows, answer requests and report its state as PROTOCOL.md says."""
 
-    def __init__(self, *, system, record, backend_id, service, zone, ip, client_ip):
+    def __init__(
+        self,
+        *,
+        system,
+        record,
+        backend_id,
+        service,
+        zone,
+        ip,
+        client_ip,
+        daemon=None,
+    ):
         self.id, self.service, self.zone, self.ip = backend_id, service, zone, ip
         self.port = 8_080
         self.ran = []
@@ -89,7 +100,8 @@
         self._isn = random.Random(self._number)
         self._socket = _udp((ip, self.port))
         self._health = http.server.ThreadingHTTPServer((ip, self.port), Health)
-        self._daemon = None
+        #: The core machine that confirmed the last report.
+        self._daemon = daemon
         for loop in (self._serve, self._beat, self._health.serve_forever):
             threading.Thread(target=loop, daemon=True).start()
 
--- a/review/lab3/system.py
+++ b/review/lab3/system.py
@@ -13,6 +13,7 @@
 import tomllib
 from pathlib import Path
 
+from review.lab3.corelinks import CoreLink, Cut
 from review.lab3.template import render
 
 __all__ = ["API_PORT", "DATA_PORT", "ROOT", "ZONES", "Machine", "System"]
@@ -29,7 +30,7 @@
     "flowMs": 2_000,
 }
 #: Part of a machine's address that follows the number of the run.
-CORE_GROUP, FRONT_GROUP = 1, 2
+CORE_GROUP, FRONT_GROUP, HIDDEN_GROUP = 1, 2, 5
 CALL_TIMEOUT_S = 1.0
 
 
@@ -40,6 +41,10 @@
         group = CORE_GROUP if role["on"] == "core" else FRONT_GROUP
         self.system = system
         self.ip = system.address(group, number + 1)
+        #: Address where it takes streams: behind a proxy if links can be cut.
+        self.stream_ip = self.ip
+        if system.cut is not None and role["on"] == "core":
+            self.stream_ip = system.address(HIDDEN_GROUP, number + 1)
         self.zone = ZONES[number % len(ZONES)]
         self.name = f"{role['on']}-{self.zone}-{number // len(ZONES) + 1}"
         self.role = role
@@ -85,7 +90,10 @@
     def start(self):
         """Start the process with the settings in effect now."""
         template = (ROOT / self.role["template"]).read_text(encoding="utf-8")
-        self.settings_path.write_text(render(template, self.fields()), encoding="utf-8")
+        settings = render(template, self.fields()).replace(
+            f"listen = {self.ip}:", f"listen = {self.stream_ip}:"
+        )
+        self.settings_path.write_text(settings, encoding="utf-8")
         self.first_start = False
         if self.role["on"] == "core":
             self.data_folder.mkdir(exist_ok=True)
@@ -130,7 +138,10 @@
 class System:
     """Run the core and front machines of a small deployment."""
 
-    def __init__(self, *, cores=4, fronts=4):
+    def __init__(self, *, cores=4, fronts=4, can_cut=False):
+        #: The `Cut` between core machines, or None if their streams aren't proxied.
+        self.cut = Cut() if can_cut else None
+        self._links = []
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.base = _free_base()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -158,6 +169,14 @@
 
     def start(self):
         """Start all machines."""
+        for machine in self.cores if self.cut is not None else ():
+            link = CoreLink(
+                name=machine.ip,
+                address=(machine.ip, FIRST_PORT),
+                target=(machine.stream_ip, FIRST_PORT),
+                cut=self.cut,
+            )
+            self._links.append(link)
         for machine in self.machines:
             machine.start()
 
@@ -165,6 +184,8 @@
         """End all processes and remove their files."""
         for machine in self.machines:
             machine.end()
+        for link in self._links:
+            link.close()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
