--- a/review/lab3/system.py
+++ b/review/lab3/system.py
@@ -105,6 +105,10 @@
                 self.role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
             )
 
+    def lose_disk(self):
+        """Remove all that a core machine's disk holds, while its process is down."""
+        shutil.rmtree(self.data_folder)
+
     def signal(self, number):
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -167,6 +171,19 @@
         """Return a loopback address of this run."""
         return f"127.{self.base}.{group}.{number}"
 
+    def add_core(self):
+        """Start one more core machine, with an empty disk; return it."""
+        role = self.cores[0].role
+        machine = Machine(system=self, role=role, number=len(self.cores))
+        machine.first_start = False
+        self.cores.append(machine)
+        machine.start()
+        return machine
+
+    def remove_core(self, machine):
+        """Forget a core machine whose process has ended, for good."""
+        self.cores.remove(machine)
+
     def start(self):
         """Start all machines."""
         for machine in self.cores if self.cut is not None else ():
