--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,84 +1,79 @@
-"""A report without `version`, from another writer, takes a backend's address."""
+"""One core machine is replaced as planned, then two others lose their disks."""
 
+import json
+import signal
 import time
 from pathlib import Path
 
-from review.lab3.case import BROKEN, COULD_NOT_RUN, HELD, ROUTES, Case
+from review.lab3.case import BROKEN, COULD_NOT_RUN, HELD, Case, document
 
-#: Id of the other writer's entry: no backend has it.
-STRANGER = "i-00c0ffee"
-FLOWS = 12
-REQUESTS = 30
-PAUSE_S = 0.5
+#: The core of the site: machines, and how many disks may be lost at once.
+CORES, TOLERATED = 5, 2
+#: Time that the new machine has before the old one leaves; `catchupS` is 6.
+SUCCESSOR_S = 20.0
+GRACE_S = 6.0
+CONTACT_S = 5.0
+#: Time that the wiped machines' processes are down.
+DOWN_S = 1.0
+#: `catchupS` and `recoverS`, and a reserve.
+WAIT_S = 6 + 15 + 9
 
 
-def stranger_report(backend):
-    """Return a backend's report as another writer sends it, without `version`."""
-    return {
-        "service": backend.service,
-        "addr": backend.addr,
-        "zone": backend.zone,
-        "slots": 2,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seq": 1,
-        "born": time.time_ns() // 1_000_000,
-    }
+def read_version(case):
+    """Return the version that a daemon answers a read of the config with, or 0."""
+    status, data = case.system.call("GET", "/-/config", None)
+    return json.loads(data)["version"] if status == 200 else 0
 
 
 def body(case):
-    """Open flows, let the other writer report once, and look for resets."""
-    clients, record = case.clients, case.record
-    port = ROUTES["desk"]
-    for _ in range(FLOWS):
-        clients.open(port, requests=REQUESTS, pause_s=PAUSE_S)
-        time.sleep(0.05)
-    time.sleep(2)
-    open_flows = [flow for flow in clients.flows.values() if flow.is_open]
-    if len(open_flows) < FLOWS:
-        record.write(f"only {len(open_flows)} of {FLOWS} flows opened")
+    """Replace a machine, wipe two others, and read the acknowledged config back."""
+    system, record = case.system, case.record
+    old, *victims = system.cores[: 1 + TOLERATED]
+    new = system.add_core()
+    record.write(f"{new.name} at {new.ip} is added, with an empty disk")
+    time.sleep(SUCCESSOR_S)
+    if not system.publish(document(8)):
         return COULD_NOT_RUN
-    victim = max(
-        (b for b in case.backends if b.service == "desk"),
-        key=lambda b: sum(flow.backend is b for flow in open_flows),
-    )
-    held = [flow for flow in open_flows if flow.backend is victim]
-    record.write(f"{victim.id} holds the flows {[flow.sport for flow in held]}")
-    reported_s = time.monotonic()
-    if case.trouble:
-        status, _ = case.system.call(
-            "PUT", f"/-/instances/{STRANGER}", stranger_report(victim)
-        )
-        record.write(f"other writer: a report without version got {status}")
-    time.sleep(6)
-    opened_before = victim.opened
-    for _ in range(60):
-        clients.open(port)
-        time.sleep(0.1)
-    time.sleep(2)
-    record.write(
-        f"{victim.id} has got {victim.opened - opened_before} of 60 new flows since"
-    )
-    broken = [
-        flow
-        for flow, is_system, at_s in clients.resets
-        if is_system and flow.backend is victim and at_s >= reported_s
-        and flow.sport not in victim.resets_sent
-    ]  # fmt: skip
-    record.write(
-        f"open flows of {victim.id}, which lives, that the system reset: "
-        f"{[flow.sport for flow in broken]}"
-    )
-    ran = {request_id for b in case.backends for request_id, _ in b.ran}
-    lost = [flow.request_id for flow in broken if flow.request_id not in ran]
-    record.write(
-        "unsafe requests on these flows, which clients don't repeat, that never ran: "
-        f"{lost}"
-    )
-    if any(machine.has_ended for machine in case.system.machines):
+    record.write("operator: version 8 is confirmed")
+    record.write(f"{old.name} gets SIGTERM, as planned work, and is removed for good")
+    old.signal(signal.SIGTERM)
+    old.process.wait(GRACE_S)
+    system.remove_core(old)
+    time.sleep(CONTACT_S + 1)
+    if not system.publish(document(9)):
         return COULD_NOT_RUN
-    return BROKEN if broken else HELD
+    record.write("operator: version 9 is confirmed")
+    time.sleep(1)
+    if case.trouble:
+        names = ", ".join(machine.name for machine in victims)
+        record.write(f"{names} lose their disks")
+        for machine in victims:
+            machine.end()
+            machine.lose_disk()
+        time.sleep(DOWN_S)
+        for machine in victims:
+            machine.start()
+        record.write(f"{names} are back, with empty disks")
+    until_s = time.monotonic() + WAIT_S
+    while time.monotonic() < until_s:
+        version = read_version(case)
+        if version:
+            record.write(f"operator: read back version {version}")
+            return HELD if version == 9 else BROKEN
+        time.sleep(0.5)
+    record.write(f"operator: no daemon answered a read within {WAIT_S} s")
+    if not system.publish(document(10), timeout_s=8):
+        record.write("operator: no daemon confirmed version 10 within 8 s")
+    if any(machine.has_ended for machine in system.machines):
+        record.write("a process ended by itself")
+    return BROKEN
 
 
 if __name__ == "__main__":
-    Case(folder=Path(__file__).parent).run(body)
+    Case(
+        folder=Path(__file__).parent,
+        per_service=1,
+        cores=CORES,
+        fronts=2,
+        tolerated=TOLERATED,
+    ).run(body)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,104 +1,84 @@
-"""Two backends start on both sides of a cut in the core and get the same echo."""
+"""A report without `version`, from another writer, takes a backend's address."""
 
-import json
-import re
-import signal
 import time
 from pathlib import Path
 
 from review.lab3.case import BROKEN, COULD_NOT_RUN, HELD, ROUTES, Case
 
-#: Ids of 16 digits, a host and a counter, whose halves yield the same 32-bit echo.
-FIRST_ID, SECOND_ID = "i-0000000a0000000b", "i-0000000b0000000a"
-CUT_S = 5.0
-FLOWS = 60
-#: Pause of a flow between its two requests, below `idleTimeoutMs`.
-PAUSE_S = 13.0
+#: Id of the other writer's entry: no backend has it.
+STRANGER = "i-00c0ffee"
+FLOWS = 12
+REQUESTS = 30
+PAUSE_S = 0.5
 
 
-def subscriptions(case):
-    """Return the core machines that each front machine gets its state from, by name."""
-    found = {front.name: set() for front in case.system.fronts}
-    for core in case.system.cores:
-        for line in core.log_path.read_text(errors="replace").splitlines():
-            if not re.search(r"(accepted a subscription|lost the stream) ", line):
-                continue
-            entry = json.loads(line)
-            names = found.get(entry.get("name"), set())
-            if "accepted" in entry["text"]:
-                names.add(core.ip)
-            else:
-                names.discard(core.ip)
-    return found
-
-
-def choose_front(case):
-    """Return a front machine and the two core machines that it gets its state from."""
-    for _ in range(20):
-        found = subscriptions(case)
-        for front in case.system.fronts:
-            if len(found[front.name]) == 2:
-                return front, found[front.name]
-        time.sleep(0.5)
-    return None, ()
+def stranger_report(backend):
+    """Return a backend's report as another writer sends it, without `version`."""
+    return {
+        "service": backend.service,
+        "addr": backend.addr,
+        "zone": backend.zone,
+        "slots": 2,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": time.time_ns() // 1_000_000,
+    }
 
 
 def body(case):
-    """Start the two backends, open flows, restart a front machine, look for resets."""
-    system, clients, record = case.system, case.clients, case.record
-    front, informers = choose_front(case)
-    if front is None:
-        record.write("no front machine gets its state from two core machines")
+    """Open flows, let the other writer report once, and look for resets."""
+    clients, record = case.clients, case.record
+    port = ROUTES["desk"]
+    for _ in range(FLOWS):
+        clients.open(port, requests=REQUESTS, pause_s=PAUSE_S)
+        time.sleep(0.05)
+    time.sleep(2)
+    open_flows = [flow for flow in clients.flows.values() if flow.is_open]
+    if len(open_flows) < FLOWS:
+        record.write(f"only {len(open_flows)} of {FLOWS} flows opened")
         return COULD_NOT_RUN
-    lonely = next(core for core in system.cores if core.ip not in informers)
-    near = next(core for core in system.cores if core.ip in informers)
-    if case.trouble:
-        system.cut.names = frozenset((lonely.ip,))
-        record.write(f"{lonely.name} is cut off from the other core machines")
-    cut_s = time.monotonic()
-    time.sleep(1.5)
-    first = case.add_backend(
-        service="desk", zone=lonely.zone, backend_id=FIRST_ID, daemon=lonely.ip
+    victim = max(
+        (b for b in case.backends if b.service == "desk"),
+        key=lambda b: sum(flow.backend is b for flow in open_flows),
     )
-    time.sleep(0.3)
-    second = case.add_backend(
-        service="desk", zone=front.zone, backend_id=SECOND_ID, daemon=near.ip
+    held = [flow for flow in open_flows if flow.backend is victim]
+    record.write(f"{victim.id} holds the flows {[flow.sport for flow in held]}")
+    reported_s = time.monotonic()
+    if case.trouble:
+        status, _ = case.system.call(
+            "PUT", f"/-/instances/{STRANGER}", stranger_report(victim)
+        )
+        record.write(f"other writer: a report without version got {status}")
+    time.sleep(6)
+    opened_before = victim.opened
+    for _ in range(60):
+        clients.open(port)
+        time.sleep(0.1)
+    time.sleep(2)
+    record.write(
+        f"{victim.id} has got {victim.opened - opened_before} of 60 new flows since"
     )
-    time.sleep(0.7)
-    for _ in range(FLOWS):
-        clients.open(ROUTES["desk"], requests=2, pause_s=PAUSE_S)
-        time.sleep(0.02)
-    time.sleep(max(cut_s + CUT_S - time.monotonic(), 0))
-    system.cut.heal()
-    record.write("the core machines reach each other")
-    held = [f for f in clients.flows.values() if f.is_open and f.backend is second]
-    record.write(f"{second.id} holds the flows {[flow.sport for flow in held]}")
-    if not held:
-        return COULD_NOT_RUN
-    time.sleep(1)
-    record.write(f"{front.name} gets SIGTERM, as planned work")
-    front.signal(signal.SIGTERM)
-    front.process.wait(6)
-    front.start()
-    record.write(f"{front.name} is started again")
-    time.sleep(max(cut_s + CUT_S + PAUSE_S + 1 - time.monotonic(), 0))
     broken = [
         flow
-        for flow, is_system, _ in clients.resets
-        if flow.backend is second and not is_system
-        and flow.sport not in second.resets_sent
+        for flow, is_system, at_s in clients.resets
+        if is_system and flow.backend is victim and at_s >= reported_s
+        and flow.sport not in victim.resets_sent
     ]  # fmt: skip
     record.write(
-        f"open flows of {second.id}, which lives, that another sender reset: "
-        f"{[flow.sport for flow in broken]}; {first.id} sent resets to "
-        f"{sorted(first.resets_sent)}"
+        f"open flows of {victim.id}, which lives, that the system reset: "
+        f"{[flow.sport for flow in broken]}"
+    )
+    ran = {request_id for b in case.backends for request_id, _ in b.ran}
+    lost = [flow.request_id for flow in broken if flow.request_id not in ran]
+    record.write(
+        "unsafe requests on these flows, which clients don't repeat, that never ran: "
+        f"{lost}"
     )
-    if any(machine.has_ended for machine in system.machines):
+    if any(machine.has_ended for machine in case.system.machines):
         return COULD_NOT_RUN
     return BROKEN if broken else HELD
 
 
 if __name__ == "__main__":
-    Case(
-        folder=Path(__file__).parent, per_service=2, cores=3, fronts=4, can_cut=True
-    ).run(body)
+    Case(folder=Path(__file__).parent).run(body)
--- a/review/lab3/case.py
+++ b/review/lab3/case.py
@@ -58,10 +58,11 @@
 class Case:
     """Run the system, `per_service` backends of each service, and clients."""
 
-    def __init__(self, *, folder, per_service=4, cores=4, fronts=4, can_cut=False):
+    def __init__(self, *, folder, per_service=4, **sizes):
+        """Prepare a run; `sizes` are the arguments of `System`."""
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(Path(folder) / "record.txt")
-        self.system = System(cores=cores, fronts=fronts, can_cut=can_cut)
+        self.system = System(**sizes)
         self.backends = []
         self.clients = None
         self._per_service = per_service
--- a/review/lab3/system.py
+++ b/review/lab3/system.py
@@ -19,7 +19,7 @@
 __all__ = ["API_PORT", "DATA_PORT", "ROOT", "ZONES", "Machine", "System"]
 
 ROOT = Path(__file__).resolve().parents[2]
-ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
 DATA_PORT, READY_PORT, API_PORT, FIRST_PORT, LAST_PORT = 7172, 7167, 7166, 7120, 7135
 #: Bounds of the small deployments on the users' pages.
 BOUNDS = {
@@ -83,7 +83,7 @@
             "limits": {"linkMbps": 1000.0 if is_core else 350.0},
             "dataDir": str(self.data_folder) if is_core else None,
             "heartbeatMs": 1_200,
-            "tolerate": {"machines": 1, "zones": 1, "regions": 0},
+            "tolerate": {"machines": self.system.tolerated, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
         }
 
@@ -142,7 +142,9 @@
 class System:
     """Run the core and front machines of a small deployment."""
 
-    def __init__(self, *, cores=4, fronts=4, can_cut=False):
+    def __init__(self, *, cores=4, fronts=4, can_cut=False, tolerated=1):
+        #: Machines with a disk that may be lost at once.
+        self.tolerated = tolerated
         #: The `Cut` between core machines, or None if their streams aren't proxied.
         self.cut = Cut() if can_cut else None
         self._links = []
