--- a/review/lab3/case.py
+++ b/review/lab3/case.py
@@ -1,8 +1,10 @@
 """Set up a small deployment with backends and clients for a case."""
 
 import os
+import signal
 import sys
 import time
+import traceback
 from pathlib import Path
 
 from review.lab3.peers import SERVICE_HOST, Backend, Clients, Record
@@ -11,6 +13,8 @@
 __all__ = ["BROKEN", "COULD_NOT_RUN", "HELD", "Case", "document"]
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+#: Longest time of a run, a little below the limit for scripts.
+LIMIT_S = 112
 BACKEND_GROUP, CLIENT_GROUP = 3, 4
 #: Ports of the routes by service, and the kinds of their requests.
 ROUTES = {"desk": 8_443, "archive": 8_080}
@@ -113,16 +117,25 @@
         self.system.close()
 
     def run(self, body):
-        """Run a case and exit with its result."""
+        """Run a case and exit with its result; an error says nothing on the rule."""
         result = COULD_NOT_RUN
+        signal.signal(signal.SIGALRM, _end_late)
+        signal.alarm(LIMIT_S)
         try:
             if self.start():
                 result = body(self)
             else:
                 self.record.write("the system doesn't serve after its start")
+        except Exception:
+            self.record.write(f"the case failed: {traceback.format_exc()}")
         finally:
+            signal.alarm(0)
             self.close()
         names = {HELD: "the rule held", BROKEN: "the rule was broken"}
         self.record.write(names.get(result, "the case could not run"))
         print(names.get(result, "the case could not run"))
         sys.exit(result)
+
+
+def _end_late(_number, _frame):
+    raise TimeoutError(f"the case takes longer than {LIMIT_S} s")
