--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from review.lab3.case import BROKEN, COULD_NOT_RUN, HELD, Case, document
+from review.lab3.system import call_one
 
 #: The core of the site: machines, and how many disks may be lost at once.
 CORES, TOLERATED = 5, 2
@@ -20,9 +21,15 @@
 
 
 def read_version(case):
-    """Return the version that a daemon answers a read of the config with, or 0."""
-    status, data = case.system.call("GET", "/-/config", None)
-    return json.loads(data)["version"] if status == 200 else 0
+    """Read the config at every daemon; return the highest version, or 0 for none."""
+    versions, answers = [], []
+    for machine in case.system.cores:
+        status, data = call_one(machine.ip, "GET", "/-/config", None)
+        answers.append(f"{machine.name} {status or 'no answer'}")
+        if status == 200:
+            versions.append(json.loads(data)["version"])
+    case.record.write(f"operator: reads got {', '.join(answers)}")
+    return max(versions, default=0)
 
 
 def body(case):
@@ -66,6 +73,7 @@
         record.write("operator: no daemon confirmed version 10 within 8 s")
     if any(machine.has_ended for machine in system.machines):
         record.write("a process ended by itself")
+        return COULD_NOT_RUN
     return BROKEN
 
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -63,6 +63,7 @@
         flow
         for flow, is_system, at_s in clients.resets
         if is_system and flow.backend is victim and at_s >= reported_s
+        and flow.sport in victim.open_ports
         and flow.sport not in victim.resets_sent
     ]  # fmt: skip
     record.write(
--- a/review/lab3/case.py
+++ b/review/lab3/case.py
@@ -102,7 +102,9 @@
         self.record.write("operator: version 7 is confirmed")
         if not system.wait_ready():
             return False
-        self.clients = Clients(system=system, record=self.record, ip=client_ip)
+        self.clients = Clients(
+            system=system, record=self.record, ip=client_ip, zone=ZONES[0]
+        )
         self.clients.backends = {backend.ip: backend for backend in self.backends}
         # Until the backends have reported, and the machines are in touch.
         time.sleep(5)
--- a/review/lab3/peers.py
+++ b/review/lab3/peers.py
@@ -25,7 +25,8 @@
 #: Largest distance of a reset's `seq` from the client's last `ack`.
 RESET_WINDOW = 76_800
 BEAT_S = 1.2
-SERVICE_HOST = "198.18.0.1"
+#: The routes' address in packets; nothing is sent there.
+SERVICE_HOST = "127.9.9.9"
 
 
 class Record:
@@ -88,6 +89,8 @@
         self.port = 8_080
         self.ran = []
         self.opened = 0
+        #: Ports of the clients whose handshake ended here.
+        self.open_ports = set()
         self.resets_sent = set()
         self.state = "ready"
         self.alive = True
@@ -132,14 +135,19 @@
 
     def _beat(self):
         while self.alive:
-            body = self.report()
             order = [m.ip for m in self._system.cores]
             random.shuffle(order)
             if self._daemon in order:
                 order.remove(self._daemon)
                 order.insert(0, self._daemon)
             for ip in order:
+                # Each call has a `seq` of its own, also one that repeats another.
+                body = self.report()
                 status, _ = call_one(ip, "PUT", f"/-/instances/{self.id}", body)
+                self._record.write(
+                    f"{self.id}: report {body['seq']}, {body['state']}, "
+                    f"got {status or 'no answer'} from {ip}"
+                )
                 if 200 <= status < 300:
                     self._daemon = ip
                     if body["state"] == "draining" and not self.confirmed_draining_s:
@@ -189,6 +197,7 @@
                 return
             flow["open"], flow["seq"] = True, ack
             self.opened += 1
+            self.open_ports.add(key[1])
             self._record.write(f"{self.id}: flow {sport} is open")
         if body:
             self._answer(key, flow, seq, body)
@@ -244,8 +253,8 @@
 class Clients:
     """Open flows through the forwarders in rotation, and keep what they saw."""
 
-    def __init__(self, *, system, record, ip):
-        self.ip = ip
+    def __init__(self, *, system, record, ip, zone):
+        self.ip, self._zone = ip, zone
         self.flows = {}
         self.ended = []
         self.answers = []
@@ -258,7 +267,7 @@
         self._ports = itertools.count(20_000)
         self._ids = itertools.count(1)
         self._random = random.Random(1)
-        self._rotation = list(system.fronts)
+        self._rotation = [f for f in system.fronts if f.zone == zone]
         self._misses = dict.fromkeys(system.fronts, 0)
         self._running = True
         for loop in (self._run, self._receive, self._probe):
@@ -288,11 +297,18 @@
         while self._running:
             for front in self._system.fronts:
                 self._misses[front] = 0 if front.is_ready() else self._misses[front] + 1
-            ready = [f for f in self._system.fronts if self._misses[f] < 2]
-            half = len(self._system.fronts) / 2
-            self._rotation = ready if len(ready) >= half else self._system.fronts
+            self._rotation = self._in_rotation()
             time.sleep(0.5)
 
+    def _in_rotation(self):
+        """Return the machines that the routers choose among for the clients' zone."""
+        ready = [f for f in self._system.fronts if self._misses[f] < 2]
+        own = [f for f in self._system.fronts if f.zone == self._zone]
+        own_ready = [f for f in ready if f.zone == self._zone]
+        if not own_ready:
+            return ready or own
+        return own_ready if 2 * len(own_ready) >= len(own) else own
+
     def _send(self, flow, flags, seq, ack, *, echo, body=b""):
         rotation = self._rotation
         front = rotation[hash((flow.sport, flow.dport)) % len(rotation)]
--- a/review/lab3/system.py
+++ b/review/lab3/system.py
@@ -20,6 +20,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
+#: Zones of the front machines: the clients' one has three.
+FRONT_ZONES = ("zone-a", "zone-a", "zone-a", "zone-b")
 DATA_PORT, READY_PORT, API_PORT, FIRST_PORT, LAST_PORT = 7172, 7167, 7166, 7120, 7135
 #: Bounds of the small deployments on the users' pages.
 BOUNDS = {
@@ -32,6 +34,7 @@
 #: Part of a machine's address that follows the number of the run.
 CORE_GROUP, FRONT_GROUP, HIDDEN_GROUP = 1, 2, 5
 CALL_TIMEOUT_S = 1.0
+SEEDS = 3
 
 
 class Machine:
@@ -45,8 +48,9 @@
         self.stream_ip = self.ip
         if system.cut is not None and role["on"] == "core":
             self.stream_ip = system.address(HIDDEN_GROUP, number + 1)
-        self.zone = ZONES[number % len(ZONES)]
-        self.name = f"{role['on']}-{self.zone}-{number // len(ZONES) + 1}"
+        zones = ZONES if role["on"] == "core" else FRONT_ZONES
+        self.zone = zones[number % len(zones)]
+        self.name = f"{role['on']}-{self.zone}-{number + 1}"
         self.role = role
         self.process = None
         self.first_start = True
@@ -155,15 +159,18 @@
         self.cores, self.fronts = [], []
         counts = {"core": cores, "front": fronts}
         machines = {"core": self.cores, "front": self.fronts}
-        self.seeds = [
-            f"{self.address(CORE_GROUP, n + 1)}:{API_PORT}"
-            for n in range(min(cores, 3))
-        ]
         for role in roles.values():
             for number in range(counts[role["on"]]):
                 machine = Machine(system=self, role=role, number=number)
                 machines[role["on"]].append(machine)
 
+    @property
+    def seeds(self):
+        """Return three machines of the operator's list, running ones if there are."""
+        running = [m for m in self.cores if m.process is not None and not m.has_ended]
+        chosen = running if len(running) >= SEEDS else self.cores
+        return [f"{machine.ip}:{API_PORT}" for machine in chosen[:SEEDS]]
+
     @property
     def machines(self):
         """Return all machines."""
