Leave the quorum before a planned stop and while out of reach

Cause: a replica that stopped as planned, or was killed, stayed a member of the log until it had been out of reach for 20 s, as a removed member is forgotten by the directory too. Six members of which one was gone don't survive two lost disks. The log lines 'membership changed' name six members from the addition on.

Change: leaving the quorum and being forgotten are two things. A replica that gets SIGTERM leaves the quorum before it ends. A member out of reach for 500 ms becomes a nonvoter if the quorum survives more further losses without it; the log lists it, so directory and forwarders keep it, and it votes again once it is back. The recorded number of members isn't used any more.

The paused member of Replacements may be a nonvoter now, and must be a member again once it is back.

--- a/knapweeddeal/configurationstate.py
+++ b/knapweeddeal/configurationstate.py
@@ -19,6 +19,7 @@
     ConfirmRecord,
     MemberCountRecord,
     MembershipRecord,
+    NonvoterRecord,
     PlanRecord,
     StateImage,
     StoredPlan,
@@ -59,7 +60,7 @@
     """
 
     __slots__ = ("_clock_ms", "_plans", "_result_bytes", "_results", "configuration")
-    __slots__ += ("evacuations", "packets", "settled_members")
+    __slots__ += ("evacuations", "nonvoters", "packets", "settled_members")
 
     def __init__(self):
         self.configuration = Configuration(version=0, services=[])
@@ -67,8 +68,11 @@
             revision=0, routes=[], document=b"", services=[]
         )
         self.evacuations = NO_EVACUATIONS
-        #: Last recorded number of members; 0 if none is recorded.
+        #: Last number of members that an earlier version recorded, or 0; it is kept
+        #: for replicas of that version.
         self.settled_members = 0
+        #: Replicas that left the quorum while out of reach and may join it again.
+        self.nonvoters = []
         self._clock_ms = 0
         self._plans = {}
         self._results = {}
@@ -87,6 +91,7 @@
                 packets=self.packets,
                 evacuations=self.evacuations,
                 settled_members=self.settled_members,
+                nonvoters=self.nonvoters,
             )
         )
 
@@ -104,6 +109,7 @@
             "evacuation_version": self.evacuations.version,
             "evacuated_zones": evacuated_names(self.evacuations),
             "settled_members": self.settled_members,
+            "nonvoters": [replica.name for replica in self.nonvoters],
             "services": len(self.configuration.services),
             "plans": len(self._plans),
             "results": len(self._results),
@@ -119,6 +125,7 @@
         self.packets = image.packets
         self.evacuations = image.evacuations
         self.settled_members = image.settled_members
+        self.nonvoters = image.nonvoters
         self._clock_ms = image.clock_ms
         self._plans = {plan.plan_id: plan for plan in image.plans}
         self._results = {
@@ -271,6 +278,12 @@
     return record
 
 
+@_apply.register
+def _(record: NonvoterRecord, state, _index):
+    state.nonvoters = record.replicas
+    return record
+
+
 def _conflict_error(version):
     return ConflictError(
         f"version {version} was confirmed first", field="version", value=version
--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -36,11 +36,13 @@
 from knapweeddeal.messages.packets import ReplicaNotice
 from knapweeddeal.messages.replication import (
     InitialMembership,
-    MemberCountRecord,
     MembershipRecord,
+    NonvoterRecord,
     ReplicaState,
+    StopNotice,
 )
 from knapweeddeal.packetevents import ReplicatedStateChanged
+from knapweeddeal.plannedstop import PlannedStop
 from knapweeddeal.replicalink import LinkDown, LinkUp
 from knapweeddeal.replicareconciler import ReplicaReconciler
 
@@ -54,6 +56,10 @@
 HUB_REPORT_INTERVAL_MS = 400
 #: Maximum number of events handled before the results are persisted and sent.
 MAX_EVENTS_PER_STEP = 256
+#: Time for which a notice of a planned stop counts; it is repeated until the stop.
+STOP_NOTICE_LIFE_MS = 1_000
+#: Longest pause between checks whether a planned stop is complete.
+STOP_CHECK_INTERVAL_MS = 50
 #: Commands of more bytes are applied in a thread, as heartbeats can't wait for them.
 MAX_BYTES_IN_LOOP = 64 * 1024
 
@@ -76,7 +82,8 @@
         "_replica",
         "_replies",
         "_settings",
-        "_stop_deadline_ms",
+        "_stop",
+        "_stopping_until_ms",
         "_reported_hub_state",
         "_logged_leader",
         "_dialed_members",
@@ -105,7 +112,10 @@
         self._replies = {}
         self._next_call_id = 1
         self._pushed_version = 0
-        self._stop_deadline_ms = 0
+        #: The `PlannedStop` in progress, or None.
+        self._stop = None
+        #: Until when other replicas count as stopping, by identity.
+        self._stopping_until_ms = {}
         self._logged_leader = None
         self._dialed_members = set()
         #: Each Ready that is persisted and sent but not applied, in order, and whether
@@ -194,18 +204,14 @@
             last_index=self._replica.node.log.last_index,
         )
         await self._dial(self._settings.control.values())
-        while not self._has_stopped():
+        while self._stop is None or not self._stop.is_complete(monotonic_ms()):
             await self._step()
         log.info("stopped", name=self._own_replica.name)
 
-    def _has_stopped(self):
-        if not self._stop_deadline_ms:
-            return False
-        is_leader = self._replica.node.leader == self._own_replica.identity
-        return not is_leader or monotonic_ms() >= self._stop_deadline_ms
-
     async def _step(self):
         wait_ms = max(self._replica.next_ms - monotonic_ms(), 0)
+        if self._stop is not None:
+            wait_ms = min(wait_ms, STOP_CHECK_INTERVAL_MS)
         event = await curio.ignore_after(wait_ms / 1000, self._events.get)
         handled = 0
         while event is not None:
@@ -220,6 +226,7 @@
         await self._persist_commit_index()
         await self._report_to_leader()
         await self._reconcile_members()
+        await self._announce_stop()
         await self._dial_members()
         await self._report_to_hub()
 
@@ -229,26 +236,54 @@
                 await self._links.connect_to(address)
 
     async def _dial_members(self):
-        members = set(self._replica.node.log.replicas)
-        if members != self._dialed_members:
-            self._dialed_members = members
-            names = sorted(replica.name for replica in members)
-            log.info("membership changed", members=names)
-            addresses = frozenset((replica.host, replica.port) for replica in members)
+        members = frozenset(self._replica.node.log.replicas)
+        nonvoters = frozenset(self._replica.state.nonvoters) - members
+        if (members, nonvoters) != self._dialed_members:
+            self._dialed_members = (members, nonvoters)
+            log.info(
+                "membership changed",
+                members=sorted(replica.name for replica in members),
+                nonvoters=sorted(replica.name for replica in nonvoters),
+            )
+            known = members | nonvoters
+            addresses = frozenset((replica.host, replica.port) for replica in known)
             self._links.members = addresses
             await self._dial(addresses)
 
+    async def _announce_stop(self):
+        """Ask the leader, whichever replica that is, to remove this member."""
+        if self._stop is None or not self._stop.pop_notice_due(monotonic_ms()):
+            return
+        for outbox in self._cluster.outboxes():
+            await outbox.offer(StopNotice())
+
+    def _stopping(self, now_ms):
+        """Return the identities of the replicas that stop as planned."""
+        self._stopping_until_ms = {
+            identity: until_ms
+            for identity, until_ms in self._stopping_until_ms.items()
+            if now_ms < until_ms
+        }
+        return self._stopping_until_ms.keys()
+
     async def _reconcile_members(self):
         """Propose to add a candidate or remove a lost member, one at a time."""
         replica, reconciler, now_ms = self._replica, self._reconciler, monotonic_ms()
-        node, connected = replica.node, replica.connected
+        node, connected, state = replica.node, replica.connected, replica.state
         if not self._settings.heals_itself:
             return
-        if node.leader != self._own_replica.identity:
-            reconciler.observe(node, connected, now_ms)
+        is_leader = node.leader == self._own_replica.identity
+        if not is_leader or self._unapplied:
+            # A leader whose state lags doesn't know what is in force.
+            reconciler.observe(node, connected, now_ms, state.nonvoters)
             return
-        settled_members = replica.state.settled_members
-        record = reconciler.step(node, connected, now_ms, settled_members)
+        record = reconciler.step(
+            node,
+            connected,
+            now_ms,
+            nonvoters=state.nonvoters,
+            stopping=self._stopping(now_ms),
+        )
         if record is None:
             return
         try:
@@ -275,9 +310,9 @@
         )
 
     @_propose.register
-    def _(self, record: MemberCountRecord):
+    def _(self, record: NonvoterRecord):
         self._replica.node.propose_optional(encode_command(record).data)
-        log.info("proposed the number of members to restore", members=record.members)
+        log.info("proposed nonvoters", nonvoters=[r.name for r in record.replicas])
 
     async def _report_to_hub(self):
         replica, now_ms = self._replica, monotonic_ms()
@@ -289,7 +324,12 @@
         self._next_hub_report_ms = now_ms + HUB_REPORT_INTERVAL_MS
         packets, evacuations, current = hub_state
         connected = replica.connected.values()
-        members = [*replica.node.log.replicas, *connected, self._own_replica]
+        members = [
+            *state.nonvoters,
+            *replica.node.log.replicas,
+            *connected,
+            self._own_replica,
+        ]
         await self._hub_events.put(
             ReplicatedStateChanged(
                 configuration=packets,
@@ -480,12 +520,19 @@
 
     @_handle.register
     async def _(self, _event: StopRequest):
-        """Transfer leadership; stop once that is complete or times out."""
-        if self._stop_deadline_ms:
+        """Transfer leadership and leave the quorum before the stop."""
+        if self._stop is not None:
             return
-        is_transferring = self._replica.node.transfer()
-        timeout_ms = self._settings.stop_ms if is_transferring else 0
-        self._stop_deadline_ms = monotonic_ms() + timeout_ms
+        node, settings = self._replica.node, self._settings
+        is_transferring = node.transfer()
+        should_leave = settings.heals_itself and self._reconciler.should_leave(node)
+        self._stop = PlannedStop(
+            node=node,
+            should_leave=should_leave,
+            transfer_ms=settings.stop_ms if is_transferring else 0,
+            now_ms=monotonic_ms(),
+        )
+        log.info("stopping", transfers=is_transferring, leaves=should_leave)
 
     # Messages from replicas of the same cluster.
 
@@ -498,6 +545,11 @@
         """Connect back to a replica that connected to this one."""
         await self._links.connect_to((message.replica.host, message.replica.port))
 
+    @_handle_peer.register
+    async def _(self, _message: StopNotice, event):
+        until_ms = monotonic_ms() + STOP_NOTICE_LIFE_MS
+        self._stopping_until_ms[event.sender] = until_ms
+
     @_handle_peer.register
     async def _(self, message: ReplicaNotice, _event):
         await self._dial([(message.replica.host, message.replica.port)])
--- a/knapweeddeal/messages/replication.py
+++ b/knapweeddeal/messages/replication.py
@@ -19,10 +19,12 @@
     "LeadershipTransfer",
     "MemberCountRecord",
     "MembershipRecord",
+    "NonvoterRecord",
     "PlanRecord",
     "ReplicaState",
     "SnapshotFile",
     "StateImage",
+    "StopNotice",
     "StoredPlan",
     "StoredResult",
 ]
@@ -63,7 +65,10 @@
 
 
 class MemberCountRecord(Message):
-    """Record how many members the membership has when no VM is replaced."""
+    """Record how many members there are when no VM is replaced.
+
+    Earlier versions write and use it.
+    """
 
     tag = 194
     schema = {
@@ -74,6 +79,26 @@
     __slots__ = tuple(schema)
 
 
+class NonvoterRecord(Message):
+    """List the replicas that left the quorum while out of reach, all of them."""
+
+    tag = 234
+    schema = {
+        "operator": Text(max_chars=64),
+        "request_id": REQUEST_ID,
+        "replicas": ListOf(Nested(Replica), max_items=64),
+    }
+    __slots__ = tuple(schema)
+
+
+class StopNotice(Message):
+    """Report that the sender stops as planned and is about to leave the quorum."""
+
+    tag = 235
+    schema = {}
+    __slots__ = ()
+
+
 class LeadershipTransfer(Message):
     """Request that a caught-up replica starts an election at once."""
 
@@ -160,9 +185,10 @@
         "packets": Nested(PacketConfiguration),
         "evacuations": Nested(Evacuations),
         "settled_members": Integer(),
+        "nonvoters": ListOf(Nested(Replica), max_items=64),
     }
     __slots__ = tuple(schema)
-    defaults = (NO_EVACUATIONS.to_wire(), 0)
+    defaults = (NO_EVACUATIONS.to_wire(), 0, [])
 
 
 class IdentityFile(Message):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -96,22 +96,45 @@
 class ControlProcesses:
     """Run control replicas in a temporary folder."""
 
-    def __init__(self, *, count=3, timing=None, start=True, fault_injection=False):
+    def __init__(
+        self,
+        *,
+        count=3,
+        timing=None,
+        control=None,
+        start=True,
+        fault_injection=False,
+    ):
         self.folder = Path(tempfile.mkdtemp(prefix="control-"))
         self._fault_injection = fault_injection
         self.addresses = {}
         self.daemons = {}
         self.timing = {"election_ms": 300, "heartbeat_ms": 100, **(timing or {})}
-        for number in range(count):
-            host = f"127.0.0.{number + 11}"
-            self.addresses["abcdefg"[number]] = (host, free_port(host))
+        #: Further settings in the section of the role.
+        self.control = control or {}
+        for name in "abcdefg"[:count]:
+            self._add_address(name)
         for name in list(self.addresses):
             self.daemons[name] = self._daemon(name)
         if start:
             for daemon in self.daemons.values():
                 daemon.start()
 
-    def _daemon(self, name):
+    def _add_address(self, name):
+        host = f"127.0.0.{'abcdefg'.index(name) + 11}"
+        self.addresses[name] = (host, free_port(host))
+
+    def add_empty(self, name):
+        """Start one more replica with an empty folder, which may only join."""
+        self._add_address(name)
+        self.daemons[name] = self._daemon(name, may_found="false")
+        self.daemons[name].start()
+
+    def remove(self, name):
+        """Forget a replica whose process has ended."""
+        del self.daemons[name], self.addresses[name]
+
+    def _daemon(self, name, **control):
         listed = [f"{n}={h}:{p}" for n, (h, p) in self.addresses.items()]
         host, port = self.addresses[name]
         sections = {
@@ -122,7 +145,11 @@
                 "listen": f"{host}:{port}",
                 "control": ", ".join(listed),
             },
-            "control": {"data_folder": self.data_folder(name)},
+            "control": {
+                "data_folder": self.data_folder(name),
+                **self.control,
+                **control,
+            },
             "timing": self.timing,
         }
         return Daemon(
--- a/tests/test_configurationstate.py
+++ b/tests/test_configurationstate.py
@@ -8,6 +8,7 @@
 
 from knapweeddeal import configurationstate
 from knapweeddeal.configurationstate import ConfigurationState
+from knapweeddeal.messages.control import Replica
 from knapweeddeal.messages.operator import ConfirmAnswer, FailureAnswer, IntentStep
 from knapweeddeal.messages.packets import (
     PacketConfiguration,
@@ -18,6 +19,7 @@
     ConfirmRecord,
     MemberCountRecord,
     MembershipRecord,
+    NonvoterRecord,
     PlanRecord,
 )
 from tests.packetfakes import route
@@ -228,11 +230,33 @@
             self.assertEqual(count, self.restored.settled_members)
 
     def test_snapshot_without_the_field(self):
-        image = msgpack.packb(msgpack.unpackb(self.state.encode_snapshot())[:-1])
+        image = msgpack.packb(msgpack.unpackb(self.state.encode_snapshot())[:-2])
         self.state.restore(image)
         self.assertEqual(0, self.state.settled_members)
 
 
+class Nonvoters(StateTest):
+    """Nonvoters outlive restarts; snapshots of earlier versions have none.
+
+    Guards against a member that is forgotten, as all replicas restart while it is out
+    of reach.
+    """
+
+    def test_last_record_counts(self):
+        for identities in ((2,), (2, 3), ()):
+            replicas = [
+                Replica(name=f"r{one}", identity=one, host="127.0.0.1", port=one)
+                for one in identities
+            ]
+            self.apply(NonvoterRecord(operator="", request_id="", replicas=replicas))
+            self.assertEqual(replicas, self.restored.nonvoters)
+
+    def test_snapshot_without_the_field(self):
+        image = msgpack.packb(msgpack.unpackb(self.state.encode_snapshot())[:-1])
+        self.state.restore(image)
+        self.assertEqual([], self.state.nonvoters)
+
+
 class MemoryBounds(testscenarios.TestWithScenarios, StateTest):
     """Memory is bounded, and evicted commands can't take effect twice."""
 
--- a/tests/test_controlcore.py
+++ b/tests/test_controlcore.py
@@ -11,7 +11,7 @@
 from knapweeddeal.commandrecords import prepare_publication
 from knapweeddeal.configurationstate import ConfigurationState
 from knapweeddeal.controlcore import MAX_BYTES_IN_LOOP, ControlCore
-from knapweeddeal.controlevents import OperatorRequest
+from knapweeddeal.controlevents import OperatorRequest, PeerMessage
 from knapweeddeal.controlreplica import ControlReplica
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.messages.control import Replica
@@ -21,7 +21,12 @@
     PublishAnswer,
     PublishedRoutesRequest,
 )
-from knapweeddeal.messages.replication import ReplicaState
+from knapweeddeal.messages.replication import (
+    NonvoterRecord,
+    ReplicaState,
+    StopNotice,
+)
+from knapweeddeal.packetevents import ReplicatedStateChanged
 from knapweeddeal.replicalink import LinkUp
 from knapweeddeal.storage import DataFolder
 from tests.packetfakes import route
@@ -218,3 +223,53 @@
         await task.cancel()
         sent = [call.args[0] for call in outbox.offer.call_args_list]
         return next(message for message in sent if isinstance(message, ReplicaState))
+
+
+class Nonvoters(testtools.TestCase):
+    """A replica lists nonvoters to its directory and connects to them.
+
+    Guards against two homes of a cold upstream, as a home that is cut off for a short
+    time was no longer asked, and against a member that isn't looked for any more.
+    """
+
+    OTHER = Replica(name="r2", identity=2, host="127.0.0.1", port=2)
+
+    def test_listed(self):
+        curio.run(self.run_core)
+
+    async def run_core(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        data = DataFolder(path=folder.name, new_identity=lambda: 1)
+        self.addCleanup(data.close)
+        links = mock.Mock(connect_to=mock.AsyncMock())
+        events, hub_events = curio.Queue(), curio.Queue()
+        core = ControlCore(
+            settings=SETTINGS,
+            folder=data,
+            events=events,
+            links=links,
+            hub_events=hub_events,
+        )
+        task = await curio.spawn(core.run)
+        record = NonvoterRecord(operator="", request_id="", replicas=[self.OTHER])
+        core._replica.state.apply(1, record)
+        replicas = []
+        while self.OTHER not in replicas:
+            event = await curio.timeout_after(5, hub_events.get)
+            if isinstance(event, ReplicatedStateChanged):
+                replicas = event.replicas
+        await self.check_stop_notice(core, events)
+        await task.cancel()
+        links.connect_to.assert_any_call(("127.0.0.1", 2))
+        self.assertIn(("127.0.0.1", 2), links.members)
+
+    async def check_stop_notice(self, core, events):
+        """Check that a notice of a replica counts for a time."""
+        notice = PeerMessage(sender=2, cluster=core.cluster, message=StopNotice())
+        await events.put(notice)
+        while not core._stopping_until_ms:
+            await curio.sleep(0.01)
+        until_ms = core._stopping_until_ms[2]
+        self.assertEqual({2}, set(core._stopping(until_ms - 1)))
+        self.assertEqual(set(), set(core._stopping(until_ms)))
--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -321,6 +321,55 @@
         self.assertEqual("", group.daemons[leader].errors())
 
 
+class PlannedReplacement(testscenarios.TestWithScenarios, GroupTest):
+    """A loss of disks follows the end of a VM whose replacement has joined.
+
+    Guards against a member that left for good and still counts: the loss of as many
+    disks as are tolerated left the log without a leader for good.
+    """
+
+    scenarios = [
+        ("three members, a follower", {"count": 3, "losses": 1, "leads": False}),
+        ("three members, the leader", {"count": 3, "losses": 1, "leads": True}),
+        ("five members, the leader", {"count": 5, "losses": 2, "leads": True}),
+    ]
+
+    def test_change(self):
+        control = {"heals_itself": "true", "tolerated_losses": self.losses}
+        group = self.start_group(count=self.count, control=control)
+        group.add_empty("g")
+        self.wait_for_members(self.count + 1)
+        self.change(1)
+        old = self.leader() if self.leads else self.followers()[0]
+        self.assertEqual(0, group.daemons[old].stop())
+        group.remove(old)
+        lost = [name for name in group.daemons if name != "g"][: self.losses]
+        for name in lost:
+            group.daemons[name].kill()
+            group.wipe_disk(name)
+        for name in lost:
+            group.daemons[name].start()
+        version = wait_until(lambda: self.change_or_none(2), "a change")
+        self.assertEqual(2, version)
+        self.assertEqual(["service-1", "service-2"], self.services())
+
+    def wait_for_members(self, count):
+        """Wait until the log has a number of members."""
+
+        def has_members():
+            answer = self.group.request_leader(ReplicasRequest())
+            return len(answer.members) == count
+
+        wait_until(has_members, f"{count} members")
+
+    def change_or_none(self, number):
+        """Return the version of a change, or None while there is no majority."""
+        try:
+            return self.change(number)
+        except NoQuorumError:
+            return None
+
+
 class NoQuorum(GroupTest):
     """Without a majority every request fails within three election timeouts.
 
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -4,10 +4,10 @@
 import testtools
 
 from knapweeddeal.messages.control import Replica
-from knapweeddeal.messages.replication import MemberCountRecord
+from knapweeddeal.messages.replication import NonvoterRecord
 from knapweeddeal.replicareconciler import (
-    REPLACED_TIMEOUT_MS,
-    SETTLING_TIME_MS,
+    DEMOTION_TIMEOUT_MS,
+    MAX_OBSERVATION_GAP_MS,
     UNREACHABLE_TIMEOUT_MS,
     ReplicaReconciler,
 )
@@ -117,6 +117,61 @@
                 "expected": {1, 2, 3},
             },
         ),
+        (
+            "unreachable, and the others survive a loss without its vote",
+            {
+                "members": FOUR_MEMBERS,
+                "connected": [member(2), member(3)],
+                "after_ms": DEMOTION_TIMEOUT_MS,
+                "nonvoters": [member(4)],
+                "expected": {1, 2, 3},
+            },
+        ),
+        (
+            "unreachable, and the others survive a loss with its vote",
+            {
+                "members": [*FOUR_MEMBERS, member(5)],
+                "connected": [member(2), member(3), member(4)],
+                "after_ms": UNREACHABLE_TIMEOUT_MS - 1,
+                "expected": None,
+            },
+        ),
+        (
+            "stopping as planned",
+            {
+                "members": FOUR_MEMBERS,
+                "connected": [member(2), member(3), member(4)],
+                "nonvoters": [member(4)],
+                "stopping": {4},
+                "expected": {1, 2, 3},
+            },
+        ),
+        (
+            "stopping as planned, but needed for a quorum",
+            {
+                "connected": [member(2), member(3)],
+                "after_ms": UNREACHABLE_TIMEOUT_MS,
+                "stopping": {3},
+                "expected": None,
+            },
+        ),
+        (
+            "a stopping candidate isn't added",
+            {
+                "connected": [member(2), member(3), member(4)],
+                "node": {"caught_up": [4]},
+                "stopping": {4},
+                "expected": None,
+            },
+        ),
+        (
+            "unreachable for a short time, but needed for a quorum",
+            {
+                "connected": [member(2)],
+                "after_ms": DEMOTION_TIMEOUT_MS,
+                "expected": None,
+            },
+        ),
         (
             "unreachable, but needed for a quorum",
             {
@@ -136,15 +191,17 @@
     ]
     members = THREE_MEMBERS
     node = {}
+    nonvoters = ()
+    stopping = ()
     after_ms = 100
 
     def test_step(self):
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=self.members, **self.node)
         connected = {replica.identity: replica for replica in self.connected}
-        count = len(self.members)
-        record = reconciler.step(node, connected, 0, count)
-        record = reconciler.step(node, connected, self.after_ms, count) or record
+        state = {"nonvoters": self.nonvoters, "stopping": self.stopping}
+        record = reconciler.step(node, connected, 0, **state)
+        record = reconciler.step(node, connected, self.after_ms, **state) or record
         proposed = {replica.identity for replica in record.replicas} if record else None
         self.assertEqual(self.expected, proposed)
 
@@ -152,57 +209,52 @@
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
         connected = {2: member(2), 3: member(3)}
-        reconciler.step(node, connected, 0, 4)
+        reconciler.step(node, connected, 0)
         all_connected = {**connected, 4: member(4)}
-        reconciler.step(node, all_connected, UNREACHABLE_TIMEOUT_MS - 1, 4)
-        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4))
+        reconciler.step(node, all_connected, UNREACHABLE_TIMEOUT_MS - 1)
+        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
 
     def test_a_new_leadership_restarts_the_timeout(self):
         """Guards against a timeout that began in an earlier leadership."""
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
         connected = {2: member(2), 3: member(3)}
-        reconciler.step(node, connected, 0, 4)
+        reconciler.step(node, connected, 0)
         node.term += 1
-        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4))
+        self.assertIsNone(reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS))
 
     def test_observations_count_for_a_new_leader(self):
         """Guards against dead members that stay as long as leaders change."""
         reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
         connected = {2: member(2), 3: member(3)}
-        for now_ms in range(0, UNREACHABLE_TIMEOUT_MS, REPLACED_TIMEOUT_MS):
+        for now_ms in range(0, UNREACHABLE_TIMEOUT_MS, MAX_OBSERVATION_GAP_MS):
             node.term += 1
             reconciler.observe(node, connected, now_ms)
-        record = reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, 4)
+        record = reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS)
         self.assertEqual(THREE_MEMBERS, record.replicas)
 
 
-class Counts(testscenarios.TestWithScenarios, testtools.TestCase):
-    """The number of members that the leader records when it has settled.
+class ProposedNonvoters(testtools.TestCase):
+    """The leader waits until the nonvoters that it proposed are in force.
 
-    Guards against a successor that takes a failed member beside its replacement for
-    one member more, and against one that records the same number again and again.
+    Guards against proposing the same record in each step, and against a member that
+    leaves the quorum before all replicas know it as a nonvoter.
     """
 
-    scenarios = [
-        ("none is recorded", {"recorded": 0, "expected": [4]}),
-        ("the recorded one", {"recorded": 4, "expected": []}),
-        ("one joined long ago", {"recorded": 3, "expected": [4]}),
-        ("one joined just now", {"recorded": 3, "until_ms": -100, "expected": []}),
-        ("one is unreachable", {"recorded": 3, "reachable": [2, 3], "expected": []}),
-    ]
-    reachable = [2, 3, 4]
-    until_ms = 1_000
-
-    def test_recorded(self):
-        reconciler = ReplicaReconciler(tolerated_losses=2)
+    def test_one_record_at_a_time(self):
+        reconciler = ReplicaReconciler(tolerated_losses=1)
         node = FakeNode(members=FOUR_MEMBERS)
-        connected = {identity: member(identity) for identity in self.reachable}
-        times_ms = range(0, SETTLING_TIME_MS + self.until_ms, STEP_MS)
-        steps = [reconciler.step(node, connected, t, self.recorded) for t in times_ms]
-        counts = [record.members for record in steps if record is not None]
-        self.assertEqual(self.expected, counts)
+        connected = {2: member(2), 3: member(3)}
+        reconciler.step(node, connected, 0)
+        record = reconciler.step(node, connected, DEMOTION_TIMEOUT_MS)
+        self.assertIsInstance(record, NonvoterRecord)
+        self.assertEqual([member(4)], record.replicas)
+        self.assertIsNone(reconciler.step(node, connected, DEMOTION_TIMEOUT_MS + 1))
+        later_ms = DEMOTION_TIMEOUT_MS + 2
+        record = reconciler.step(node, connected, later_ms, nonvoters=[member(4)])
+        self.assertEqual(THREE_MEMBERS, record.replicas)
+        self.assertEqual({4}, node.learners)
 
 
 STEP_MS = 100
@@ -240,8 +292,8 @@
         self.reachable = list(range(1, self.members + 1))
         self.node = FakeNode(members=[member(i) for i in self.reachable])
         self.reconcilers = {}
-        self.settled_members = 0
-        self.run_for(SETTLING_TIME_MS)
+        self.nonvoters = []
+        self.run_for(CATCH_UP_MS)
 
     def test_a_majority_is_reachable(self):
         for replacement in range(self.members + 1, self.members + 8):
@@ -269,10 +321,15 @@
             self.run_for(CATCH_UP_MS)
 
     def test_a_pause_replaces_nobody(self):
-        """Guards against removing a member that is back within the timeout."""
+        """Guards against forgetting a member that is back within the timeout."""
         paused = self.reachable.pop()
         self.run_for(UNREACHABLE_TIMEOUT_MS - STEP_MS)
+        known = self.node.members.union(r.identity for r in self.nonvoters)
+        self.assertIn(paused, known)
+        self.reachable.append(paused)
+        self.run_for(START_MS)
         self.assertIn(paused, self.node.members)
+        self.assertEqual([], self.nonvoters)
 
     def restart_leader(self, failed):
         """End the leader's process; the next replica leads when it is back."""
@@ -299,11 +356,11 @@
             identity, ReplicaReconciler(tolerated_losses=self.tolerated_losses)
         )
         if identity != self.reachable[0]:
-            reconciler.observe(node, connected, now_ms)
+            reconciler.observe(node, connected, now_ms, self.nonvoters)
             return
-        record = reconciler.step(node, connected, now_ms, self.settled_members)
-        if isinstance(record, MemberCountRecord):
-            self.settled_members = record.members
+        record = reconciler.step(node, connected, now_ms, nonvoters=self.nonvoters)
+        if isinstance(record, NonvoterRecord):
+            self.nonvoters = record.replicas
         elif record is not None:
             node.log.replicas = record.replicas
 
