Refuse status reports that lack a field of the page

Cause: only fields that the system uses were required. Nothing reads 'version', and a missing 'coldLeftMs' was taken as 0, so the report counted as one of an upstream that started later. Under the running upstream's own id it replaced its state.

Change: REPORT_FIELDS lists all fields of a report and how each is read; a report that lacks one, or has it of another type, is refused with 400 and changes nothing.

The soak's strangers leave out fields too, with a later start and under the upstream's own id.

--- a/knapweeddeal/platform/fields.py
+++ b/knapweeddeal/platform/fields.py
@@ -9,10 +9,12 @@
 __all__ = [
     "decode_object",
     "is_port",
+    "address",
     "number",
     "optional_number",
     "optional_text",
     "optional_thousandths",
+    "read_fields",
     "split_address",
     "text",
 ]
@@ -55,6 +57,15 @@
     raise BadMessageError("expected a JSON number", field="body", value=name)
 
 
+def read_fields(body, readers):
+    """Return the values of all fields that a message must have, by name.
+
+    `readers` holds the function that reads a field, by its name; raises
+    BadMessageError for a field that is missing or of another type.
+    """
+    return {name: read(body, name) for name, read in readers.items()}
+
+
 def text(body, name):
     """Return a text of 1 to 64 characters; raise BadMessageError."""
     value = body.get(name)
@@ -102,6 +113,11 @@
     return round(value * 1_000)
 
 
+def address(body, name):
+    """Return host and port of a field `IP:PORT`; raise BadMessageError."""
+    return split_address(name, text(body, name))
+
+
 def split_address(name, value):
     """Return host and port of `IP:PORT`; raise BadMessageError."""
     host, _, port = value.rpartition(":")
--- a/knapweeddeal/platform/reports.py
+++ b/knapweeddeal/platform/reports.py
@@ -1,12 +1,15 @@
 """knapweeddeal.platform.reports: Status reports of upstreams."""
 
+import functools
+
 from knapweeddeal.errors import BadMessageError
 from knapweeddeal.messages.packets import DRAINING, READY, UpstreamState
 from knapweeddeal.platform.fields import (
+    address,
     decode_object,
     number,
     optional_number,
-    split_address,
+    read_fields,
     text,
 )
 
@@ -23,26 +26,45 @@
 MAX_COLD_MS = 3_600_000
 
 
+def _status(report, name):
+    state = text(report, name)
+    if state not in STATUS_BY_STATE:
+        raise BadMessageError("expected ready or draining", field=name, value=state)
+    return STATUS_BY_STATE[state]
+
+
+#: How each field of a status report is read. A report that lacks one, whether it is
+#: used here or not, is of another writer and changes nothing.
+REPORT_FIELDS = {
+    "service": text,
+    "addr": address,
+    "zone": text,
+    "version": text,
+    "slots": functools.partial(number, minimum=1, maximum=MAX_SLOTS),
+    "state": _status,
+    "coldLeftMs": number,
+    "seq": number,
+    "born": number,
+}
+
+
 def decode_report(upstream_id, body, *, home):
     """Return the state in a status report; raise BadMessageError."""
-    report = _decode_short(body)
-    state = text(report, "state")
-    if state not in STATUS_BY_STATE:
-        raise BadMessageError("expected ready or draining", field="state", value=state)
-    host, port = split_address("addr", text(report, "addr"))
+    report = read_fields(_decode_short(body), REPORT_FIELDS)
+    host, port = report["addr"]
     return UpstreamState(
         upstream_id=check_id(upstream_id),
         # Start time of the process; the field `version` is its software version.
-        born_ms=number(report, "born"),
-        sequence=number(report, "seq"),
-        service=text(report, "service"),
-        zone=text(report, "zone"),
+        born_ms=report["born"],
+        sequence=report["seq"],
+        service=report["service"],
+        zone=report["zone"],
         host=host,
         port=port,
-        slots=number(report, "slots", minimum=1, maximum=MAX_SLOTS),
-        status=STATUS_BY_STATE[state],
+        slots=report["slots"],
+        status=report["state"],
         # Remaining time, not a point in time.
-        cold_ms=min(optional_number(report, "coldLeftMs", default=0), MAX_COLD_MS),
+        cold_ms=min(report["coldLeftMs"], MAX_COLD_MS),
         silent=False,
         failing=False,
         home=home,
--- a/soak/strangers.py
+++ b/soak/strangers.py
@@ -47,29 +47,37 @@
     # Calls.
 
     def _bad_report(self):
-        name = self._random.choice(("service", "zone", "state", "slots", "seq", "born"))
-        report = {**self._report(), name: self._random.choice(BAD_VALUES)}
-        if self._random.random() < 0.3:
-            report["addr"] = self._random.choice(BAD_ADDRESSES)
-        self._expect_refusal("PUT", "/-/instances/i-ffff", report)
+        """Report as a running upstream, with a field missing or of another type."""
+        upstream_id, report = self._report()
+        name = self._random.choice(list(report))
+        if self._random.random() < 0.5:
+            del report[name]
+        elif name == "addr":
+            report[name] = self._random.choice(BAD_ADDRESSES)
+        else:
+            report[name] = self._random.choice(BAD_VALUES)
+        upstream_id = self._random.choice((upstream_id, "i-ffff"))
+        self._expect_refusal("PUT", f"/-/instances/{upstream_id}", report)
 
     def _foreign_report(self):
         """Report an unknown service at the address of a running upstream."""
-        body = {**self._report(), "service": "elsewhere", "zone": "elsewhere"}
-        body["born"] = time.time_ns() // 1_000_000 + 1_000
+        body = {**self._report()[1], "service": "elsewhere", "zone": "elsewhere"}
         name = f"i-{self._random.randrange(1, 16):x}"
         self._client.request("PUT", f"/-/instances/{name}", body)
 
     def _report(self):
+        """Return id and report of a running upstream, with a later start."""
         host, upstream = self._random.choice(list(self._callers.upstreams.items()))
-        return {
+        return upstream.name, {
             "service": upstream.service,
             "addr": f"{host}:{UPSTREAM_PORT}",
             "zone": upstream.zone,
+            "version": "v1",
             "slots": 2,
             "state": "ready",
+            "coldLeftMs": 0,
             "seq": 1,
-            "born": 1,
+            "born": time.time_ns() // 1_000_000 + 1_000,
         }
 
     def _bad_configuration(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -88,6 +88,16 @@
 }
 
 
+#: Values of each type that JSON has, by the type's name.
+OTHER_TYPES = {
+    "null": None,
+    "a boolean": True,
+    "a number": 1,
+    "a fraction": 1.5,
+    "a text": "x",
+    "a list": [],
+    "an object": {},
+}
 #: Hosts that some functions read as an address and others don't, or differently.
 AMBIGUOUS_HOSTS = (
     "127.0.9.08",
@@ -153,7 +163,12 @@
         *[
             (f"no {name}", {"body": {k: v for k, v in REPORT.items() if k != name}})
             for name in REPORT
-            if name not in ("version", "coldLeftMs")
+        ],
+        *[
+            (f"{kind} as {name}", {"body": {**REPORT, name: value}})
+            for name, own in REPORT.items()
+            for kind, value in OTHER_TYPES.items()
+            if type(value) is not type(own)
         ],
         ("unknown state", {"body": {**REPORT, "state": "sleeping"}}),
         ("text for a number", {"body": {**REPORT, "seq": "4"}}),
@@ -439,6 +454,34 @@
         return curio.run(run)
 
 
+class IncompleteReports(testscenarios.TestWithScenarios, testtools.TestCase):
+    """A report that lacks a field changes nothing, whichever upstream it names.
+
+    Guards against another writer's report that takes the address, and so the flows, of
+    a running upstream, or replaces its state.
+    """
+
+    scenarios = [
+        (f"no {name}, {whose} id", {"name": name, "upstream_id": upstream_id})
+        for name in REPORT
+        for whose, upstream_id in (("its own", "i-1"), ("another", "i-2"))
+    ]
+
+    def test_unchanged(self):
+        replica = FakeReplica()
+        replica.table.set_services([REPORT["service"]])
+        later = {**REPORT, "born": REPORT["born"] + 1}
+        del later[self.name]
+        responses = replica.call(
+            ("PUT", "/-/instances/i-1", REPORT),
+            ("PUT", f"/-/instances/{self.upstream_id}", later),
+        )
+        self.assertEqual([200, 400], [response.status for response in responses])
+        (known,) = replica.table.states(0)
+        expected = decode_report("i-1", encoded(REPORT), home=1)
+        self.assertEqual(expected, known)
+
+
 #: The function that decodes documents.
 DECODER = "knapweeddeal.platform.publisher.decode_configuration"
 #: The timeout of a call.
