Keep the address of an upstream that reports from silent ones

Callers saw (read from the code and shown by a test, not seen in a run): after an update, the hints of an earlier version may list an entry of another writer at the address of a running upstream. Its reports changed nothing until the entry was forgotten, 120 s later, as the entry had the later start.

Cause: a state counted at its address by its start alone, also while it was silent or only remembered from before the start.

Change: only an upstream that reports takes an address or keeps it from others.

Evidence: the rows 'later start silent' and 'later start remembered' of SharedAddress fail without the change; a later start that reports again displaces the earlier one.

--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -383,9 +383,11 @@
         return current.service in self._services
 
     def _is_displaced(self, state):
-        """Return whether an upstream that started later has the address."""
+        """Return whether an upstream that started later reports from the address."""
         other = self._other_at_address(state)
-        return other is not None and other.state.born_ms > state.born_ms
+        if other is None or not self._may_displace(other.state):
+            return False
+        return other.state.born_ms > state.born_ms
 
     def _displace(self, state):
         """Mark the earlier upstream at the address as gone, and return its state.
@@ -393,7 +395,7 @@
         Reports of services that aren't configured may come from other writers, so they
         don't say who has an address.
         """
-        if state.status == GONE or state.service not in self._services:
+        if state.service not in self._services or not self._may_displace(state):
             return []
         other = self._other_at_address(state)
         self._by_address[(state.host, state.port)] = state.upstream_id
@@ -402,6 +404,15 @@
         other.state = other.state.replace(status=GONE, home=self._own_identity)
         return [other.state]
 
+    @staticmethod
+    def _may_displace(state):
+        """Return whether an upstream may take an address from others.
+
+        One that is silent, or only remembered from before the start, may never have
+        run: earlier versions kept what other writers reported.
+        """
+        return state.status != GONE and not state.silent and not state.hint
+
     def _other_at_address(self, state):
         """Return the entry of another configured upstream at the address, or None."""
         address = (state.host, state.port)
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -253,6 +253,21 @@
     scenarios = [
         ("earlier start first", {"reports": [EARLIER, LATER], "ready": ["i-2"]}),
         ("later start first", {"reports": [LATER, EARLIER], "ready": ["i-2"]}),
+        (
+            "later start silent",
+            {"reports": [LATER.replace(silent=True), EARLIER], "ready": ["i-1", "i-2"]},
+        ),
+        (
+            "later start remembered",
+            {"reports": [LATER.replace(hint=True), EARLIER], "ready": ["i-1", "i-2"]},
+        ),
+        (
+            "later start remembered, but it reports",
+            {
+                "reports": [LATER.replace(hint=True), EARLIER, LATER],
+                "ready": ["i-2"],
+            },
+        ),
         ("other service", {"reports": [EARLIER, OTHER_SERVICE], "ready": ["i-2"]}),
         ("unknown service", {"reports": [EARLIER, UNKNOWN], "ready": ["i-1", "i-2"]}),
         (
