--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -327,6 +327,24 @@
             self.assertEqual(self.born_ms, ready["i-1"].born_ms)
 
 
+class SilentAtAddress(testtools.TestCase):
+    """An upstream that fell silent keeps its address from none that reports.
+
+    Guards against an entry of another writer that hides a running upstream from a
+    replica that learned of the entry first.
+    """
+
+    def test_earlier_start_reports(self):
+        table = table_with()
+        table.set_services([SERVICE])
+        table.apply_state(SharedAddress.LATER, 0)
+        table.expire(now_ms=10_000, current=True, linked=())
+        table.apply_state(SharedAddress.EARLIER, 10_000)
+        self.assertEqual(READY, table.get("i-1").status)
+        table.apply_state(SharedAddress.LATER.replace(sequence=9), 10_500)
+        self.assertEqual(GONE, table.get("i-1").status)
+
+
 class ConfiguredLater(testtools.TestCase):
     """Upstreams that a configuration displaces are returned, once."""
 
