Wait for the next leader before a planned stop, as long as stop_ms

Cause: the stopping replica waited 2 s for its removal; the election after the transfer took 2 s (leader lost at 769.2 s, next one at 771.1 s, 'stopped' at 771.2 s in the log).

--- a/knapweeddeal/controlcore.py
+++ b/knapweeddeal/controlcore.py
@@ -529,7 +529,7 @@
         self._stop = PlannedStop(
             node=node,
             should_leave=should_leave,
-            transfer_ms=settings.stop_ms if is_transferring else 0,
+            timeout_ms=settings.stop_ms if is_transferring or should_leave else 0,
             now_ms=monotonic_ms(),
         )
         log.info("stopping", transfers=is_transferring, leaves=should_leave)
--- a/knapweeddeal/upstreamtable.py
+++ b/knapweeddeal/upstreamtable.py
@@ -385,7 +385,7 @@
     def _is_displaced(self, state):
         """Return whether an upstream that started later reports from the address."""
         other = self._other_at_address(state)
-        if other is None or not self._may_displace(other.state):
+        if other is None or not _reports_now(other.state):
             return False
         return other.state.born_ms > state.born_ms
 
@@ -395,24 +395,17 @@
         Reports of services that aren't configured may come from other writers, so they
         don't say who has an address.
         """
-        if state.service not in self._services or not self._may_displace(state):
+        if state.status == GONE or state.service not in self._services:
             return []
         other = self._other_at_address(state)
+        if other is not None and not _reports_now(state):
+            return []
         self._by_address[(state.host, state.port)] = state.upstream_id
         if other is None or other.state.born_ms >= state.born_ms:
             return []
         other.state = other.state.replace(status=GONE, home=self._own_identity)
         return [other.state]
 
-    @staticmethod
-    def _may_displace(state):
-        """Return whether an upstream may take an address from others.
-
-        One that is silent, or only remembered from before the start, may never have
-        run: earlier versions kept what other writers reported.
-        """
-        return state.status != GONE and not state.silent and not state.hint
-
     def _other_at_address(self, state):
         """Return the entry of another configured upstream at the address, or None."""
         address = (state.host, state.port)
@@ -425,6 +418,15 @@
         return other if has_address and other.state.status != GONE else None
 
 
+def _reports_now(state):
+    """Return whether an upstream may take an address from others, or keep it.
+
+    One that is silent, or only remembered from before the start, may never have run:
+    earlier versions kept what other writers reported.
+    """
+    return not state.silent and not state.hint
+
+
 def _remains_departing(entry, state):
     """Return whether a deferred departure arrived after the report of a state."""
     if state.status == GONE:
--- a/tests/test_upstreamtable.py
+++ b/tests/test_upstreamtable.py
@@ -268,6 +268,14 @@
                 "ready": ["i-2"],
             },
         ),
+        (
+            "earlier start remembered",
+            {"reports": [EARLIER.replace(hint=True), LATER], "ready": ["i-2"]},
+        ),
+        (
+            "earlier start silent",
+            {"reports": [EARLIER.replace(silent=True), LATER], "ready": ["i-2"]},
+        ),
         ("other service", {"reports": [EARLIER, OTHER_SERVICE], "ready": ["i-2"]}),
         ("unknown service", {"reports": [EARLIER, UNKNOWN], "ready": ["i-1", "i-2"]}),
         (
