Test a paused member and a change of leader between two records

PausedMember guards against forgetting a replica that is paused; the search covers a leader that changes between the list of nonvoters and the membership.

--- a/tests/test_controlprocess.py
+++ b/tests/test_controlprocess.py
@@ -370,6 +370,31 @@
             return None
 
 
+class PausedMember(GroupTest):
+    """A member that is paused leaves the quorum, stays known and votes again.
+
+    Guards against forgetting a replica that upstreams still report to and forwarders
+    ask for permits.
+    """
+
+    def test_nonvoter(self):
+        control = {"heals_itself": "true", "tolerated_losses": 1}
+        group = self.start_group(count=4, control=control)
+        paused = self.followers()[0]
+        group.daemons[paused].signal(signal.SIGSTOP)
+        wait_until(lambda: self.members_and_nonvoters() == (3, [paused]), "a demotion")
+        self.change(1)
+        group.daemons[paused].signal(signal.SIGCONT)
+        wait_until(lambda: self.members_and_nonvoters() == (4, []), "its return")
+
+    def members_and_nonvoters(self):
+        """Return the leader's number of members, and the names of nonvoters."""
+        leader = self.group.wait_for_leader().leader
+        answer = self.group.request_one(leader, DumpRequest(max_bytes=1 << 16))
+        state = json.loads(answer.text)
+        return len(state["members"]), state["nonvoters"]
+
+
 class NoQuorum(GroupTest):
     """Without a majority every request fails within three election timeouts.
 
--- a/tests/test_demotions.py
+++ b/tests/test_demotions.py
@@ -160,6 +160,7 @@
                 yield "stop", identity
             if self.losses_left:
                 yield "cut_off", identity
+                yield "cut_off_midway", identity
                 yield "lose_disk", identity
             yield "restart", identity
         for identity in list(self.cut)[:1]:
@@ -236,6 +237,17 @@
         self._end(identity)
         self.settle(GAP_MS)
 
+    def cut_off_midway(self, identity):
+        """Cut a VM off; the leadership moves after the first record on that."""
+        self.cut[identity] = self.up[identity]
+        self.cut_ms[identity] = self.now_ms
+        self._end(identity)
+        self.settle(0)
+        self.now_ms += DEMOTION_TIMEOUT_MS
+        self.apply_records(max_records=1)
+        self._change_leader()
+        self.settle(GAP_MS)
+
     def reconnect(self, identity):
         """Connect a VM again."""
         del self.cut_ms[identity]
@@ -271,8 +283,8 @@
             self.now_ms = began_ms + time_ms
             self.apply_records()
 
-    def apply_records(self, *, stopping=()):
-        """Step all replicas until the leader proposes nothing."""
+    def apply_records(self, *, stopping=(), max_records=None):
+        """Step all replicas until the leader proposes nothing, or some records."""
         for identity in self.up:
             if identity != self.leader:
                 self.reconcilers[identity].observe(
@@ -281,7 +293,7 @@
                     self.now_ms,
                     self.nonvoters,
                 )
-        for _ in range(MAX_RECORDS):
+        for _ in range(max_records or MAX_RECORDS):
             record = self.reconcilers[self.leader].step(
                 self._node(self.leader),
                 self._connected(self.leader),
@@ -295,7 +307,8 @@
                 self.nonvoters = record.replicas
             else:
                 self.replicas = record.replicas
-        raise AssertionError(f"more than {MAX_RECORDS} records: {record}")
+        if max_records is None:
+            raise AssertionError(f"more than {MAX_RECORDS} records: {record}")
 
     def _node(self, identity):
         return Node(identity=identity, cluster=self)
