--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from soak.cluster import FORWARDERS, ZONES, Cluster, wait_until
+from soak.cluster import FORWARDERS, REPLICAS, ZONES, Cluster, wait_until
 from soak.faults import FAULTS, Faults, can_evacuate, can_remove
 from soak.peers import (
     DRAIN_LIMIT_S,
@@ -60,11 +60,11 @@
     }
 
 
-def run(seed, *, base, seconds, kinds):
+def run(seed, *, base, seconds, kinds, replicas):
     """Run one seed; return violations, injected faults, counts and the log folder."""
     problems = Problems()
     problems.watch_threads()
-    cluster = Cluster(base=base)
+    cluster = Cluster(base=base, replicas=replicas)
     rng = random.Random(seed)
     traffic = Traffic(
         cluster=cluster,
@@ -257,6 +257,9 @@
     parser.add_argument(
         "--seconds", type=float, default=12, help="time for which faults are injected"
     )
+    parser.add_argument(
+        "--replicas", type=int, default=REPLICAS, help="number of control replicas"
+    )
     parser.add_argument(
         "--base", type=int, default=0, help="second octet of the loopback addresses"
     )
@@ -277,7 +280,11 @@
         base = options.base or LOOPBACK_BASES[(first + index) % len(LOOPBACK_BASES)]
         began_s = time.monotonic()
         found, injected, figures, folder = run(
-            seed, base=base, seconds=options.seconds, kinds=options.kinds
+            seed,
+            base=base,
+            seconds=options.seconds,
+            kinds=options.kinds,
+            replicas=options.replicas,
         )
         spent_s = time.monotonic() - began_s
         verdict = "FAILED" if found else "passed"
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -17,6 +17,7 @@
     "STREAM_PORT",
     "ZONES",
     "FORWARDERS",
+    "REPLICAS",
     "Cluster",
     "wait_until",
 ]
@@ -82,11 +83,11 @@
 class Cluster:
     """Run control replicas behind proxies, and forwarders."""
 
-    def __init__(self, *, base, fault_injection=True):
+    def __init__(self, *, base, replicas=REPLICAS, fault_injection=True):
         self.base = base
         self._fault_injection = fault_injection
         self.folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        self.hosts = [self.host(ADVERTISED_GROUP, n) for n in range(1, REPLICAS + 1)]
+        self.hosts = [self.host(ADVERTISED_GROUP, n) for n in range(1, replicas + 1)]
         self.proxies = {}
         for number, host in enumerate(self.hosts, 1):
             target = (self.host(LISTEN_GROUP, number), STREAM_PORT)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 import testtools
 
 from demo.cluster import BASE_VARIABLE, default_base
-from soak.cluster import Process
+from soak.cluster import REPLICAS, Process
 from soak.peers import Callers, Problems
 from tests.processes import ROOT
 
@@ -46,6 +46,16 @@
         "strangers",
         {"seed": 101, "seconds": 4, "kinds": ("strangers", "pause", "kill replica")},
     ),
+    # With an even number of replicas, one that is out of reach leaves the quorum.
+    (
+        "four replicas",
+        {
+            "seed": 1,
+            "seconds": 6,
+            "kinds": ("kill replica", "stop", "pause", "proxy", "wipe"),
+            "replicas": 4,
+        },
+    ),
 ]
 
 
@@ -133,10 +143,12 @@
 
     scenarios = SEEDS
     kinds = ()
+    replicas = REPLICAS
 
     def test_seed(self):
         base = os.environ.get(BASE_VARIABLE) or str(default_base())
         arguments = [str(self.seed), "--seconds", str(self.seconds), "--base", base]
+        arguments += ["--replicas", str(self.replicas)]
         if self.kinds:
             arguments += ["--kinds", *self.kinds]
         done = subprocess.run(
