Stop preparing the log for replicas that left the quorum for good

Read from the code, not seen in a run: a demoted member stayed a learner of its leader after it was forgotten, so the leader built a heartbeat for it for ever, which nobody sends.

Change: only a member that stops, and so is connected, becomes a learner when it is demoted; it is one until it is removed from the list. DemotedLearner fails without either rule.

--- a/knapweeddeal/replicareconciler.py
+++ b/knapweeddeal/replicareconciler.py
@@ -90,19 +90,20 @@
             stopping=stopping,
         )
         return (
-            self._remove(cluster, now_ms)
+            self._remove(cluster, node, now_ms)
             or self._restore(cluster)
             or self._demote(cluster, node, now_ms)
             or self._add(cluster, node)
         )
 
-    def _remove(self, cluster, now_ms):
+    def _remove(self, cluster, node, now_ms):
         """Return the record that removes a member or nonvoter, or None."""
         replica = self._replica_to_remove(cluster, now_ms)
         if replica is None:
             return None
         if cluster.is_member(replica):
             return _membership_record(_without(cluster.members, replica))
+        node.remove_learner(replica.identity)
         return self._nonvoter_record(_without(cluster.nonvoters, replica))
 
     def _replica_to_remove(self, cluster, now_ms):
@@ -139,8 +140,9 @@
         others = _without(cluster.nonvoters, member)
         if len(others) == len(cluster.nonvoters):
             return self._nonvoter_record([*others, member])
-        # It still gets the record that removes it, and the log when it is back.
-        node.add_learner(member.identity)
+        if member.identity in cluster.connected:
+            # One that stops waits for the record that removes it.
+            node.add_learner(member.identity)
         return _membership_record(_without(cluster.members, member))
 
     def _member_to_demote(self, cluster, now_ms):
--- a/tests/test_demotions.py
+++ b/tests/test_demotions.py
@@ -66,6 +66,9 @@
     def add_learner(self, identity):
         """Accept a learner."""
 
+    def remove_learner(self, identity):
+        """Accept the end of a learner."""
+
 
 class Cluster:
     """Model the membership under losses, replacements and restarts.
--- a/tests/test_replicareconciler.py
+++ b/tests/test_replicareconciler.py
@@ -55,6 +55,10 @@
         """Record a learner."""
         self.learners.add(identity)
 
+    def remove_learner(self, identity):
+        """Remove a learner."""
+        self.learners.discard(identity)
+
     def is_caught_up(self, identity):
         """Return whether a replica was configured as caught up."""
         return identity in self.caught_up
@@ -254,7 +258,40 @@
         later_ms = DEMOTION_TIMEOUT_MS + 2
         record = reconciler.step(node, connected, later_ms, nonvoters=[member(4)])
         self.assertEqual(THREE_MEMBERS, record.replicas)
+
+
+class DemotedLearner(testtools.TestCase):
+    """A member that stops gets the log until it is forgotten.
+
+    Guards against a replica that never learns that it left the quorum, and against a
+    leader that prepares the log for replicas that are gone for good.
+    """
+
+    def test_learner(self):
+        reconciler = ReplicaReconciler(tolerated_losses=1)
+        node = FakeNode(members=FOUR_MEMBERS)
+        connected = {2: member(2), 3: member(3), 4: member(4)}
+        former = {"nonvoters": [member(4)]}
+        record = reconciler.step(node, connected, 0, **former, stopping={4})
+        self.assertEqual(THREE_MEMBERS, record.replicas)
+        self.assertEqual({4}, node.learners)
+        node.log.replicas = record.replicas
+        del connected[4]
+        reconciler.step(node, connected, 0, **former)
         self.assertEqual({4}, node.learners)
+        record = reconciler.step(node, connected, UNREACHABLE_TIMEOUT_MS, **former)
+        self.assertEqual([], record.replicas)
+        self.assertEqual(set(), node.learners)
+
+    def test_unreachable_member(self):
+        reconciler = ReplicaReconciler(tolerated_losses=1)
+        node = FakeNode(members=FOUR_MEMBERS)
+        connected = {2: member(2), 3: member(3)}
+        former = {"nonvoters": [member(4)]}
+        reconciler.step(node, connected, 0, **former)
+        record = reconciler.step(node, connected, DEMOTION_TIMEOUT_MS, **former)
+        self.assertEqual(THREE_MEMBERS, record.replicas)
+        self.assertEqual(set(), node.learners)
 
 
 STEP_MS = 100
